Workspace, interfaces between packages and base types

Ruled out: one library with all parts (decision packages would then link Asio and Cap'n Proto); commands as Cap'n Proto structs (described structs convert by themselves and serve operators and traces too).

--- /dev/null
+++ b/packages/base/include/laurelhall/base/time.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace laurelhall {
+
+using Millis = std::chrono::milliseconds;
+using Seconds = std::chrono::seconds;
+
+/// A point on the monotonic clock of this process; never sent to another one.
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// A point on the wall clock, used in replicated state and in reports.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+/// Returns the wall clock's time in milliseconds. Thread-safe.
+WallTime WallNow();
+
+/// Parses a duration such as "250ms", "30s", "5m", "2h", "28d" or "1m30s".
+///
+/// @param text The text; no spaces, no sign.
+/// @returns The duration.
+/// @throws std::invalid_argument when the text is none, or overflows.
+/// @remarks Thread-safe.
+Millis ParseDuration(std::string_view text);
+
+/// Writes a duration the way ParseDuration() reads it. Thread-safe.
+std::string FormatDuration(Millis duration);
+
+/// Writes a wall time as RFC 3339 in UTC with milliseconds. Thread-safe.
+std::string FormatWallTime(WallTime time);
+
+}  // namespace laurelhall
--- /dev/null
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laurelhall/base/handle.h"
+#include "laurelhall/base/time.h"
+#include "laurelhall/model/endpoint.h"
+
+// Limits that hold over all entry hosts together, without asking per request:
+// the leader lends slots of each endpoint to entry hosts under leases that
+// move with demand. One slot carries one run and at most one connection.
+namespace laurelhall::routing {
+
+/// What an entry host says about one endpoint when it renews.
+struct SlotDemand {
+  std::string endpoint;
+  uint64_t grant = 0;  ///< Id of the grant it holds; 0 for none.
+  int held = 0;        ///< Slots it holds under that grant.
+  int in_use = 0;      ///< Runs in flight; never more than `held`.
+  int wanted = 0;      ///< In use and queued: what it could use now.
+};
+
+/// Slots lent to one entry host. Zero slots takes the grant back.
+struct SlotGrant {
+  std::string endpoint;
+  uint64_t grant = 0;
+  int slots = 0;
+  Millis lease{0};  ///< Runs from when the entry host asked.
+};
+
+struct SlotAllocatorInit {
+  Millis lease{std::chrono::seconds(4)};
+  double clock_drift = 0.01;  ///< The slower clock may be this much slower.
+  uint64_t epoch = 0;         ///< Of the leader; makes its grant ids its own.
+};
+
+/// The leader's side: who may use how many slots of which endpoint.
+///
+/// @remarks Not thread-safe. Invariant: slots lent, plus slots that a silent
+///   entry host may still be using, never exceed the endpoint's slots.
+class SlotAllocator {
+ public:
+  /// @param now A new leader lends nothing that is not reported to it as held
+  ///   until every lease of an earlier leader, and the longest run under it,
+  ///   has surely ended.
+  SlotAllocator(const SlotAllocatorInit& init, SteadyTime now);
+  ~SlotAllocator();
+
+  /// Makes an endpoint known, or changes its slots. A new incarnation starts
+  /// with nothing lent.
+  void SetEndpoint(const model::Endpoint& endpoint,
+                   Millis max_run_time,
+                   SteadyTime now);
+
+  /// Lends nothing more of an endpoint that leaves or is gone.
+  void RemoveEndpoint(const std::string& endpoint);
+
+  /// Renews an entry host's leases and moves slots with demand.
+  ///
+  /// @returns The grants in force for this entry host, changed or not.
+  std::vector<SlotGrant> Renew(const model::EntryIdentity& entry,
+                               const std::vector<SlotDemand>& demands,
+                               SteadyTime now);
+
+  /// Takes back what is surely over.
+  void Expire(SteadyTime now);
+
+  int LentSlots(const std::string& endpoint) const;
+  int QuarantinedSlots(const std::string& endpoint) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+using SlotTicket = Handle<struct SlotTicketTag>;
+
+/// The entry host's side: starts a run only under a lease that still holds.
+///
+/// @remarks Thread-safe: shards by endpoint, each under its own lock.
+class GrantHolder {
+ public:
+  GrantHolder();
+  ~GrantHolder();
+
+  /// Takes in grants; the lease runs from when the renewal was sent.
+  void Update(const std::vector<SlotGrant>& grants, SteadyTime asked_at);
+
+  /// Takes a slot, or none when all are in use or the lease has run out.
+  std::optional<SlotTicket> TryAcquire(const std::string& endpoint,
+                                       SteadyTime now);
+
+  /// Whether the ticket's lease still holds; asked again right before a write.
+  bool IsValid(SlotTicket ticket, SteadyTime now) const;
+
+  /// Gives a slot back. No effect on an invalid ticket.
+  void Release(SlotTicket ticket);
+
+  /// What to report at the next renewal, `wanted` filled in by the caller's
+  /// count of queued requests per endpoint.
+  std::vector<SlotDemand> Report(
+      const std::map<std::string, int>& queued) const;
+
+  int FreeSlots(const std::string& endpoint, SteadyTime now) const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace laurelhall::routing
--- /dev/null
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "laurelhall/base/finding.h"
+#include "laurelhall/base/time.h"
+
+namespace laurelhall::settings {
+
+/// A control host that this daemon knows from the start.
+struct ControlPeer {
+  std::string name;
+  std::string address;  ///< "ip:port" of the inner protocol.
+  std::string availability_zone;
+};
+
+/// TLS files of one listening side; all empty means plain TCP.
+struct TlsFiles {
+  std::string certificate_file;
+  std::string key_file;
+  std::string client_ca_file;
+  std::string ca_file;
+};
+
+/// One daemon's own settings file.
+struct DaemonSettings {
+  std::string cluster = "laurelhall";
+  std::string name;
+  std::string region;
+  std::string availability_zone;
+  bool is_entry = false;
+  bool is_control = false;
+  std::string data_folder;     ///< Required of a control host.
+  bool may_bootstrap = false;  ///< Its empty folder may start a cluster.
+  std::string inner_address;   ///< Listens here for the inner protocol.
+  std::string caller_address;  ///< Callers and endpoints, behind the balancer.
+  std::string operator_address;  ///< Health, metrics, operators.
+  std::vector<ControlPeer> control_peers;
+  std::string cluster_key_file;  ///< Shared key of the inner protocol.
+  std::string operator_tokens_file;
+  TlsFiles caller_tls;
+  TlsFiles operator_tls;
+  std::string log_level = "info";
+  std::string log_format = "text";
+  int io_threads = 2;
+  Millis drain_grace{
+      std::chrono::seconds(30)};  ///< SIGTERM: in flight may finish.
+  std::string trace_file;         ///< Records decisions for replay when set.
+};
+
+/// Reads and checks a daemon's settings file.
+///
+/// @throws FindingsError with every finding and its place: unknown keys, bad
+///   addresses, off-loopback without keys, a control host without a folder.
+DaemonSettings ReadDaemonSettings(const std::string& file);
+
+/// Same, from text; `place` stands before each finding.
+DaemonSettings ParseDaemonSettings(const std::string& text,
+                                   const std::string& place);
+
+}  // namespace laurelhall::settings
--- /dev/null
+++ b/packages/state/include/laurelhall/state/command.h
@@ -0,0 +1,231 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "laurelhall/model/endpoint.h"
+#include "laurelhall/model/fleet.h"
+
+// What may stand in the replicated log. A command carries the leader's wall
+// time where it needs one: applying it reads no clock.
+namespace laurelhall::state {
+
+/// Asks for the right to run a keyed request once.
+struct ClaimCommand {
+  model::ClaimKey key;
+  std::string digest;  ///< Of the request's body and target.
+  model::EntryIdentity owner;
+  std::string request_id;
+  WallTime at{};
+  WallTime expires_at{};
+};
+BOOST_DESCRIBE_STRUCT(ClaimCommand,
+                      (),
+                      (key, digest, owner, request_id, at, expires_at))
+
+/// The owner has the whole answer; `is_kept` is false when it is too large.
+struct CompleteCommand {
+  model::ClaimKey key;
+  std::string request_id;
+  bool is_kept = true;
+  model::Answer answer;
+};
+BOOST_DESCRIBE_STRUCT(CompleteCommand, (), (key, request_id, is_kept, answer))
+
+/// The owner says that no byte was written and none ever will be.
+struct ReleaseCommand {
+  model::ClaimKey key;
+  std::string request_id;
+};
+BOOST_DESCRIBE_STRUCT(ReleaseCommand, (), (key, request_id))
+
+/// The owner wrote, and cannot learn what came of it.
+struct AbandonCommand {
+  model::ClaimKey key;
+  std::string request_id;
+};
+BOOST_DESCRIBE_STRUCT(AbandonCommand, (), (key, request_id))
+
+/// A transition of an endpoint: new, ready, leaving or gone.
+struct EndpointCommand {
+  model::Endpoint endpoint;
+};
+BOOST_DESCRIBE_STRUCT(EndpointCommand, (), (endpoint))
+
+/// Who asks, and the id under which a resend is recognised.
+struct OperatorRequest {
+  std::string operator_name;
+  std::string request_id;
+  WallTime at{};
+};
+BOOST_DESCRIBE_STRUCT(OperatorRequest, (), (operator_name, request_id, at))
+
+/// Changes settings when the version is still the expected one. A value is
+/// JSON text; none removes the path, so that the parent's value shows again.
+struct SettingsCommand {
+  OperatorRequest request;
+  uint64_t expected_version = 0;
+  std::map<std::string, std::optional<std::string>> changes;
+};
+BOOST_DESCRIBE_STRUCT(SettingsCommand, (), (request, expected_version, changes))
+
+/// Makes a host known in a pool (state kAnnounced), or refreshes its facts.
+struct HostAddCommand {
+  OperatorRequest request;
+  model::Host host;
+};
+BOOST_DESCRIBE_STRUCT(HostAddCommand, (), (request, host))
+
+/// What can happen to a host; each is a row in the lifecycle's table.
+enum class HostEvent {
+  kJoin,          ///< Announced host enters its pool's capacity.
+  kDrain,         ///< Start draining, with a reason.
+  kConfirmEmpty,  ///< Nothing runs there any more.
+  kCancelDrain,
+  kStopForMaintenance,
+  kMovePool,  ///< The one transition that changes the pool.
+  kReturn,    ///< Back from maintenance, move or failure; warms up.
+  kWarm,      ///< Warmed up: capacity again.
+  kFail,
+  kRetire,
+  kCount,
+};
+BOOST_DESCRIBE_ENUM(HostEvent,
+                    kJoin,
+                    kDrain,
+                    kConfirmEmpty,
+                    kCancelDrain,
+                    kStopForMaintenance,
+                    kMovePool,
+                    kReturn,
+                    kWarm,
+                    kFail,
+                    kRetire)
+
+/// One transition of one host, fenced by its epoch.
+struct HostCommand {
+  OperatorRequest request;
+  std::string host;
+  uint64_t expected_epoch = 0;
+  HostEvent event = HostEvent::kCount;
+  model::DrainReason drain_reason = model::DrainReason::kNone;
+  std::string move_to;
+  std::string act;      ///< Wave, roll-out or move on whose behalf.
+  std::string version;  ///< With kReturn: the version it came back with.
+};
+BOOST_DESCRIBE_STRUCT(
+    HostCommand,
+    (),
+    (request, host, expected_epoch, event, drain_reason, move_to, act, version))
+
+/// Creates or replaces a wave; `expected_state` fences racing controllers.
+struct WaveCommand {
+  OperatorRequest request;
+  std::optional<model::ActState> expected_state;  ///< None: must be new.
+  model::Wave wave;
+};
+BOOST_DESCRIBE_STRUCT(WaveCommand, (), (request, expected_state, wave))
+
+struct RolloutCommand {
+  OperatorRequest request;
+  std::optional<model::ActState> expected_state;
+  model::Rollout rollout;
+};
+BOOST_DESCRIBE_STRUCT(RolloutCommand, (), (request, expected_state, rollout))
+
+/// Submits a job, or replaces one whose lease is still `expected_lease`.
+struct JobCommand {
+  OperatorRequest request;
+  std::optional<uint64_t> expected_lease;  ///< None: must be new.
+  model::Job job;
+};
+BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
+
+/// Adds service-level samples to the recorded history.
+struct BurnSample {
+  std::string service;
+  WallTime at{};  ///< Start of the minute.
+  int64_t good = 0;
+  int64_t bad_failure = 0;
+  int64_t bad_wave = 0;
+  int64_t bad_overload = 0;
+};
+BOOST_DESCRIBE_STRUCT(BurnSample,
+                      (),
+                      (service, at, good, bad_failure, bad_wave, bad_overload))
+
+struct BurnCommand {
+  std::vector<BurnSample> samples;
+};
+BOOST_DESCRIBE_STRUCT(BurnCommand, (), (samples))
+
+/// Drops what is past its time: claims, remembered requests, old samples.
+struct ExpireCommand {
+  WallTime now{};
+};
+BOOST_DESCRIBE_STRUCT(ExpireCommand, (), (now))
+
+using Command = std::variant<ClaimCommand,
+                             CompleteCommand,
+                             ReleaseCommand,
+                             AbandonCommand,
+                             EndpointCommand,
+                             SettingsCommand,
+                             HostAddCommand,
+                             HostCommand,
+                             WaveCommand,
+                             RolloutCommand,
+                             JobCommand,
+                             BurnCommand,
+                             ExpireCommand>;
+
+/// Encodes a group of commands as one log entry's payload. Thread-safe.
+std::string EncodeCommands(const std::vector<Command>& commands);
+
+/// Reads EncodeCommands()'s text; throws std::exception on anything else.
+std::vector<Command> DecodeCommands(std::string_view payload);
+
+// --- What applying a command answers ---------------------------------------
+
+enum class ClaimVerdict {
+  kGranted,         ///< First run: the owner may dispatch.
+  kInProgress,      ///< Another request holds it; wait or ask again.
+  kCompleted,       ///< `answer` is the first run's.
+  kAnswerNotKept,   ///< It ran; the answer was too large or is past its age.
+  kOutcomeUnknown,  ///< The owner could not learn what came of the run.
+  kOtherBody,       ///< The key was used with another body.
+  kFull,            ///< The table is at its bound; nothing was claimed.
+  kCount,
+};
+BOOST_DESCRIBE_ENUM(ClaimVerdict,
+                    kGranted,
+                    kInProgress,
+                    kCompleted,
+                    kAnswerNotKept,
+                    kOutcomeUnknown,
+                    kOtherBody,
+                    kFull)
+
+struct ClaimResult {
+  ClaimVerdict verdict = ClaimVerdict::kInProgress;
+  model::EntryIdentity owner;
+  std::string request_id;  ///< Of the run that holds or held the claim.
+  model::Answer answer;
+};
+BOOST_DESCRIBE_STRUCT(ClaimResult, (), (verdict, owner, request_id, answer))
+
+/// Of all commands but claims.
+struct ActResult {
+  bool is_accepted = false;
+  bool is_resend = false;  ///< Recognised; the first answer is repeated.
+  uint64_t version = 0;    ///< Settings version, host epoch or job lease now.
+  std::string error;       ///< Why not, with what stands there now.
+};
+BOOST_DESCRIBE_STRUCT(ActResult, (), (is_accepted, is_resend, version, error))
+
+using Result = std::variant<ClaimResult, ActResult>;
+
+}  // namespace laurelhall::state
--- /dev/null
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laurelhall/model/config.h"
+#include "laurelhall/model/endpoint.h"
+#include "laurelhall/state/command.h"
+
+namespace laurelhall::state {
+
+/// Bounds of the replicated state; all in one place.
+struct MachineLimits {
+  size_t max_claims = 2'000'000;
+  size_t max_kept_answer_bytes = 512u << 20;
+  size_t max_remembered_requests = 20'000;
+  Millis remember_requests{std::chrono::hours(24)};
+  size_t max_settings_history = 2'000;
+  size_t max_audit_records = 20'000;
+  size_t max_burn_minutes = 60 * 24 * 35;
+};
+
+/// One accepted change of settings.
+struct SettingsRecord {
+  uint64_t version = 0;
+  OperatorRequest request;
+  std::map<std::string, std::optional<std::string>> changes;
+};
+BOOST_DESCRIBE_STRUCT(SettingsRecord, (), (version, request, changes))
+
+/// One operator's act, accepted or refused.
+struct AuditRecord {
+  uint64_t index = 0;
+  OperatorRequest request;
+  std::string act;  ///< Such as "host.drain annex-07".
+  std::string outcome;
+};
+BOOST_DESCRIBE_STRUCT(AuditRecord, (), (index, request, act, outcome))
+
+/// The replicated state: what committed commands add up to.
+///
+/// @remarks Deterministic: the same entries give the same state and results
+///   on each control host. Several threads may read while one applies: tables
+///   are sharded and each shard has its own lock.
+class Machine {
+ public:
+  explicit Machine(MachineLimits limits = {});
+  ~Machine();
+
+  /// Applies one committed entry's payload; one result per command.
+  ///
+  /// @param index The entry's log index; must grow from call to call.
+  std::vector<Result> Apply(uint64_t index, std::string_view payload);
+
+  uint64_t applied_index() const;
+
+  /// Writes all of the state; Load() on another machine gives the same state.
+  std::string Save() const;
+
+  /// Replaces the state. Throws std::exception on text that Save() did not
+  /// make.
+  void Load(std::string_view snapshot);
+
+  /// Settings version in force, its tree as JSON text, and as resolved.
+  uint64_t settings_version() const;
+  std::string settings_tree() const;
+  std::shared_ptr<const model::Config> config() const;
+
+  /// Records after `version`, oldest first; none when history is too short.
+  std::optional<std::vector<SettingsRecord>> SettingsSince(
+      uint64_t version) const;
+
+  /// Endpoints changed after a log index, gone ones included.
+  std::vector<model::Endpoint> EndpointsSince(uint64_t index) const;
+
+  /// Hosts, waves, roll-outs and jobs with the pools and services in force.
+  model::Fleet fleet() const;
+
+  std::vector<AuditRecord> Audit(size_t most) const;
+  std::vector<BurnSample> Burn(const std::string& service,
+                               WallTime since) const;
+
+  /// Looks a claim up without claiming; none when the key is not known.
+  std::optional<ClaimResult> FindClaim(const model::ClaimKey& key) const;
+
+  /// A digest of the whole state, to compare replicas.
+  uint64_t Digest() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace laurelhall::state
