--- /dev/null
+++ b/packages/daemon/src/daemon_p.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <memory>
+
+#include "laurelhall/settings/daemon_settings.h"
+
+namespace laurelhall::daemon {
+
+/// One process: the roles of its settings file, wired together.
+///
+/// @remarks Made, run and ended on the main thread.
+class Daemon {
+ public:
+  /// Starts all roles. @throws std::exception when one cannot start.
+  explicit Daemon(const settings::DaemonSettings& settings);
+  ~Daemon();
+
+  /// Leaves the balancer, finishes what is in flight, returns when done or
+  /// when the grace of the settings has run out.
+  ///
+  /// @returns Whether all that was in flight has finished.
+  bool Drain();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace laurelhall::daemon
--- /dev/null
+++ b/packages/daemon/src/operator_api.cc
@@ -0,0 +1,113 @@
+#include "operator_api_p.h"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace laurelhall::daemon {
+namespace {
+
+constexpr int64_t kMaxOperatorBody = 4 << 20;
+constexpr Millis kOperateTimeout = std::chrono::seconds(10);
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kVersionPrefix = "/v1/";
+
+net::HttpResponse Reply(int status, const char* type, std::string body) {
+  net::HttpResponse response;
+  response.status = status;
+  response.headers.Set("Content-Type", type);
+  response.body = std::move(body);
+  return response;
+}
+
+net::HttpResponse Problem(int status, const char* slug, const char* detail) {
+  const boost::json::object problem{
+      {"type", slug}, {"status", status}, {"detail", detail}};
+  return Reply(status, "application/problem+json",
+               boost::json::serialize(problem));
+}
+
+/// Puts the token's owner in place of whatever the body names.
+std::string WithOperator(const std::string& body, const std::string& owner) {
+  if (body.empty()) {
+    return body;
+  }
+  boost::json::error_code error;
+  boost::json::value value = boost::json::parse(body, error);
+  if (error || !value.is_object()) {
+    return body;
+  }
+  value.as_object()["operator"] = owner;
+  return boost::json::serialize(value);
+}
+
+}  // namespace
+
+const OperatorApi::LocalRoute OperatorApi::kLocalRoutes[] = {
+    {"/healthz", &OperatorApi::Health},
+    {"/metrics", &OperatorApi::Metrics},
+    {"/v1/local/status", &OperatorApi::LocalStatus},
+};
+
+OperatorApi::OperatorApi(OperatorApiInit init) : m_init(std::move(init)) {}
+
+int64_t OperatorApi::MaxBodyBytes(const net::HttpRequest&) {
+  return kMaxOperatorBody;
+}
+
+void OperatorApi::OnRequest(std::shared_ptr<net::HttpExchange> exchange) {
+  const net::HttpRequest& request = exchange->request();
+  for (const LocalRoute& route : kLocalRoutes) {
+    if (request.target == route.target) {
+      (this->*route.function)(exchange);
+      return;
+    }
+  }
+  if (!request.target.starts_with(kVersionPrefix)) {
+    exchange->Respond(Problem(404, "not-found", "no such resource"));
+    return;
+  }
+  Forward(exchange);
+}
+
+void OperatorApi::Health(const std::shared_ptr<net::HttpExchange>& exchange) {
+  const bool is_healthy = m_init.is_healthy();
+  exchange->Respond(Reply(is_healthy ? 200 : 503, "text/plain",
+                          is_healthy ? "ok\n" : "not ready\n"));
+}
+
+void OperatorApi::Metrics(const std::shared_ptr<net::HttpExchange>& exchange) {
+  exchange->Respond(Reply(200, "text/plain; version=0.0.4", m_init.metrics()));
+}
+
+void OperatorApi::LocalStatus(
+    const std::shared_ptr<net::HttpExchange>& exchange) {
+  exchange->Respond(Reply(200, "application/json", m_init.local_status()));
+}
+
+void OperatorApi::Forward(const std::shared_ptr<net::HttpExchange>& exchange) {
+  const net::HttpRequest& request = exchange->request();
+  std::string body = request.body;
+  if (m_init.tokens->is_required()) {
+    const std::string_view field = request.headers.Get("Authorization");
+    const bool is_bearer = field.starts_with(kBearer);
+    const auto owner =
+        is_bearer
+            ? m_init.tokens->OwnerOf(std::string(field.substr(kBearer.size())))
+            : std::nullopt;
+    if (!owner) {
+      exchange->Respond(
+          Problem(401, "unauthorised", "expected an operator's token"));
+      return;
+    }
+    body = WithOperator(body, *owner);
+  }
+  m_init.link->Operate(
+      request.method, request.target, std::move(body),
+      m_init.timers->Now() + kOperateTimeout,
+      [exchange](control::OperatorReply reply) {
+        exchange->Respond(Reply(reply.status, "application/json", reply.body));
+      });
+}
+
+}  // namespace laurelhall::daemon
