--- a/packages/operations/include/laurelhall/operations/operations.h
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -7,12 +7,14 @@
 
 namespace laurelhall::operations {
 
-/// The operators' HTTP API, answered by the confirmed leader.
-///
-/// @returns A service that is thread-safe and keeps no state of its own.
-std::unique_ptr<control::OperatorService> MakeOperatorService();
+/// What a control host needs of this package: the operators' API, and what the
+/// leader does about waves, roll-outs, moves and jobs.
+struct Operations {
+  std::unique_ptr<control::OperatorService> service;
+  std::vector<std::unique_ptr<control::LeaderDuty>> duties;
+};
 
-/// What the leader does about waves, roll-outs, moves and jobs.
-std::vector<std::unique_ptr<control::LeaderDuty>> MakeLeaderDuties();
+/// Makes both for one control host; they share what workers reported.
+Operations MakeOperations();
 
 }  // namespace laurelhall::operations
--- /dev/null
+++ b/packages/operations/src/job_duty.cc
@@ -0,0 +1,50 @@
+#include "duties_p.h"
+#include "laurelhall/placement/placer.h"
+
+namespace laurelhall::operations {
+namespace {
+
+constexpr const char* kLeaderName = "leader";
+
+class JobDuty : public control::LeaderDuty {
+ public:
+  explicit JobDuty(std::shared_ptr<JobBoard> board)
+      : m_board(std::move(board)) {}
+
+  std::vector<state::Command> Step(const state::Machine& machine,
+                                   const control::LeaderView& view) override {
+    const model::Fleet fleet = machine.fleet();
+    Learn(view.now);
+    m_board->Retain(fleet.jobs);
+    std::vector<state::Command> commands;
+    for (const placement::JobAction& action :
+         m_placer.Step(fleet, m_board->usage(), view.now)) {
+      state::JobCommand command;
+      command.request = {kLeaderName, "", view.now};
+      command.expected_lease = action.expected_lease;
+      command.job =
+          placement::AfterAction(fleet.jobs.at(action.job), action, view.now);
+      commands.emplace_back(std::move(command));
+    }
+    return commands;
+  }
+
+ private:
+  void Learn(WallTime now) {
+    for (const JobBoard::Ended& ended : m_board->TakeEnded()) {
+      m_placer.Learn(ended.before, ended.report, now);
+    }
+  }
+
+  const std::shared_ptr<JobBoard> m_board;
+  placement::Placer m_placer;
+};
+
+}  // namespace
+
+std::unique_ptr<control::LeaderDuty> MakeJobDuty(
+    std::shared_ptr<JobBoard> board) {
+  return std::make_unique<JobDuty>(std::move(board));
+}
+
+}  // namespace laurelhall::operations
--- a/packages/operations/src/operations_p.h
+++ b/packages/operations/src/operations_p.h
@@ -14,6 +14,8 @@
 
 namespace laurelhall::operations {
 
+class JobBoard;
+
 /// A refusal of an operator's request, with its HTTP status.
 class RequestError : public std::runtime_error {
  public:
@@ -49,9 +51,13 @@
   int status = 200;
   boost::json::value body;
   std::vector<state::Command> commands;
+  std::function<void()> on_accepted;  ///< Once all commands are accepted.
+  /// A change of membership in place of commands.
+  std::function<void(control::ControlActions&, control::ControlActions::Done)>
+      action;
 };
 
-using RouteFunction = Outcome (*)(const Request&);
+using RouteFunction = std::function<Outcome(const Request&)>;
 
 /// One row of the table of routes. A segment "*" matches any.
 struct Route {
@@ -65,7 +71,8 @@
 std::vector<Route> SettingsRoutes();
 std::vector<Route> HostRoutes();
 std::vector<Route> ActRoutes();
-std::vector<Route> JobRoutes();
+std::vector<Route> JobRoutes(const std::shared_ptr<JobBoard>& board);
+std::vector<Route> ControlRoutes();
 std::vector<Route> ReportRoutes();
 
 /// Reads a described value out of the body's member, or throws RequestError
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view kPrefix = "/v1/";
+constexpr int kOk = 200;
 
 std::vector<std::string> Split(std::string_view text, char separator) {
   std::vector<std::string> parts;
@@ -100,7 +101,7 @@
   }
   for (const state::Result& result : *results) {
     const control::OperatorReply reply = ReplyOf(result);
-    if (reply.status != 200) {
+    if (reply.status != kOk) {
       return reply;
     }
   }
@@ -110,13 +111,18 @@
 
 class RoutedService : public control::OperatorService {
  public:
-  RoutedService() {
-    for (const auto rows : {StatusRoutes, SettingsRoutes, HostRoutes, ActRoutes,
-                            JobRoutes, ReportRoutes}) {
-      std::ranges::copy(rows(), std::back_inserter(m_routes));
+  explicit RoutedService(const std::shared_ptr<JobBoard>& board) {
+    for (const auto& rows :
+         {StatusRoutes(), ControlRoutes(), SettingsRoutes(), HostRoutes(),
+          ActRoutes(), JobRoutes(board), ReportRoutes()}) {
+      std::ranges::copy(rows, std::back_inserter(m_routes));
     }
   }
 
+  void Attach(control::ControlActions& actions) override {
+    m_actions = &actions;
+  }
+
   void Handle(const std::string& method,
               const std::string& path,
               const std::string& body,
@@ -134,15 +140,13 @@
       done(Problem(400, error.what()));
       return;
     }
-    if (outcome.commands.empty()) {
+    if (outcome.action) {
+      Act(outcome, std::move(done));
+    } else if (outcome.commands.empty()) {
       done({outcome.status, boost::json::serialize(outcome.body)});
-      return;
+    } else {
+      CommitOutcome(std::move(outcome), commit, std::move(done));
     }
-    commit(std::move(outcome.commands),
-           [done = std::move(done)](
-               const std::optional<std::vector<state::Result>>& results) {
-             done(ReplyOf(results));
-           });
   }
 
  private:
@@ -155,13 +159,39 @@
     throw RequestError(404, "path: no such resource for " + request.method);
   }
 
+  static void CommitOutcome(Outcome outcome,
+                            const Commit& commit,
+                            std::function<void(control::OperatorReply)> done) {
+    commit(std::move(outcome.commands),
+           [done = std::move(done), accepted = std::move(outcome.on_accepted)](
+               const std::optional<std::vector<state::Result>>& results) {
+             const control::OperatorReply reply = ReplyOf(results);
+             if (reply.status == kOk && accepted) {
+               accepted();
+             }
+             done(reply);
+           });
+  }
+
+  void Act(const Outcome& outcome,
+           std::function<void(control::OperatorReply)> done) const {
+    outcome.action(*m_actions, [done = std::move(done)](
+                                   const control::ActionOutcome& result) {
+      done(result.is_accepted
+               ? control::OperatorReply{kOk, R"({"is_accepted":true})"}
+               : Problem(409, result.error));
+    });
+  }
+
   std::vector<Route> m_routes;
+  control::ControlActions* m_actions = nullptr;  // Set before any request.
 };
 
 }  // namespace
 
-std::unique_ptr<control::OperatorService> MakeOperatorService() {
-  return std::make_unique<RoutedService>();
+std::unique_ptr<control::OperatorService> MakeOperatorService(
+    const std::shared_ptr<JobBoard>& board) {
+  return std::make_unique<RoutedService>(board);
 }
 
 }  // namespace laurelhall::operations
