--- a/packages/consensus/include/laurelhall/consensus/node.h
+++ b/packages/consensus/include/laurelhall/consensus/node.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -10,7 +11,16 @@
 
 namespace laurelhall::consensus {
 
+/// The protocol's guarantees are broken, for example by a peer that lost synced
+/// entries: a committed entry would be overwritten. The node must stop.
+class ProtocolError : public std::logic_error {
+  using std::logic_error::logic_error;
+};
+
 /// What the host of a node must do, in this order: save, sync, send, apply.
+///
+/// @remarks Never holds both `snapshot` and `entries`. The sync covers all that
+///   was taken before, too: `messages_synced` of a later Ready wait for it.
 struct Ready {
   std::optional<HardState> hard_state;  ///< To be saved and synced.
   std::optional<Index> truncate_from;   ///< Cut the log here before appending.
@@ -56,6 +66,8 @@
   void Tick(SteadyTime now);
 
   /// Takes in a message of a peer.
+  ///
+  /// @throws ProtocolError, std::invalid_argument for a malformed membership.
   void Receive(const Message& message, SteadyTime now);
 
   /// Appends a payload when this node leads.
@@ -73,21 +85,33 @@
   /// Asks for a confirmed read; answered in Ready::reads with `context`.
   ///
   /// @returns False when this node does not lead or cannot yet serve reads.
+  /// @remarks Dropped when the node stops leading: the caller has a timeout.
   bool RequestRead(uint64_t context, SteadyTime now);
 
   /// Hands over leadership to a voter that has caught up; best effort.
   void TransferLeadership(NodeId target, SteadyTime now);
 
-  /// Takes what has to be done since the last call.
+  /// Takes what has to be done since the last call; also after Persisted().
   Ready TakeReady();
 
-  /// Says that entries up to here, and all hard states taken, are synced.
+  /// Says that all that was taken so far is synced: hard states, an installed
+  /// snapshot, and the log up to this position (its last entry, or zeros).
   void Persisted(Index index, Term term);
 
-  /// Says that the state machine stands at `index` and `snapshot` may replace
-  /// the log up to there.
+  /// Says that the state machine stands at `snapshot.meta.index` and `snapshot`
+  /// may replace the log up to there; the node sends it to peers that lag.
+  ///
+  /// @remarks The node sets the meta's term and membership itself. After a
+  ///   restart the host gives the recovered snapshot, so that it can be sent.
+  /// @throws std::invalid_argument when that index is not yet applied.
   void Compact(Snapshot snapshot);
 
+  /// The meta of a snapshot taken at `index`, with the membership as of then.
+  ///
+  /// @throws std::invalid_argument when it is compacted away or not yet given
+  ///   out in Ready::committed.
+  SnapshotMeta MetaAt(Index index) const;
+
   Status status() const;
 
  private:
