--- a/packages/storage/src/recovery.cc
+++ b/packages/storage/src/recovery.cc
@@ -224,7 +224,7 @@
     state.commit = reader.U64();
   } else if (kind == RecordKind::kTruncate) {
     const consensus::Index from = reader.U64();
-    m_result.positions.Truncate(from);
+    ApplyTruncate(from);
     while (!entries.empty() && entries.back().index >= from) {
       entries.pop_back();
     }
@@ -245,6 +245,17 @@
   }
 }
 
+/// The first segment's start may since have been cut and written anew: the
+/// snapshot covers it, or CheckCoverage() refuses.
+void Recovery::ApplyTruncate(consensus::Index from) {
+  const bool is_before_base = from <= m_result.positions.base().index;
+  if (is_before_base && from > 0) {
+    m_result.positions.Reset({from - 1, 0});
+  } else {
+    m_result.positions.Truncate(from);
+  }
+}
+
 /// The log must reach from the snapshot in use to each damaged newer one.
 void Recovery::CheckCoverage() {
   const LogPositions& positions = m_result.positions;
--- a/packages/storage/src/recovery_p.h
+++ b/packages/storage/src/recovery_p.h
@@ -57,6 +57,7 @@
   void ApplyHeader(const SegmentHeader& header, bool is_first);
   void ApplyRecords(std::string_view records);
   void ApplyRecord(RecordKind kind, std::string_view body);
+  void ApplyTruncate(consensus::Index from);
   void CheckCoverage();
   void JoinSnapshotAndLog();
   void Mend();
--- /dev/null
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -0,0 +1,359 @@
+#include <doctest/doctest.h>
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fault_file_system.h"
+#include "laurelhall/base/log.h"
+#include "laurelhall/storage/log_store.h"
+#include "segment_p.h"
+
+namespace laurelhall::storage {
+namespace {
+
+using consensus::Entry;
+using consensus::EntryKind;
+using consensus::Snapshot;
+
+constexpr const char* kFolder = "/data";
+
+Entry MakeEntry(consensus::Index index, size_t payload_bytes) {
+  Entry entry{index, 1 + index / 4, EntryKind::kCommand, {}};
+  for (size_t i = 0; i < payload_bytes; ++i) {
+    entry.payload.push_back(static_cast<char>('a' + (index + i) % 26));
+  }
+  return entry;
+}
+
+Snapshot MakeSnapshot(consensus::Index index) {
+  Snapshot snapshot;
+  snapshot.meta.index = index;
+  snapshot.meta.term = MakeEntry(index, 0).term;
+  snapshot.meta.membership.members[{7}] = {"10.0.0.1:7", "zone-a", "one", true};
+  snapshot.data = "state after " + std::to_string(index);
+  return snapshot;
+}
+
+/// A store over files in memory, opened again after each damage.
+struct DamageFixture {
+  DamageFixture() { InitLogs({"off", "text"}); }
+  ~DamageFixture() { InitLogs({}); }
+
+  std::unique_ptr<LogStore> Open(uint64_t segment_bytes = 1 << 20) {
+    LogStoreInit init;
+    init.folder = kFolder;
+    init.segment_bytes = segment_bytes;
+    init.identity_seed = 9;
+    init.file_system = &m_files;
+    return std::make_unique<LogStore>(init);
+  }
+
+  /// Appends entries [from, to], one sync each.
+  static void Fill(LogStore& store,
+                   consensus::Index from,
+                   consensus::Index to,
+                   size_t payload_bytes = 40) {
+    for (consensus::Index index = from; index <= to; ++index) {
+      store.SaveHardState({MakeEntry(index, 0).term, {3}, index - 1});
+      store.Append({MakeEntry(index, payload_bytes)});
+      store.Sync();
+    }
+  }
+
+  /// Whether the folder, with all its syncs done, opens to the same entries
+  /// or is refused; a cut or an altered entry is neither.
+  bool IsWholeOrRefused(const FaultFileSystem& files, consensus::Index last) {
+    FaultFileSystem copy = files.Copy();
+    LogStoreInit init;
+    init.folder = kFolder;
+    init.file_system = &copy;
+    try {
+      const Recovered recovered = LogStore(init).TakeRecovered();
+      consensus::Index next =
+          recovered.snapshot ? recovered.snapshot->meta.index + 1 : 1;
+      for (const Entry& entry : recovered.entries) {
+        if (!(entry == MakeEntry(next++, entry.payload.size()))) {
+          return false;
+        }
+      }
+      return next == last + 1 && recovered.hard_state.commit == last - 1 &&
+             recovered.identity == m_identity;
+    } catch (const CorruptionError&) {
+      return true;
+    }
+  }
+
+  std::string& Bytes(const std::string& file) {
+    return m_files.Contents(std::filesystem::path(kFolder) / file);
+  }
+
+  FaultFileSystem m_files{1};
+  consensus::NodeId m_identity;
+};
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, any bit flipped, refuses or loses nothing") {
+  {
+    auto store = Open(600);
+    m_identity = store->TakeRecovered().identity;
+    Fill(*store, 1, 4);
+    store->SaveSnapshot(MakeSnapshot(3));
+    Fill(*store, 5, 9);
+    store->SaveSnapshot(MakeSnapshot(7));
+    Fill(*store, 10, 14);
+  }
+  REQUIRE(IsWholeOrRefused(m_files, 14));
+  int flips = 0;
+  int bad = 0;
+  for (const std::string& file : m_files.List(kFolder)) {
+    for (size_t at = 0; at < Bytes(file).size(); ++at) {
+      for (int bit = 0; bit < 8; ++bit) {
+        Bytes(file)[at] ^= static_cast<char>(1 << bit);
+        bad += IsWholeOrRefused(m_files, 14) ? 0 : 1;
+        Bytes(file)[at] ^= static_cast<char>(1 << bit);
+        ++flips;
+      }
+    }
+  }
+  MESSAGE("flips: " << flips);
+  CHECK(flips > 10'000);
+  CHECK(bad == 0);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, last segment cut anywhere, keeps whole syncs") {
+  std::vector<size_t> ends;
+  {
+    auto store = Open();
+    for (consensus::Index index = 1; index <= 6; ++index) {
+      ends.push_back(Bytes("log-0000000000000001.wal").size());
+      Fill(*store, index, index, 300);
+    }
+  }
+  std::string& bytes = Bytes("log-0000000000000001.wal");
+  const std::string whole = bytes;
+  for (size_t size = ends.front(); size < whole.size(); ++size) {
+    CAPTURE(size);
+    FaultFileSystem copy = m_files.Copy();
+    copy.Contents("/data/log-0000000000000001.wal").resize(size);
+    size_t kept = 0;
+    while (kept + 1 < ends.size() && ends[kept + 1] <= size) {
+      ++kept;
+    }
+    LogStoreInit init{kFolder, 1 << 20, 0, &copy};
+    const Recovered recovered = LogStore(init).TakeRecovered();
+    REQUIRE(recovered.entries.size() == kept);
+    REQUIRE(recovered.torn_bytes == size - ends[kept]);
+  }
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, a sector never written, cut only in the last") {
+  {
+    auto store = Open();
+    Fill(*store, 1, 6, 1200);
+  }
+  std::string& bytes = Bytes("log-0000000000000001.wal");
+  const std::string whole = bytes;
+  const size_t last_frame =
+      kSegmentHeaderBytes + 5 * (whole.size() - kSegmentHeaderBytes) / 6;
+  for (size_t sector = 0; sector + 512 <= whole.size(); sector += 512) {
+    CAPTURE(sector);
+    FaultFileSystem copy = m_files.Copy();
+    copy.Contents("/data/log-0000000000000001.wal")
+        .replace(sector, 512, 512, '\0');
+    LogStoreInit init{kFolder, 1 << 20, 0, &copy};
+    if (sector >= last_frame) {
+      CHECK(LogStore(init).TakeRecovered().entries.size() == 5);
+    } else {
+      CHECK_THROWS_AS(LogStore{init}, CorruptionError);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, middle damaged, names file and offset") {
+  {
+    auto store = Open();
+    Fill(*store, 1, 3);
+  }
+  Bytes("log-0000000000000001.wal")[100] ^= 1;
+  CHECK_THROWS_WITH_AS(Open(),
+                       "log-0000000000000001.wal at offset 80: record is "
+                       "damaged and more follows it",
+                       CorruptionError);
+  Bytes("log-0000000000000001.wal")[100] ^= 1;
+  Bytes("log-0000000000000001.wal")[80] ^= 1;
+  CHECK_THROWS_WITH_AS(Open(),
+                       "log-0000000000000001.wal at offset 80: record is "
+                       "damaged, no crash leaves it so",
+                       CorruptionError);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, newest snapshot damaged, the log covers it") {
+  {
+    auto store = Open();
+    Fill(*store, 1, 4);
+    store->SaveSnapshot(MakeSnapshot(2));
+    Fill(*store, 5, 9);
+    store->SaveSnapshot(MakeSnapshot(8));
+  }
+  Bytes("snapshot-0000000000000008-0000000000000003.snap").back() ^= 1;
+  const Recovered recovered = Open()->TakeRecovered();
+  REQUIRE(recovered.snapshot);
+  CHECK(recovered.snapshot->meta.index == 2);
+  CHECK(recovered.snapshot->meta.membership == MakeSnapshot(2).meta.membership);
+  CHECK(recovered.entries.size() == 7);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, installed snapshot damaged, refuses the gap") {
+  {
+    auto store = Open();
+    Fill(*store, 1, 4);
+    store->SaveSnapshot(MakeSnapshot(2));
+    store->SaveSnapshot(MakeSnapshot(50));
+    store->Append({MakeEntry(51, 10)});
+    store->Sync();
+  }
+  {
+    const Recovered recovered = Open()->TakeRecovered();
+    CHECK(recovered.snapshot->meta.index == 50);
+    CHECK(recovered.entries == std::vector<Entry>{MakeEntry(51, 10)});
+  }
+  Bytes("snapshot-0000000000000032-000000000000000d.snap").back() ^= 1;
+  CHECK_THROWS_AS(Open(), CorruptionError);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, log or identity gone, never starts from empty") {
+  {
+    auto store = Open(600);
+    Fill(*store, 1, 12);
+  }
+  for (const char* lost :
+       {"identity", "log-0000000000000001.wal", "log-0000000000000002.wal"}) {
+    CAPTURE(lost);
+    FaultFileSystem copy = m_files.Copy();
+    copy.Remove(std::filesystem::path(kFolder) / lost);
+    LogStoreInit init{kFolder, 600, 0, &copy};
+    CHECK_THROWS_AS(LogStore{init}, CorruptionError);
+  }
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, many snapshots, disk use stays bounded") {
+  auto store = Open(2000);
+  uint64_t most = 0;
+  for (consensus::Index index = 1; index <= 400; ++index) {
+    Fill(*store, index, index);
+    if (index % 20 == 0) {
+      store->SaveSnapshot(MakeSnapshot(index));
+      most = std::max(most, store->disk_bytes());
+    }
+  }
+  CHECK(most < 12'000);
+  uint64_t bytes = 0;
+  for (const std::string& file : m_files.List(kFolder)) {
+    bytes += Bytes(file).size();
+  }
+  CHECK(store->disk_bytes() == bytes - Bytes("identity").size());
+}
+
+TEST_CASE_FIXTURE(DamageFixture, "LogStore, one Sync, syncs the disk once") {
+  auto store = Open();
+  const int before = m_files.sync_count();
+  store->SaveHardState({1, {2}, 0});
+  for (consensus::Index index = 1; index <= 50; ++index) {
+    store->Append({MakeEntry(index, 100)});
+  }
+  store->Sync();
+  store->Sync();
+  CHECK(m_files.sync_count() == before + 1);
+}
+
+TEST_CASE_FIXTURE(DamageFixture, "LogStore, sync fails once, fails for good") {
+  auto store = Open();
+  m_files.FailSync(1);
+  store->Append({MakeEntry(1, 10)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  const int before = m_files.sync_count();
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  CHECK_THROWS_AS(store->Append({MakeEntry(2, 10)}), StoreFailedError);
+  CHECK_THROWS_AS(store->SaveHardState({}), StoreFailedError);
+  CHECK_THROWS_AS(store->SaveSnapshot(MakeSnapshot(1)), StoreFailedError);
+  CHECK(m_files.sync_count() == before);
+}
+
+TEST_CASE_FIXTURE(DamageFixture, "LogStore, disk full, fails and recovers") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  m_files.LimitSpace(200);
+  store->Append({MakeEntry(4, 5000)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  store.reset();
+  m_files.ClearFaults();
+  const Recovered recovered = Open()->TakeRecovered();
+  CHECK(recovered.entries.size() == 3);
+  CHECK(recovered.torn_bytes == 200);
+}
+
+TEST_CASE_FIXTURE(DamageFixture, "LogStore, entry out of order, refused") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  CHECK_THROWS_AS(store->Append({MakeEntry(5, 1)}), std::invalid_argument);
+  CHECK_THROWS_AS(store->Truncate(0), std::invalid_argument);
+}
+
+/// A folder of the machine's own, removed at the end.
+struct RealFolderFixture {
+  RealFolderFixture() {
+    std::string name =
+        (std::filesystem::temp_directory_path() / "log_store_XXXXXX").string();
+    m_folder = ::mkdtemp(name.data());
+    m_init.folder = m_folder / "deep" / "data";
+  }
+  ~RealFolderFixture() { std::filesystem::remove_all(m_folder); }
+
+  std::filesystem::path m_folder;
+  LogStoreInit m_init;
+};
+
+TEST_CASE_FIXTURE(RealFolderFixture,
+                  "LogStore, real files opened again, hold everything") {
+  consensus::NodeId identity;
+  {
+    LogStore store(m_init);
+    const Recovered recovered = store.TakeRecovered();
+    CHECK(recovered.is_new);
+    identity = recovered.identity;
+    DamageFixture::Fill(store, 1, 5);
+    store.SaveSnapshot(MakeSnapshot(3));
+    CHECK_THROWS_AS(LogStore{m_init}, StoreFailedError);
+  }
+  const Recovered recovered = LogStore(m_init).TakeRecovered();
+  CHECK_FALSE(recovered.is_new);
+  CHECK(recovered.identity == identity);
+  CHECK(recovered.snapshot->data == "state after 3");
+  CHECK(recovered.entries ==
+        std::vector<Entry>{MakeEntry(4, 40), MakeEntry(5, 40)});
+  CHECK(recovered.hard_state == consensus::HardState{2, {3}, 4});
+}
+
+TEST_CASE_FIXTURE(RealFolderFixture,
+                  "LogStore, folder lost, returns with another identity") {
+  const consensus::NodeId first = LogStore(m_init).TakeRecovered().identity;
+  std::filesystem::remove_all(m_init.folder);
+  const Recovered again = LogStore(m_init).TakeRecovered();
+  CHECK(again.is_new);
+  CHECK(again.identity != first);
+}
+
+}  // namespace
+}  // namespace laurelhall::storage
