--- a/packages/storage/tests/fault_file_system.cc
+++ b/packages/storage/tests/fault_file_system.cc
@@ -191,12 +191,14 @@
 
 void FaultFileSystem::Crash() {
   ClearFaults();
-  std::set<NodePtr> nodes;
+  std::vector<NodePtr> nodes;  // In the order of names: runs repeat exactly.
   std::set<std::string> names;
   for (const auto* table : {&m_names, &m_durable_names}) {
     for (const auto& [name, node] : *table) {
       names.insert(name);
-      nodes.insert(node);
+      if (std::find(nodes.begin(), nodes.end(), node) == nodes.end()) {
+        nodes.push_back(node);
+      }
     }
   }
   for (const NodePtr& node : nodes) {
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -10,7 +10,6 @@
 #include "fault_file_system.h"
 #include "laurelhall/base/log.h"
 #include "laurelhall/storage/log_store.h"
-#include "segment_p.h"
 
 namespace laurelhall::storage {
 namespace {
@@ -20,6 +19,11 @@
 using consensus::Snapshot;
 
 constexpr const char* kFolder = "/data";
+constexpr const char* kFirstSegment = "log-0000000000000001.wal";
+
+std::filesystem::path FirstSegmentPath() {
+  return std::filesystem::path(kFolder) / kFirstSegment;
+}
 
 Entry MakeEntry(consensus::Index index, size_t payload_bytes) {
   Entry entry{index, 1 + index / 4, EntryKind::kCommand, {}};
@@ -130,16 +134,16 @@
   {
     auto store = Open();
     for (consensus::Index index = 1; index <= 6; ++index) {
-      ends.push_back(Bytes("log-0000000000000001.wal").size());
+      ends.push_back(Bytes(kFirstSegment).size());
       Fill(*store, index, index, 300);
     }
   }
-  std::string& bytes = Bytes("log-0000000000000001.wal");
+  std::string& bytes = Bytes(kFirstSegment);
   const std::string whole = bytes;
   for (size_t size = ends.front(); size < whole.size(); ++size) {
     CAPTURE(size);
     FaultFileSystem copy = m_files.Copy();
-    copy.Contents("/data/log-0000000000000001.wal").resize(size);
+    copy.Contents(FirstSegmentPath()).resize(size);
     size_t kept = 0;
     while (kept + 1 < ends.size() && ends[kept + 1] <= size) {
       ++kept;
@@ -153,19 +157,22 @@
 
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, a sector never written, cut only in the last") {
+  bool is_frame_per_sector = false;
+  SUBCASE("frames of several sectors") {}
+  SUBCASE("each frame is one sector") {
+    is_frame_per_sector = true;
+  }
   {
     auto store = Open();
-    Fill(*store, 1, 6, 1200);
+    Fill(*store, 1, 1, is_frame_per_sector ? 350 : 1200);
+    Fill(*store, 2, 6, is_frame_per_sector ? 430 : 1200);
   }
-  std::string& bytes = Bytes("log-0000000000000001.wal");
-  const std::string whole = bytes;
-  const size_t last_frame =
-      kSegmentHeaderBytes + 5 * (whole.size() - kSegmentHeaderBytes) / 6;
-  for (size_t sector = 0; sector + 512 <= whole.size(); sector += 512) {
+  const size_t size = Bytes(kFirstSegment).size();
+  const size_t last_frame = is_frame_per_sector ? size - 512 : size - 1280;
+  for (size_t sector = 0; sector + 512 <= size; sector += 512) {
     CAPTURE(sector);
     FaultFileSystem copy = m_files.Copy();
-    copy.Contents("/data/log-0000000000000001.wal")
-        .replace(sector, 512, 512, '\0');
+    copy.Contents(FirstSegmentPath()).replace(sector, 512, 512, '\0');
     LogStoreInit init{kFolder, 1 << 20, 0, &copy};
     if (sector >= last_frame) {
       CHECK(LogStore(init).TakeRecovered().entries.size() == 5);
@@ -175,19 +182,35 @@
   }
 }
 
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, last segment's start unwritten, refused if used") {
+  {
+    auto store = Open(1200);
+    Fill(*store, 1, 8, 200);
+  }
+  const std::string last = m_files.List(kFolder).back();
+  REQUIRE(last == "log-0000000000000002.wal");
+  const size_t size = Bytes(last).size();
+  REQUIRE(size > 1024);
+  Bytes(last).replace(0, 512, 512, '\0');
+  CHECK_THROWS_AS(Open(), CorruptionError);
+  Bytes(last).resize(512);
+  CHECK(Open()->TakeRecovered().torn_bytes == 512);
+}
+
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, middle damaged, names file and offset") {
   {
     auto store = Open();
     Fill(*store, 1, 3);
   }
-  Bytes("log-0000000000000001.wal")[100] ^= 1;
+  Bytes(kFirstSegment)[100] ^= 1;
   CHECK_THROWS_WITH_AS(Open(),
                        "log-0000000000000001.wal at offset 80: record is "
                        "damaged and more follows it",
                        CorruptionError);
-  Bytes("log-0000000000000001.wal")[100] ^= 1;
-  Bytes("log-0000000000000001.wal")[80] ^= 1;
+  Bytes(kFirstSegment)[100] ^= 1;
+  Bytes(kFirstSegment)[80] ^= 1;
   CHECK_THROWS_WITH_AS(Open(),
                        "log-0000000000000001.wal at offset 80: record is "
                        "damaged, no crash leaves it so",
@@ -197,7 +220,7 @@
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, newest snapshot damaged, the log covers it") {
   {
-    auto store = Open();
+    auto store = Open(300);
     Fill(*store, 1, 4);
     store->SaveSnapshot(MakeSnapshot(2));
     Fill(*store, 5, 9);
