--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -53,6 +53,32 @@
                     kOperator,
                     kRetire)
 
+/// What can happen to a host; each is a row in the lifecycle's table.
+enum class HostEvent {
+  kJoin,          ///< Announced host enters its pool's capacity.
+  kDrain,         ///< Start draining, with a reason.
+  kConfirmEmpty,  ///< Nothing runs there any more.
+  kCancelDrain,
+  kStopForMaintenance,
+  kMovePool,  ///< The one transition that changes the pool.
+  kReturn,    ///< Back from maintenance, move or failure; warms up.
+  kWarm,      ///< Warmed up: capacity again.
+  kFail,
+  kRetire,
+  kCount,
+};
+BOOST_DESCRIBE_ENUM(HostEvent,
+                    kJoin,
+                    kDrain,
+                    kConfirmEmpty,
+                    kCancelDrain,
+                    kStopForMaintenance,
+                    kMovePool,
+                    kReturn,
+                    kWarm,
+                    kFail,
+                    kRetire)
+
 /// Processors, memory and accelerators of a worker, or what a job asks for.
 struct Resources {
   double processors = 0;
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -79,31 +79,7 @@
 };
 BOOST_DESCRIBE_STRUCT(HostAddCommand, (), (request, host))
 
-/// What can happen to a host; each is a row in the lifecycle's table.
-enum class HostEvent {
-  kJoin,          ///< Announced host enters its pool's capacity.
-  kDrain,         ///< Start draining, with a reason.
-  kConfirmEmpty,  ///< Nothing runs there any more.
-  kCancelDrain,
-  kStopForMaintenance,
-  kMovePool,  ///< The one transition that changes the pool.
-  kReturn,    ///< Back from maintenance, move or failure; warms up.
-  kWarm,      ///< Warmed up: capacity again.
-  kFail,
-  kRetire,
-  kCount,
-};
-BOOST_DESCRIBE_ENUM(HostEvent,
-                    kJoin,
-                    kDrain,
-                    kConfirmEmpty,
-                    kCancelDrain,
-                    kStopForMaintenance,
-                    kMovePool,
-                    kReturn,
-                    kWarm,
-                    kFail,
-                    kRetire)
+using model::HostEvent;
 
 /// One transition of one host, fenced by its epoch.
 struct HostCommand {
