--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "laurelhall/model/burn.h"
 #include "laurelhall/model/endpoint.h"
 #include "laurelhall/model/fleet.h"
 
@@ -120,19 +121,9 @@
 };
 BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
 
-/// Adds service-level samples to the recorded history.
-struct BurnSample {
-  std::string service;
-  WallTime at{};  ///< Start of the minute.
-  int64_t good = 0;
-  int64_t bad_failure = 0;
-  int64_t bad_wave = 0;
-  int64_t bad_overload = 0;
-};
-BOOST_DESCRIBE_STRUCT(BurnSample,
-                      (),
-                      (service, at, good, bad_failure, bad_wave, bad_overload))
+using model::BurnSample;
 
+/// Adds service-level samples to the recorded history.
 struct BurnCommand {
   std::vector<BurnSample> samples;
 };
