--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -106,6 +106,8 @@
   WallTime state_since{};
   WallTime last_maintained{};
   WallTime last_seen{};
+  WallTime last_moved{};   ///< When it last changed its pool; for damping.
+  std::string moved_from;  ///< The pool it left then.
 };
 BOOST_DESCRIBE_STRUCT(Host,
                       (),
@@ -123,7 +125,9 @@
                        version,
                        state_since,
                        last_maintained,
-                       last_seen))
+                       last_seen,
+                       last_moved,
+                       moved_from))
 
 /// A pool of hosts, from the settings tree.
 struct Pool {
@@ -268,6 +272,8 @@
   std::vector<std::string> active;
   std::vector<std::string> done;
   std::vector<std::string> postponed;
+  std::vector<std::string> given_up;  ///< Never became empty; reported.
+  std::map<std::string, int> tries;   ///< Drains that came to nothing.
 };
 BOOST_DESCRIBE_STRUCT(Wave,
                       (),
@@ -280,7 +286,9 @@
                        pending,
                        active,
                        done,
-                       postponed))
+                       postponed,
+                       given_up,
+                       tries))
 
 /// A roll-out of one version over the hosts of a service.
 struct Rollout {
@@ -296,6 +304,7 @@
   std::vector<std::string> pending;
   std::vector<std::string> active;
   std::vector<std::string> done;
+  std::map<std::string, int> tries;  ///< Cycles that came to nothing.
 };
 BOOST_DESCRIBE_STRUCT(Rollout,
                       (),
@@ -310,7 +319,8 @@
                        stage_started,
                        pending,
                        active,
-                       done))
+                       done,
+                       tries))
 
 /// Weights of the three measures; a deployment's own.
 struct MeasureWeights {
