State: replicated tables behind Machine, first working version

Each table is a small class of its own: claims, endpoints, settings history, fleet, remembered requests, audit, burn. Limits of tombstones, endpoints, hosts and acts are added to MachineLimits.

--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -20,7 +20,20 @@
   Millis remember_requests{std::chrono::hours(24)};
   size_t max_settings_history = 2'000;
   size_t max_audit_records = 20'000;
-  size_t max_burn_minutes = 60 * 24 * 35;
+  size_t max_burn_minutes = 60 * 24 * 35;  ///< Of one service.
+  /// In-progress claims turn to outcome unknown this long past their expiry.
+  Millis unfinished_claim_margin{std::chrono::hours(1)};
+  /// An expired key is refused for this long; a later resend is a first run.
+  Millis claim_tombstone_retention{std::chrono::hours(24 * 7)};
+  size_t max_claim_tombstones = 8'000'000;
+  size_t max_released_requests = 100'000;  ///< Remembered against late copies.
+  size_t max_endpoints = 20'000;
+  Millis gone_endpoint_retention{std::chrono::hours(1)};
+  size_t max_hosts = 20'000;
+  size_t max_acts = 2'000;  ///< Waves, and roll-outs, each.
+  size_t max_jobs = 200'000;
+  /// Finished acts and jobs, and retired hosts, are dropped after this.
+  Millis finished_retention{std::chrono::hours(24 * 7)};
 };
 
 /// One accepted change of settings.
--- /dev/null
+++ b/packages/state/src/command.cc
@@ -0,0 +1,67 @@
+#include "laurelhall/state/command.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "read_json_p.h"
+
+namespace laurelhall::state {
+namespace {
+
+namespace json = boost::json;
+
+template <size_t kIndex>
+Command ReadAs(const json::value& value) {
+  std::variant_alternative_t<kIndex, Command> command;
+  ReadJson(value, command);
+  return command;
+}
+
+using ReadCommand = Command (*)(const json::value&);
+
+template <size_t... kIndices>
+constexpr std::array<ReadCommand, sizeof...(kIndices)> MakeReaders(
+    std::index_sequence<kIndices...>) {
+  return {&ReadAs<kIndices>...};
+}
+
+constexpr auto kReaders =
+    MakeReaders(std::make_index_sequence<std::variant_size_v<Command>>());
+
+Command ReadTagged(const json::object& tagged) {
+  const auto kind = tagged.at("kind").to_number<uint64_t>();
+  if (kind >= kReaders.size()) {
+    throw std::invalid_argument("unknown kind of command: " +
+                                std::to_string(kind));
+  }
+  return kReaders[kind](tagged.at("value"));
+}
+
+}  // namespace
+
+std::string EncodeCommands(const std::vector<Command>& commands) {
+  json::array array;
+  array.reserve(commands.size());
+  for (const Command& command : commands) {
+    json::value value = std::visit(
+        [](const auto& alternative) { return json::value_from(alternative); },
+        command);
+    array.push_back(
+        json::object{{"kind", command.index()}, {"value", std::move(value)}});
+  }
+  return json::serialize(array);
+}
+
+std::vector<Command> DecodeCommands(std::string_view payload) {
+  const json::value array = ParseBytes(payload);
+  std::vector<Command> commands;
+  commands.reserve(array.as_array().size());
+  for (const json::value& tagged : array.as_array()) {
+    commands.push_back(ReadTagged(tagged.as_object()));
+  }
+  return commands;
+}
+
+}  // namespace laurelhall::state
--- /dev/null
+++ b/packages/state/src/machine.cc
@@ -0,0 +1,137 @@
+#include "laurelhall/state/machine.h"
+
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+
+#include "tables_p.h"
+
+namespace laurelhall::state {
+
+class Machine::Impl {
+ public:
+  explicit Impl(const MachineLimits& limits)
+      : m_limits(limits), m_tables(std::make_shared<Tables>(limits)) {}
+
+  std::vector<Result> Apply(uint64_t index, std::string_view payload) {
+    const std::vector<Command> commands = DecodeCommands(payload);
+    const std::lock_guard lock(m_apply_mutex);
+    const std::shared_ptr<Tables> tables = Current();
+    if (index <= tables->applied_index) {
+      throw std::logic_error("entry " + std::to_string(index) +
+                             " is applied already");
+    }
+    std::vector<Result> results;
+    results.reserve(commands.size());
+    for (const Command& command : commands) {
+      results.push_back(tables->Apply(index, command));
+    }
+    // Last, so that who reads the index and then a table misses nothing.
+    tables->applied_index = index;
+    return results;
+  }
+
+  std::string Save() const {
+    const std::lock_guard lock(m_apply_mutex);
+    return Current()->Save();
+  }
+
+  void Load(std::string_view snapshot) {
+    auto loaded = std::make_shared<Tables>(m_limits);
+    loaded->Load(snapshot);
+    const std::lock_guard apply_lock(m_apply_mutex);
+    const std::lock_guard lock(m_tables_mutex);
+    m_tables = std::move(loaded);
+  }
+
+  std::shared_ptr<Tables> Current() const {
+    const std::lock_guard lock(m_tables_mutex);
+    return m_tables;
+  }
+
+ private:
+  const MachineLimits m_limits;
+
+  // Keeps writers and Save() apart. Held while settings are checked, which is
+  // a pure function of this process; readers never wait for it.
+  mutable std::mutex m_apply_mutex;
+
+  mutable std::mutex m_tables_mutex;  // Guards the pointer below.
+  std::shared_ptr<Tables> m_tables;
+};
+
+Machine::Machine(MachineLimits limits)
+    : m_impl(std::make_unique<Impl>(limits)) {}
+
+Machine::~Machine() = default;
+
+std::vector<Result> Machine::Apply(uint64_t index, std::string_view payload) {
+  return m_impl->Apply(index, payload);
+}
+
+uint64_t Machine::applied_index() const {
+  return m_impl->Current()->applied_index;
+}
+
+std::string Machine::Save() const {
+  return m_impl->Save();
+}
+
+void Machine::Load(std::string_view snapshot) {
+  m_impl->Load(snapshot);
+}
+
+uint64_t Machine::settings_version() const {
+  return m_impl->Current()->settings.version();
+}
+
+std::string Machine::settings_tree() const {
+  return m_impl->Current()->settings.tree();
+}
+
+std::shared_ptr<const model::Config> Machine::config() const {
+  return m_impl->Current()->settings.config();
+}
+
+std::optional<std::vector<SettingsRecord>> Machine::SettingsSince(
+    uint64_t version) const {
+  return m_impl->Current()->settings.Since(version);
+}
+
+std::vector<model::Endpoint> Machine::EndpointsSince(uint64_t index) const {
+  return m_impl->Current()->endpoints.Since(index);
+}
+
+model::Fleet Machine::fleet() const {
+  const std::shared_ptr<Tables> tables = m_impl->Current();
+  const std::shared_ptr<const model::Config> config = tables->settings.config();
+  model::Fleet fleet;
+  tables->fleet.Read(fleet);
+  fleet.pools = config->pools;
+  for (const auto& [name, service] : config->services) {
+    fleet.services.emplace(name, service.budget);
+  }
+  fleet.quotas = config->quotas;
+  fleet.weights = config->weights;
+  return fleet;
+}
+
+std::vector<AuditRecord> Machine::Audit(size_t most) const {
+  return m_impl->Current()->audit.Latest(most);
+}
+
+std::vector<BurnSample> Machine::Burn(const std::string& service,
+                                      WallTime since) const {
+  return m_impl->Current()->burn.Since(service, since);
+}
+
+std::optional<ClaimResult> Machine::FindClaim(
+    const model::ClaimKey& key) const {
+  return m_impl->Current()->claims.Find(key);
+}
+
+uint64_t Machine::Digest() const {
+  return HashText(m_impl->Save());
+}
+
+}  // namespace laurelhall::state
