--- a/packages/settings/src/check.cc
+++ b/packages/settings/src/check.cc
@@ -90,7 +90,9 @@
     } else {
       findings.Add(place, "expected an object");
     }
-    CheckParent(nodes, node, place, findings);
+    if (section.has_parent) {
+      CheckParent(nodes, node, place, findings);
+    }
   }
 }
 
--- a/packages/settings/src/tree.cc
+++ b/packages/settings/src/tree.cc
@@ -74,10 +74,11 @@
   if (!place.section->is_named) {
     return {section};
   }
+  const std::string prefix = section + ".";
   std::vector<std::string> paths;
   if (const json::value* nodes = FindPath(root, {section})) {
     for (const auto& name : ParentChain(nodes->get_object(), place.node)) {
-      paths.push_back(section + "." + name);
+      paths.push_back(prefix + name);
     }
   }
   return paths;
--- /dev/null
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -0,0 +1,128 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "laurelhall/settings/daemon_settings.h"
+
+namespace laurelhall::settings {
+namespace {
+
+// One line each, so that a failure shows which differ.
+std::string Lines(const std::set<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines) {
+    text += line + "\n";
+  }
+  return text;
+}
+
+struct DaemonSettingsFixture {
+  static std::set<std::string> FindingsOf(const std::string& text) {
+    std::set<std::string> lines;
+    try {
+      ParseDaemonSettings(text, "d.json");
+    } catch (const FindingsError& error) {
+      for (const Finding& finding : error.findings()) {
+        lines.insert(finding.place + ": " + finding.text);
+      }
+    }
+    return lines;
+  }
+
+  // A whole file with these addresses and keys.
+  static std::string With(const std::string& inner,
+                          const std::string& operators,
+                          const std::string& keys) {
+    return R"({"name": "e1", "availability_zone": "z1", "roles": ["entry"],
+      "addresses": {"inner": ")" +
+           inner + R"(", "caller": "0.0.0.0:80", "operator": ")" + operators +
+           R"("}, "keys": {)" + keys +
+           R"(}, "control": {"peers": [{"name": "c1", "address": "127.0.0.1:71",
+            "availability_zone": "z1"}]}})";
+  }
+};
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ReadDaemonSettings, the example, reads all of it") {
+  const DaemonSettings settings = ReadDaemonSettings(
+      LAURELHALL_SOURCE_DIR "/examples/montevideo/entry-1.json");
+  CHECK(settings.cluster == "montevideo");
+  CHECK(settings.is_entry);
+  CHECK(settings.is_control);
+  CHECK(settings.may_bootstrap);
+  CHECK(settings.data_folder == "data/entry-1");
+  CHECK(settings.operator_address == "127.0.0.1:9101");
+  REQUIRE(settings.control_peers.size() == 5);
+  CHECK(settings.control_peers[4].name == "entry-5");
+  CHECK(settings.control_peers[4].availability_zone == "mvd-1");
+  CHECK(settings.drain_grace == Seconds(30));
+  CHECK(settings.log_level == "info");
+}
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ReadDaemonSettings, no such file, says which") {
+  CHECK_THROWS_WITH_AS(ReadDaemonSettings("/nowhere/d.json"),
+                       "/nowhere/d.json: expected a readable file",
+                       FindingsError);
+}
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ParseDaemonSettings, many faults, finds all at once") {
+  const std::set<std::string> expected{
+      "d.json: name: expected a name",
+      "d.json: availability_zone: expected a text",
+      "d.json: availability_zone: expected a name",
+      "d.json: roles[1]: expected \"entry\" or \"control\"",
+      "d.json: adresses: unknown key",
+      "d.json: addresses.caller: expected an IP number and port such as "
+      "\"127.0.0.1:7101\"",
+      "d.json: addresses.inner: expected an IP number and port such as "
+      "\"127.0.0.1:7101\"",
+      "d.json: addresses.operator: expected an IP number and port such as "
+      "\"127.0.0.1:7101\"",
+      "d.json: control.peers[0].port: unknown key",
+      "d.json: control.peers[0].address: expected an IP number and port such "
+      "as \"127.0.0.1:7101\"",
+      "d.json: control.peers[0].availability_zone: expected a name",
+      "d.json: control.peers[1]: expected an object",
+      "d.json: control.data_folder: expected a folder: a control host keeps "
+      "its state there",
+      "d.json: log.level: expected trace, debug, info, warning, error or off",
+      "d.json: log.colour: unknown key",
+      "d.json: tls: expected an object",
+      "d.json: io_threads: expected a whole number from 1 to 64",
+      "d.json: drain_grace: expected a duration such as \"30s\""};
+  CHECK(Lines(FindingsOf(R"({"availability_zone": 4, "adresses": {},
+    "roles": ["control", "king", "entry"], "tls": [], "io_threads": 0,
+    "addresses": {"caller": "localhost:80", "inner": "127.0.0.1:99999",
+                  "operator": "127.0.0.1"},
+    "control": {"peers": [{"name": "c", "address": "127.0.0.1:0", "port": 1}, 2]},
+    "log": {"level": "loud", "colour": 1}, "drain_grace": "30"})")) ==
+        Lines(expected));
+}
+
+TEST_CASE_FIXTURE(
+    DaemonSettingsFixture,
+    "ParseDaemonSettings, addresses off loopback, asks for keys") {
+  CHECK(FindingsOf(With("127.0.0.1:0", "[::1]:90", "")).empty());
+  CHECK(FindingsOf(With("10.0.0.4:71", "127.9.9.9:90", "")) ==
+        std::set<std::string>{"d.json: keys.cluster_key_file: expected a file: "
+                              "the inner protocol leaves loopback"});
+  CHECK(FindingsOf(With("127.0.0.1:71", "0.0.0.0:90", "")) ==
+        std::set<std::string>{"d.json: keys.operator_tokens_file: expected a "
+                              "file: operators are served off loopback"});
+  CHECK(FindingsOf(With("10.0.0.4:71", "[fd00::1]:90",
+                        R"("cluster_key_file": "k",
+                           "operator_tokens_file": "t")"))
+            .empty());
+}
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ParseDaemonSettings, text that is no object, says so") {
+  CHECK(FindingsOf("[1]") ==
+        std::set<std::string>{"d.json: expected a JSON object"});
+  CHECK(FindingsOf("{").size() == 1);
+}
+
+}  // namespace
+}  // namespace laurelhall::settings
--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -20,7 +20,7 @@
   Millis remember_requests{std::chrono::hours(24)};
   size_t max_settings_history = 2'000;
   size_t max_audit_records = 20'000;
-  size_t max_burn_minutes = 60 * 24 * 35;  ///< Of one service.
+  size_t max_burn_minutes = size_t{60} * 24 * 35;  ///< Of one service.
   /// In-progress claims turn to outcome unknown this long past their expiry.
   Millis unfinished_claim_margin{std::chrono::hours(1)};
   /// An expired key is refused for this long; a later resend is a first run.
--- a/packages/state/src/claim_table.cc
+++ b/packages/state/src/claim_table.cc
@@ -316,7 +316,7 @@
 
 std::shared_ptr<const model::EntryIdentity> ClaimTable::Intern(
     const model::EntryIdentity& owner) {
-  auto& known = m_owners[owner];
+  auto& known = m_owners[{owner.name, owner.incarnation}];
   if (known == nullptr) {
     known = std::make_shared<const model::EntryIdentity>(owner);
   }
--- a/packages/state/src/claim_table_p.h
+++ b/packages/state/src/claim_table_p.h
@@ -156,8 +156,9 @@
   std::deque<std::pair<WallTime, WideHash>> m_tombstone_order;
   std::deque<WideHash> m_released_order;  // Of key and request id.
   std::unordered_set<WideHash, WideHashHash> m_released;
-  std::map<model::EntryIdentity, std::shared_ptr<const model::EntryIdentity>>
-      m_owners;
+  std::map<std::pair<std::string, uint64_t>,
+           std::shared_ptr<const model::EntryIdentity>>
+      m_owners;  // By name and incarnation.
   size_t m_entry_count = 0;
   size_t m_kept_bytes = 0;
   uint64_t m_sequence = 0;
