--- a/packages/settings/src/tree.cc
+++ b/packages/settings/src/tree.cc
@@ -1,5 +1,6 @@
 #include "laurelhall/settings/tree.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "canonical_json_p.h"
@@ -24,6 +25,18 @@
   return value;
 }
 
+// All findings at once, in the order of their places.
+void ThrowIfAny(const FindingList& findings) {
+  if (findings.is_empty()) {
+    return;
+  }
+  std::vector<Finding> sorted = findings.all();
+  std::stable_sort(
+      sorted.begin(), sorted.end(),
+      [](const Finding& a, const Finding& b) { return a.place < b.place; });
+  throw FindingsError(std::move(sorted));
+}
+
 void ApplyChange(const std::string& path,
                  const std::optional<std::string>& text,
                  json::value& root,
@@ -142,7 +155,7 @@
   if (root) {
     CheckTree(*root, findings);
   }
-  findings.ThrowIfAny();
+  ThrowIfAny(findings);
   Tree tree;
   tree.m_text = CanonicalText(*root);
   return tree;
@@ -155,7 +168,7 @@
     ApplyChange(path, text, root, findings);
   }
   CheckTree(root, findings);
-  findings.ThrowIfAny();
+  ThrowIfAny(findings);
   Tree tree;
   tree.m_text = CanonicalText(root);
   return tree;
--- /dev/null
+++ b/packages/state/tests/fleet_table_test.cc
@@ -0,0 +1,203 @@
+#include <random>
+
+#include "machine_fixture.h"
+
+namespace laurelhall::state {
+namespace {
+
+using model::ActState;
+using model::DrainReason;
+using model::Host;
+using model::HostEvent;
+using model::HostState;
+
+struct FleetTableFixture : MachineFixture {
+  FleetTableFixture() {
+    CHECK(Change("ana", "setup", 0, "pools",
+                 R"({"annex": {}, "hall": {}, "big": {"host_processors": 64}})")
+              .is_accepted);
+  }
+
+  ActResult Add(const std::string& id, const std::string& pool) {
+    Host host;
+    host.id = id;
+    host.pool = pool;
+    host.rack = "r1";
+    host.capacity = {32, 128, 0};
+    return Act(HostAddCommand{RequestOf("ana"), host});
+  }
+
+  ActResult Do(const std::string& id,
+               HostEvent event,
+               uint64_t epoch,
+               DrainReason reason = DrainReason::kNone,
+               const std::string& move_to = "",
+               const std::string& act = "") {
+    HostCommand command;
+    command.request = RequestOf("ana");
+    command.host = id;
+    command.expected_epoch = epoch;
+    command.event = event;
+    command.drain_reason = reason;
+    command.move_to = move_to;
+    command.act = act;
+    return Act(command);
+  }
+
+  Host HostOf(const std::string& id) const {
+    return m_machine->fleet().hosts.at(id);
+  }
+};
+
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Hosts, moved, change their pool in one transition") {
+  CHECK(Add("h", "annex").version == 1);
+  CHECK(Do("h", HostEvent::kJoin, 1).version == 2);
+  CHECK(Do("h", HostEvent::kWarm, 2).version == 3);
+  CHECK(Do("h", HostEvent::kDrain, 3, DrainReason::kMove, "hall", "move-1")
+            .version == 4);
+  CHECK(Do("h", HostEvent::kMovePool, 4).error.find("isn't allowed") !=
+        std::string::npos);
+  CHECK(Do("h", HostEvent::kConfirmEmpty, 4).version == 5);
+  CHECK(HostOf("h").pool == "annex");
+  CHECK(Do("h", HostEvent::kMovePool, 5, DrainReason::kNone, "annex").error ==
+        "host h drained to move to \"hall\"");
+  CHECK(Do("h", HostEvent::kMovePool, 5, DrainReason::kNone, "", "move-2")
+            .error == "host h is held by move-1");
+  CHECK(Do("h", HostEvent::kMovePool, 5, DrainReason::kNone, "hall", "move-1")
+            .version == 6);
+  CHECK(HostOf("h").pool == "hall");
+}
+
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Hosts, commands that don't fit, say what stands there") {
+  CHECK(Add("h", "cellar").error == "unknown pool \"cellar\"");
+  CHECK(Add("h", "big").error == "host h offers less than pool big asks for");
+  CHECK(Add("h", "annex").is_accepted);
+  CHECK(Add("h", "annex").version == 1);  // Facts again; no transition.
+  CHECK(Add("h", "hall").error == "host h belongs to pool annex; move it");
+  CHECK(Do("x", HostEvent::kJoin, 1).error == "unknown host \"x\"");
+  CHECK(Do("h", HostEvent::kJoin, 3).error ==
+        "host h is at epoch 1 in state kAnnounced, expected epoch 3");
+  CHECK(Do("h", HostEvent::kCount, 1).error.find("isn't allowed") !=
+        std::string::npos);
+  CHECK(Do("h", HostEvent::kJoin, 1).is_accepted);
+  CHECK(Do("h", HostEvent::kWarm, 2).is_accepted);
+  CHECK(Do("h", HostEvent::kDrain, 3, DrainReason::kMove, "big").error ==
+        "host h offers less than pool big asks for");
+  CHECK(Do("h", HostEvent::kDrain, 3, DrainReason::kMove, "annex")
+            .error.find("isn't allowed") != std::string::npos);
+  CHECK(m_machine->Audit(1).front().act == "host.drain h");
+}
+
+/// Controllers that act on epochs they read a while ago.
+TEST_CASE("Hosts, racing controllers over seeds, keep one pool each") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    FleetTableFixture fixture;
+    const std::vector<std::string> pools{"annex", "hall", "big", "cellar"};
+    const std::vector<std::string> ids{"h0", "h1", "h2"};
+    std::map<std::string, Host> before;
+    for (const std::string& id : ids) {
+      CHECK(fixture.Add(id, pools[random() % 2]).is_accepted);
+      before[id] = fixture.HostOf(id);
+    }
+    int moves = 0;
+    for (int step = 0; step < 250; ++step) {
+      const std::string& id = ids[random() % ids.size()];
+      const Host& known = before[id];
+      const uint64_t epoch = known.epoch - (random() % 4 == 0 ? 1 : 0);
+      const auto event = static_cast<HostEvent>(
+          random() % static_cast<size_t>(HostEvent::kRetire));
+      const auto reason = static_cast<DrainReason>(random() % 3);
+      const std::string& target = pools[random() % pools.size()];
+      const bool is_refresh = random() % 10 == 0;
+      const ActResult result =
+          is_refresh ? fixture.Add(id, target)
+                     : fixture.Do(id, event, epoch, reason, target);
+      if (random() % 20 == 0) {
+        fixture.Reload();
+      }
+      const model::Fleet fleet = fixture.m_machine->fleet();
+      CHECK(fleet.hosts.size() == ids.size());
+      const Host& after = fleet.hosts.at(id);
+      const bool is_transition = result.is_accepted && !is_refresh;
+      CHECK(after.epoch == known.epoch + (is_transition ? 1 : 0));
+      CHECK(!(is_transition && epoch != known.epoch));
+      CHECK(fleet.pools.contains(after.pool));
+      CHECK(after.pool != "big");
+      if (after.pool != known.pool) {
+        ++moves;
+        CHECK(is_transition);
+        CHECK(event == HostEvent::kMovePool);
+        CHECK(known.state == HostState::kDrained);
+        CHECK(after.pool == known.move_to);
+      }
+      before[id] = after;
+    }
+    CHECK(fixture.m_machine->Digest() == fixture.m_replica->Digest());
+    CAPTURE(moves);
+  }
+}
+
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Waves, replaced by two controllers, follow their fence") {
+  model::Wave wave;
+  wave.id = "w1";
+  wave.pools = {"annex"};
+  const auto put = [&](std::optional<ActState> expected, ActState state) {
+    wave.state = state;
+    return Act(WaveCommand{RequestOf("ana"), expected, wave});
+  };
+  CHECK(put(ActState::kRunning, ActState::kRunning).error ==
+        "wave w1 is not known");
+  CHECK(put(std::nullopt, ActState::kRunning).is_accepted);
+  CHECK(put(std::nullopt, ActState::kRunning).error ==
+        "wave w1 is there already");
+  CHECK(put(ActState::kRunning, ActState::kPaused).is_accepted);
+  CHECK(put(ActState::kRunning, ActState::kDone).error ==
+        "wave w1 is at kPaused, expected kRunning");
+  CHECK(put(ActState::kPaused, ActState::kCancelled).is_accepted);
+  CHECK(put(ActState::kCancelled, ActState::kRunning).error ==
+        "w1 is kCancelled and stays so");
+  wave = {};
+  wave.id = "w2";
+  wave.pools = {"cellar"};
+  CHECK(put(std::nullopt, ActState::kRunning).error ==
+        "unknown pool \"cellar\"");
+  CHECK(Act(RolloutCommand{RequestOf("ana"), std::nullopt, {}}).error ==
+        "unknown service \"\"");
+  m_now += m_limits.finished_retention;
+  Expire();
+  CHECK(m_machine->fleet().waves.empty());
+}
+
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Jobs, replaced under an old lease, stay as they are") {
+  model::Job job;
+  job.id = "j1";
+  job.pool = "annex";
+  const auto put = [&](std::optional<uint64_t> expected, uint64_t lease,
+                       model::JobState state) {
+    job.lease = lease;
+    job.state = state;
+    return Act(JobCommand{RequestOf("ana"), expected, job});
+  };
+  using model::JobState;
+  CHECK(put(std::nullopt, 0, JobState::kQueued).is_accepted);
+  CHECK(put(0, 1, JobState::kRunning).version == 1);
+  CHECK(put(1, 2, JobState::kRunning).version == 2);
+  const ActResult late = put(1, 1, JobState::kSucceeded);
+  CHECK(late.error == "job j1 is at 2, expected 1");
+  CHECK(late.version == 2);
+  CHECK_FALSE(put(2, 1, JobState::kQueued).is_accepted);
+  CHECK(put(2, 2, JobState::kSucceeded).is_accepted);
+  CHECK(put(2, 3, JobState::kRunning).error ==
+        "job j1 is kSucceeded and stays so");
+  Reload();
+  CHECK(m_machine->fleet().jobs.at("j1").state == JobState::kSucceeded);
+}
+
+}  // namespace
+}  // namespace laurelhall::state
