Routing decisions: slot grants, admission queue, endpoint selector

First working version behind the three headers, built, not tested yet. Grant ids are (epoch, counter) and change with each change of slots, so a report names the state it speaks of; the first grant of a later leader never adds slots at the holder, so a take-over learns what is held before it lends.

--- a/packages/routing/include/laurelhall/routing/admission.h
+++ b/packages/routing/include/laurelhall/routing/admission.h
@@ -48,9 +48,22 @@
 /// The queue of one service at one entry host: priority, then fair between
 /// organisations by weight, then by deadline; hopeless requests are given up.
 ///
+/// Priority is strict but for a floor: a priority that waits and was passed
+/// over kFloorPeriod times in a row is served next. Between organisations,
+/// virtual time counts slot time used over weight. What one organisation
+/// leaves idle the others borrow. It is given back from the first dispatch
+/// after it returns: of the dispatches from then on, an organisation that
+/// waits gets its share, less one, when runs are of equal length.
+///
 /// @remarks Not thread-safe: its shard's lock is held by the caller.
 class AdmissionQueue {
  public:
+  /// Dispatches that a waiting priority is passed over before it is served.
+  static constexpr int kFloorPeriod = 15;
+
+  /// Dispatches after which a request can no longer be put back.
+  static constexpr int kPutBackWindow = 64;
+
   explicit AdmissionQueue(const AdmissionInit& init);
   ~AdmissionQueue();
 
@@ -70,7 +83,8 @@
   /// Takes the next request to run; none when the queue is empty.
   std::optional<RequestHandle> Next(SteadyTime now);
 
-  /// Puts back a request that Next() gave but no slot was to be had for.
+  /// Puts back a request that Next() gave but no slot was to be had for. No
+  /// effect later than kPutBackWindow dispatches after that.
   void PutBack(RequestHandle handle);
 
   /// Removes a waiting request whose caller has gone.
@@ -81,6 +95,13 @@
                 Millis run_time,
                 SteadyTime now);
 
+  /// The same with the run's priority: estimates are then kept by priority, so
+  /// that long valuations don't make counter estimates look hopeless.
+  void Finished(const std::string& organisation,
+                model::Priority priority,
+                Millis run_time,
+                SteadyTime now);
+
   struct GivenUp {
     RequestHandle handle;
     Refusal refusal;
@@ -89,6 +110,9 @@
   /// Requests given up on since the last call; answered at once.
   std::vector<GivenUp> TakeGivenUp(SteadyTime now);
 
+  /// When TakeGivenUp() next has something to give, if nothing else changes.
+  std::optional<SteadyTime> NextGiveUp(SteadyTime now) const;
+
   int size() const;
   int64_t bytes() const;
 
--- a/packages/routing/include/laurelhall/routing/grants.h
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -51,17 +51,25 @@
   SlotAllocator(const SlotAllocatorInit& init, SteadyTime now);
   ~SlotAllocator();
 
-  /// Makes an endpoint known, or changes its slots. A new incarnation starts
-  /// with nothing lent.
+  /// Makes an endpoint known, or changes its slots.
+  ///
+  /// @param is_never_lent No earlier leader can have lent any of it: it was
+  ///   first announced under this one. Else it is reserved for the take-over.
+  /// @remarks A new incarnation keeps what is lent: the old runs died with
+  ///   the old process, but leases on the same address still hold and a
+  ///   silent entry host may use them at the new one.
   void SetEndpoint(const model::Endpoint& endpoint,
                    Millis max_run_time,
-                   SteadyTime now);
+                   SteadyTime now,
+                   bool is_never_lent = false);
 
   /// Lends nothing more of an endpoint that leaves or is gone.
   void RemoveEndpoint(const std::string& endpoint);
 
   /// Renews an entry host's leases and moves slots with demand.
   ///
+  /// @pre The answer is sent only after leadership was confirmed at or after
+  ///   this call; else it is dropped.
   /// @returns The grants in force for this entry host, changed or not.
   std::vector<SlotGrant> Renew(const model::EntryIdentity& entry,
                                const std::vector<SlotDemand>& demands,
@@ -82,20 +90,27 @@
 
 /// The entry host's side: starts a run only under a lease that still holds.
 ///
-/// @remarks Thread-safe: shards by endpoint, each under its own lock.
+/// @remarks Thread-safe: shards by endpoint, each under its own lock. At most
+///   65,536 tickets a shard are out at once.
 class GrantHolder {
  public:
   GrantHolder();
   ~GrantHolder();
 
   /// Takes in grants; the lease runs from when the renewal was sent.
+  ///
+  /// @remarks Grants older than the one held are ignored, so answers may come
+  ///   late, twice or out of order. The first grant of a later leader never
+  ///   adds slots: that leader learns from the next report what is held.
   void Update(const std::vector<SlotGrant>& grants, SteadyTime asked_at);
 
   /// Takes a slot, or none when all are in use or the lease has run out.
   std::optional<SlotTicket> TryAcquire(const std::string& endpoint,
                                        SteadyTime now);
 
-  /// Whether the ticket's lease still holds; asked again right before a write.
+  /// Whether the ticket's lease has held ever since it was taken; asked again
+  /// right before a write. A lease that lapsed in between stays lapsed for
+  /// the ticket, also after a renewal.
   bool IsValid(SlotTicket ticket, SteadyTime now) const;
 
   /// Gives a slot back. No effect on an invalid ticket.
@@ -108,6 +123,11 @@
 
   int FreeSlots(const std::string& endpoint, SteadyTime now) const;
 
+  /// Starts no more runs and reports unused slots as given back, for a planned
+  /// stop: after one more renewal the leader may lend them at once, where a
+  /// silent entry host's slots wait for its lease and the longest run.
+  void ReturnAll();
+
  private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/packages/routing/include/laurelhall/routing/selector.h
+++ b/packages/routing/include/laurelhall/routing/selector.h
@@ -36,7 +36,9 @@
 ///
 /// @remarks Not thread-safe: its shard's lock is held by the caller. Each
 ///   endpoint's view has its own expiry on the steady clock: one that has not
-///   been confirmed within `view_bound` gets no new work.
+///   been confirmed within `view_bound` gets no new work. An endpoint set
+///   aside is probed with one request at a time once its time is over, and
+///   then takes up work step by step.
 class Selector {
  public:
   explicit Selector(const SelectorInit& init);
@@ -63,13 +65,30 @@
   /// Picks an endpoint: latency-aware choice of two, own zone first when it
   /// is no slower; none when no candidate may be used.
   ///
-  /// @param avoid An endpoint already tried for this request, or empty.
+  /// @param avoid An endpoint already tried for this request, or empty. A
+  ///   request with one is no probe.
+  /// @param may_probe Whether an endpoint set aside may be tried with this
+  ///   request; say no for one that can't be retried.
   std::optional<std::string> Pick(const std::vector<Candidate>& candidates,
                                   const std::string& avoid,
-                                  SteadyTime now);
+                                  SteadyTime now,
+                                  bool may_probe = true);
 
   void Started(const std::string& endpoint, SteadyTime now);
+
+  /// Takes in how an attempt ended.
+  ///
+  /// @param latency Since Started(). An attempt that started before the
+  ///   endpoint's present incarnation was taken in is ignored.
+  void Finished(const std::string& endpoint,
+                AttemptOutcome outcome,
+                Millis latency,
+                SteadyTime now);
+
+  /// The same with the incarnation that the attempt was sent to, for callers
+  /// whose latency counts from elsewhere than Started().
   void Finished(const std::string& endpoint,
+                uint64_t incarnation,
                 AttemptOutcome outcome,
                 Millis latency,
                 SteadyTime now);
@@ -78,6 +97,7 @@
   std::vector<model::Endpoint> Usable(SteadyTime now) const;
 
   /// Whether one endpoint may be sent work; asked again right before a write.
+  /// One set aside may be, once started: for its probe.
   bool MaySend(const std::string& endpoint, SteadyTime now) const;
 
   std::optional<model::Endpoint> Find(const std::string& endpoint) const;
@@ -89,7 +109,8 @@
 };
 
 /// Retries allowed in proportion to first attempts; one per service, so that
-/// retries cannot multiply an overload. Not thread-safe.
+/// retries cannot multiply an overload. What was not used is kept for up to
+/// 200 first attempts. Not thread-safe.
 class RetryBudget {
  public:
   /// @param ratio Retries per first attempt, for example 0.1.
--- /dev/null
+++ b/packages/routing/src/run_estimate.cc
@@ -0,0 +1,48 @@
+#include "run_estimate_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace laurelhall::routing {
+namespace {
+
+constexpr double kMeanGain = 0.05;
+constexpr double kQuantile = 0.1;
+constexpr double kQuantileStep = 0.1;  ///< Of the present estimate.
+constexpr int kFewRuns = 10;
+constexpr std::chrono::duration<double> kHalfLife{10};
+
+}  // namespace
+
+void RunEstimate::Add(Millis run_time, SteadyTime now) {
+  const auto sample =
+      static_cast<double>(std::max(run_time, Millis{1}).count());
+  ++m_count;
+  m_last = now;
+  // The first runs count fully, so that the mean is right early.
+  m_mean += (sample - m_mean) * std::max(kMeanGain, 1.0 / m_count);
+  if (m_count == 1) {
+    m_shortest = sample;
+    return;
+  }
+  const double step = m_shortest * kQuantileStep;
+  m_shortest +=
+      sample < m_shortest ? -step * (1 - kQuantile) : step * kQuantile;
+}
+
+Millis RunEstimate::mean() const {
+  return std::chrono::ceil<Millis>(
+      std::chrono::duration<double, std::milli>(m_mean));
+}
+
+Millis RunEstimate::Shortest(SteadyTime now) const {
+  if (m_count < kFewRuns) {
+    return Millis{0};
+  }
+  const std::chrono::duration<double> idle = now - m_last;
+  const double left = std::exp2(-std::max(idle / kHalfLife, 0.0));
+  return std::chrono::floor<Millis>(
+      std::chrono::duration<double, std::milli>(m_shortest * left));
+}
+
+}  // namespace laurelhall::routing
--- /dev/null
+++ b/packages/routing/src/slot_table_p.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "laurelhall/base/time.h"
+#include "laurelhall/model/endpoint.h"
+#include "laurelhall/routing/grants.h"
+
+namespace laurelhall::routing {
+
+/// The incarnation of each entry host that renewed last, by name.
+using CurrentIncarnations = std::map<std::string, uint64_t>;
+
+/// What one entry host was lent of one endpoint.
+struct Loan {
+  uint64_t grant = 0;  ///< Changes with each change of `slots`.
+  int slots = 0;       ///< What it was last told.
+  /// Runs that it may have under way at most, by all that it was told.
+  int charge = 0;
+  int from_reserve = 0;  ///< Part of `charge` that the take-over accounts for.
+  bool is_confirmed = false;  ///< It has reported under a grant of ours.
+  bool is_silent = false;     ///< Its lease has surely run out.
+  double demand = 0;          ///< Of late: rises at once, falls slowly.
+  SteadyTime lease_until{};
+  SteadyTime runs_until{};  ///< All runs under its leases have ended by then.
+
+  void SeeDemand(int wanted);
+};
+
+/// One endpoint's slots: lent, quarantined, reserved for the take-over.
+///
+/// @remarks Not thread-safe. Invariant: the sum of all charges and of the
+///   reserve is at least what all entry hosts together may have under way.
+class EndpointSlots {
+ public:
+  void SetLimit(int slots, Millis longest_run);
+
+  /// Lends nothing more; what is lent is called back.
+  void Close() { m_is_closed = true; }
+  bool is_closed() const { return m_is_closed; }
+
+  /// Holds all slots back until `until` for what earlier leaders lent.
+  void ReserveForTakeOver(int slots, SteadyTime until, SteadyTime now);
+  bool is_taking_over() const { return m_is_taking_over; }
+
+  Loan* Find(const model::EntryIdentity& entry);
+  const Loan* Find(const model::EntryIdentity& entry) const;
+  Loan& Add(const model::EntryIdentity& entry);
+
+  /// Adopts what an entry host holds of an earlier leader.
+  void TakeOver(Loan& loan, int held);
+
+  /// Takes in a report under the grant in force.
+  void Confirm(Loan& loan, const SlotDemand& demand);
+
+  void Extend(Loan& loan, SteadyTime now, Millis lease);
+  void Expire(SteadyTime now);
+
+  /// Slots that surely nobody may use.
+  int Lendable() const;
+
+  /// Slots that the entry host should have by present demand.
+  int TargetOf(const model::EntryIdentity& entry,
+               const CurrentIncarnations& current) const;
+
+  int Lent(const CurrentIncarnations& current) const;
+  int Quarantined(const CurrentIncarnations& current) const;
+  bool is_done() const { return m_is_closed && m_loans.empty(); }
+
+ private:
+  std::map<const model::EntryIdentity*, int> Targets(
+      const CurrentIncarnations& current) const;
+
+  int m_limit = 0;
+  Millis m_longest_run{0};
+  bool m_is_closed = false;
+  bool m_is_taking_over = false;
+  /// Slots that earlier leaders may have lent and nobody has reported. Below
+  /// zero when late copies of reports account for more than there is.
+  int m_reserve = 0;
+  SteadyTime m_take_over_until{};
+  std::map<model::EntryIdentity, Loan> m_loans;
+};
+
+}  // namespace laurelhall::routing
