--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -35,7 +35,7 @@
   static constexpr Millis kSync{150};
   static constexpr Millis kMaxRun{2000};
   static constexpr Millis kMargin{200};
-  static constexpr double kDrift = 0.01;
+  static constexpr double kDrift = 0.05;
 
   explicit SlotModel(const SlotModelInit& init)
       : m_init(init), m_random(init.seed) {
@@ -159,7 +159,9 @@
   void Send(const EntryPointer& entry, std::function<void()> deliver) {
     const int copies = Chance(0.05) ? 0 : Chance(0.1) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      const Millis delay{Chance(0.1) ? Any(0, 4000) : Any(1, 20)};
+      const Millis delay{Chance(0.03)  ? Any(0, 5000)
+                         : Chance(0.1) ? Any(0, 500)
+                                       : Any(1, 20)};
       After(delay, [this, entry, deliver] {
         if (m_now >= entry->cut_until) {
           deliver();
@@ -223,8 +225,7 @@
       entry->holder.Release(ticket);
       return;
     }
-    const int margin = static_cast<int>(kMargin.count());
-    After(Millis{Chance(0.05) ? Any(0, margin) : Any(0, 3)},
+    After(Chance(0.2) ? kMargin : Millis{Any(0, 3)},
           [this, entry, endpoint, ticket] { Start(entry, endpoint, ticket); });
   }
 
@@ -233,8 +234,7 @@
     endpoint.runs++;
     m_runs_started++;
     m_most_runs = std::max(m_most_runs, endpoint.runs);
-    const int longest = static_cast<int>(kMaxRun.count());
-    const Millis run{Chance(0.2) ? Any(longest / 2, longest) : Any(20, 300)};
+    const Millis run = Chance(0.2) ? kMaxRun : Millis{Any(20, 300)};
     After(run, [this, entry, index, ticket, life = endpoint.incarnation] {
       ModelEndpoint& ran_at = m_endpoints[index];
       ran_at.runs -= ran_at.incarnation == life ? 1 : 0;
@@ -244,15 +244,15 @@
 
   void BreakSomething(const EntryPointer& entry) {
     if (Chance(0.01)) {
-      entry->frozen_until = m_now + Millis{Any(100, 6000)};
+      entry->frozen_until = m_now + Millis{Any(100, 9000)};
     }
     if (Chance(0.01)) {
-      entry->cut_until = m_now + Millis{Any(100, 6000)};
+      entry->cut_until = m_now + Millis{Any(100, 9000)};
     }
     if (Chance(0.006)) {
       After(Millis{1}, [this, entry] { Restart(entry); });
     }
-    if (Chance(0.002)) {
+    if (Chance(0.003)) {
       After(Millis{1}, [this] { Elect(); });
     }
     if (Chance(0.002)) {
