--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -133,7 +133,7 @@
            std::uniform_real_distribution<double>(0, 1)(m_random) < share;
   }
   Clock AnyClock() {
-    const double off = Any(-100, 100) / 100.0 * kDrift;
+    const double off = Any(-1, 1) * kDrift;
     return {1 + off, SteadyTime{} + std::chrono::hours(Any(1, 1000))};
   }
 
@@ -211,7 +211,7 @@
     for (size_t i = 0; i < m_endpoints.size(); ++i) {
       while (const auto ticket = entry->holder.TryAcquire(
                  m_endpoints[i].id, entry->clock.At(m_now))) {
-        const Millis before_write{Chance(0.1) ? Any(0, 1500) : Any(0, 5)};
+        const Millis before_write{Chance(0.05) ? Any(0, 6000) : Any(0, 5)};
         On(entry, before_write,
            [this, entry, i, ticket] { Write(entry, i, *ticket); });
       }
@@ -225,16 +225,23 @@
       entry->holder.Release(ticket);
       return;
     }
-    After(Chance(0.2) ? kMargin : Millis{Any(0, 3)},
-          [this, entry, endpoint, ticket] { Start(entry, endpoint, ticket); });
+    const bool is_late = Chance(0.2);
+    After(is_late ? kMargin : Millis{Any(0, 3)},
+          [this, entry, endpoint, ticket, is_late] {
+            Start(entry, endpoint, ticket, is_late);
+          });
   }
 
-  void Start(const EntryPointer& entry, size_t index, SlotTicket ticket) {
+  /// @param is_late Late at the endpoint and running as long as may be.
+  void Start(const EntryPointer& entry,
+             size_t index,
+             SlotTicket ticket,
+             bool is_late) {
     ModelEndpoint& endpoint = m_endpoints[index];
     endpoint.runs++;
     m_runs_started++;
     m_most_runs = std::max(m_most_runs, endpoint.runs);
-    const Millis run = Chance(0.2) ? kMaxRun : Millis{Any(20, 300)};
+    const Millis run = is_late ? kMaxRun : Millis{Any(20, 300)};
     After(run, [this, entry, index, ticket, life = endpoint.incarnation] {
       ModelEndpoint& ran_at = m_endpoints[index];
       ran_at.runs -= ran_at.incarnation == life ? 1 : 0;
