Placement of jobs on workers

Decides from the committed fleet, observed usage and learned estimates, without I/O: submission checks, admission within quotas, urgent work by throttling, checkpointing and stopping, backfill, drains, leases and evidence against workers.

Ruled out: a queue kept between steps (a new leader would start from less than the old one had); a count of failures per worker alone (a broken kind of job would set good workers aside).

--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -182,8 +182,15 @@
   WallTime started{};
   Millis work_done{0};  ///< Run time kept by the last checkpoint.
   int attempts = 0;
-  double throttle = 1;  ///< Share of its processors that it is given.
-  std::string reason;   ///< Why it waits, failed or was refused.
+  double throttle = 1;       ///< Share of its processors that it is given.
+  std::string reason;        ///< Why it waits, failed or was refused.
+  std::string kind;          ///< What it does; estimates are learned per kind.
+  Resources reserved;        ///< What its worker holds for it while it runs.
+  bool is_stopping = false;  ///< Its worker was told to stop it.
+  WallTime state_since{};    ///< Of its last start, checkpoint or stop.
+  WallTime not_before{};     ///< Not started earlier, after a failure.
+  int failures = 0;          ///< Runs that failed.
+  std::vector<std::string> failed_on;  ///< Distinct workers it failed on.
 };
 BOOST_DESCRIBE_STRUCT(Job,
                       (),
@@ -203,7 +210,14 @@
                        work_done,
                        attempts,
                        throttle,
-                       reason))
+                       reason,
+                       kind,
+                       reserved,
+                       is_stopping,
+                       state_since,
+                       not_before,
+                       failures,
+                       failed_on))
 
 /// A team's part of the fleet.
 struct Quota {
--- /dev/null
+++ b/packages/placement/src/backfill.cc
@@ -0,0 +1,128 @@
+#include <algorithm>
+#include <cmath>
+
+#include "step_p.h"
+
+namespace laurelhall::placement {
+namespace {
+
+using model::Resources;
+
+// Blocked jobs of one pool that a host is kept for.
+constexpr int kMaxReservations = 2;
+// How far a run must be over its estimate before starved work may end it.
+constexpr int kCheckpointOverrun = 2;
+constexpr int kStopOverrun = 10;
+
+struct Expectation {
+  WallTime at{};
+  Resources spare;
+};
+
+// When a host will have room, by the runs that are expected to end first.
+std::optional<Expectation> WhenFree(const StepContext& context,
+                                    const HostSlot& slot,
+                                    const Resources& size) {
+  std::vector<std::pair<Millis, int>> ends;
+  for (const int index : slot.runs) {
+    if (!context.ledger.runs[index].is_releasing) {
+      ends.emplace_back(RunRemaining(context, context.ledger.runs[index]),
+                        index);
+    }
+  }
+  std::sort(ends.begin(), ends.end());
+  Expectation expectation{context.now, slot.expected()};
+  for (const auto& [remaining, index] : ends) {
+    if (Fits(size, expectation.spare)) {
+      break;
+    }
+    expectation.at = context.now + remaining;
+    expectation.spare = expectation.spare + context.ledger.runs[index].hold;
+  }
+  if (!Fits(size, expectation.spare)) {
+    return std::nullopt;
+  }
+  expectation.spare = expectation.spare - size;
+  return expectation;
+}
+
+// Starved work does not wait for ever for runs that were to end long ago.
+void EndOverruns(StepContext& context,
+                 const HostSlot& slot,
+                 const QueuedJob& queued) {
+  for (const int index : slot.runs) {
+    const Run& run = context.ledger.runs[index];
+    if (run.is_releasing || RankOf(*run.job) < queued.rank) {
+      continue;
+    }
+    const Millis estimate = context.estimates.RunTime(*run.job);
+    const Millis work = WorkDone(*run.job, context.now);
+    const int bound =
+        run.job->can_checkpoint ? kCheckpointOverrun : kStopOverrun;
+    if (work > estimate * bound) {
+      EndRun(context, index, "job " + queued.job->id + " has waited too long");
+    }
+  }
+}
+
+}  // namespace
+
+Millis RunRemaining(const StepContext& context, const Run& run) {
+  Millis work = WorkDone(*run.job, context.now);
+  if (run.usage != nullptr) {
+    work = std::max(work, run.usage->work);
+  }
+  const Millis remaining = context.estimates.Remaining(*run.job, work);
+  const double throttle = std::max(run.throttle, 0.01);
+  return Millis(
+      std::llround(static_cast<double>(remaining.count()) / throttle));
+}
+
+void Reserve(StepContext& context, const QueuedJob& queued) {
+  PoolUse& pool = context.ledger.pools[queued.pool];
+  if (pool.reservations >= kMaxReservations) {
+    return;
+  }
+  int best = -1;
+  Expectation expectation;
+  for (const int index : pool.hosts) {
+    const HostSlot& slot = context.ledger.hosts[index];
+    if (!MayTake(slot, queued) || slot.reservation.has_value()) {
+      continue;
+    }
+    const Resources size =
+        context.ledger.SizeOn(slot, *queued.job, queued.size);
+    const auto when = WhenFree(context, slot, size);
+    if (when.has_value() && (best < 0 || when->at < expectation.at)) {
+      best = index;
+      expectation = *when;
+    }
+  }
+  if (best < 0) {
+    return;
+  }
+  ++pool.reservations;
+  HostSlot& slot = context.ledger.hosts[best];
+  slot.reservation = Reservation{queued.job, expectation.at, expectation.spare,
+                                 queued.is_starved};
+  if (queued.is_starved) {
+    EndOverruns(context, slot, queued);
+  }
+}
+
+bool MayBackfill(const StepContext& context,
+                 const HostSlot& slot,
+                 const QueuedJob& queued,
+                 const Resources& size) {
+  if (!slot.reservation.has_value()) {
+    return true;
+  }
+  const Reservation& reservation = *slot.reservation;
+  if (!reservation.is_strict &&
+      context.now + queued.remaining <= reservation.at) {
+    return true;
+  }
+  return Fits(size, reservation.spare);
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/ledger.cc
@@ -0,0 +1,367 @@
+#include "ledger_p.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace laurelhall::placement {
+namespace {
+
+using model::Host;
+using model::HostState;
+using model::Job;
+using model::Resources;
+
+// When more of a pool's hosts are set aside than this, the fault is elsewhere.
+constexpr double kMaxSetAsideShare = 0.2;
+// A run that has lasted this long speaks for its worker.
+constexpr Millis kFreshAge{10'000};
+
+int IndexIn(std::unordered_map<std::string_view, int>& index,
+            std::string_view name) {
+  return index.try_emplace(name, static_cast<int>(index.size())).first->second;
+}
+
+int Find(const std::unordered_map<std::string_view, int>& index,
+         std::string_view name) {
+  const auto found = index.find(name);
+  return found == index.end() ? -1 : found->second;
+}
+
+// A run that uses more memory than was reserved holds what it uses; processors
+// in use beyond the reserved ones are taken back by throttling it.
+Resources HoldOf(const Job& job, const JobUsage* usage) {
+  Resources hold = job.reserved;
+  hold.processors *= job.throttle;
+  if (usage == nullptr) {
+    return hold;
+  }
+  hold.memory_gb = std::max(hold.memory_gb, usage->used.memory_gb);
+  if (job.throttle >= 1) {
+    hold.processors = std::max(hold.processors, usage->used.processors);
+  }
+  return hold;
+}
+
+int& Cell(std::vector<int>& cells, int index) {
+  if (static_cast<size_t>(index) >= cells.size()) {
+    cells.resize(static_cast<size_t>(index) + 1);
+  }
+  return cells[static_cast<size_t>(index)];
+}
+
+int ReadCell(const std::vector<int>& cells, int index) {
+  return static_cast<size_t>(index) < cells.size()
+             ? cells[static_cast<size_t>(index)]
+             : 0;
+}
+
+}  // namespace
+
+Resources HostSlot::available() const {
+  return free - claimed;
+}
+
+Resources HostSlot::expected() const {
+  return free + coming - claimed;
+}
+
+Resources TeamUse::UseUpTo(size_t rank) const {
+  Resources sum;
+  for (size_t i = 0; i <= rank; ++i) {
+    sum = sum + use[i];
+  }
+  return sum;
+}
+
+Ledger::Ledger(const model::Fleet& fleet,
+               const Observations& observations,
+               const WorkerEvidence& evidence,
+               const PlacerInit& init,
+               WallTime now)
+    : m_fleet(fleet), m_init(init), m_has_quotas(!fleet.quotas.empty()) {
+  AddHosts(evidence);
+  LimitSetAside(evidence, now);
+  AddJobs(observations, now);
+  for (HostSlot& slot : hosts) {
+    LimitStarts(slot, now);
+  }
+}
+
+// A worker that has nothing to show for itself gets few runs at first, so that
+// one that fails fast does not draw all that waits.
+void Ledger::LimitStarts(HostSlot& slot, WallTime now) const {
+  slot.max_starts = m_init.max_starts_per_host;
+  slot.max_urgent_starts = slot.score > 0 ? 1 : m_init.max_starts_per_host;
+  if (slot.is_proven && slot.score == 0) {
+    return;
+  }
+  int allowed = slot.score > 0 ? 1 : m_init.max_starts_per_host;
+  for (const int index : slot.runs) {
+    const Job& job = *runs[static_cast<size_t>(index)].job;
+    allowed += now - job.started >= kFreshAge ? 1 : -1;
+  }
+  slot.max_starts = std::clamp(allowed, 0, m_init.max_starts_per_host);
+}
+
+void Ledger::AddHosts(const WorkerEvidence& evidence) {
+  hosts.reserve(m_fleet.hosts.size());
+  m_host_index.reserve(m_fleet.hosts.size());
+  for (const auto& [id, host] : m_fleet.hosts) {
+    HostSlot slot;
+    slot.host = &host;
+    slot.free = host.capacity;
+    slot.rack = IndexIn(m_rack_index, host.rack);
+    slot.zone = IndexIn(m_zone_index, host.availability_zone);
+    slot.score = evidence.Score(id);
+    slot.is_open = host.state == HostState::kInPool;
+    slot.is_proven = evidence.IsProven(id);
+    const int index = static_cast<int>(hosts.size());
+    m_host_index.emplace(id, index);
+    hosts.push_back(std::move(slot));
+    if (host.state == HostState::kRetired) {
+      continue;
+    }
+    const int pool = IndexIn(m_pool_index, host.pool);
+    if (static_cast<size_t>(pool) == pools.size()) {
+      pools.emplace_back().name = host.pool;
+    }
+    PoolUse& use = pools[static_cast<size_t>(pool)];
+    use.hosts.push_back(index);
+    use.capacity = use.capacity + host.capacity;
+  }
+}
+
+// Sets aside, or leaves to wait after a failure, no more than a share of each
+// pool: those that failed first.
+void Ledger::LimitSetAside(const WorkerEvidence& evidence, WallTime now) {
+  for (PoolUse& pool : pools) {
+    std::vector<std::pair<WallTime, int>> aside;
+    for (const int index : pool.hosts) {
+      const Host& host = *hosts[static_cast<size_t>(index)].host;
+      if (evidence.IsSetAside(host.id, now)) {
+        aside.emplace_back(evidence.Find(host.id)->set_aside_at, index);
+      } else if (evidence.IsPaused(host.id, now)) {
+        // After all that are set aside.
+        aside.emplace_back(now + kFreshAge, index);
+      }
+    }
+    const auto share = static_cast<size_t>(
+        static_cast<double>(pool.hosts.size()) * kMaxSetAsideShare);
+    const size_t limit = std::max<size_t>(1, share);
+    std::sort(aside.begin(), aside.end());
+    aside.resize(std::min(aside.size(), limit));
+    for (const auto& [at, index] : aside) {
+      hosts[static_cast<size_t>(index)].is_open = false;
+    }
+  }
+}
+
+// Jobs and usage are both in order of id: one pass over both.
+void Ledger::AddJobs(const Observations& observations, WallTime now) {
+  auto usage = observations.usage.begin();
+  const auto end = observations.usage.end();
+  for (const auto& [id, job] : m_fleet.jobs) {
+    if (job.state == model::JobState::kQueued) {
+      queued.push_back(&job);
+      continue;
+    }
+    if (job.host.empty()) {
+      continue;
+    }
+    while (usage != end && usage->first < id) {
+      ++usage;
+    }
+    const bool has_usage =
+        usage != end && usage->first == id && usage->second.lease == job.lease;
+    AddRun(job, has_usage ? &usage->second : nullptr, now);
+  }
+}
+
+void Ledger::AddRun(const Job& job, const JobUsage* usage, WallTime now) {
+  const int host = FindHost(job.host);
+  if (host < 0) {
+    if (IsRunning(job)) {
+      lost.push_back(&job);
+    }
+    return;
+  }
+  if (!HoldsItsPart(job, now)) {
+    return;
+  }
+  HostSlot& slot = hosts[static_cast<size_t>(host)];
+  Run run;
+  run.job = &job;
+  run.usage = usage;
+  run.host = host;
+  run.team = FindTeam(job.team);
+  run.hold = HoldOf(job, usage);
+  run.throttle = job.throttle;
+  run.is_releasing = !IsRunning(job) || IsReleasing(job);
+  const int index = static_cast<int>(runs.size());
+  slot.free = slot.free - run.hold;
+  slot.runs.push_back(index);
+  if (!run.is_releasing) {
+    TeamUse& team = teams[static_cast<size_t>(run.team)];
+    team.use[RankOf(job)] = team.use[RankOf(job)] + job.reserved;
+    team.runs.push_back(index);
+    CountTeamRun(run.team, slot, 1);
+    CountStarved(job, run);
+  } else if (IsExpectedToEnd(job, now)) {
+    slot.coming = slot.coming + run.hold;
+  }
+  runs.push_back(run);
+}
+
+void Ledger::CountStarved(const Job& job, const Run& run) {
+  const int pool = FindPool(job.pool);
+  if (pool >= 0 && job.started - job.submitted > m_init.starvation_age) {
+    PoolUse& use = pools[static_cast<size_t>(pool)];
+    use.starved_runs = use.starved_runs + run.hold;
+  }
+}
+
+// An ended job's worker holds its part until it confirms, or must have heard.
+bool Ledger::HoldsItsPart(const Job& job, WallTime now) const {
+  return IsRunning(job) || now < job.state_since + m_init.lease_timeout;
+}
+
+// A worker that should have confirmed by now is not waited for.
+bool Ledger::IsExpectedToEnd(const Job& job, WallTime now) const {
+  const bool is_checkpoint = IsRunning(job) && !job.is_stopping;
+  const Millis bound = is_checkpoint
+                           ? m_init.checkpoint_timeout + m_init.stop_timeout
+                           : m_init.stop_timeout;
+  return now <= job.state_since + bound;
+}
+
+int Ledger::FindHost(std::string_view id) const {
+  return Find(m_host_index, id);
+}
+
+int Ledger::FindPool(std::string_view name) const {
+  return Find(m_pool_index, name);
+}
+
+int Ledger::FindTeam(std::string_view name) {
+  const int index = IndexIn(m_team_index, name);
+  if (static_cast<size_t>(index) == teams.size()) {
+    TeamUse& team = teams.emplace_back();
+    team.name = name;
+    const auto quota = m_fleet.quotas.find(std::string(name));
+    team.quota = quota == m_fleet.quotas.end() ? nullptr : &quota->second;
+    m_team_racks.emplace_back();
+    m_team_zones.emplace_back();
+    m_team_runs.push_back(0);
+  }
+  return index;
+}
+
+Resources Ledger::SizeOn(const HostSlot& slot,
+                         const Job& job,
+                         const Resources& size) const {
+  return Fits(job.declared, slot.host->capacity)
+             ? Min(size, slot.host->capacity)
+             : size;
+}
+
+bool Ledger::IsGuaranteed(const TeamUse& team,
+                          const Job& job,
+                          const Resources& size) const {
+  if (!m_has_quotas) {
+    return true;
+  }
+  if (team.quota == nullptr) {
+    return false;
+  }
+  // A correction alone must not put a job beyond what its team can ever run.
+  const Resources& guaranteed = team.quota->guaranteed;
+  const Resources need =
+      Fits(job.declared, guaranteed) ? Min(size, guaranteed) : size;
+  return Fits(team.UseUpTo(RankOf(job)) + need, guaranteed);
+}
+
+bool Ledger::MayBorrow(const TeamUse& team, const Resources& size) const {
+  if (!m_has_quotas || team.quota == nullptr || team.quota->may_borrow) {
+    return true;
+  }
+  return Fits(team.total() + Min(size, team.quota->guaranteed),
+              team.quota->guaranteed);
+}
+
+void Ledger::MarkBorrowed(TeamUse& team) {
+  if (team.is_marked || !m_has_quotas) {
+    return;
+  }
+  team.is_marked = true;
+  const Resources guaranteed =
+      team.quota == nullptr ? Resources{} : team.quota->guaranteed;
+  if (Fits(team.total(), guaranteed)) {
+    return;
+  }
+  std::vector<int> order = team.runs;
+  std::sort(order.begin(), order.end(), [this](int a, int b) {
+    const Job& x = *runs[static_cast<size_t>(a)].job;
+    const Job& y = *runs[static_cast<size_t>(b)].job;
+    return std::tie(x.priority, x.started, x.id) <
+           std::tie(y.priority, y.started, y.id);
+  });
+  Resources sum;
+  for (const int index : order) {
+    Run& run = runs[static_cast<size_t>(index)];
+    if (run.is_releasing) {
+      continue;
+    }
+    sum = sum + run.job->reserved;
+    run.is_borrowed = !Fits(sum, guaranteed);
+  }
+}
+
+void Ledger::Start(int host, int team, const Job& job, const Resources& size) {
+  HostSlot& slot = hosts[static_cast<size_t>(host)];
+  slot.free = slot.free - size;
+  ++slot.starts;
+  TeamUse& use = teams[static_cast<size_t>(team)];
+  use.use[RankOf(job)] = use.use[RankOf(job)] + size;
+  CountTeamRun(team, slot, 1);
+}
+
+void Ledger::Throttle(int run_index, double throttle) {
+  Run& run = runs[static_cast<size_t>(run_index)];
+  HostSlot& slot = hosts[static_cast<size_t>(run.host)];
+  const double before = run.hold.processors;
+  run.throttle = throttle;
+  run.hold.processors = run.job->reserved.processors * throttle;
+  slot.free.processors += before - run.hold.processors;
+}
+
+void Ledger::Release(int run_index) {
+  Run& run = runs[static_cast<size_t>(run_index)];
+  HostSlot& slot = hosts[static_cast<size_t>(run.host)];
+  run.is_releasing = true;
+  slot.coming = slot.coming + run.hold;
+  TeamUse& team = teams[static_cast<size_t>(run.team)];
+  Resources& use = team.use[RankOf(*run.job)];
+  use = use - run.job->reserved;
+  CountTeamRun(run.team, slot, -1);
+}
+
+void Ledger::CountTeamRun(int team, const HostSlot& slot, int by) {
+  const auto index = static_cast<size_t>(team);
+  Cell(m_team_racks[index], slot.rack) += by;
+  Cell(m_team_zones[index], slot.zone) += by;
+  m_team_runs[index] += by;
+}
+
+int Ledger::TeamRunsInRack(int team, int rack) const {
+  return ReadCell(m_team_racks[static_cast<size_t>(team)], rack);
+}
+
+int Ledger::TeamRunsInZone(int team, int zone) const {
+  return ReadCell(m_team_zones[static_cast<size_t>(team)], zone);
+}
+
+int Ledger::TeamRuns(int team) const {
+  return m_team_runs[static_cast<size_t>(team)];
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/place.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+#include <deque>
+
+#include "step_p.h"
+
+namespace laurelhall::placement {
+namespace {
+
+using model::Priority;
+using model::Resources;
+
+// Weights of what makes a host less fit, beside the room left on it.
+constexpr double kAcceleratorWaste = 4;
+constexpr double kRackSpread = 0.5;
+constexpr double kZoneSpread = 0.25;
+constexpr double kScorePenalty = 1;
+
+enum class Outcome { kStarted, kWaiting, kBlocked };
+
+bool IsBlockedSize(const PoolUse& pool, const QueuedJob& queued) {
+  return std::any_of(pool.blocked.begin(), pool.blocked.end(),
+                     [&queued](const BlockedSize& blocked) {
+                       return Fits(blocked.declared, queued.job->declared) &&
+                              Fits(blocked.size, queued.size);
+                     });
+}
+
+double ShareOf(int part, int whole) {
+  return whole == 0 ? 0 : static_cast<double>(part) / whole;
+}
+
+// Best fit by the resource that the job takes most of: the less of it stays
+// free, the better. Lower is better.
+double Unfitness(const Ledger& ledger,
+                 const HostSlot& slot,
+                 const QueuedJob& queued,
+                 const Resources& size) {
+  const Resources& capacity = slot.host->capacity;
+  const Resources left = slot.available() - size;
+  const double by_processors = size.processors / capacity.processors;
+  const double by_memory =
+      capacity.memory_gb > 0 ? size.memory_gb / capacity.memory_gb : 0;
+  double score = by_processors >= by_memory
+                     ? left.processors / capacity.processors
+                     : left.memory_gb / capacity.memory_gb;
+  if (capacity.accelerators > 0) {
+    score += size.accelerators == 0 ? kAcceleratorWaste
+                                    : static_cast<double>(left.accelerators) /
+                                          capacity.accelerators;
+  }
+  const int runs = ledger.TeamRuns(queued.team);
+  score += kRackSpread *
+           ShareOf(ledger.TeamRunsInRack(queued.team, slot.rack), runs);
+  score += kZoneSpread *
+           ShareOf(ledger.TeamRunsInZone(queued.team, slot.zone), runs);
+  return score + kScorePenalty * slot.score;
+}
+
+int FindRoom(const StepContext& context, const QueuedJob& queued) {
+  const Ledger& ledger = context.ledger;
+  int best = -1;
+  double best_score = 0;
+  for (const int index : ledger.pools[queued.pool].hosts) {
+    const HostSlot& slot = ledger.hosts[index];
+    if (!MayTake(slot, queued)) {
+      continue;
+    }
+    const Resources size = ledger.SizeOn(slot, *queued.job, queued.size);
+    if (!Fits(size, slot.available())) {
+      continue;
+    }
+    const bool is_urgent = queued.job->priority == Priority::kUrgent;
+    if (!is_urgent && !MayBackfill(context, slot, queued, size)) {
+      continue;
+    }
+    const double score = Unfitness(ledger, slot, queued, size);
+    if (best < 0 || score < best_score) {
+      best = index;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void StartOn(StepContext& context,
+             const QueuedJob& queued,
+             int host,
+             std::string reason) {
+  HostSlot& slot = context.ledger.hosts[host];
+  const Resources size = context.ledger.SizeOn(slot, *queued.job, queued.size);
+  if (slot.reservation.has_value() &&
+      (slot.reservation->is_strict ||
+       context.now + queued.remaining > slot.reservation->at)) {
+    slot.reservation->spare = slot.reservation->spare - size;
+  }
+  JobAction action;
+  action.job = queued.job->id;
+  action.expected_lease = queued.job->lease;
+  action.kind = JobActionKind::kStart;
+  action.host = slot.host->id;
+  action.reason = std::move(reason);
+  action.reserved = size;
+  context.actions.push_back(std::move(action));
+  context.ledger.Start(host, queued.team, *queued.job, size);
+  ++context.starts;
+}
+
+void NoteBlocked(StepContext& context, const QueuedJob& queued) {
+  PoolUse& pool = context.ledger.pools[queued.pool];
+  // Where it failed before, others may still go.
+  if (queued.job->failed_on.empty() && !IsBlockedSize(pool, queued)) {
+    pool.blocked.push_back({queued.job->declared, queued.size});
+  }
+}
+
+Outcome TryMakeRoom(StepContext& context,
+                    const QueuedJob& queued,
+                    bool is_guaranteed) {
+  const Room room = MakeRoom(context, queued, is_guaranteed);
+  switch (room.result) {
+    case RoomResult::kAtOnce:
+      StartOn(context, queued, room.host, "lower work was throttled for it");
+      return Outcome::kStarted;
+    case RoomResult::kWaiting:
+      return Outcome::kWaiting;
+    case RoomResult::kNone:
+      break;
+  }
+  return Outcome::kBlocked;
+}
+
+Outcome TryPlace(StepContext& context,
+                 const QueuedJob& queued,
+                 bool is_guaranteed) {
+  PoolUse& pool = context.ledger.pools[queued.pool];
+  if (!IsBlockedSize(pool, queued)) {
+    const int host = FindRoom(context, queued);
+    if (host >= 0) {
+      StartOn(context, queued, host,
+              is_guaranteed ? "within its team's quota"
+                            : "beyond its team's quota, on idle hosts");
+      return Outcome::kStarted;
+    }
+    NoteBlocked(context, queued);
+  }
+  const bool is_urgent = queued.job->priority == Priority::kUrgent;
+  if (is_urgent || (is_guaranteed && !context.fleet.quotas.empty())) {
+    const Outcome outcome = TryMakeRoom(context, queued, is_guaranteed);
+    if (outcome != Outcome::kBlocked) {
+      return outcome;
+    }
+  }
+  Reserve(context, queued);
+  return Outcome::kBlocked;
+}
+
+bool IsGuaranteed(StepContext& context, const QueuedJob& queued) {
+  return context.ledger.IsGuaranteed(context.ledger.teams[queued.team],
+                                     *queued.job, queued.size);
+}
+
+bool MayBorrow(StepContext& context, const QueuedJob& queued) {
+  return context.ledger.MayBorrow(context.ledger.teams[queued.team],
+                                  queued.size);
+}
+
+// How much a team has of what it is guaranteed; the least served goes first.
+double Served(const TeamUse& team, const Resources& fleet) {
+  const Resources& whole =
+      team.quota != nullptr && team.quota->guaranteed.processors > 0
+          ? team.quota->guaranteed
+          : fleet;
+  return DominantShare(team.total(), whole);
+}
+
+class Borrowers {
+ public:
+  explicit Borrowers(StepContext& context) : m_context(context) {
+    for (const PoolUse& pool : context.ledger.pools) {
+      m_capacity = m_capacity + pool.capacity;
+    }
+  }
+
+  void Add(const QueuedJob* queued) {
+    const auto team = static_cast<size_t>(queued->team);
+    if (team >= m_waiting.size()) {
+      m_waiting.resize(team + 1);
+    }
+    m_waiting[team].push_back(queued);
+  }
+
+  // Starts what fits, always of the team that has least of its guarantee.
+  void Place() {
+    for (int team = Next(); team >= 0; team = Next()) {
+      const QueuedJob& queued = *m_waiting[team].front();
+      m_waiting[team].pop_front();
+      if (m_context.starts < m_context.init.max_starts &&
+          MayBorrow(m_context, queued)) {
+        TryPlace(m_context, queued, false);
+      }
+    }
+  }
+
+ private:
+  int Next() const {
+    int best = -1;
+    double best_served = 0;
+    for (size_t i = 0; i < m_waiting.size(); ++i) {
+      if (m_waiting[i].empty()) {
+        continue;
+      }
+      const double served = Served(m_context.ledger.teams[i], m_capacity);
+      if (best < 0 || served < best_served) {
+        best = static_cast<int>(i);
+        best_served = served;
+      }
+    }
+    return best;
+  }
+
+  StepContext& m_context;
+  Resources m_capacity;
+  std::vector<std::deque<const QueuedJob*>> m_waiting;
+};
+
+}  // namespace
+
+bool MayTake(const HostSlot& slot, const QueuedJob& queued) {
+  // Urgent work does not wait for a worker to prove itself.
+  const bool is_urgent = queued.job->priority == Priority::kUrgent;
+  const int max_starts = is_urgent ? slot.max_urgent_starts : slot.max_starts;
+  if (!slot.is_open || slot.starts >= max_starts ||
+      !Fits(queued.job->declared, slot.host->capacity)) {
+    return false;
+  }
+  const auto& failed_on = queued.job->failed_on;
+  return std::find(failed_on.begin(), failed_on.end(), slot.host->id) ==
+         failed_on.end();
+}
+
+// First all that teams are guaranteed, in the order of admission; then, in the
+// same order of priority, what they borrow.
+void PlaceQueue(StepContext& context) {
+  const std::vector<QueuedJob> queue = OrderQueue(context);
+  std::array<std::vector<const QueuedJob*>, kPriorities> borrowing;
+  for (const QueuedJob& queued : queue) {
+    if (context.starts >= context.init.max_starts) {
+      return;
+    }
+    if (!IsGuaranteed(context, queued)) {
+      borrowing[queued.rank].push_back(&queued);
+    } else if (MayBorrow(context, queued) || MakeQuotaRoom(context, queued)) {
+      TryPlace(context, queued, true);
+    }
+  }
+  for (const std::vector<const QueuedJob*>& rank : borrowing) {
+    Borrowers borrowers(context);
+    for (const QueuedJob* queued : rank) {
+      borrowers.Add(queued);
+    }
+    borrowers.Place();
+  }
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/preempt.cc
@@ -0,0 +1,329 @@
+#include <algorithm>
+#include <tuple>
+
+#include "step_p.h"
+
+namespace laurelhall::placement {
+namespace {
+
+using model::Priority;
+using model::Resources;
+
+// Sizes that found no room in one pool and step before the rest is left.
+constexpr int kMaxFailuresPerPool = 64;
+
+// Who asks for room, and by which right.
+struct Claimant {
+  const QueuedJob& queued;
+  bool is_urgent = false;
+  bool is_guaranteed = false;
+};
+
+// What ending a run costs; compared in this order.
+struct VictimCost {
+  bool is_guaranteed = false;  // It is within its own team's guarantee.
+  int urgency = 0;             // 0 for batch.
+  Millis work_lost{0};
+  int run = 0;
+
+  friend bool operator<(const VictimCost& a, const VictimCost& b) {
+    return std::tie(a.is_guaranteed, a.urgency, a.work_lost, a.run) <
+           std::tie(b.is_guaranteed, b.urgency, b.work_lost, b.run);
+  }
+};
+
+// What making room on one host costs; compared in this order.
+struct RoomCost {
+  bool takes_guaranteed = false;
+  bool ends_runs = false;  // Else throttling is enough.
+  Millis work_lost{0};
+  size_t victims = 0;
+
+  friend bool operator<(const RoomCost& a, const RoomCost& b) {
+    return std::tie(a.takes_guaranteed, a.ends_runs, a.work_lost, a.victims) <
+           std::tie(b.takes_guaranteed, b.ends_runs, b.work_lost, b.victims);
+  }
+};
+
+struct RoomPlan {
+  int host = -1;
+  RoomCost cost;
+  std::vector<int> victims;
+};
+
+// Urgent work within its team's guarantee may take from all that is less
+// urgent; borrowing, from what is borrowed or its own. Other work within the
+// guarantee takes back what others borrow.
+bool MayTakeFrom(StepContext& context, const Claimant& claimant, int index) {
+  Ledger& ledger = context.ledger;
+  const Run& run = ledger.runs[index];
+  if (run.is_releasing) {
+    return false;
+  }
+  const bool is_lower = RankOf(*run.job) > RankOf(*claimant.queued.job);
+  const bool is_own = run.team == claimant.queued.team;
+  ledger.MarkBorrowed(ledger.teams[run.team]);
+  if (claimant.is_urgent) {
+    return is_lower && (claimant.is_guaranteed || is_own || run.is_borrowed);
+  }
+  return run.is_borrowed && (is_lower || !is_own);
+}
+
+Millis WorkLost(const StepContext& context, const model::Job& job) {
+  return job.can_checkpoint
+             ? Millis(0)
+             : ProcessorTime(job, WorkSinceStart(job, context.now));
+}
+
+VictimCost CostOf(const StepContext& context,
+                  const Claimant& claimant,
+                  int index) {
+  const Run& run = context.ledger.runs[index];
+  const bool is_fair = run.is_borrowed || run.team == claimant.queued.team ||
+                       context.fleet.quotas.empty();
+  return {!is_fair,
+          static_cast<int>(kPriorities) - static_cast<int>(RankOf(*run.job)),
+          WorkLost(context, *run.job), index};
+}
+
+double ThrottleGain(const StepContext& context, const Run& run) {
+  const double share = std::max(0.0, run.throttle - context.init.min_throttle);
+  return run.job->reserved.processors * share;
+}
+
+// Runs on a host that the claimant may take from, cheapest first.
+std::vector<VictimCost> VictimsOn(StepContext& context,
+                                  const Claimant& claimant,
+                                  const HostSlot& slot) {
+  std::vector<VictimCost> victims;
+  for (const int index : slot.runs) {
+    if (MayTakeFrom(context, claimant, index)) {
+      victims.push_back(CostOf(context, claimant, index));
+    }
+  }
+  std::sort(victims.begin(), victims.end());
+  return victims;
+}
+
+std::optional<RoomPlan> PlanThrottle(const StepContext& context,
+                                     const std::vector<VictimCost>& victims,
+                                     const HostSlot& slot,
+                                     const Resources& size) {
+  Resources room = slot.available();
+  RoomPlan plan;
+  for (const VictimCost& victim : victims) {
+    if (Fits(size, room)) {
+      break;
+    }
+    room.processors += ThrottleGain(context, context.ledger.runs[victim.run]);
+    plan.victims.push_back(victim.run);
+    plan.cost.takes_guaranteed |= victim.is_guaranteed;
+  }
+  if (!Fits(size, room)) {
+    return std::nullopt;
+  }
+  plan.cost.victims = plan.victims.size();
+  return plan;
+}
+
+// Takes the cheapest until there is room, then spares, from the dearest on,
+// those that the room does not need.
+std::optional<RoomPlan> PlanEnding(const StepContext& context,
+                                   const std::vector<VictimCost>& victims,
+                                   const HostSlot& slot,
+                                   const Resources& size) {
+  const std::vector<Run>& runs = context.ledger.runs;
+  Resources room = slot.expected();
+  std::vector<VictimCost> taken;
+  for (const VictimCost& victim : victims) {
+    if (Fits(size, room)) {
+      break;
+    }
+    room = room + runs[victim.run].hold;
+    taken.push_back(victim);
+  }
+  if (!Fits(size, room)) {
+    return std::nullopt;
+  }
+  RoomPlan plan;
+  plan.cost.ends_runs = true;
+  for (auto victim = taken.rbegin(); victim != taken.rend(); ++victim) {
+    const Resources without = room - runs[victim->run].hold;
+    if (Fits(size, without)) {
+      room = without;
+      continue;
+    }
+    plan.victims.push_back(victim->run);
+    plan.cost.takes_guaranteed |= victim->is_guaranteed;
+    plan.cost.work_lost += victim->work_lost;
+  }
+  plan.cost.victims = plan.victims.size();
+  return plan;
+}
+
+std::optional<RoomPlan> PlanOn(StepContext& context,
+                               const Claimant& claimant,
+                               const HostSlot& slot,
+                               const Resources& size) {
+  const std::vector<VictimCost> victims = VictimsOn(context, claimant, slot);
+  if (victims.empty()) {
+    return std::nullopt;
+  }
+  if (claimant.is_urgent) {
+    auto plan = PlanThrottle(context, victims, slot, size);
+    if (plan.has_value()) {
+      return plan;
+    }
+  }
+  return PlanEnding(context, victims, slot, size);
+}
+
+void Claim(StepContext& context,
+           int host,
+           const Claimant& claimant,
+           const Resources& size) {
+  HostSlot& slot = context.ledger.hosts[host];
+  slot.claimed = slot.claimed + size;
+  slot.is_urgent_claim |= claimant.is_urgent;
+  TeamUse& team = context.ledger.teams[claimant.queued.team];
+  Resources& use = team.use[RankOf(*claimant.queued.job)];
+  use = use + size;
+}
+
+// The first host whose room is on its way, from this step or an earlier one.
+int FindExpected(const StepContext& context, const QueuedJob& queued) {
+  for (const int index : context.ledger.pools[queued.pool].hosts) {
+    const HostSlot& slot = context.ledger.hosts[index];
+    if (MayTake(slot, queued) &&
+        Fits(context.ledger.SizeOn(slot, *queued.job, queued.size),
+             slot.expected())) {
+      return index;
+    }
+  }
+  return -1;
+}
+
+RoomPlan FindPlan(StepContext& context, const Claimant& claimant) {
+  RoomPlan best;
+  const QueuedJob& queued = claimant.queued;
+  for (const int index : context.ledger.pools[queued.pool].hosts) {
+    const HostSlot& slot = context.ledger.hosts[index];
+    if (!MayTake(slot, queued)) {
+      continue;
+    }
+    const Resources size =
+        context.ledger.SizeOn(slot, *queued.job, queued.size);
+    auto plan = PlanOn(context, claimant, slot, size);
+    if (plan.has_value() && (best.host < 0 || plan->cost < best.cost)) {
+      best = std::move(*plan);
+      best.host = index;
+    }
+  }
+  return best;
+}
+
+void ThrottleFor(StepContext& context,
+                 const RoomPlan& plan,
+                 const Resources& size,
+                 const std::string& reason) {
+  const HostSlot& slot = context.ledger.hosts[plan.host];
+  for (const int index : plan.victims) {
+    const Run& run = context.ledger.runs[index];
+    const double reserved = run.job->reserved.processors;
+    const double missing = size.processors - slot.available().processors;
+    if (missing <= 0 || reserved <= 0) {
+      continue;
+    }
+    const double throttle =
+        std::max(context.init.min_throttle, run.throttle - missing / reserved);
+    Throttle(context, index, throttle, reason);
+  }
+}
+
+bool IsKnownToFail(const PoolUse& pool, const Claimant& claimant) {
+  const QueuedJob& queued = claimant.queued;
+  return std::any_of(
+      pool.blocked_preemptions.begin(), pool.blocked_preemptions.end(),
+      [&](const BlockedPreemption& blocked) {
+        return blocked.team == queued.team &&
+               blocked.rank == RankOf(*queued.job) &&
+               blocked.is_guaranteed == claimant.is_guaranteed &&
+               Fits(blocked.size.declared, queued.job->declared) &&
+               Fits(blocked.size.size, queued.size);
+      });
+}
+
+void NoteFailure(PoolUse& pool, const Claimant& claimant) {
+  const QueuedJob& queued = claimant.queued;
+  ++pool.preempt_failures;
+  if (queued.job->failed_on.empty()) {
+    pool.blocked_preemptions.push_back({{queued.job->declared, queued.size},
+                                        queued.team,
+                                        RankOf(*queued.job),
+                                        claimant.is_guaranteed});
+  }
+}
+
+}  // namespace
+
+Room MakeRoom(StepContext& context,
+              const QueuedJob& queued,
+              bool is_guaranteed) {
+  const Claimant claimant{queued, queued.job->priority == Priority::kUrgent,
+                          is_guaranteed};
+  const int expected = FindExpected(context, queued);
+  if (expected >= 0) {
+    Claim(context, expected, claimant,
+          context.ledger.SizeOn(context.ledger.hosts[expected], *queued.job,
+                                queued.size));
+    return {RoomResult::kWaiting, expected};
+  }
+  PoolUse& pool = context.ledger.pools[queued.pool];
+  if (pool.preempt_failures >= kMaxFailuresPerPool ||
+      IsKnownToFail(pool, claimant)) {
+    return {};
+  }
+  const RoomPlan plan = FindPlan(context, claimant);
+  if (plan.host < 0) {
+    NoteFailure(pool, claimant);
+    return {};
+  }
+  const Resources size = context.ledger.SizeOn(context.ledger.hosts[plan.host],
+                                               *queued.job, queued.size);
+  const std::string reason =
+      (claimant.is_urgent ? "urgent job " : "its team's quota for job ") +
+      queued.job->id;
+  if (!plan.cost.ends_runs) {
+    ThrottleFor(context, plan, size, reason);
+    return {RoomResult::kAtOnce, plan.host};
+  }
+  for (const int victim : plan.victims) {
+    EndRun(context, victim, reason);
+  }
+  Claim(context, plan.host, claimant, size);
+  return {RoomResult::kWaiting, plan.host};
+}
+
+bool MakeQuotaRoom(StepContext& context, const QueuedJob& queued) {
+  TeamUse& team = context.ledger.teams[queued.team];
+  const Claimant claimant{queued, true, true};
+  std::vector<VictimCost> victims;
+  for (const int index : team.runs) {
+    const Run& run = context.ledger.runs[index];
+    if (!run.is_releasing && RankOf(*run.job) > RankOf(*queued.job)) {
+      victims.push_back(CostOf(context, claimant, index));
+    }
+  }
+  std::sort(victims.begin(), victims.end());
+  for (const VictimCost& victim : victims) {
+    if (context.ledger.MayBorrow(team, queued.size)) {
+      break;
+    }
+    EndRun(context, victim.run,
+           "its team may not borrow, and job " + queued.job->id +
+               " goes before it");
+  }
+  return context.ledger.MayBorrow(team, queued.size);
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/queue.cc
@@ -0,0 +1,94 @@
+#include <algorithm>
+#include <tuple>
+
+#include "step_p.h"
+
+namespace laurelhall::placement {
+namespace {
+
+using model::Job;
+using model::Priority;
+
+// A job without a deadline is ordered as if it had this long.
+constexpr Millis kDefaultSlack{24 * 3'600'000};
+// The part of a pool that goes to work that has waited too long.
+constexpr double kStarvedShare = 0.1;
+
+void Rank(const StepContext& context, QueuedJob& queued) {
+  const Job& job = *queued.job;
+  queued.rank = RankOf(job);
+  queued.latest_start = LatestStart(job, queued.remaining);
+  queued.waiting_since = std::max(job.submitted, job.state_since);
+  queued.is_hopeless = queued.latest_start < context.now;
+  const bool is_batch = job.priority == Priority::kBatch;
+  if (is_batch && !queued.is_hopeless &&
+      queued.latest_start < context.now + context.init.promotion_slack) {
+    queued.rank = static_cast<size_t>(Priority::kStandard);
+  }
+  const PoolUse& pool = context.ledger.pools[queued.pool];
+  const bool has_waited =
+      context.now - queued.waiting_since > context.init.starvation_age;
+  if (has_waited && job.priority != Priority::kUrgent &&
+      DominantShare(pool.starved_runs, pool.capacity) < kStarvedShare) {
+    queued.is_starved = true;
+    queued.rank = static_cast<size_t>(Priority::kStandard);
+  }
+}
+
+// Urgent first; then what has starved, then by latest start. What can no
+// longer finish in time goes last: it must not make others late as well.
+bool GoesBefore(const QueuedJob& a, const QueuedJob& b) {
+  if (a.rank != b.rank) {
+    return a.rank < b.rank;
+  }
+  if (a.is_starved != b.is_starved) {
+    return a.is_starved;
+  }
+  if (a.is_starved) {
+    return std::tie(a.waiting_since, a.job->id) <
+           std::tie(b.waiting_since, b.job->id);
+  }
+  return std::tie(a.is_hopeless, a.latest_start, a.job->id) <
+         std::tie(b.is_hopeless, b.latest_start, b.job->id);
+}
+
+}  // namespace
+
+WallTime LatestStart(const Job& job, Millis remaining) {
+  if (job.deadline == WallTime{}) {
+    return job.submitted + kDefaultSlack;
+  }
+  return job.deadline - remaining;
+}
+
+int WorkersAgainst(const Job& job,
+                   const WorkerEvidence& evidence,
+                   WallTime now) {
+  return static_cast<int>(std::count_if(
+      job.failed_on.begin(), job.failed_on.end(), [&](const std::string& host) {
+        return !evidence.IsSetAside(host, now);
+      }));
+}
+
+std::vector<QueuedJob> OrderQueue(StepContext& context) {
+  std::vector<QueuedJob> queue;
+  queue.reserve(context.ledger.queued.size());
+  for (const Job* job : context.ledger.queued) {
+    const int pool = context.ledger.FindPool(job->pool);
+    if (pool < 0 || context.now < job->not_before) {
+      continue;
+    }
+    QueuedJob queued;
+    queued.job = job;
+    queued.pool = pool;
+    queued.team = context.ledger.FindTeam(job->team);
+    queued.remaining = context.estimates.Remaining(*job, job->work_done);
+    queued.size = context.estimates.Size(*job);
+    Rank(context, queued);
+    queue.push_back(queued);
+  }
+  std::sort(queue.begin(), queue.end(), &GoesBefore);
+  return queue;
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/release.cc
@@ -0,0 +1,185 @@
+#include <algorithm>
+
+#include "step_p.h"
+
+namespace laurelhall::placement {
+namespace {
+
+using model::HostState;
+using model::Job;
+
+// A run that is expected to end within this is left to end on its own.
+constexpr Millis kLeftToEnd{60'000};
+
+JobAction ActionOn(const Job& job, JobActionKind kind, std::string reason) {
+  JobAction action;
+  action.job = job.id;
+  action.expected_lease = job.lease;
+  action.kind = kind;
+  action.host = job.host;
+  action.reason = std::move(reason);
+  return action;
+}
+
+bool RunsWork(HostState state) {
+  return state == HostState::kInPool || state == HostState::kDraining;
+}
+
+// Why a run must be taken for ended, or empty. A lost worker ends its runs
+// when its leases run out: before that no other worker may start them.
+std::string LostReason(const StepContext& context, const Run& run) {
+  const Job& job = *run.job;
+  const model::Host& host = *context.ledger.hosts[run.host].host;
+  const Millis lease = context.init.lease_timeout;
+  if (!RunsWork(host.state) && context.now >= host.state_since + lease) {
+    return "its worker " + host.id + " is out of service";
+  }
+  if (job.is_stopping && context.now >= job.state_since + lease) {
+    return "its worker " + host.id + " did not confirm the stop";
+  }
+  return {};
+}
+
+void LeaveHost(StepContext& context, const HostSlot& slot) {
+  const model::Host& host = *slot.host;
+  const auto pool = context.fleet.pools.find(host.pool);
+  const Millis timeout = pool == context.fleet.pools.end()
+                             ? model::Pool{}.drain_timeout
+                             : pool->second.drain_timeout;
+  const bool is_over = context.now >= host.state_since + timeout;
+  for (const int index : slot.runs) {
+    const Run& run = context.ledger.runs[index];
+    if (run.is_releasing) {
+      continue;
+    }
+    if (is_over) {
+      EndRun(context, index, "host " + host.id + " has drained for too long");
+    } else if (run.job->can_checkpoint &&
+               RunRemaining(context, run) > kLeftToEnd) {
+      Checkpoint(context, index, "host " + host.id + " drains");
+    }
+  }
+}
+
+// Hosts of a pool that could run a job at all; few hosts mean fewer tries.
+int HostsInService(const Ledger& ledger, const Job& job) {
+  const int pool = ledger.FindPool(job.pool);
+  if (pool < 0) {
+    return 0;
+  }
+  int count = 0;
+  for (const int index : ledger.pools[pool].hosts) {
+    const model::Host& host = *ledger.hosts[index].host;
+    count +=
+        host.state == HostState::kInPool && Fits(job.declared, host.capacity);
+  }
+  return count;
+}
+
+}  // namespace
+
+void Checkpoint(StepContext& context, int run, std::string reason) {
+  const Job& job = *context.ledger.runs[run].job;
+  context.actions.push_back(
+      ActionOn(job, JobActionKind::kCheckpoint, std::move(reason)));
+  context.ledger.Release(run);
+}
+
+void Stop(StepContext& context, int run, std::string reason) {
+  const Run& held = context.ledger.runs[run];
+  context.actions.push_back(
+      ActionOn(*held.job, JobActionKind::kStop, std::move(reason)));
+  if (!held.is_releasing) {
+    context.ledger.Release(run);
+  }
+}
+
+void EndRun(StepContext& context, int run, const std::string& reason) {
+  if (context.ledger.runs[run].job->can_checkpoint) {
+    Checkpoint(context, run, reason);
+  } else {
+    Stop(context, run, reason);
+  }
+}
+
+void Throttle(StepContext& context,
+              int run,
+              double throttle,
+              std::string reason) {
+  JobAction action = ActionOn(*context.ledger.runs[run].job,
+                              JobActionKind::kThrottle, std::move(reason));
+  action.throttle = throttle;
+  context.actions.push_back(std::move(action));
+  context.ledger.Throttle(run, throttle);
+}
+
+void RequeueLost(StepContext& context) {
+  for (const Job* job : context.ledger.lost) {
+    context.actions.push_back(ActionOn(*job, JobActionKind::kRequeue,
+                                       "its worker " + job->host + " is gone"));
+  }
+  for (size_t i = 0; i < context.ledger.runs.size(); ++i) {
+    const Run& run = context.ledger.runs[i];
+    if (!IsRunning(*run.job)) {
+      continue;
+    }
+    std::string reason = LostReason(context, run);
+    if (reason.empty()) {
+      continue;
+    }
+    context.actions.push_back(
+        ActionOn(*run.job, JobActionKind::kRequeue, std::move(reason)));
+    if (!run.is_releasing) {
+      context.ledger.Release(static_cast<int>(i));
+    }
+  }
+}
+
+void FailForGood(StepContext& context) {
+  std::erase_if(context.ledger.queued, [&context](const Job* job) {
+    if (job->failures == 0) {
+      return false;
+    }
+    const int against = WorkersAgainst(*job, context.evidence, context.now);
+    const int enough =
+        std::min(context.init.max_failed_workers,
+                 std::max(1, HostsInService(context.ledger, *job)));
+    if (against < enough && job->failures < context.init.max_failures) {
+      return false;
+    }
+    context.actions.push_back(ActionOn(
+        *job, JobActionKind::kFail,
+        fmt::format("it failed {} times on {} workers that run other work; "
+                    "last: {}",
+                    job->failures, against, job->reason)));
+    return true;
+  });
+}
+
+void LeaveHosts(StepContext& context) {
+  for (const HostSlot& slot : context.ledger.hosts) {
+    if (slot.host->state == HostState::kDraining && !slot.runs.empty()) {
+      LeaveHost(context, slot);
+    }
+  }
+}
+
+void StopSlowCheckpoints(StepContext& context) {
+  for (size_t i = 0; i < context.ledger.runs.size(); ++i) {
+    const Run& run = context.ledger.runs[i];
+    const Job& job = *run.job;
+    const HostSlot& slot = context.ledger.hosts[run.host];
+    if (job.state != model::JobState::kCheckpointing || job.is_stopping ||
+        !RunsWork(slot.host->state)) {
+      continue;
+    }
+    const bool is_urgent = slot.is_urgent_claim;
+    const Millis timeout = is_urgent ? context.init.urgent_checkpoint_timeout
+                                     : context.init.checkpoint_timeout;
+    if (context.now >= job.state_since + timeout) {
+      Stop(context, static_cast<int>(i), "its checkpoint takes too long");
+    }
+  }
+}
+
+}  // namespace laurelhall::placement
--- /dev/null
+++ b/packages/placement/src/work_p.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cmath>
+
+#include "placement_p.h"
+
+// How much a run has done, from its committed times.
+namespace laurelhall::placement {
+
+// Run time at full speed since the run started. A throttle is taken to have
+// held all along, which says too little rather than too much.
+inline Millis WorkSinceStart(const model::Job& job, WallTime now) {
+  if (!IsRunning(job) || now <= job.started) {
+    return Millis(0);
+  }
+  const auto elapsed = static_cast<double>((now - job.started).count());
+  return Millis(std::llround(elapsed * job.throttle));
+}
+
+// The same over all runs, checkpoints included.
+inline Millis WorkDone(const model::Job& job, WallTime now) {
+  return job.work_done + WorkSinceStart(job, now);
+}
+
+inline Millis ProcessorTime(const model::Job& job, Millis run_time) {
+  const double processors = std::max(1.0, job.reserved.processors);
+  return Millis(
+      std::llround(static_cast<double>(run_time.count()) * processors));
+}
+
+}  // namespace laurelhall::placement
