Planning of waves, roll-outs, moves and buffers

Every decision is read from the committed fleet: lists of waves and roll-outs are sorted anew from the hosts at each step, damping is read from state_since and last_moved, so that a step may be lost, repeated or made by the next leader. What a step gives back isn't counted on by its own drains. Whoever commits a drain checks it again with budget::MayDrain(), since two views may plan different hosts that epochs alone would let through.

--- a/packages/budget/include/laurelhall/budget/budget.h
+++ b/packages/budget/include/laurelhall/budget/budget.h
@@ -60,7 +60,12 @@
   BurnSeverity stop_at = BurnSeverity::kMedium;
 };
 
-/// The state of one service's budget.
+/// Whether a burning service refuses; an act that mends the burn (such as
+/// rolling back) is let through, within the rest of the budget.
+enum class BurnGate { kApply, kIgnore };
+
+/// The state of one service's budget. A pool that no service claims has one
+/// of its own, named "pool NAME", so that its hosts don't go all at once.
 struct ServiceBudget {
   std::string service;
   int hosts = 0;         ///< All that count: neither announced nor retired.
@@ -118,14 +123,15 @@
   /// Whether one more available host may go. O(services of its pool).
   ///
   /// @remarks A host that is away already may go again: it takes nothing.
-  Verdict MayTakeAway(std::string_view host) const;
+  Verdict MayTakeAway(std::string_view host,
+                      BurnGate gate = BurnGate::kApply) const;
 
   /// Whether all of the hosts may go together.
   Verdict MayTakeAwayAll(const std::vector<std::string>& hosts) const;
 
   /// Takes a host from the budgets before the act on it is done. Returns
   /// without effect if it may not go or is away already.
-  Verdict Take(std::string_view host);
+  Verdict Take(std::string_view host, BurnGate gate = BurnGate::kApply);
 
   /// Gives back a host that Take() took or that was away when counted.
   void GiveBack(std::string_view host);
@@ -163,14 +169,17 @@
   void AddServices(const model::Fleet& fleet, const BurnByService& burn);
   void AddHosts(const model::Fleet& fleet, Membership& members);
   void AddHost(const model::Host& host, Membership& members);
+  void AddUnclaimedPools(const model::Fleet& fleet);
   void SetLimits(const model::Fleet& fleet, const Membership& members);
+  int AllowedAway(const model::Fleet& fleet, size_t at) const;
   const HostPlace* FindHost(std::string_view host) const;
   HostPlace* FindHost(std::string_view host);
-  Refusal Check(int service, const HostPlace& place) const;
+  Refusal Check(int service, const HostPlace& place, BurnGate gate) const;
   void Shift(HostPlace& place, bool becomes_available);
 
   BudgetPolicy m_policy;
   std::vector<ServiceBudget> m_services;
+  size_t m_named_services = 0;        // The rest are pools without a service.
   std::vector<DomainCounts> m_racks;  // By service.
   std::vector<DomainCounts> m_zones;  // By service.
   std::vector<std::vector<int>> m_pool_services;
--- a/packages/budget/src/budget.cc
+++ b/packages/budget/src/budget.cc
@@ -25,6 +25,9 @@
   NameMap<int> m_indices;
 };
 
+/// Of a pool that no service claims, so that its hosts don't go all at once.
+constexpr double kUnclaimedAwayShare = 0.25;
+
 bool CountsAsMember(const model::Host& host) {
   return host.state != HostState::kAnnounced &&
          host.state != HostState::kRetired;
@@ -91,10 +94,23 @@
       }
     }
   }
+  AddUnclaimedPools(fleet);
   m_racks.resize(m_services.size());
   m_zones.resize(m_services.size());
 }
 
+void Budget::AddUnclaimedPools(const model::Fleet& fleet) {
+  m_named_services = m_services.size();
+  size_t index = 0;
+  for (const auto& [name, pool] : fleet.pools) {
+    std::vector<int>& services = m_pool_services[index++];
+    if (services.empty()) {
+      services.push_back(static_cast<int>(m_services.size()));
+      m_services.emplace_back().service = "pool " + name;
+    }
+  }
+}
+
 void Budget::AddHosts(const model::Fleet& fleet, Membership& members) {
   m_hosts.reserve(fleet.hosts.size());
   for (const auto& [id, host] : fleet.hosts) {
@@ -133,12 +149,10 @@
 }
 
 void Budget::SetLimits(const model::Fleet& fleet, const Membership& members) {
-  size_t at = 0;
-  for (const auto& [name, service] : fleet.services) {
+  for (size_t at = 0; at < m_services.size(); ++at) {
     ServiceBudget& counted = m_services[at];
     const int spare = counted.hosts - counted.min_available;
-    counted.allowed_away =
-        std::min(spare, AllowedByShare(counted.hosts, service.max_away_share));
+    counted.allowed_away = AllowedAway(fleet, at);
     const int beyond_rack = spare - members.by_rack[at].largest();
     const int beyond_zone = spare - members.by_zone[at].largest();
     counted.can_survive_rack = beyond_rack >= 1;
@@ -152,10 +166,20 @@
     }
     counted.largest_rack = m_racks[at].largest();
     counted.largest_zone = m_zones[at].largest();
-    ++at;
   }
 }
 
+int Budget::AllowedAway(const model::Fleet& fleet, size_t at) const {
+  const ServiceBudget& counted = m_services[at];
+  if (at >= m_named_services) {
+    const int share = AllowedByShare(counted.hosts, kUnclaimedAwayShare);
+    return std::max(share, 1);
+  }
+  const model::Service& service = fleet.services.at(counted.service);
+  const int share = AllowedByShare(counted.hosts, service.max_away_share);
+  return std::min(counted.hosts - counted.min_available, share);
+}
+
 const Budget::HostPlace* Budget::FindHost(std::string_view host) const {
   const auto found = m_hosts.find(host);
   return found == m_hosts.end() ? nullptr : &found->second;
@@ -166,7 +190,9 @@
   return found == m_hosts.end() ? nullptr : &found->second;
 }
 
-Refusal Budget::Check(int service, const HostPlace& place) const {
+Refusal Budget::Check(int service,
+                      const HostPlace& place,
+                      BurnGate gate) const {
   const auto at = static_cast<size_t>(service);
   const ServiceBudget& counted = m_services[at];
   const int available = counted.available - 1;
@@ -176,11 +202,13 @@
   if (counted.left() < 1) {
     return Refusal::kMaxAwayShare;
   }
-  if (counted.burn.severity >= m_policy.stop_at) {
-    return Refusal::kBurn;
-  }
-  if (counted.burn.left <= 0 && counted.planned_away >= 1) {
-    return Refusal::kBurnSpent;
+  if (gate == BurnGate::kApply) {
+    if (counted.burn.severity >= m_policy.stop_at) {
+      return Refusal::kBurn;
+    }
+    if (counted.burn.left <= 0 && counted.planned_away >= 1) {
+      return Refusal::kBurnSpent;
+    }
   }
   const int rack_loss = m_racks[at].LargestWithout(place.rack);
   if (m_policy.rack_must_hold && counted.can_survive_rack &&
@@ -195,7 +223,7 @@
   return Refusal::kNone;
 }
 
-Verdict Budget::MayTakeAway(std::string_view host) const {
+Verdict Budget::MayTakeAway(std::string_view host, BurnGate gate) const {
   const HostPlace* place = FindHost(host);
   if (place == nullptr) {
     return {Refusal::kUnknownHost, {}};
@@ -204,7 +232,7 @@
     return {};
   }
   for (const int service : m_pool_services[static_cast<size_t>(place->pool)]) {
-    const Refusal refusal = Check(service, *place);
+    const Refusal refusal = Check(service, *place, gate);
     if (refusal != Refusal::kNone) {
       return {refusal, m_services[static_cast<size_t>(service)].service};
     }
@@ -245,8 +273,8 @@
   }
 }
 
-Verdict Budget::Take(std::string_view host) {
-  const Verdict verdict = MayTakeAway(host);
+Verdict Budget::Take(std::string_view host, BurnGate gate) {
+  const Verdict verdict = MayTakeAway(host, gate);
   HostPlace* place = FindHost(host);
   if (verdict.is_allowed() && place->is_available) {
     Shift(*place, false);
--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -274,6 +274,9 @@
   std::vector<std::string> postponed;
   std::vector<std::string> given_up;  ///< Never became empty; reported.
   std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Wave&, const Wave&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Wave,
                       (),
@@ -288,7 +291,8 @@
                        done,
                        postponed,
                        given_up,
-                       tries))
+                       tries,
+                       is_held))
 
 /// A roll-out of one version over the hosts of a service.
 struct Rollout {
@@ -304,7 +308,12 @@
   std::vector<std::string> pending;
   std::vector<std::string> active;
   std::vector<std::string> done;
-  std::map<std::string, int> tries;  ///< Cycles that came to nothing.
+  std::vector<std::string> postponed;
+  std::vector<std::string> given_up;  ///< Never became empty; reported.
+  std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Rollout&, const Rollout&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Rollout,
                       (),
@@ -320,7 +329,10 @@
                        pending,
                        active,
                        done,
-                       tries))
+                       postponed,
+                       given_up,
+                       tries,
+                       is_held))
 
 /// Weights of the three measures; a deployment's own.
 struct MeasureWeights {
--- /dev/null
+++ b/packages/planning/include/laurelhall/planning/wave.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "laurelhall/planning/plan.h"
+
+// Maintenance waves: drain, confirm empty, stop, return, warm up.
+namespace laurelhall::planning {
+
+struct WaveStep {
+  std::vector<Action> actions;
+  model::Wave wave;
+};
+
+/// Makes a wave over all hosts of some pools, ordered by failure domain.
+///
+/// @remarks Thread-safe. Hosts of one zone, and in it of one rack, go one
+///   after the other, so that a domain's loss hits hosts that are away
+///   already; all pools go at once.
+model::Wave PlanWave(const model::Fleet& fleet,
+                     std::string id,
+                     std::vector<std::string> pools,
+                     WallTime now);
+
+/// Works out what a wave does next.
+///
+/// @param fleet The committed state; the wave's progress is read from its
+///   hosts, so that a step may be lost, repeated or made by another leader.
+/// @param wave The wave as committed.
+/// @param budget Counted on `fleet`; the hosts that are to drain are taken
+///   from it.
+/// @returns The actions, fenced by epochs, and the wave as it now stands.
+/// @remarks Not thread-safe for one budget; else thread-safe.
+WaveStep StepWave(const model::Fleet& fleet,
+                  const model::Wave& wave,
+                  budget::Budget& budget,
+                  const StepInput& input,
+                  const PlanningPolicy& policy = {});
+
+/// Starts the waves that keep every host within its pool's period.
+///
+/// @returns A new wave `period-POOL` for each pool that has hosts due and no
+///   such wave under way; it replaces the pool's one before.
+/// @remarks Thread-safe. The hosts of a pool are spread over most of the
+///   period by a daily quota, which a host near its end goes without.
+std::vector<model::Wave> ScheduleWaves(const model::Fleet& fleet,
+                                       const StepInput& input,
+                                       const PlanningPolicy& policy = {});
+
+/// The least time in which the hosts of some pools can be done: for each
+/// service its hosts × time per host ÷ the hosts that may be away at once.
+///
+/// @remarks Thread-safe. Zero concurrency gives Millis::max().
+Millis WaveLowerBound(const model::Fleet& fleet,
+                      const std::vector<std::string>& pools,
+                      Millis time_per_host,
+                      const PlanningPolicy& policy = {});
+
+}  // namespace laurelhall::planning
--- /dev/null
+++ b/packages/planning/src/plan_context.cc
@@ -0,0 +1,89 @@
+#include <tuple>
+
+#include "planning_p.h"
+
+namespace laurelhall::planning {
+
+using model::DrainReason;
+using model::Host;
+using model::HostEvent;
+using model::HostState;
+
+bool IsFree(const Host& host) {
+  return host.state == HostState::kInPool && host.act.empty();
+}
+
+bool IsLeaving(const Host& host) {
+  return host.state == HostState::kDraining ||
+         host.state == HostState::kDrained;
+}
+
+bool IsPlannedReason(DrainReason reason) {
+  return reason == DrainReason::kMaintenance || reason == DrainReason::kMove ||
+         reason == DrainReason::kRollout;
+}
+
+bool DomainLess(const Host& a, const Host& b) {
+  return std::tie(a.availability_zone, a.rack, a.id) <
+         std::tie(b.availability_zone, b.rack, b.id);
+}
+
+void PlanContext::Act(const Host& host,
+                      HostEvent event,
+                      std::string why,
+                      const std::string& version) {
+  if (!m_touched.insert(host.id).second) {
+    return;
+  }
+  m_actions.push_back({.transition = {.host = host.id,
+                                      .expected_epoch = host.epoch,
+                                      .event = event,
+                                      .drain_reason = host.drain_reason,
+                                      .move_to = host.move_to,
+                                      .act = host.act,
+                                      .version = version},
+                       .why = std::move(why)});
+}
+
+bool PlanContext::Drain(const Host& host,
+                        const DrainRequest& request,
+                        std::string why) {
+  if (!IsFree(host) || IsTouched(host) ||
+      !m_budget.Take(host.id, request.gate).is_allowed()) {
+    return false;
+  }
+  m_touched.insert(host.id);
+  m_actions.push_back({.transition = {.host = host.id,
+                                      .expected_epoch = host.epoch,
+                                      .event = HostEvent::kDrain,
+                                      .drain_reason = request.reason,
+                                      .move_to = request.move_to,
+                                      .act = request.act,
+                                      .version = {}},
+                       .why = std::move(why)});
+  return true;
+}
+
+bool PlanContext::IsEmpty(const Host& host) const {
+  const auto found = m_input.in_flight.find(host.id);
+  return found != m_input.in_flight.end() && found->second == 0;
+}
+
+bool PlanContext::IsPastDrainBound(const Host& host) const {
+  return IsLeaving(host) && IsPlannedReason(host.drain_reason) &&
+         now() - host.state_since >= m_view.PoolOf(host).drain_timeout;
+}
+
+const Host* FindOverdueHost(const PlanContext& context, std::string_view act) {
+  for (const Host* host : context.view().ActHosts(act)) {
+    const bool is_overdue =
+        host->state == HostState::kInMaintenance &&
+        context.now() - host->state_since > context.policy().return_timeout;
+    if (is_overdue) {
+      return host;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace laurelhall::planning
--- /dev/null
+++ b/packages/planning/src/rollout.cc
@@ -0,0 +1,368 @@
+#include "laurelhall/planning/rollout.h"
+
+#include <cmath>
+
+#include "act_progress_p.h"
+
+namespace laurelhall::planning {
+namespace {
+
+using model::ActState;
+using model::DrainReason;
+using model::Host;
+using model::Rollout;
+
+/// The stages that are watched for a while before the next one starts.
+constexpr double kBakedShares[] = {0.05, 0.25};
+constexpr int kBakedStages = 1 + static_cast<int>(std::size(kBakedShares));
+
+const std::string& TargetVersion(const Rollout& rollout) {
+  return rollout.state == ActState::kRollingBack ? rollout.previous_version
+                                                 : rollout.version;
+}
+
+std::vector<const Host*> ServiceHosts(const FleetView& view,
+                                      const std::string& service) {
+  std::vector<const Host*> hosts;
+  const auto found = view.fleet().services.find(service);
+  if (found == view.fleet().services.end()) {
+    return hosts;
+  }
+  for (const std::string& pool : found->second.pools) {
+    const auto& of_pool = view.PoolHosts(pool);
+    hosts.insert(hosts.end(), of_pool.begin(), of_pool.end());
+  }
+  return hosts;
+}
+
+std::map<std::string, int> CountZones(const std::vector<const Host*>& hosts) {
+  std::map<std::string, int> zones;
+  for (const Host* host : hosts) {
+    ++zones[host->availability_zone];
+  }
+  return zones;
+}
+
+/// Zones one after the other, the smallest first: a bad version meets it.
+std::vector<const Host*> InRolloutOrder(std::vector<const Host*> hosts) {
+  const std::map<std::string, int> zones = CountZones(hosts);
+  std::sort(hosts.begin(), hosts.end(), [&](const Host* a, const Host* b) {
+    const int hosts_a = zones.at(a->availability_zone);
+    const int hosts_b = zones.at(b->availability_zone);
+    return hosts_a != hosts_b ? hosts_a < hosts_b : DomainLess(*a, *b);
+  });
+  return hosts;
+}
+
+std::vector<std::string> Ids(const std::vector<const Host*>& hosts) {
+  std::vector<std::string> ids;
+  for (const Host* host : hosts) {
+    ids.push_back(host->id);
+  }
+  return ids;
+}
+
+std::vector<int> StageTargets(const std::vector<const Host*>& hosts) {
+  const int count = static_cast<int>(hosts.size());
+  std::vector<int> targets = {std::min(1, count)};
+  for (const double share : kBakedShares) {
+    const int target = static_cast<int>(std::ceil(count * share));
+    targets.push_back(std::max(targets.back(), target));
+  }
+  std::vector<int> zone_sizes;
+  for (const auto& [zone, size] : CountZones(hosts)) {
+    zone_sizes.push_back(size);
+  }
+  std::sort(zone_sizes.begin(), zone_sizes.end());
+  int done = 0;
+  for (const int size : zone_sizes) {
+    done += size;
+    targets.push_back(std::max(targets.back(), done));
+  }
+  return targets;
+}
+
+/// What the hosts of each version answered.
+struct VersionOutcomes {
+  HostOutcomes with_new;
+  HostOutcomes with_old;
+};
+
+void Add(HostOutcomes& sum, const HostOutcomes& outcomes) {
+  sum.good += outcomes.good;
+  sum.bad += outcomes.bad;
+}
+
+int64_t Requests(const HostOutcomes& outcomes) {
+  return outcomes.good + outcomes.bad;
+}
+
+double ErrorShare(const HostOutcomes& outcomes) {
+  const int64_t all = Requests(outcomes);
+  return all == 0
+             ? 0
+             : static_cast<double>(outcomes.bad) / static_cast<double>(all);
+}
+
+/// Judges one roll-out in one step.
+class RolloutJudge {
+ public:
+  RolloutJudge(PlanContext& context, Rollout& rollout)
+      : m_context(context),
+        m_rollout(rollout),
+        m_hosts(InRolloutOrder(ServiceHosts(context.view(), rollout.service))) {
+  }
+
+  void Judge() {
+    ReadProgress();
+    if (m_rollout.is_held) {
+      m_rollout.state = ActState::kPaused;
+      return;
+    }
+    if (HaltIfOverdue()) {
+      return;
+    }
+    if (m_rollout.state == ActState::kRollingBack) {
+      EndRollback();
+      return;
+    }
+    if (RollBackIfBad()) {
+      ReadProgress();
+      return;
+    }
+    if (IsFinished(m_context, m_rollout)) {
+      m_rollout.state = ActState::kDone;
+      m_rollout.reason = LeftOut(m_rollout);
+      return;
+    }
+    PauseOrGoOn();
+  }
+
+ private:
+  void ReadProgress() {
+    const std::string target = TargetVersion(m_rollout);
+    ProgressReader<Rollout>(m_context, m_rollout, [&](const Host& host) {
+      return host.version == target;
+    }).Read(Ids(m_hosts));
+  }
+
+  bool HaltIfOverdue() {
+    const Host* overdue = FindOverdueHost(m_context, m_rollout.id);
+    if (overdue == nullptr) {
+      return false;
+    }
+    m_rollout.state = ActState::kHalted;
+    m_rollout.reason = "host " + overdue->id + " hasn't returned within " +
+                       FormatDuration(m_context.policy().return_timeout);
+    return true;
+  }
+
+  void EndRollback() {
+    const bool is_over = IsFinished(m_context, m_rollout);
+    if (is_over) {
+      m_rollout.state = ActState::kHalted;
+      m_rollout.reason = "rolled back to " + m_rollout.previous_version + ": " +
+                         m_rollout.reason;
+    }
+  }
+
+  bool RollBackIfBad() {
+    const std::string reason = BadReason();
+    if (reason.empty()) {
+      return false;
+    }
+    m_rollout.state = ActState::kRollingBack;
+    m_rollout.reason = reason;
+    // Lists and tries start anew, towards the previous version.
+    m_rollout.given_up.clear();
+    m_rollout.postponed.clear();
+    m_rollout.tries.clear();
+    m_rollout.stage_started = m_context.now();
+    return true;
+  }
+
+  VersionOutcomes Outcomes() const {
+    VersionOutcomes sums;
+    for (const Host* host : m_hosts) {
+      const auto found = m_context.input().outcomes.find(host->id);
+      if (found == m_context.input().outcomes.end()) {
+        continue;
+      }
+      const bool is_new = host->version == m_rollout.version;
+      Add(is_new ? sums.with_new : sums.with_old, found->second);
+    }
+    return sums;
+  }
+
+  bool HasNewVersion() const {
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host* host) {
+      return host->version == m_rollout.version;
+    });
+  }
+
+  /// Why the new version is to be taken back, or an empty text.
+  std::string BadReason() const {
+    if (!HasNewVersion()) {
+      return {};
+    }
+    const PlanningPolicy& policy = m_context.policy();
+    const VersionOutcomes sums = Outcomes();
+    const double with_new = ErrorShare(sums.with_new);
+    const double with_old = ErrorShare(sums.with_old);
+    const bool is_known = Requests(sums.with_new) >= policy.compare_requests;
+    if (is_known &&
+        with_new > with_old * policy.error_ratio + policy.error_margin) {
+      return "hosts with " + m_rollout.version + " fail " +
+             std::to_string(sums.with_new.bad) + " of " +
+             std::to_string(Requests(sums.with_new)) + " requests";
+    }
+    const bool is_as_good =
+        is_known && Requests(sums.with_old) >= policy.compare_requests &&
+        with_new <= with_old;
+    const budget::ServiceBudget* service =
+        m_context.budget().Find(m_rollout.service);
+    const bool burns = service != nullptr &&
+                       service->burn.severity == budget::BurnSeverity::kFast;
+    return burns && !is_as_good ? m_rollout.service + " burns its budget fast"
+                                : std::string();
+  }
+
+  void PauseOrGoOn() {
+    const auto found = m_context.fleet().services.find(m_rollout.service);
+    if (found == m_context.fleet().services.end()) {
+      m_rollout.state = ActState::kHalted;
+      m_rollout.reason = "service " + m_rollout.service + " doesn't exist";
+      return;
+    }
+    m_rollout.reason = PauseReason(m_context, found->second.pools);
+    m_rollout.state =
+        m_rollout.reason.empty() ? ActState::kRunning : ActState::kPaused;
+    if (m_rollout.state == ActState::kRunning) {
+      WidenStage();
+    }
+  }
+
+  WallTime LastDoneAt() const {
+    WallTime last = m_rollout.stage_started;
+    for (const std::string& id : m_rollout.done) {
+      const Host* host = m_context.view().FindHost(id);
+      last = std::max(last, host->state_since);
+    }
+    return last;
+  }
+
+  void WidenStage() {
+    const std::vector<int> targets = StageTargets(m_hosts);
+    const int last_stage = static_cast<int>(targets.size()) - 1;
+    const int done = static_cast<int>(m_rollout.done.size());
+    if (m_rollout.stage >= last_stage ||
+        done < targets[static_cast<size_t>(m_rollout.stage)]) {
+      return;
+    }
+    const bool is_baked =
+        m_rollout.stage >= kBakedStages ||
+        m_context.now() - LastDoneAt() >= m_context.policy().stage_bake;
+    if (is_baked) {
+      ++m_rollout.stage;
+      m_rollout.stage_started = m_context.now();
+    }
+  }
+
+  PlanContext& m_context;
+  Rollout& m_rollout;
+  std::vector<const Host*> m_hosts;
+};
+
+/// Hosts that the stage still lets start.
+int StageQuota(const PlanContext& context, const Rollout& rollout) {
+  const std::vector<int> targets =
+      StageTargets(ServiceHosts(context.view(), rollout.service));
+  const int last_stage = static_cast<int>(targets.size()) - 1;
+  // The last baked stage opens all zones: their order is kept, but a host of
+  // the next zone may go while the last one of a zone is still away.
+  const bool is_open = rollout.stage >= kBakedStages;
+  const int stage = is_open ? last_stage : std::min(rollout.stage, last_stage);
+  const size_t started = rollout.done.size() + rollout.active.size();
+  return targets[static_cast<size_t>(stage)] - static_cast<int>(started);
+}
+
+}  // namespace
+
+Rollout PlanRollout(const model::Fleet& fleet,
+                    std::string id,
+                    const std::string& service,
+                    std::string version,
+                    std::string previous_version,
+                    WallTime now) {
+  Rollout rollout;
+  rollout.id = std::move(id);
+  rollout.service = service;
+  rollout.version = std::move(version);
+  rollout.previous_version = std::move(previous_version);
+  rollout.started = now;
+  rollout.stage_started = now;
+  const FleetView view(fleet, {});
+  for (const Host* host : InRolloutOrder(ServiceHosts(view, service))) {
+    const bool has_it = host->version == rollout.version;
+    (has_it ? rollout.done : rollout.pending).push_back(host->id);
+  }
+  return rollout;
+}
+
+std::vector<int> RolloutStages(const model::Fleet& fleet,
+                               const Rollout& rollout) {
+  return StageTargets(ServiceHosts(FleetView(fleet, {}), rollout.service));
+}
+
+void JudgeRollout(PlanContext& context, Rollout& rollout) {
+  const bool is_open = rollout.state == ActState::kRunning ||
+                       rollout.state == ActState::kPaused ||
+                       rollout.state == ActState::kRollingBack;
+  if (is_open) {
+    RolloutJudge(context, rollout).Judge();
+  }
+}
+
+void StartRolloutDrains(PlanContext& context, const Rollout& rollout) {
+  const bool is_back = rollout.state == ActState::kRollingBack;
+  if (rollout.state != ActState::kRunning && !is_back) {
+    return;
+  }
+  DrainRequest request{
+      .reason = DrainReason::kRollout, .act = rollout.id, .move_to = {}};
+  std::vector<const Host*> candidates = DrainCandidates(context, rollout);
+  int quota = static_cast<int>(candidates.size());
+  if (is_back) {
+    // Taking the bad version back is what ends the burn.
+    request.gate = budget::BurnGate::kIgnore;
+  } else {
+    quota = StageQuota(context, rollout);
+  }
+  for (const Host* host : candidates) {
+    if (quota <= 0) {
+      return;
+    }
+    if (context.Drain(*host, request, "to run " + TargetVersion(rollout))) {
+      --quota;
+    }
+  }
+}
+
+RolloutStep StepRollout(const model::Fleet& fleet,
+                        const Rollout& rollout,
+                        budget::Budget& budget,
+                        const StepInput& input,
+                        const PlanningPolicy& policy) {
+  const FleetView view(fleet, policy);
+  PlanContext context(view, budget, input, policy);
+  RolloutStep step{.actions = {}, .rollout = rollout};
+  JudgeRollout(context, step.rollout);
+  ActStates acts;
+  acts.rollouts[step.rollout.id] = &step.rollout;
+  AdvanceHosts(context, acts, step.rollout.id);
+  StartRolloutDrains(context, step.rollout);
+  step.actions = context.TakeActions();
+  return step;
+}
+
+}  // namespace laurelhall::planning
--- /dev/null
+++ b/packages/planning/src/schedule.cc
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <cmath>
+
+#include "laurelhall/planning/wave.h"
+#include "planning_p.h"
+
+namespace laurelhall::planning {
+namespace {
+
+using model::ActState;
+using model::Host;
+using model::HostState;
+using model::Wave;
+
+constexpr Millis kDay = std::chrono::hours(24);
+
+Millis Share(Millis period, double share) {
+  return Millis(static_cast<int64_t>(
+      std::llround(static_cast<double>(period.count()) * share)));
+}
+
+/// Picks the hosts of one pool that are due, the longest waiting first.
+class DueHosts {
+ public:
+  DueHosts(const PlanContext& context,
+           const model::Pool& pool,
+           const Wave* previous)
+      : m_context(context), m_pool(pool), m_previous(previous) {}
+
+  std::vector<const Host*> Pick() {
+    CollectCandidates();
+    std::sort(m_candidates.begin(), m_candidates.end(),
+              [](const Host* a, const Host* b) {
+                return a->last_maintained != b->last_maintained
+                           ? a->last_maintained < b->last_maintained
+                           : DomainLess(*a, *b);
+              });
+    std::vector<const Host*> picked;
+    for (const Host* host : m_candidates) {
+      const bool has_quota = static_cast<int>(picked.size()) < Quota();
+      if (has_quota || IsUrgent(*host)) {
+        picked.push_back(host);
+      }
+    }
+    std::sort(picked.begin(), picked.end(),
+              [](const Host* a, const Host* b) { return DomainLess(*a, *b); });
+    return picked;
+  }
+
+ private:
+  Millis Age(const Host& host) const {
+    return m_context.now() - host.last_maintained;
+  }
+
+  bool IsUrgent(const Host& host) const {
+    const double lead = m_context.policy().schedule_lead;
+    return Age(host) >= Share(m_pool.maintenance_period, 1 - lead);
+  }
+
+  bool WasJustGivenUp(const Host& host) const {
+    return m_previous != nullptr &&
+           m_context.now() - m_previous->started < kDay &&
+           std::count(m_previous->given_up.begin(), m_previous->given_up.end(),
+                      host.id) > 0;
+  }
+
+  void CollectCandidates() {
+    const Millis rest =
+        Share(m_pool.maintenance_period, m_context.policy().schedule_rest);
+    for (const Host* host : m_context.view().PoolHosts(m_pool.name)) {
+      ++m_hosts;
+      m_done_lately += Age(*host) < kDay;
+      if (IsFree(*host) && Age(*host) >= rest && !WasJustGivenUp(*host)) {
+        m_candidates.push_back(host);
+      }
+    }
+  }
+
+  /// Hosts that may still start today.
+  int Quota() const {
+    const Millis spread =
+        Share(m_pool.maintenance_period, m_context.policy().schedule_spread);
+    const double days = std::max(1.0, static_cast<double>(spread.count()) /
+                                          static_cast<double>(kDay.count()));
+    const int daily = static_cast<int>(std::ceil(m_hosts / days));
+    return daily - m_done_lately;
+  }
+
+  const PlanContext& m_context;
+  const model::Pool& m_pool;
+  const Wave* m_previous;
+  std::vector<const Host*> m_candidates;
+  int m_hosts = 0;
+  int m_done_lately = 0;
+};
+
+/// Whether the pool's standing wave keeps another one from starting. One that
+/// an operator cancelled does so for a day.
+bool IsInTheWay(const Wave& wave, WallTime now) {
+  if (wave.state == ActState::kDone) {
+    return false;
+  }
+  return wave.state != ActState::kCancelled || now - wave.started < kDay;
+}
+
+bool IsCovered(const model::Fleet& fleet, const std::string& pool) {
+  for (const auto& [id, wave] : fleet.waves) {
+    const bool is_open =
+        wave.state == ActState::kRunning || wave.state == ActState::kPaused;
+    if (is_open && std::count(wave.pools.begin(), wave.pools.end(), pool)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::vector<Wave> ScheduleWavesIn(const PlanContext& context) {
+  std::vector<Wave> waves;
+  for (const auto& [name, pool] : context.fleet().pools) {
+    const std::string id = "period-" + name;
+    const auto found = context.fleet().waves.find(id);
+    const Wave* previous =
+        found == context.fleet().waves.end() ? nullptr : &found->second;
+    if (previous != nullptr && IsInTheWay(*previous, context.now())) {
+      continue;
+    }
+    const std::vector<const Host*> due =
+        DueHosts(context, pool, previous).Pick();
+    if (due.empty() || IsCovered(context.fleet(), name)) {
+      continue;
+    }
+    Wave& wave = waves.emplace_back();
+    wave.id = id;
+    wave.pools = {name};
+    wave.started = context.now();
+    wave.finish_by = context.now() + kDay;
+    for (const Host* host : due) {
+      wave.pending.push_back(host->id);
+    }
+  }
+  return waves;
+}
+
+std::vector<Wave> ScheduleWaves(const model::Fleet& fleet,
+                                const StepInput& input,
+                                const PlanningPolicy& policy) {
+  const FleetView view(fleet, policy);
+  budget::Budget budget =
+      budget::Budget::Evaluate(fleet, input.burn, policy.budget);
+  return ScheduleWavesIn(PlanContext(view, budget, input, policy));
+}
+
+}  // namespace laurelhall::planning
--- /dev/null
+++ b/packages/planning/tests/planning_test.cc
@@ -0,0 +1,476 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "fleet_driver.h"
+#include "laurelhall/planning/buffer.h"
+#include "laurelhall/planning/moves.h"
+#include "laurelhall/planning/plan_cost.h"
+#include "laurelhall/planning/rollout.h"
+#include "laurelhall/planning/wave.h"
+
+namespace laurelhall::planning {
+namespace {
+
+using model::ActState;
+using model::DrainReason;
+using model::HostEvent;
+using model::HostState;
+using std::chrono::hours;
+using std::chrono::minutes;
+
+/// Two pools that one service spans, and a third of its own: four zones, four
+/// hosts to a rack, the pools interleaved over the racks.
+struct PlanningFixture {
+  PlanningFixture() {
+    AddPool("a", 10);
+    AddPool("b", 10);
+    AddPool("c", 12);
+    AddService("insurer-a", {"a"}, 7);
+    AddService("insurer-b", {"b"}, 7);
+    AddService("shared", {"a", "b"}, 16);
+    AddService("insurer-c", {"c"}, 9);
+    for (int i = 0; i < 36; ++i) {
+      AddHost(i, std::string(1, "abc"[i % 3]));
+    }
+  }
+
+  void AddPool(const std::string& name, int target) {
+    model::Pool& pool = m_fleet.pools[name];
+    pool.name = name;
+    pool.target_hosts = target;
+    pool.host_shape = {32, 128, 0};
+  }
+
+  void AddService(const std::string& name,
+                  std::vector<std::string> pools,
+                  int min_available) {
+    model::Service& service = m_fleet.services[name];
+    service.name = name;
+    service.pools = std::move(pools);
+    service.min_available = min_available;
+    service.max_away_share = 0.3;
+  }
+
+  void AddHost(int number, const std::string& pool) {
+    model::Host host;
+    host.id = "h" + std::to_string(100 + number);
+    host.pool = pool;
+    host.rack = "r" + std::to_string(number / 4);
+    host.availability_zone = "az" + std::to_string(number / 4 % 4);
+    host.region = "south";
+    host.capacity = {32, 128, 0};
+    host.state = HostState::kInPool;
+    host.version = "1";
+    host.last_maintained = WallTime(-hours(24));  // The driver adds its clock.
+    host.state_since = host.last_maintained;
+    m_fleet.hosts[host.id] = host;
+  }
+
+  FleetDriver MakeDriver(uint64_t seed = 1) const {
+    return FleetDriver(m_fleet,
+                       [controller = FleetController()](
+                           const model::Fleet& fleet, const StepInput& input) {
+                         return controller.Step(fleet, input);
+                       },
+                       {.seed = seed, .budget = {}});
+  }
+
+  void StartWave() {
+    m_fleet.waves["wave"] = PlanWave(m_fleet, "wave", {"a", "b", "c"}, {});
+  }
+
+  void StartRollout() {
+    m_fleet.rollouts["roll"] =
+        PlanRollout(m_fleet, "roll", "shared", "2", "1", {});
+  }
+
+  model::Fleet m_fleet;
+};
+
+int CountState(const model::Fleet& fleet, HostState state) {
+  int count = 0;
+  for (const auto& [id, host] : fleet.hosts) {
+    count += host.state == state;
+  }
+  return count;
+}
+
+void RunUntilDone(FleetDriver& driver, Millis most) {
+  const WallTime end = driver.now() + most;
+  const auto is_open = [&] {
+    for (const auto& [id, wave] : driver.fleet().waves) {
+      if (wave.state == ActState::kRunning || wave.state == ActState::kPaused) {
+        return true;
+      }
+    }
+    return false;
+  };
+  while (is_open() && driver.now() < end) {
+    driver.Step();
+  }
+}
+
+void CheckSafe(const DriverCounts& counts) {
+  CHECK(counts.planned_violations == 0);
+  CHECK(counts.refused_fresh == 0);
+  CHECK(counts.cut_off == 0);
+  CHECK(counts.pool_changes_elsewhere == 0);
+  CHECK(counts.moves_back == 0);
+}
+
+/// One random disturbance: a failure, an operator's act or an old leader.
+void Disturb(FleetDriver& driver, const model::Fleet& older, WallTime when) {
+  std::mt19937_64& random = driver.random();
+  auto at = driver.fleet().hosts.begin();
+  std::advance(
+      at, static_cast<std::ptrdiff_t>(random() % driver.fleet().hosts.size()));
+  const model::Host host = at->second;
+  switch (random() % 160) {
+    case 0:
+      driver.FailRack(host.rack, hours(random() % 6));
+      break;
+    case 1:
+      driver.FailZone(host.availability_zone, hours(random() % 3));
+      break;
+    case 2:
+    case 3:
+      driver.FailRandomHost();
+      break;
+    case 4:
+    case 5:
+    case 6:
+      if (budget::MayDrain(driver.fleet(), host.id).is_allowed()) {
+        driver.ApplyEvent(host.id, HostEvent::kDrain);
+      }
+      break;
+    case 7:
+    case 8:
+    case 9:
+    case 10:
+      driver.ApplyEvent(host.id, HostEvent::kCancelDrain);
+      break;
+    default:
+      if (random() % 4 == 0) {
+        driver.StepAsOldLeader(older, when);
+      }
+  }
+}
+
+void EndDisturbances(FleetDriver& driver) {
+  driver.RepairAll();
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    if (host.drain_reason == DrainReason::kOperator) {
+      driver.ApplyEvent(id, HostEvent::kCancelDrain);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "FleetController, seeded races and failures, keeps every "
+                  "budget and ends each wave in calm") {
+  StartWave();
+  StartRollout();
+  for (uint64_t seed = 1; seed <= 25; ++seed) {
+    CAPTURE(seed);
+    FleetDriver driver = MakeDriver(seed);
+    model::Fleet older = driver.fleet();
+    WallTime when = driver.now();
+    for (int step = 0; step < 600; ++step) {
+      driver.Step();
+      Disturb(driver, older, when);
+      if (step % 7 == 0) {
+        older = driver.fleet();
+        when = driver.now();
+      }
+    }
+    EndDisturbances(driver);
+    RunUntilDone(driver, hours(48));
+    CheckSafe(driver.counts());
+    CHECK(driver.counts().planned_drains > 20);
+    const model::Wave& wave = driver.fleet().waves.at("wave");
+    CHECK(wave.state == ActState::kDone);
+    CHECK(driver.fleet().hosts.size() == 36);
+    for (const auto& [id, host] : driver.fleet().hosts) {
+      CHECK(driver.fleet().pools.count(host.pool) == 1);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "FleetController, same fleet twice, plans the same acts") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.Run(minutes(40));
+  const FleetController controller;
+  const StepResult first = controller.Step(driver.fleet(), driver.input());
+  const StepResult second = controller.Step(driver.fleet(), driver.input());
+  REQUIRE(first.actions.size() == second.actions.size());
+  CHECK(first.waves == second.waves);
+  for (size_t i = 0; i < first.actions.size(); ++i) {
+    CHECK(first.actions[i].transition.host ==
+          second.actions[i].transition.host);
+    // Fenced: the second commit of an act is refused.
+    const bool is_applied = driver.Apply(first.actions[i].transition);
+    CHECK(is_applied);
+    CHECK_FALSE(driver.Apply(second.actions[i].transition));
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, rack goes in the middle, pauses and resumes whole") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.Run(minutes(30));
+  REQUIRE(driver.fleet().waves.at("wave").state == ActState::kRunning);
+  driver.FailRack("r4", hours(3));
+  driver.Step();
+  const model::Wave paused = driver.fleet().waves.at("wave");
+  CHECK(paused.state == ActState::kPaused);
+  CHECK(paused.reason.find("r4 is down") != std::string::npos);
+  const int drains = driver.counts().planned_drains;
+  driver.Run(minutes(3));
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    const bool is_new_drain = host.state == HostState::kDraining &&
+                              host.drain_reason == DrainReason::kMaintenance &&
+                              driver.now() - host.state_since < minutes(4);
+    CHECK_FALSE(is_new_drain);
+  }
+  CHECK(driver.counts().planned_drains >= drains);  // Moves may go on.
+  RunUntilDone(driver, hours(24));
+  CHECK(driver.fleet().waves.at("wave").state == ActState::kDone);
+  CheckSafe(driver.counts());
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, budget short by failures, gives drained hosts back") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.Step();
+  REQUIRE(CountState(driver.fleet(), HostState::kDraining) > 2);
+  for (const char* id : {"h102", "h105", "h108", "h111"}) {
+    driver.Fail(id, hours(2));
+  }
+  driver.Step();
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    CHECK_FALSE((host.pool == "c" && host.state == HostState::kDraining &&
+                 host.drain_reason == DrainReason::kMaintenance));
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, host never empties, is postponed, given up and told") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.m_never_empty = {"h100"};
+  driver.Run(minutes(32));
+  const model::Wave& wave = driver.fleet().waves.at("wave");
+  CHECK(wave.tries.at("h100") == 1);
+  CHECK(wave.postponed == std::vector<std::string>{"h100"});
+  CHECK(driver.fleet().hosts.at("h100").state == HostState::kInPool);
+  RunUntilDone(driver, hours(24));
+  CHECK(wave.state == ActState::kDone);
+  CHECK(wave.given_up == std::vector<std::string>{"h100"});
+  CHECK(wave.tries.at("h100") == 3);
+  CHECK(wave.done.size() == 35);
+  CHECK(wave.reason.find("given up") != std::string::npos);
+  CheckSafe(driver.counts());
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, host doesn't return, halts with the host's name") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.m_never_return = {"h100"};
+  driver.Run(hours(3));
+  const model::Wave& wave = driver.fleet().waves.at("wave");
+  CHECK(wave.state == ActState::kHalted);
+  CHECK(wave.reason.find("h100 hasn't returned") != std::string::npos);
+  driver.Run(hours(1));
+  CHECK(CountState(driver.fleet(), HostState::kDraining) == 0);
+  CHECK(CountState(driver.fleet(), HostState::kInMaintenance) == 1);
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, host's load unknown, is never taken for empty") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  driver.Step();
+  StepInput input = driver.input();
+  input.in_flight.clear();
+  input.now += minutes(5);
+  for (const Action& action :
+       FleetController().Step(driver.fleet(), input).actions) {
+    CHECK(action.transition.event != HostEvent::kConfirmEmpty);
+    CHECK(action.transition.event != HostEvent::kStopForMaintenance);
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Schedule, four weeks, maintains every host once") {
+  for (auto& [id, host] : m_fleet.hosts) {
+    host.last_maintained -= hours(24 * 14);
+  }
+  FleetDriver driver = MakeDriver();
+  const WallTime start = driver.now();
+  int busiest_day = 0;
+  for (int day = 0; day < 28; ++day) {
+    const int before = driver.counts().maintained;
+    driver.Run(hours(24));
+    busiest_day = std::max(busiest_day, driver.counts().maintained - before);
+  }
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    CHECK(host.last_maintained > start);
+  }
+  CHECK(busiest_day <= 9);  // Three pools of twelve, three apiece.
+  CheckSafe(driver.counts());
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Rollout, healthy, widens from a canary to all hosts") {
+  StartRollout();
+  FleetDriver driver = MakeDriver();
+  const model::Rollout& rollout = driver.fleet().rollouts.at("roll");
+  CHECK(RolloutStages(m_fleet, rollout).front() == 1);
+  driver.Run(minutes(10));
+  CHECK(rollout.active.size() + rollout.done.size() == 1);
+  driver.Run(hours(24));
+  CHECK(rollout.state == ActState::kDone);
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    CHECK(host.version == (host.pool == "c" ? "1" : "2"));
+  }
+  CheckSafe(driver.counts());
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Rollout, new version fails or burns, is rolled back") {
+  StartRollout();
+  for (const bool by_burn : {false, true}) {
+    CAPTURE(by_burn);
+    FleetDriver driver = MakeDriver();
+    const model::Rollout& rollout = driver.fleet().rollouts.at("roll");
+    while (rollout.done.size() < 3) {
+      driver.Step();
+    }
+    if (by_burn) {
+      driver.input().burn["shared"].severity = budget::BurnSeverity::kFast;
+    }
+    for (const auto& [id, host] : driver.fleet().hosts) {
+      const bool is_bad = host.version == "2" && !by_burn;
+      driver.input().outcomes[id] =
+          is_bad ? HostOutcomes{80, 20} : HostOutcomes{by_burn ? 9 : 100, 0};
+    }
+    driver.Step();
+    CHECK(rollout.state == ActState::kRollingBack);
+    driver.input().outcomes.clear();
+    driver.Run(hours(6));
+    CHECK(rollout.state == ActState::kHalted);
+    CHECK(rollout.reason.find("rolled back to 1") != std::string::npos);
+    for (const auto& [id, host] : driver.fleet().hosts) {
+      CHECK(host.version == "1");
+    }
+    CheckSafe(driver.counts());
+  }
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Rollout, burn while the new version does as well, pauses") {
+  StartRollout();
+  FleetDriver driver = MakeDriver();
+  const model::Rollout& rollout = driver.fleet().rollouts.at("roll");
+  while (rollout.done.size() < 3) {
+    driver.Step();
+  }
+  driver.input().burn["shared"].severity = budget::BurnSeverity::kFast;
+  for (const auto& [id, host] : driver.fleet().hosts) {
+    driver.input().outcomes[id] = {100, host.version == "2" ? 0 : 30};
+  }
+  driver.Step();
+  CHECK(rollout.state == ActState::kPaused);
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Moves, host restarts, nothing moves; stays failed, one "
+                  "does; returns, none goes back") {
+  m_fleet.pools["c"].target_hosts = 12;
+  FleetDriver driver = MakeDriver();
+  driver.Fail("h102", minutes(5));
+  driver.Run(minutes(60));
+  CHECK(driver.counts().moves == 0);
+  driver.Fail("h102", hours(10));
+  driver.Run(hours(9));
+  CHECK(driver.counts().moves == 1);
+  driver.Run(hours(9));  // The failed host is back: one too many in c.
+  CHECK(driver.counts().moves == 1);
+  // Now it's the lender that lacks a host; what it lent stays away.
+  m_fleet = driver.fleet();
+  for (int i = 0; i < 3; ++i) {
+    driver.Fail("h10" + std::to_string(i), hours(30));
+  }
+  driver.Run(hours(20));
+  CheckSafe(driver.counts());
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Moves, donors that fit differ, serves as many as can be") {
+  // a fits b and c; only a's spare hosts have the accelerators that c needs.
+  m_fleet.pools["a"].target_hosts = 11;
+  m_fleet.pools["b"].target_hosts = 13;
+  m_fleet.pools["c"].target_hosts = 13;
+  m_fleet.pools["c"].host_shape.accelerators = 1;
+  AddPool("d", 3);
+  for (int i = 36; i < 40; ++i) {
+    AddHost(i, "d");
+  }
+  for (auto& [id, host] : m_fleet.hosts) {
+    host.capacity.accelerators = host.pool == "a" ? 1 : 0;
+  }
+  budget::Budget budget = budget::Budget::Evaluate(m_fleet, {});
+  StepInput input;
+  input.now = WallTime(hours(1000));
+  input.in_flight["h106"] = 0;  // The only idle host of a.
+  const std::vector<Action> moves = PlanMoves(m_fleet, budget, input);
+  REQUIRE(moves.size() == 2);
+  std::map<std::string, std::string> from_to;
+  for (const Action& move : moves) {
+    from_to[m_fleet.hosts.at(move.transition.host).pool] =
+        move.transition.move_to;
+  }
+  CHECK(from_to == std::map<std::string, std::string>{{"a", "c"}, {"d", "b"}});
+  const auto is_idle = [](const Action& move) {
+    return move.transition.host == "h106";
+  };
+  CHECK(std::any_of(moves.begin(), moves.end(), is_idle));
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "PlanBuffers, interleaved pools, share one rack's loss") {
+  const BufferPlan plan = PlanBuffers(m_fleet);
+  CHECK(plan.lower_bound == 4);
+  CHECK(plan.total >= plan.lower_bound);
+  CHECK(plan.total < plan.per_pool_total);
+  CHECK(plan.groups.size() == 1);
+  m_fleet.pools["c"].may_lend = false;
+  CHECK(PlanBuffers(m_fleet).groups.size() == 2);
+  CHECK(PlanBuffers(m_fleet).total > plan.total);
+  CHECK(PoissonBound(0.5, 0.001) == 4);
+  CHECK(PoissonBound(0, 0.001) == 0);
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "ExplainHost, refused by a budget, names the service") {
+  for (const char* id : {"h100", "h103", "h101", "h104", "h107"}) {
+    m_fleet.hosts[id].state = HostState::kFailed;
+  }
+  StepInput input;
+  input.now = WallTime(hours(1000));
+  std::string text;
+  for (const std::string& line : ExplainHost(m_fleet, "h106", input)) {
+    text += line + "\n";
+  }
+  CHECK(text.find("may not be taken away: shared") != std::string::npos);
+  CHECK(ExplainHost(m_fleet, "none", input).front() == "host none isn't known");
+}
+
+}  // namespace
+}  // namespace laurelhall::planning
