--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -53,6 +53,32 @@
                     kOperator,
                     kRetire)
 
+/// What can happen to a host; each is a row in the lifecycle's table.
+enum class HostEvent {
+  kJoin,          ///< Announced host enters its pool's capacity.
+  kDrain,         ///< Start draining, with a reason.
+  kConfirmEmpty,  ///< Nothing runs there any more.
+  kCancelDrain,
+  kStopForMaintenance,
+  kMovePool,  ///< The one transition that changes the pool.
+  kReturn,    ///< Back from maintenance, move or failure; warms up.
+  kWarm,      ///< Warmed up: capacity again.
+  kFail,
+  kRetire,
+  kCount,
+};
+BOOST_DESCRIBE_ENUM(HostEvent,
+                    kJoin,
+                    kDrain,
+                    kConfirmEmpty,
+                    kCancelDrain,
+                    kStopForMaintenance,
+                    kMovePool,
+                    kReturn,
+                    kWarm,
+                    kFail,
+                    kRetire)
+
 /// Processors, memory and accelerators of a worker, or what a job asks for.
 struct Resources {
   double processors = 0;
@@ -80,6 +106,8 @@
   WallTime state_since{};
   WallTime last_maintained{};
   WallTime last_seen{};
+  WallTime last_moved{};   ///< When it last changed its pool; for damping.
+  std::string moved_from;  ///< The pool it left then.
 };
 BOOST_DESCRIBE_STRUCT(Host,
                       (),
@@ -97,7 +125,9 @@
                        version,
                        state_since,
                        last_maintained,
-                       last_seen))
+                       last_seen,
+                       last_moved,
+                       moved_from))
 
 /// A pool of hosts, from the settings tree.
 struct Pool {
@@ -256,6 +286,11 @@
   std::vector<std::string> active;
   std::vector<std::string> done;
   std::vector<std::string> postponed;
+  std::vector<std::string> given_up;  ///< Never became empty; reported.
+  std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Wave&, const Wave&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Wave,
                       (),
@@ -268,7 +303,10 @@
                        pending,
                        active,
                        done,
-                       postponed))
+                       postponed,
+                       given_up,
+                       tries,
+                       is_held))
 
 /// A roll-out of one version over the hosts of a service.
 struct Rollout {
@@ -284,6 +322,12 @@
   std::vector<std::string> pending;
   std::vector<std::string> active;
   std::vector<std::string> done;
+  std::vector<std::string> postponed;
+  std::vector<std::string> given_up;  ///< Never became empty; reported.
+  std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Rollout&, const Rollout&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Rollout,
                       (),
@@ -298,7 +342,11 @@
                        stage_started,
                        pending,
                        active,
-                       done))
+                       done,
+                       postponed,
+                       given_up,
+                       tries,
+                       is_held))
 
 /// Weights of the three measures; a deployment's own.
 struct MeasureWeights {
