--- a/packages/placement/src/preempt.cc
+++ b/packages/placement/src/preempt.cc
@@ -240,6 +240,17 @@
   }
 }
 
+// Whether a checkpoint that fails would make an urgent job start too late: its
+// second try, after a worker that did not answer, must be a stop.
+bool MustStop(const StepContext& context, const Claimant& claimant) {
+  const PlacerInit& init = context.init;
+  const WallTime bound =
+      claimant.queued.waiting_since + init.urgent_start_within;
+  const WallTime checked =
+      context.now + init.urgent_checkpoint_timeout + init.stop_timeout;
+  return claimant.is_urgent && context.now < bound && checked > bound;
+}
+
 bool IsKnownToFail(const PoolUse& pool, const Claimant& claimant) {
   const QueuedJob& queued = claimant.queued;
   return std::any_of(
@@ -297,8 +308,13 @@
     ThrottleFor(context, plan, size, reason);
     return {RoomResult::kAtOnce, plan.host};
   }
+  const bool must_stop = MustStop(context, claimant);
   for (const int victim : plan.victims) {
-    EndRun(context, victim, reason);
+    if (must_stop) {
+      Stop(context, victim, reason);
+    } else {
+      EndRun(context, victim, reason);
+    }
   }
   Claim(context, plan.host, claimant, size);
   return {RoomResult::kWaiting, plan.host};
--- a/packages/placement/tests/placer_test.cc
+++ b/packages/placement/tests/placer_test.cc
@@ -233,6 +233,32 @@
   CHECK(Count(JobState::kRunning) == 4);
 }
 
+TEST_CASE_FIXTURE(
+    PlacerFixture,
+    "Placer, worker does not end its run, urgent starts in time") {
+  WorkerInit init;
+  SUBCASE("checkpoints take a minute") {
+    init.checkpoint_time = std::chrono::minutes(1);
+  }
+  SUBCASE("the worker is cut off and nobody has noticed") {
+    m_workers.silent = {"h0"};
+  }
+  const auto silent = m_workers.silent;
+  m_workers = FakeWorkers(init);
+  m_workers.fleet.pools["p"].name = "p";
+  AddHosts(2, kWorker, "h");
+  for (int i = 0; i < 8; ++i) {
+    Submit("t", Priority::kBatch, {4, 32, 0}, std::chrono::hours(2))
+        .can_checkpoint = true;
+  }
+  Run(std::chrono::minutes(1));
+  m_workers.silent = silent;
+  Submit("t", Priority::kUrgent, {4, 30, 0}, std::chrono::minutes(1));
+  Run(kUrgentBound);
+  CHECK(Count(JobState::kRunning) + Count(JobState::kCheckpointing) == 8);
+  CHECK(m_longest_urgent_wait < kUrgentBound);
+}
+
 TEST_CASE_FIXTURE(PlacerFixture,
                   "Placer, owner wants its quota back, has it within bound") {
   AddHosts(4, kWorker, "h");
