--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "laurelhall/base/timer_service.h"
+#include "laurelhall/control/connection_filter.h"
 #include "laurelhall/model/config.h"
 #include "laurelhall/model/endpoint.h"
 #include "laurelhall/routing/grants.h"
@@ -83,6 +84,7 @@
   std::vector<std::string> control_addresses;
   Millis sync_period{std::chrono::milliseconds(500)};
   Millis call_timeout{std::chrono::seconds(2)};
+  std::shared_ptr<ConnectionFilter> filter;  ///< Null: no cuts.
 };
 
 /// The link over Cap'n Proto RPC, on a KJ thread of its own.
--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -2,14 +2,20 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "laurelhall/consensus/message.h"
+#include "laurelhall/control/connection_filter.h"
 #include "laurelhall/control/control_client.h"
 #include "laurelhall/state/machine.h"
 
+namespace laurelhall::storage {
+class FileSystem;
+}
+
 namespace laurelhall::control {
 
 struct ControlHostInit {
@@ -23,6 +29,33 @@
   /// The first members by name, address and zone; used for bootstrap only.
   std::vector<consensus::Member> first_members;
   uint64_t snapshot_every = 20'000;  ///< Entries between snapshots.
+  storage::FileSystem* file_system = nullptr;  ///< Null: the real one.
+  std::shared_ptr<ConnectionFilter> filter;    ///< Null: no cuts.
+  uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
+  /// Told once when the store has failed and the host votes no more; called
+  /// on the host's loop, must not block.
+  std::function<void(const std::string&)> on_store_failed;
+};
+
+/// What the leader knows of one entry host.
+struct EntryReport {
+  std::string name;
+  uint64_t incarnation = 0;
+  uint64_t settings_version = 0;  ///< In force there at its last sync.
+  Millis since_sync{0};
+};
+
+/// Counts since the process started.
+struct ControlCounters {
+  uint64_t commits = 0;   ///< Entries applied.
+  uint64_t commands = 0;  ///< Commands in groups proposed here.
+  uint64_t disk_syncs = 0;
+  uint64_t elections = 0;  ///< Times that this host began to lead.
+  uint64_t snapshots = 0;
+  uint64_t syncs_answered = 0;
+  uint64_t messages_sent = 0;
+  uint64_t messages_dropped = 0;
+  uint64_t bytes_sent = 0;  ///< Of messages to peers, before framing.
 };
 
 /// What operators see of a control host.
@@ -32,6 +65,48 @@
   uint64_t disk_bytes = 0;
   bool is_store_failed = false;
   std::string leader_name;
+  bool is_waiting = false;  ///< Not a member of any membership known to it.
+  std::string waits_for;    ///< Why it still waits, when it does.
+  std::vector<EntryReport> entries;         ///< Leader only.
+  std::vector<std::string> repair;          ///< Leader only: what is left to
+                                            ///< repair and why it waits.
+  std::vector<std::string> zones_at_risk;   ///< Zones whose loss loses the
+                                            ///< quorum of live voters.
+  ControlCounters counters;
+};
+
+/// Whether a change of membership was taken, or why not.
+struct ActionOutcome {
+  bool is_accepted = false;
+  std::string error;
+};
+
+/// What operators do to the membership; each goes to the leader only.
+///
+/// @remarks Thread-safe. `done` comes once, on the host's loop; it must not
+///   block. Accepted means committed or on its way; status() shows it.
+class ControlActions {
+ public:
+  using Done = std::function<void(ActionOutcome)>;
+  virtual ~ControlActions() = default;
+
+  /// Adds a host as learner; it is promoted by itself when that is safe.
+  virtual void AddLearner(consensus::NodeId node,
+                          consensus::Member member,
+                          Done done) = 0;
+
+  /// Promotes a learner that has caught up, unless the zones forbid it.
+  virtual void Promote(consensus::NodeId node, Done done) = 0;
+
+  /// Removes a member, unless that would put a zone at risk.
+  virtual void Remove(consensus::NodeId node, Done done) = 0;
+
+  /// Hands leadership over to a voter; best effort.
+  virtual void Transfer(consensus::NodeId node, Done done) = 0;
+
+  /// Lets a waiting host of this name in, although the old identity of that
+  /// name is still heard of or there never was one.
+  virtual void Repair(const std::string& name, Done done) = 0;
 };
 
 /// Work that only the confirmed leader does, resumed by the next one from the
@@ -54,6 +129,9 @@
       std::function<void(std::optional<std::vector<state::Result>>)>)>;
   virtual ~OperatorService() = default;
 
+  /// Called once before the first request; `actions` outlives the service.
+  virtual void Attach(ControlActions& actions) { (void)actions; }
+
   /// @param commit Commits commands; calls back with none if unknown.
   virtual void Handle(const std::string& method,
                       const std::string& path,
@@ -67,11 +145,13 @@
 /// One member of the replicated state: consensus, disk, RPC, state machine.
 ///
 /// @remarks Thread-safe. Threads: KJ loop (RPC and consensus), one that syncs
-///   the disk, one that applies and runs duties.
+///   the disk, one that applies, one that runs duties and operators' requests
+///   (so that a long plan does not hold up claims).
 class ControlHost {
  public:
   /// Recovers the data folder and starts.
-  /// @throws storage::CorruptionError, storage::StoreFailedError.
+  /// @throws storage::CorruptionError, storage::StoreFailedError;
+  ///   std::runtime_error when it cannot listen.
   ControlHost(const ControlHostInit& init,
               std::vector<std::unique_ptr<LeaderDuty>> duties,
               std::unique_ptr<OperatorService> operators);
@@ -80,6 +160,7 @@
   ControlStatus status() const;
   const state::Machine& machine() const;
   std::string inner_address() const;  ///< With the port that was picked.
+  ControlActions& actions();
 
  private:
   class Impl;
--- /dev/null
+++ b/packages/control/src/bootstrap.cc
@@ -0,0 +1,90 @@
+#include "bootstrap_p.h"
+
+#include <utility>
+
+namespace laurelhall::control {
+
+namespace {
+
+bool Names(const std::optional<consensus::Membership>& membership,
+           consensus::NodeId node) {
+  return membership && membership->members.contains(node);
+}
+
+}  // namespace
+
+Bootstrap::Bootstrap(HostHello self,
+                     const std::vector<consensus::Member>& first)
+    : m_self(std::move(self)) {
+  for (const consensus::Member& member : first) {
+    m_first[member.name] = member;
+  }
+}
+
+void Bootstrap::Heard(const HostHello& hello) {
+  if (hello.name != m_self.name && hello.node != m_self.node) {
+    m_heard[hello.name] = hello;
+  }
+}
+
+JoinDecision Bootstrap::Decide() const {
+  for (const auto& [name, hello] : m_heard) {
+    if (Names(hello.bootstrap, m_self.node) && IsTrusted(*hello.bootstrap)) {
+      return {hello.bootstrap, std::nullopt, {}};
+    }
+  }
+  for (const auto& [name, hello] : m_heard) {
+    if (Names(hello.membership, m_self.node)) {
+      return {std::nullopt, hello.membership, {}};
+    }
+  }
+  for (const auto& [name, hello] : m_heard) {
+    if (hello.is_member) {
+      return {std::nullopt, std::nullopt,
+              "the cluster exists and must let this identity in"};
+    }
+  }
+  return DecideFirst();
+}
+
+// An answer that was long on its way may show a membership of an identity
+// that has since been lost, before it was counted on; see control.md.
+bool Bootstrap::IsTrusted(const consensus::Membership& first) const {
+  for (const auto& [id, member] : first.members) {
+    const auto heard = m_heard.find(member.name);
+    const bool is_replaced = heard != m_heard.end() &&
+                             !heard->second.is_member &&
+                             heard->second.node != id;
+    if (is_replaced && member.name == m_first.begin()->first) {
+      return false;
+    }
+  }
+  return true;
+}
+
+JoinDecision Bootstrap::DecideFirst() const {
+  if (!m_self.may_bootstrap || !m_first.contains(m_self.name)) {
+    return {std::nullopt, std::nullopt, "this host may not bootstrap"};
+  }
+  if (m_first.begin()->first != m_self.name) {
+    return {std::nullopt, std::nullopt,
+            m_first.begin()->first + " must bootstrap the cluster"};
+  }
+  consensus::Membership made;
+  for (auto [name, member] : m_first) {
+    const auto heard = m_heard.find(name);
+    const HostHello* hello = name == m_self.name ? &m_self : nullptr;
+    if (heard != m_heard.end()) {
+      hello = &heard->second;
+    }
+    if (hello == nullptr || !hello->may_bootstrap) {
+      return {std::nullopt, std::nullopt,
+              name + " must answer that it is empty too"};
+    }
+    member.is_voter = true;
+    made.members[hello->node] = member;
+  }
+  return {std::move(made), std::nullopt, {}};
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/bootstrap_p.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laurelhall/consensus/message.h"
+
+namespace laurelhall::control {
+
+/// What a control host says of itself to others, member or not.
+struct HostHello {
+  consensus::NodeId node;
+  std::string name;
+  std::string address;
+  std::string availability_zone;
+  bool is_member = false;
+  bool may_bootstrap = false;
+  std::optional<consensus::Membership> bootstrap;
+  std::optional<consensus::Membership> membership;
+  std::string leader_address;
+};
+
+/// How a host without a log becomes a member.
+struct JoinDecision {
+  /// The first membership, to be written as the log's first entry.
+  std::optional<consensus::Membership> bootstrap;
+  /// A later membership that names this host; taken without a log.
+  std::optional<consensus::Membership> membership;
+  std::string waits_for;  ///< Why neither is set.
+};
+
+/// Decides whether an empty host may take part, and in what.
+///
+/// @remarks Pure; not thread-safe. A host takes part only in a membership that
+///   names the identity of its own folder, so one that lost its disk never
+///   votes in its old place. Only the first of the first members (by name)
+///   makes the first membership, and only when all of them answered that they
+///   are empty, with the identities that they have now.
+class Bootstrap {
+ public:
+  /// @param self What this host says of itself; not a member.
+  Bootstrap(HostHello self, const std::vector<consensus::Member>& first);
+
+  /// Takes in what another host says, asked or unasked.
+  void Heard(const HostHello& hello);
+
+  JoinDecision Decide() const;
+
+ private:
+  bool IsTrusted(const consensus::Membership& first) const;
+  JoinDecision DecideFirst() const;
+
+  HostHello m_self;
+  std::map<std::string, consensus::Member> m_first;  // By name.
+  std::map<std::string, HostHello> m_heard;          // Latest, by name.
+};
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/loop_thread_p.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <kj/async-io.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "laurelhall/base/time.h"
+
+namespace laurelhall::control {
+
+/// The way into a KJ loop from other threads.
+class Mailbox {
+ public:
+  /// Runs a task on the loop, soon. No effect once closed. Thread-safe.
+  void Post(std::function<void()> task);
+
+  /// Runs tasks for ever. On the loop's thread only.
+  kj::Promise<void> Run();
+
+  /// Drops waiting tasks and takes no more. Thread-safe.
+  void Close();
+
+ private:
+  using Wake = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
+
+  std::mutex m_mutex;  // Guards all below.
+  bool m_is_closed = false;
+  std::deque<std::function<void()>> m_tasks;
+  kj::Maybe<Wake> m_wake;  // Set while the loop sleeps.
+};
+
+/// What parts on a loop need of it.
+struct LoopContext {
+  kj::Network& network;
+  kj::Timer& timer;
+  std::shared_ptr<Mailbox> mailbox;
+};
+
+/// A thread with a KJ loop of its own.
+class LoopThread {
+ public:
+  /// Runs on the new thread and returns when `stop` is done; what it makes
+  /// lives and dies on that thread.
+  using Main = std::function<
+      void(kj::AsyncIoContext& io, LoopContext& loop, kj::Promise<void> stop)>;
+
+  explicit LoopThread(Main main);
+
+  /// Stops and joins; not to be called on the loop itself.
+  ~LoopThread();
+
+  LoopThread(const LoopThread&) = delete;
+  LoopThread& operator=(const LoopThread&) = delete;
+
+  Mailbox& mailbox() { return *m_mailbox; }
+
+ private:
+  void Run(const Main& main);
+
+  std::shared_ptr<Mailbox> m_mailbox = std::make_shared<Mailbox>();
+  kj::Own<kj::PromiseFulfiller<void>> m_stop;  // On the loop's thread only.
+  std::thread m_thread;
+};
+
+/// Turns a duration into KJ's.
+inline kj::Duration ToKj(Millis duration) {
+  return duration.count() * kj::MILLISECONDS;
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/rpc_channel.cc
@@ -0,0 +1,100 @@
+#include "rpc_channel_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr Millis kFirstBackoff{20};
+constexpr Millis kLongestBackoff{500};
+
+kj::Exception Unreachable(const std::string& why) {
+  return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
+                       kj::heapString(why.c_str()));
+}
+
+}  // namespace
+
+RpcChannel::Connection::Connection(kj::Own<kj::AsyncIoStream> stream)
+    : m_stream(kj::mv(stream)),
+      m_rpc(*m_stream),
+      m_client(m_rpc.bootstrap().castAs<proto::ControlHost>()) {}
+
+RpcChannel::RpcChannel(LoopContext loop,
+                       std::string address,
+                       std::shared_ptr<ConnectionFilter> filter)
+    : m_loop(std::move(loop)),
+      m_address(std::move(address)),
+      m_filter(std::move(filter)) {}
+
+kj::Promise<void> RpcChannel::Run(Millis timeout, Call call) {
+  const CutMode mode = m_filter ? m_filter->Get(m_address) : CutMode::kNone;
+  if (mode == CutMode::kRefuse) {
+    Drop();
+    return Unreachable("refused by the connection filter");
+  }
+  kj::Promise<void> done = kj::NEVER_DONE;
+  if (mode != CutMode::kStall) {
+    done = Connect().then(
+        [call = kj::mv(call)](kj::Own<Connection>&& connection) mutable {
+          auto called =
+              connection->m_canceler.wrap(call(connection->m_client));
+          return called.attach(kj::mv(connection));
+        });
+  }
+  return m_loop.timer.timeoutAfter(ToKj(timeout), kj::mv(done))
+      .catch_([this](kj::Exception&& error) -> kj::Promise<void> {
+        if (error.getType() != kj::Exception::Type::FAILED) {
+          Drop();
+        }
+        return kj::mv(error);
+      });
+}
+
+kj::Promise<kj::Own<RpcChannel::Connection>> RpcChannel::Connect() {
+  KJ_IF_MAYBE (connection, m_connection) {
+    return kj::addRef(**connection);
+  }
+  if (m_connecting == nullptr) {
+    if (std::chrono::steady_clock::now() < m_retry_at) {
+      return Unreachable("waits before it connects again");
+    }
+    m_connecting = Open().fork();
+  }
+  return KJ_ASSERT_NONNULL(m_connecting)
+      .addBranch()
+      .then([this]() -> kj::Promise<kj::Own<Connection>> {
+        KJ_IF_MAYBE (connection, m_connection) {
+          return kj::addRef(**connection);
+        }
+        return Unreachable("connection lost");
+      });
+}
+
+kj::Promise<void> RpcChannel::Open() {
+  return m_loop.network.parseAddress(m_address.c_str())
+      .then([](kj::Own<kj::NetworkAddress>&& address) {
+        auto connected = address->connect();
+        return connected.attach(kj::mv(address));
+      })
+      .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+        m_connection = kj::refcounted<Connection>(kj::mv(stream));
+        m_backoff = Millis(0);
+      });
+}
+
+void RpcChannel::Drop() {
+  m_connecting = nullptr;
+  KJ_IF_MAYBE (connection, m_connection) {
+    const kj::Own<Connection> dropped = kj::mv(*connection);
+    m_connection = nullptr;
+    dropped->m_canceler.cancel("connection dropped");
+    return;
+  }
+  m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kLongestBackoff);
+  m_retry_at = std::chrono::steady_clock::now() + m_backoff;
+}
+
+}  // namespace laurelhall::control
--- a/packages/proto/schema/laurelhall.capnp
+++ b/packages/proto/schema/laurelhall.capnp
@@ -101,6 +101,22 @@
   body @3 :Text;
 }
 
+# What control hosts tell each other of themselves, members or not yet.
+struct Hello {
+  node @0 :UInt64;
+  name @1 :Text;
+  address @2 :Text;
+  availabilityZone @3 :Text;
+  # Its log or snapshot holds something, or it was told that it is a member.
+  isMember @4 :Bool;
+  mayBootstrap @5 :Bool;
+  # The first membership, while the log still holds it; else empty.
+  bootstrap @6 :Data;
+  # The membership in force, when known; else empty.
+  membership @7 :Data;
+  leaderAddress @8 :Text;
+}
+
 interface ControlHost {
   # Raft messages of one peer; replies travel as calls the other way.
   step @0 (envelope :Envelope, messages :List(RaftMessage)) -> ();
@@ -114,4 +130,7 @@
   # An operator's request, JSON in and out, passed on to the leader.
   operate @3 (envelope :Envelope, method :Text, path :Text, body :Text)
       -> (reply :OperateReply);
+
+  # Control hosts make themselves known; see docs/design/control.md.
+  hello @4 (envelope :Envelope, hello :Hello) -> (hello :Hello);
 }
