--- a/packages/control/src/bootstrap.cc
+++ b/packages/control/src/bootstrap.cc
@@ -24,6 +24,7 @@
 void Bootstrap::Heard(const HostHello& hello) {
   if (hello.name != m_self.name && hello.node != m_self.node) {
     m_heard[hello.name] = hello;
+    m_has_seen_cluster |= hello.is_member;
   }
 }
 
@@ -38,28 +39,27 @@
       return {std::nullopt, hello.membership, {}};
     }
   }
-  for (const auto& [name, hello] : m_heard) {
-    if (hello.is_member) {
-      return {std::nullopt, std::nullopt,
-              "the cluster exists and must let this identity in"};
-    }
+  if (m_has_seen_cluster) {
+    return {std::nullopt, std::nullopt,
+            "the cluster exists and must let this identity in"};
   }
   return DecideFirst();
 }
 
-// An answer that was long on its way may show a membership of an identity
-// that has since been lost, before it was counted on; see control.md.
+// An answer that was long on its way may show a first membership whose maker
+// has lost its disk since. While the maker's new identity may still make
+// another one, counting on this host's word that it is empty, it is not taken.
 bool Bootstrap::IsTrusted(const consensus::Membership& first) const {
-  for (const auto& [id, member] : first.members) {
-    const auto heard = m_heard.find(member.name);
-    const bool is_replaced = heard != m_heard.end() &&
-                             !heard->second.is_member &&
-                             heard->second.node != id;
-    if (is_replaced && member.name == m_first.begin()->first) {
-      return false;
-    }
+  if (m_first.empty()) {
+    return true;
+  }
+  const auto maker = m_heard.find(m_first.begin()->first);
+  if (maker == m_heard.end()) {
+    return true;
   }
-  return true;
+  const HostHello& hello = maker->second;
+  return first.members.contains(hello.node) || hello.is_member ||
+         hello.has_seen_cluster;
 }
 
 JoinDecision Bootstrap::DecideFirst() const {
--- a/packages/control/src/bootstrap_p.h
+++ b/packages/control/src/bootstrap_p.h
@@ -20,6 +20,7 @@
   std::optional<consensus::Membership> bootstrap;
   std::optional<consensus::Membership> membership;
   std::string leader_address;
+  bool has_seen_cluster = false;  ///< Will never make a first membership.
 };
 
 /// How a host without a log becomes a member.
@@ -48,6 +49,9 @@
 
   JoinDecision Decide() const;
 
+  /// Whether a member was ever heard of; it then never bootstraps.
+  bool has_seen_cluster() const { return m_has_seen_cluster; }
+
  private:
   bool IsTrusted(const consensus::Membership& first) const;
   JoinDecision DecideFirst() const;
@@ -55,6 +59,7 @@
   HostHello m_self;
   std::map<std::string, consensus::Member> m_first;  // By name.
   std::map<std::string, HostHello> m_heard;          // Latest, by name.
+  bool m_has_seen_cluster = false;
 };
 
 }  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/host_join.cc
@@ -0,0 +1,138 @@
+#include <algorithm>
+#include <utility>
+
+#include "host_loop_p.h"
+#include "laurelhall/base/log.h"
+#include "wire_hello_p.h"
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr Millis kHelloTimeout = std::chrono::seconds(1);
+constexpr size_t kMaxWaiting = 100;
+
+}  // namespace
+
+HostHello HostLoop::SelfHello() const {
+  HostHello hello;
+  hello.node = m_self;
+  hello.name = m_parts.init.name;
+  hello.address = m_address;
+  hello.availability_zone = m_parts.init.availability_zone;
+  hello.is_member = !IsWaiting();
+  hello.may_bootstrap = m_parts.init.may_bootstrap;
+  hello.bootstrap = m_first_membership;
+  if (!m_status.membership.members.empty()) {
+    hello.membership = m_status.membership;
+  }
+  hello.leader_address = LeaderAddress();
+  hello.has_seen_cluster = hello.is_member || m_bootstrap.has_seen_cluster();
+  return hello;
+}
+
+bool HostLoop::IsWaiting() const {
+  return !m_is_failed && !m_is_adopting && m_status.last == 0 &&
+         !m_status.membership.members.contains(m_self);
+}
+
+HostHello HostLoop::Hello(const HostHello& hello) {
+  m_bootstrap.Heard(hello);
+  const auto known = m_waiting.find(hello.name);
+  if (!hello.is_member &&
+      (known != m_waiting.end() || m_waiting.size() < kMaxWaiting)) {
+    m_waiting[hello.name] = {
+        hello.node,
+        {hello.address, hello.availability_zone, hello.name, false},
+        Now()};
+  } else if (known != m_waiting.end() && known->second.node == hello.node) {
+    m_waiting.erase(known);
+  }
+  TryToJoin();
+  return SelfHello();
+}
+
+void HostLoop::SayHello() {
+  for (const consensus::Member& member : m_parts.init.first_members) {
+    if (member.name != m_parts.init.name) {
+      SayHelloTo(member.address);
+    }
+  }
+  TryToJoin();
+}
+
+void HostLoop::SayHelloTo(const std::string& address) {
+  auto call = [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.helloRequest();
+    WriteEnvelope(m_peers.envelope(), request.initEnvelope());
+    WriteHello(SelfHello(), request.initHello());
+    return request.send().then([this](auto&& response) {
+      m_bootstrap.Heard(ReadHello(response.getHello()));
+      TryToJoin();
+    });
+  };
+  m_tasks.add(m_peers.ChannelTo(address)
+                  .Run(kHelloTimeout, kj::mv(call))
+                  .catch_([](kj::Exception&&) {}));
+}
+
+void HostLoop::TryToJoin() {
+  if (!IsWaiting()) {
+    return;
+  }
+  m_join = m_bootstrap.Decide();
+  if (m_join.bootstrap) {
+    AdoptFirst(*m_join.bootstrap);
+  } else if (m_join.membership) {
+    JoinLater(*m_join.membership);
+  }
+}
+
+// While it waits, a node enters terms but votes for nobody.
+consensus::HardState HostLoop::EmptyHardState() const {
+  if (m_status.term > m_recovered_hard_state.term) {
+    return {m_status.term, consensus::NodeId(), 0};
+  }
+  return m_recovered_hard_state;
+}
+
+// The first membership becomes the log's first entry, the same on each host
+// that adopts it; no node runs until it is durable.
+void HostLoop::AdoptFirst(const consensus::Membership& first) {
+  PartLog("control")->info("This host takes part in a new cluster of {}.",
+                           first.members.size());
+  m_is_adopting = true;
+  m_first_membership = first;
+  m_recovered_hard_state = EmptyHardState();
+  m_recovered_hard_state.term =
+      std::max<consensus::Term>(m_recovered_hard_state.term, 1);
+  m_recovered_hard_state.commit = 1;
+  consensus::Ready ready;
+  ready.hard_state = m_recovered_hard_state;
+  ready.entries.push_back({1, 1, consensus::EntryKind::kMembership,
+                           consensus::EncodeMembership(first)});
+  m_node.reset();
+  m_writer->Add(ready);
+}
+
+void HostLoop::FinishAdopting() {
+  consensus::NodeInit init = NodeDefaults();
+  init.hard_state = m_recovered_hard_state;
+  init.log.push_back({1, 1, consensus::EntryKind::kMembership,
+                      consensus::EncodeMembership(*m_first_membership)});
+  MakeNode(std::move(init));
+  m_is_adopting = false;
+  Advance();
+}
+
+// The membership names this very folder, which has never voted for less than
+// it knows: it votes from now on, and the log comes from the leader.
+void HostLoop::JoinLater(const consensus::Membership& membership) {
+  consensus::NodeInit init = NodeDefaults();
+  init.bootstrap = membership;
+  init.hard_state = EmptyHardState();
+  MakeNode(std::move(init));
+  Advance();
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/host_leader.cc
@@ -0,0 +1,248 @@
+#include <utility>
+
+#include "host_loop_p.h"
+#include "laurelhall/base/log.h"
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr Millis kLeaderPeriod = std::chrono::seconds(1);
+
+}  // namespace
+
+void HostLoop::FollowRole() {
+  const bool leads = m_status.role == consensus::Role::kLeader;
+  if (IsLeading() && (!leads || m_status.term != m_led_term)) {
+    EndToLead();
+  }
+  if (leads && !IsLeading()) {
+    BeginToLead();
+  }
+}
+
+void HostLoop::BeginToLead() {
+  PartLog("control")->info("{} leads in term {}.", m_parts.init.name,
+                           m_status.term);
+  m_led_term = m_status.term;
+  m_leads_since = Now();
+  m_next_leader_tick = Now();
+  m_leader_sync = std::make_unique<LeaderSync>(m_parts.machine, m_led_term,
+                                               m_leads_since);
+  ++m_counters.elections;
+}
+
+void HostLoop::EndToLead() {
+  PartLog("control")->info("{} no longer leads in term {}.",
+                           m_parts.init.name, m_led_term);
+  m_leader_sync.reset();
+  m_is_duty_running = false;
+  m_approved.clear();
+  m_repair_notes.clear();
+  m_submits.LostLeadership();
+  m_reads.LostLeadership();
+}
+
+void HostLoop::Sync(SyncQuestion question,
+                    std::function<void(std::optional<SyncAnswer>)> done) {
+  Read([this, question = std::move(question),
+        done = std::move(done)](bool is_confirmed) {
+    if (!is_confirmed || !IsLeading()) {
+      done(std::nullopt);
+      return;
+    }
+    ++m_counters.syncs_answered;
+    done(m_leader_sync->Answer(question, m_applier->applied(), Now()));
+  });
+}
+
+void HostLoop::TickLeader() {
+  if (!IsLeading() || !m_status.is_leader_confirmed ||
+      Now() < m_next_leader_tick) {
+    return;
+  }
+  m_next_leader_tick = Now() + kLeaderPeriod;
+  CommitDue();
+  StepDuties();
+  StepRepair();
+}
+
+void HostLoop::CommitDue() {
+  std::vector<state::Command> due = m_leader_sync->TakeDue(Now(), WallNow());
+  if (!due.empty()) {
+    Submit(std::move(due), 0, [](const SubmitOutcome&) {});
+  }
+}
+
+// A step starts only from all that is committed so far, and the next one only
+// when what this one proposed is applied or lost.
+void HostLoop::StepDuties() {
+  if (m_is_duty_running || m_parts.duties.empty()) {
+    return;
+  }
+  m_is_duty_running = true;
+  Read([this, term = m_led_term](bool is_confirmed) {
+    if (is_confirmed) {
+      RunDuties(term);
+    } else if (term == m_led_term) {
+      m_is_duty_running = false;
+    }
+  });
+}
+
+void HostLoop::RunDuties(uint64_t term) {
+  const bool is_posted = m_parts.worker.TryPost([this, term, &parts = m_parts,
+                                                 mailbox = m_loop.mailbox] {
+    std::vector<state::Command> commands;
+    for (const auto& duty : parts.duties) {
+      try {
+        for (state::Command& command : duty->Step(parts.machine, WallNow())) {
+          commands.push_back(std::move(command));
+        }
+      } catch (const std::exception& error) {
+        PartLog("control")->error("A duty failed: {}.", error.what());
+      }
+    }
+    mailbox->Post([this, term, commands = std::move(commands)] {
+      DutiesRan(term, commands);
+    });
+  });
+  m_is_duty_running = is_posted;
+}
+
+void HostLoop::DutiesRan(uint64_t term, std::vector<state::Command> commands) {
+  if (!IsLeading() || term != m_led_term) {
+    return;
+  }
+  if (commands.empty()) {
+    m_is_duty_running = false;
+    return;
+  }
+  Submit(std::move(commands), 0, [this, term](const SubmitOutcome&) {
+    if (term == m_led_term) {
+      m_is_duty_running = false;
+    }
+  });
+}
+
+OperatorService::Commit HostLoop::MakeCommit() {
+  return [this, mailbox = m_loop.mailbox, &worker = m_parts.worker](
+             std::vector<state::Command> commands, auto callback) {
+    mailbox->Post([this, &worker, commands = std::move(commands),
+                   callback = std::move(callback)] {
+      Submit(commands, 0, [&worker, callback](SubmitOutcome outcome) {
+        worker.TryPost([callback, outcome = std::move(outcome)] {
+          const bool is_known = outcome.status == SubmitStatus::kCommitted;
+          callback(is_known ? std::optional(outcome.results) : std::nullopt);
+        });
+      });
+    });
+  };
+}
+
+void HostLoop::Operate(
+    std::string method,
+    std::string path,
+    std::string body,
+    std::function<void(std::optional<OperatorReply>)> done) {
+  Read([this, method = std::move(method), path = std::move(path),
+        body = std::move(body), done = std::move(done)](bool is_confirmed) {
+    if (!is_confirmed || !m_parts.operators) {
+      done(std::nullopt);
+      return;
+    }
+    Publish();
+    const auto reply = [mailbox = m_loop.mailbox, done](OperatorReply answer) {
+      mailbox->Post([done, answer = std::move(answer)] { done(answer); });
+    };
+    const bool is_posted = m_parts.worker.TryPost(
+        [&parts = m_parts, commit = MakeCommit(), method, path, body, reply] {
+          try {
+            parts.operators->Handle(method, path, body, parts.machine,
+                                    parts.board.Get(), commit, reply);
+          } catch (const std::exception& error) {
+            PartLog("control")->error("An operator's request failed: {}.",
+                                      error.what());
+            reply({500, R"({"error":"internal error"})"});
+          }
+        });
+    if (!is_posted) {
+      done(OperatorReply{503, R"({"error":"too much is under way"})"});
+    }
+  });
+}
+
+std::string HostLoop::ChangeMembership(
+    const consensus::MembershipChange& change) {
+  if (!IsLeading() || !m_status.is_leader_confirmed) {
+    return "this host does not lead";
+  }
+  const bool is_addition =
+      change.kind == consensus::MembershipChangeKind::kAddLearner;
+  if (is_addition == m_status.membership.members.contains(change.node)) {
+    return is_addition ? "already a member" : "not a member";
+  }
+  const std::string refusal =
+      CheckZonePlacement(m_status.membership, change,
+                         SilentMembers(m_status, m_leads_since, Now()));
+  if (!refusal.empty()) {
+    return refusal;
+  }
+  const bool is_taken = m_node->ProposeMembership(change, Now()).has_value();
+  Advance();
+  return is_taken ? "" : "another change is under way, or not caught up";
+}
+
+void HostLoop::Change(const consensus::MembershipChange& change,
+                      const ControlActions::Done& done) {
+  const std::string error = ChangeMembership(change);
+  done({error.empty(), error});
+}
+
+void HostLoop::Transfer(consensus::NodeId node,
+                        const ControlActions::Done& done) {
+  const auto found = m_status.membership.members.find(node);
+  const bool is_voter = found != m_status.membership.members.end() &&
+                        found->second.is_voter;
+  if (!IsLeading() || !is_voter) {
+    done({false, IsLeading() ? "not a voter" : "this host does not lead"});
+    return;
+  }
+  m_node->TransferLeadership(node, Now());
+  Advance();
+  done({true, {}});
+}
+
+void HostLoop::Repair(const std::string& name,
+                      const ControlActions::Done& done) {
+  if (!IsLeading()) {
+    done({false, "this host does not lead"});
+    return;
+  }
+  m_approved.insert(name);
+  done({true, {}});
+}
+
+void HostLoop::StepRepair() {
+  RepairInput input;
+  input.status = m_status;
+  for (const auto& [name, host] : m_waiting) {
+    input.waiting.push_back(host);
+  }
+  input.approved = m_approved;
+  input.leads_since = m_leads_since;
+  input.now = Now();
+  RepairPlan plan = PlanRepair(input);
+  m_repair_notes = std::move(plan.notes);
+  if (!plan.change) {
+    return;
+  }
+  const bool is_taken =
+      m_node->ProposeMembership(*plan.change, Now()).has_value();
+  if (is_taken) {
+    PartLog("control")->info("Repair: {}.", m_repair_notes.back());
+  }
+  Advance();
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/host_loop.cc
@@ -0,0 +1,362 @@
+#include "host_loop_p.h"
+
+#include <utility>
+
+#include "command_stamp_p.h"
+#include "laurelhall/base/log.h"
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr Millis kTick{20};
+constexpr Millis kHelloPeriod{250};
+constexpr Millis kPublishPeriod{50};
+// How long commands wait for others while a sync is under way.
+constexpr Millis kSubmitAge{2};
+constexpr uint64_t kMaxBacklogBytes = 64 << 20;
+constexpr size_t kMaxWorkerTasks = 4'096;
+constexpr size_t kMaxDiskTasks = 16;
+
+EnvelopeInfo MakeEnvelope(const ControlHostInit& init,
+                          const std::string& address) {
+  return {init.cluster, init.cluster_key, address};
+}
+
+HostHello BootstrapSelf(const ControlHostInit& init, consensus::NodeId self) {
+  HostHello hello;
+  hello.node = self;
+  hello.name = init.name;
+  hello.may_bootstrap = init.may_bootstrap;
+  return hello;
+}
+
+}  // namespace
+
+HostParts::HostParts(const ControlHostInit& host_init,
+                     std::vector<std::unique_ptr<LeaderDuty>> host_duties,
+                     std::unique_ptr<OperatorService> host_operators)
+    : init(host_init),
+      store([&host_init] {
+        storage::LogStoreInit store_init;
+        store_init.folder = host_init.data_folder;
+        store_init.file_system = host_init.file_system;
+        return store_init;
+      }()),
+      duties(std::move(host_duties)),
+      operators(std::move(host_operators)),
+      disk(kMaxDiskTasks),
+      apply(kMaxDiskTasks),
+      worker(kMaxWorkerTasks) {}
+
+HostLoop::HostLoop(LoopContext loop,
+                   HostParts& parts,
+                   storage::Recovered recovered,
+                   std::string address)
+    : m_loop(std::move(loop)),
+      m_parts(parts),
+      m_address(std::move(address)),
+      m_self(recovered.identity),
+      m_recovered_hard_state(recovered.hard_state),
+      m_peers(m_loop,
+              MakeEnvelope(parts.init, m_address),
+              parts.init.filter,
+              m_tasks),
+      m_submits([this](std::string payload) {
+        return m_node->Propose(std::move(payload), Now());
+      }),
+      m_reads([this](uint64_t context) {
+        return m_node && m_node->RequestRead(context, Now());
+      }),
+      m_bootstrap(BootstrapSelf(parts.init, m_self),
+                  parts.init.first_members),
+      m_tasks(*this) {
+  consensus::NodeInit init = NodeDefaults();
+  consensus::EntryPosition last;
+  consensus::Index applied = 0;
+  if (recovered.snapshot) {
+    m_parts.machine.Load(recovered.snapshot->data);
+    init.snapshot = recovered.snapshot->meta;
+    last = {init.snapshot->index, init.snapshot->term};
+    applied = last.index;
+  }
+  if (!recovered.entries.empty()) {
+    const consensus::Entry& first = recovered.entries.front();
+    if (first.index == 1 && first.kind == consensus::EntryKind::kMembership) {
+      m_first_membership = consensus::DecodeMembership(first.payload);
+    }
+    last = {recovered.entries.back().index, recovered.entries.back().term};
+  }
+  init.hard_state = recovered.hard_state;
+  init.log = std::move(recovered.entries);
+  m_writer = std::make_unique<DiskWriter>(
+      m_loop, parts.disk, parts.store, last, recovered.hard_state,
+      DiskWriter::Events{[this](DiskBatch batch, bool is_all) {
+                           OnSynced(std::move(batch), is_all);
+                         },
+                         [this](const std::string& why) { Fail(why); }});
+  m_applier = std::make_unique<Applier>(
+      m_loop, parts.apply, parts.machine, applied, parts.init.snapshot_every,
+      Applier::Events{
+          [this](const std::vector<AppliedEntry>& entries) {
+            OnApplied(entries);
+          },
+          [this](consensus::Index index, std::string data) {
+            OnSaved(index, std::move(data));
+          },
+          [this](const std::string& why) { Fail(why); }});
+  MakeNode(std::move(init));
+  if (recovered.snapshot) {
+    m_node->Compact(std::move(*recovered.snapshot));
+  }
+  Advance();
+  m_tasks.add(TickForEver());
+}
+
+HostLoop::~HostLoop() = default;
+
+void HostLoop::taskFailed(kj::Exception&& exception) {
+  PartLog("control")->error("A task failed: {}.",
+                            exception.getDescription().cStr());
+}
+
+consensus::NodeInit HostLoop::NodeDefaults() const {
+  consensus::NodeInit init;
+  init.self = m_self;
+  init.seed = m_parts.init.seed;
+  return init;
+}
+
+void HostLoop::MakeNode(consensus::NodeInit init) {
+  m_node = std::make_unique<consensus::Node>(std::move(init), Now());
+  m_status = m_node->status();
+  m_peers.SetMembership(m_status.membership);
+}
+
+kj::Promise<void> HostLoop::TickForEver() {
+  return m_loop.timer.afterDelay(ToKj(kTick)).then([this] {
+    Tick();
+    return TickForEver();
+  });
+}
+
+void HostLoop::Tick() {
+  const SteadyTime now = Now();
+  if (m_node) {
+    m_node->Tick(now);
+    Advance();
+  }
+  if (IsWaiting() && now >= m_next_hello) {
+    m_next_hello = now + kHelloPeriod;
+    SayHello();
+  }
+  TickLeader();
+  if (now >= m_next_publish) {
+    m_next_publish = now + kPublishPeriod;
+    Publish();
+  }
+}
+
+void HostLoop::Step(const std::vector<consensus::Message>& messages) {
+  const bool is_backed_up = m_applier->backlog_bytes() > kMaxBacklogBytes;
+  for (const consensus::Message& message : messages) {
+    const bool is_append = message.kind == consensus::MessageKind::kAppend;
+    if (!m_node || (is_backed_up && is_append)) {
+      continue;
+    }
+    try {
+      m_node->Receive(message, Now());
+    } catch (const consensus::ProtocolError& error) {
+      Fail(error.what());
+    } catch (const std::invalid_argument& error) {
+      PartLog("control")->warn("A peer's message is refused: {}.",
+                               error.what());
+    }
+  }
+  Advance();
+}
+
+void HostLoop::Advance() {
+  if (!m_node) {
+    return;
+  }
+  consensus::Ready ready = m_node->TakeReady();
+  consensus::Status status = m_node->status();
+  if (!(status.membership == m_status.membership)) {
+    m_peers.SetMembership(status.membership);
+  }
+  m_status = std::move(status);
+  FollowRole();
+  if (ready.is_empty()) {
+    return;
+  }
+  if (ready.snapshot) {
+    m_applier->AddSnapshot(*ready.snapshot);
+  }
+  m_peers.Send(std::move(ready.messages_now));
+  m_writer->Add(ready);
+  m_applier->Add(std::move(ready.committed));
+  m_reads.Confirmed(ready.reads);
+  m_reads.Applied(m_applier->applied());
+}
+
+void HostLoop::OnSynced(DiskBatch batch, bool is_all) {
+  for (DiskBatch::Part& part : batch.parts) {
+    if (part.snapshot && !part.is_compaction) {
+      m_applier->Installed();
+    } else if (part.snapshot && m_node) {
+      m_node->Compact(std::move(*part.snapshot));
+      ++m_counters.snapshots;
+    }
+  }
+  if (m_is_failed) {
+    return;
+  }
+  m_peers.Send(std::move(batch.messages));
+  if (m_is_adopting && batch.last.index == 1) {
+    FinishAdopting();
+    return;
+  }
+  if (!m_node || batch.parts.empty()) {
+    return;
+  }
+  if (is_all) {
+    m_node->Persisted(batch.last.index, batch.last.term);
+  }
+  FlushSubmits();
+}
+
+void HostLoop::OnApplied(const std::vector<AppliedEntry>& entries) {
+  m_counters.commits += entries.size();
+  m_submits.Applied(entries);
+  m_reads.Applied(m_applier->applied());
+}
+
+void HostLoop::OnSaved(consensus::Index index, std::string data) {
+  if (!m_node) {
+    return;
+  }
+  try {
+    m_writer->SaveSnapshot({m_node->MetaAt(index), std::move(data)});
+  } catch (const std::invalid_argument&) {
+    PartLog("control")->info(
+        "The snapshot at {} is not saved: a newer one was installed.", index);
+  }
+}
+
+void HostLoop::Fail(const std::string& why) {
+  if (m_is_failed) {
+    return;
+  }
+  m_is_failed = true;
+  PartLog("control")->critical("This host votes no more: {}.", why);
+  m_node.reset();
+  m_status.role = consensus::Role::kFollower;
+  m_status.leader = consensus::NodeId();
+  FollowRole();
+  Publish();
+  if (m_parts.init.on_store_failed) {
+    m_parts.init.on_store_failed(why);
+  }
+}
+
+void HostLoop::Submit(std::vector<state::Command> commands,
+                      size_t bytes,
+                      SubmitDone done) {
+  if (!IsLeading()) {
+    done({SubmitStatus::kNotLeader, {}});
+    return;
+  }
+  if (m_applier->backlog_bytes() > kMaxBacklogBytes) {
+    done({SubmitStatus::kBusy, {}});
+    return;
+  }
+  StampCommands(commands, m_parts.machine.config().get(), WallNow());
+  m_submits.Add(std::move(commands), bytes, std::move(done));
+  ScheduleSubmits();
+}
+
+// One turn's commands go together; while the disk is busy, they wait a little
+// longer, for the entry would wait there anyway.
+void HostLoop::ScheduleSubmits() {
+  if (m_is_submit_scheduled) {
+    return;
+  }
+  m_is_submit_scheduled = true;
+  kj::Promise<void> due = m_writer->is_busy()
+                              ? m_loop.timer.afterDelay(ToKj(kSubmitAge))
+                              : kj::evalLast([] {});
+  m_tasks.add(due.then([this] {
+    m_is_submit_scheduled = false;
+    FlushSubmits();
+  }));
+}
+
+void HostLoop::FlushSubmits() {
+  if (IsLeading()) {
+    m_submits.Flush();
+  }
+  Advance();
+}
+
+void HostLoop::Read(ReadRounds::Done done) {
+  m_reads.Add(std::move(done));
+  ScheduleReads();
+}
+
+void HostLoop::ScheduleReads() {
+  if (m_is_read_scheduled) {
+    return;
+  }
+  m_is_read_scheduled = true;
+  m_tasks.add(kj::evalLast([this] {
+    m_is_read_scheduled = false;
+    m_reads.Flush();
+    Advance();
+  }));
+}
+
+std::string HostLoop::LeaderAddress() const {
+  const auto found = m_status.membership.members.find(m_status.leader);
+  return found == m_status.membership.members.end() ? std::string()
+                                                    : found->second.address;
+}
+
+bool HostLoop::IsPeerAddress(const std::string& sender) const {
+  for (const auto& [id, member] : m_status.membership.members) {
+    if (member.address == sender) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void HostLoop::Publish() {
+  ControlStatus status;
+  status.consensus = m_status;
+  status.applied = m_applier->applied();
+  status.disk_bytes = m_writer->disk_bytes();
+  status.is_store_failed = m_is_failed;
+  const auto leader = m_status.membership.members.find(m_status.leader);
+  if (leader != m_status.membership.members.end()) {
+    status.leader_name = leader->second.name;
+  }
+  status.is_waiting = IsWaiting();
+  status.waits_for = status.is_waiting ? m_join.waits_for : std::string();
+  if (IsLeading()) {
+    status.entries = m_leader_sync->Entries(Now());
+    status.repair = m_repair_notes;
+    status.zones_at_risk =
+        ZonesAtRisk(m_status.membership,
+                    SilentMembers(m_status, m_leads_since, Now()));
+  }
+  m_counters.commands = m_submits.commands();
+  m_counters.disk_syncs = m_writer->syncs();
+  m_counters.messages_sent = m_peers.sent();
+  m_counters.messages_dropped = m_peers.dropped();
+  m_counters.bytes_sent = m_peers.bytes();
+  status.counters = m_counters;
+  m_parts.board.Set(std::move(status));
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/host_loop_p.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "applier_p.h"
+#include "bootstrap_p.h"
+#include "disk_writer_p.h"
+#include "laurelhall/control/control_host.h"
+#include "laurelhall/storage/log_store.h"
+#include "leader_sync_p.h"
+#include "peer_links_p.h"
+#include "read_rounds_p.h"
+#include "repair_p.h"
+#include "submit_queue_p.h"
+
+namespace laurelhall::control {
+
+/// The latest status, for other threads.
+class StatusBoard {
+ public:
+  void Set(ControlStatus status) {
+    const std::lock_guard lock(m_mutex);
+    m_status = std::move(status);
+  }
+  ControlStatus Get() const {
+    const std::lock_guard lock(m_mutex);
+    return m_status;
+  }
+
+ private:
+  mutable std::mutex m_mutex;  // Guards m_status.
+  ControlStatus m_status;
+};
+
+/// What the threads of a control host share; outlives all of them.
+struct HostParts {
+  HostParts(const ControlHostInit& host_init,
+            std::vector<std::unique_ptr<LeaderDuty>> host_duties,
+            std::unique_ptr<OperatorService> host_operators);
+
+  ControlHostInit init;
+  storage::LogStore store;  // Disk thread, once that runs.
+  state::Machine machine;
+  StatusBoard board;
+  std::vector<std::unique_ptr<LeaderDuty>> duties;  // Worker thread only.
+  std::unique_ptr<OperatorService> operators;       // Worker thread only.
+  TaskThread disk;
+  TaskThread apply;
+  TaskThread worker;
+};
+
+/// The control host's part on the KJ loop: owns the node and joins it to disk,
+/// state machine, peers and callers.
+///
+/// @remarks On the loop's thread only.
+class HostLoop final : private kj::TaskSet::ErrorHandler {
+ public:
+  HostLoop(LoopContext loop,
+           HostParts& parts,
+           storage::Recovered recovered,
+           std::string address);
+  ~HostLoop();
+
+  /// Takes in messages of peers.
+  void Step(const std::vector<consensus::Message>& messages);
+
+  /// Commits commands, grouped with others.
+  void Submit(std::vector<state::Command> commands,
+              size_t bytes,
+              SubmitDone done);
+
+  /// Calls back once a read is confirmed and applied, or refused.
+  void Read(ReadRounds::Done done);
+
+  /// Answers an entry host after a confirmed read; none when not the leader.
+  void Sync(SyncQuestion question,
+            std::function<void(std::optional<SyncAnswer>)> done);
+
+  /// Takes in what another host says of itself and answers the same.
+  HostHello Hello(const HostHello& hello);
+
+  /// Answers an operator here, as the confirmed leader.
+  void Operate(std::string method,
+               std::string path,
+               std::string body,
+               std::function<void(std::optional<OperatorReply>)> done);
+
+  /// Changes the membership after the checks.
+  void Change(const consensus::MembershipChange& change,
+              const ControlActions::Done& done);
+  void Transfer(consensus::NodeId node, const ControlActions::Done& done);
+  void Repair(const std::string& name, const ControlActions::Done& done);
+
+  std::string LeaderAddress() const;
+  bool IsPeerAddress(const std::string& sender) const;
+  PeerLinks& peers() { return m_peers; }
+  const ControlHostInit& init() const { return m_parts.init; }
+
+ private:
+  void taskFailed(kj::Exception&& exception) override;
+
+  // host_loop.cc: the node.
+  void MakeNode(consensus::NodeInit init);
+  consensus::NodeInit NodeDefaults() const;
+  kj::Promise<void> TickForEver();
+  void Tick();
+  void Advance();
+  void OnSynced(DiskBatch batch, bool is_all);
+  void OnApplied(const std::vector<AppliedEntry>& entries);
+  void OnSaved(consensus::Index index, std::string data);
+  void Fail(const std::string& why);
+  void ScheduleSubmits();
+  void ScheduleReads();
+  void FlushSubmits();
+  SteadyTime Now() const { return std::chrono::steady_clock::now(); }
+
+  // host_leader.cc: what only a leader does.
+  void FollowRole();
+  void BeginToLead();
+  void EndToLead();
+  bool IsLeading() const { return m_leader_sync != nullptr; }
+  void TickLeader();
+  void CommitDue();
+  void StepDuties();
+  void RunDuties(uint64_t term);
+  void DutiesRan(uint64_t term, std::vector<state::Command> commands);
+  std::string ChangeMembership(const consensus::MembershipChange& change);
+  void StepRepair();
+  OperatorService::Commit MakeCommit();
+
+  // host_join.cc: not yet a member.
+  HostHello SelfHello() const;
+  bool IsWaiting() const;
+  void SayHello();
+  void SayHelloTo(const std::string& address);
+  void TryToJoin();
+  void AdoptFirst(const consensus::Membership& first);
+  consensus::HardState EmptyHardState() const;
+  void FinishAdopting();
+  void JoinLater(const consensus::Membership& membership);
+
+  void Publish();
+
+  LoopContext m_loop;
+  HostParts& m_parts;
+  std::string m_address;
+  consensus::NodeId m_self;
+  consensus::HardState m_recovered_hard_state;
+  std::optional<consensus::Membership> m_first_membership;
+  PeerLinks m_peers;
+  std::unique_ptr<DiskWriter> m_writer;
+  std::unique_ptr<Applier> m_applier;
+  std::unique_ptr<consensus::Node> m_node;
+  SubmitQueue m_submits;
+  ReadRounds m_reads;
+  Bootstrap m_bootstrap;
+  JoinDecision m_join;
+  bool m_is_adopting = false;
+  std::map<std::string, WaitingHost> m_waiting;  // By name.
+
+  consensus::Status m_status;  // As of the last Advance().
+  bool m_is_failed = false;
+  bool m_is_submit_scheduled = false;
+  bool m_is_read_scheduled = false;
+  SteadyTime m_next_hello{};
+  SteadyTime m_next_publish{};
+
+  // Leader only.
+  std::unique_ptr<LeaderSync> m_leader_sync;
+  uint64_t m_led_term = 0;
+  SteadyTime m_leads_since{};
+  SteadyTime m_next_leader_tick{};
+  bool m_is_duty_running = false;
+  std::set<std::string> m_approved;
+  std::vector<std::string> m_repair_notes;
+  ControlCounters m_counters;
+
+  // Last, so that it ends before what its tasks use.
+  kj::TaskSet m_tasks;
+};
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/peer_links.cc
@@ -0,0 +1,100 @@
+#include "peer_links_p.h"
+
+#include <utility>
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr size_t kMaxCalls = 64;
+constexpr size_t kMaxBytes = 32 << 20;
+constexpr Millis kCallTimeout = std::chrono::seconds(2);
+// A snapshot takes longer: so many bytes a millisecond are expected at least.
+constexpr size_t kSlowestBytesPerMilli = 5'000;
+constexpr size_t kMessageOverhead = 128;
+
+size_t BytesOf(const std::vector<consensus::Message>& messages) {
+  size_t bytes = 0;
+  for (const consensus::Message& message : messages) {
+    bytes += kMessageOverhead + message.snapshot.data.size();
+    for (const consensus::Entry& entry : message.entries) {
+      bytes += kMessageOverhead / 4 + entry.payload.size();
+    }
+  }
+  return bytes;
+}
+
+}  // namespace
+
+PeerLinks::PeerLinks(LoopContext loop,
+                     EnvelopeInfo envelope,
+                     std::shared_ptr<ConnectionFilter> filter,
+                     kj::TaskSet& tasks)
+    : m_loop(std::move(loop)),
+      m_envelope(std::move(envelope)),
+      m_filter(std::move(filter)),
+      m_tasks(tasks) {}
+
+void PeerLinks::SetMembership(const consensus::Membership& membership) {
+  m_addresses.clear();
+  for (const auto& [id, member] : membership.members) {
+    m_addresses[id] = member.address;
+  }
+}
+
+void PeerLinks::Send(std::vector<consensus::Message> messages) {
+  std::map<std::string, std::vector<consensus::Message>> by_address;
+  for (consensus::Message& message : messages) {
+    const auto found = m_addresses.find(message.to);
+    if (found != m_addresses.end()) {
+      by_address[found->second].push_back(std::move(message));
+    }
+  }
+  for (auto& [address, group] : by_address) {
+    SendTo(address, std::move(group));
+  }
+}
+
+RpcChannel& PeerLinks::ChannelTo(const std::string& address) {
+  auto& channel = m_channels[address];
+  if (!channel) {
+    channel = std::make_unique<RpcChannel>(m_loop, address, m_filter);
+  }
+  return *channel;
+}
+
+void PeerLinks::SendTo(const std::string& address,
+                       std::vector<consensus::Message> messages) {
+  const size_t bytes = BytesOf(messages);
+  Traffic& traffic = m_traffic[address];
+  const bool is_full = traffic.calls >= kMaxCalls ||
+                       (traffic.calls > 0 && traffic.bytes + bytes > kMaxBytes);
+  if (is_full) {
+    m_dropped += messages.size();
+    return;
+  }
+  ++traffic.calls;
+  traffic.bytes += bytes;
+  m_sent += messages.size();
+  m_bytes += bytes;
+  const auto ended = [this, address, bytes] {
+    --m_traffic[address].calls;
+    m_traffic[address].bytes -= bytes;
+  };
+  auto call = [this, messages = std::move(messages)](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.stepRequest();
+    WriteEnvelope(m_envelope, request.initEnvelope());
+    auto out = request.initMessages(messages.size());
+    for (uint32_t i = 0; i < out.size(); ++i) {
+      WriteMessage(messages[i], out[i]);
+    }
+    return request.send().ignoreResult();
+  };
+  const Millis timeout = kCallTimeout + Millis(bytes / kSlowestBytesPerMilli);
+  m_tasks.add(ChannelTo(address)
+                  .Run(timeout, kj::mv(call))
+                  .then(ended, [ended](kj::Exception&&) { ended(); }));
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/peer_links_p.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "laurelhall/consensus/message.h"
+#include "message_wire_p.h"
+#include "rpc_channel_p.h"
+
+namespace laurelhall::control {
+
+/// Sends consensus messages to the other members, one connection each.
+///
+/// @remarks Order is kept per peer while its connection lasts. Messages are
+///   dropped when too much is under way or the peer cannot be reached; the
+///   protocol recovers. On the loop's thread only.
+class PeerLinks {
+ public:
+  PeerLinks(LoopContext loop,
+            EnvelopeInfo envelope,
+            std::shared_ptr<ConnectionFilter> filter,
+            kj::TaskSet& tasks);
+
+  /// Makes the members' addresses known; connections to others are dropped.
+  void SetMembership(const consensus::Membership& membership);
+
+  void Send(std::vector<consensus::Message> messages);
+
+  /// The channel to an address, for other calls.
+  RpcChannel& ChannelTo(const std::string& address);
+
+  const EnvelopeInfo& envelope() const { return m_envelope; }
+  uint64_t sent() const { return m_sent; }
+  uint64_t dropped() const { return m_dropped; }
+  uint64_t bytes() const { return m_bytes; }
+
+ private:
+  struct Traffic {
+    size_t calls = 0;
+    size_t bytes = 0;
+  };
+
+  void SendTo(const std::string& address,
+              std::vector<consensus::Message> messages);
+
+  LoopContext m_loop;
+  EnvelopeInfo m_envelope;
+  std::shared_ptr<ConnectionFilter> m_filter;
+  kj::TaskSet& m_tasks;
+  std::map<consensus::NodeId, std::string> m_addresses;
+  std::map<std::string, std::unique_ptr<RpcChannel>> m_channels;
+  std::map<std::string, Traffic> m_traffic;  // Under way, by address.
+  uint64_t m_sent = 0;
+  uint64_t m_dropped = 0;
+  uint64_t m_bytes = 0;
+};
+
+}  // namespace laurelhall::control
--- a/packages/control/src/rpc_channel.cc
+++ b/packages/control/src/rpc_channel.cc
@@ -88,7 +88,7 @@
 void RpcChannel::Drop() {
   m_connecting = nullptr;
   KJ_IF_MAYBE (connection, m_connection) {
-    const kj::Own<Connection> dropped = kj::mv(*connection);
+    kj::Own<Connection> dropped = kj::mv(*connection);
     m_connection = nullptr;
     dropped->m_canceler.cancel("connection dropped");
     return;
--- /dev/null
+++ b/packages/control/src/rpc_server_p.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include "host_loop_p.h"
+#include "laurelhall.capnp.h"
+
+namespace laurelhall::control {
+
+/// Accepts connections of the inner protocol and answers its calls.
+///
+/// @remarks On the loop's thread only. Calls from another cluster, with
+///   another schema version or without the key are refused by name.
+class RpcListener final : private kj::TaskSet::ErrorHandler {
+ public:
+  /// @param host Outlives this.
+  RpcListener(HostLoop& host, kj::Own<kj::ConnectionReceiver> receiver);
+
+ private:
+  void taskFailed(kj::Exception&& exception) override;
+  kj::Promise<void> AcceptForEver();
+  void Serve(kj::Own<kj::AsyncIoStream> stream);
+
+  proto::ControlHost::Client m_server;
+  kj::Own<kj::ConnectionReceiver> m_receiver;
+  size_t m_connections = 0;
+  kj::TaskSet m_tasks;
+};
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/submit_queue.cc
@@ -0,0 +1,109 @@
+#include "submit_queue_p.h"
+
+#include <iterator>
+#include <utility>
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr size_t kMaxGroupCommands = 512;
+constexpr size_t kMaxGroupBytes = 1 << 20;
+constexpr size_t kMaxWaitingCommands = 16'384;
+constexpr size_t kMaxProposedGroups = 4'096;
+
+}  // namespace
+
+SubmitQueue::SubmitQueue(Propose propose) : m_propose(std::move(propose)) {}
+
+void SubmitQueue::Add(std::vector<state::Command> commands,
+                      size_t bytes,
+                      SubmitDone done) {
+  const bool is_full =
+      m_waiting_commands + commands.size() > kMaxWaitingCommands ||
+      m_proposed.size() > kMaxProposedGroups;
+  if (is_full) {
+    done({SubmitStatus::kBusy, {}});
+    return;
+  }
+  m_waiting_commands += commands.size();
+  m_waiting.push_back({std::move(commands), bytes, std::move(done)});
+}
+
+void SubmitQueue::Flush() {
+  while (!m_waiting.empty()) {
+    ProposeGroup();
+  }
+}
+
+void SubmitQueue::ProposeGroup() {
+  std::vector<state::Command> commands;
+  size_t bytes = 0;
+  Group group;
+  do {
+    Submission& next = m_waiting.front();
+    bytes += next.bytes;
+    group.waiters.push_back({next.commands.size(), std::move(next.done)});
+    std::move(next.commands.begin(), next.commands.end(),
+              std::back_inserter(commands));
+    m_waiting.pop_front();
+  } while (!m_waiting.empty() &&
+           commands.size() + m_waiting.front().commands.size() <=
+               kMaxGroupCommands &&
+           bytes + m_waiting.front().bytes <= kMaxGroupBytes);
+  m_waiting_commands -= commands.size();
+  const auto position = m_propose(state::EncodeCommands(commands));
+  if (!position) {
+    for (Waiter& waiter : group.waiters) {
+      waiter.done({SubmitStatus::kBusy, {}});
+    }
+    return;
+  }
+  m_commands += commands.size();
+  group.term = position->term;
+  m_proposed[position->index] = std::move(group);
+}
+
+void SubmitQueue::Applied(const std::vector<AppliedEntry>& entries) {
+  for (const AppliedEntry& entry : entries) {
+    const auto found = m_proposed.find(entry.position.index);
+    if (found == m_proposed.end()) {
+      continue;
+    }
+    Group group = std::move(found->second);
+    m_proposed.erase(found);
+    const bool is_ours = group.term == entry.position.term;
+    Answer(group, is_ours ? entry.results : std::vector<state::Result>());
+  }
+}
+
+void SubmitQueue::Answer(Group& group, std::vector<state::Result> results) {
+  auto next = results.begin();
+  for (Waiter& waiter : group.waiters) {
+    const size_t left = static_cast<size_t>(results.end() - next);
+    if (left < waiter.count) {
+      waiter.done({SubmitStatus::kUnknown, {}});
+      continue;
+    }
+    const auto end = next + static_cast<std::ptrdiff_t>(waiter.count);
+    waiter.done({SubmitStatus::kCommitted,
+                 {std::make_move_iterator(next), std::make_move_iterator(end)}});
+    next = end;
+  }
+}
+
+void SubmitQueue::LostLeadership() {
+  const auto waiting = std::exchange(m_waiting, {});
+  m_waiting_commands = 0;
+  const auto proposed = std::exchange(m_proposed, {});
+  for (const Submission& submission : waiting) {
+    submission.done({SubmitStatus::kNotLeader, {}});
+  }
+  for (const auto& [index, group] : proposed) {
+    for (const Waiter& waiter : group.waiters) {
+      waiter.done({SubmitStatus::kUnknown, {}});
+    }
+  }
+}
+
+}  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/src/submit_queue_p.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "applier_p.h"
+#include "laurelhall/consensus/message.h"
+#include "laurelhall/state/command.h"
+
+namespace laurelhall::control {
+
+enum class SubmitStatus {
+  kCommitted,
+  kNotLeader,  ///< Surely not proposed here.
+  kBusy,       ///< Surely not proposed: too much waits.
+  kUnknown,    ///< May or may not be committed by a later leader.
+  kCount,
+};
+
+/// What came of a group of commands.
+struct SubmitOutcome {
+  SubmitStatus status = SubmitStatus::kUnknown;
+  std::vector<state::Result> results;  ///< One a command when committed.
+};
+
+using SubmitDone = std::function<void(SubmitOutcome)>;
+
+/// Puts commands that come together into one log entry, and answers them once
+/// it is committed and applied.
+///
+/// @remarks On the loop's thread only.
+class SubmitQueue {
+ public:
+  using Propose =
+      std::function<std::optional<consensus::EntryPosition>(std::string)>;
+
+  explicit SubmitQueue(Propose propose);
+
+  /// Queues commands, whose results are answered together; `bytes` is about
+  /// their encoded size.
+  void Add(std::vector<state::Command> commands,
+           size_t bytes,
+           SubmitDone done);
+
+  /// Proposes what waits, as few entries as the bounds allow.
+  void Flush();
+
+  /// Answers what was proposed at these positions.
+  void Applied(const std::vector<AppliedEntry>& entries);
+
+  /// Answers all that waits: this host leads no more.
+  void LostLeadership();
+
+  bool is_empty() const { return m_waiting.empty(); }
+  uint64_t commands() const { return m_commands; }
+
+ private:
+  struct Submission {
+    std::vector<state::Command> commands;
+    size_t bytes = 0;
+    SubmitDone done;
+  };
+  struct Waiter {
+    size_t count = 0;
+    SubmitDone done;
+  };
+  struct Group {
+    consensus::Term term = 0;
+    std::vector<Waiter> waiters;
+  };
+
+  void ProposeGroup();
+  static void Answer(Group& group, std::vector<state::Result> results);
+
+  Propose m_propose;
+  std::deque<Submission> m_waiting;
+  size_t m_waiting_commands = 0;
+  std::map<consensus::Index, Group> m_proposed;
+  uint64_t m_commands = 0;
+};
+
+}  // namespace laurelhall::control
--- a/packages/proto/schema/laurelhall.capnp
+++ b/packages/proto/schema/laurelhall.capnp
@@ -115,6 +115,8 @@
   # The membership in force, when known; else empty.
   membership @7 :Data;
   leaderAddress @8 :Text;
+  # Knows that the cluster exists and will not make a first membership.
+  hasSeenCluster @9 :Bool;
 }
 
 interface ControlHost {
