--- /dev/null
+++ b/packages/control/src/client_loop.cc
@@ -0,0 +1,335 @@
+#include "client_loop_p.h"
+
+#include <algorithm>
+
+#include "laurelhall/base/log.h"
+
+namespace laurelhall::control {
+
+namespace {
+
+constexpr Millis kTick{10};
+constexpr size_t kMaxCalls = 8;
+constexpr size_t kMaxGroupCommands = 256;
+constexpr size_t kMaxGroupBytes = 1 << 20;
+constexpr size_t kMaxWaiting = 20'000;
+constexpr size_t kMaxUnsentBurn = 10'000;
+constexpr Millis kSyncRetry{100};
+// Counted for a command besides an answer that it carries.
+constexpr size_t kCommandBytes = 256;
+
+size_t BytesOf(const state::Command& command) {
+  const auto* complete = std::get_if<state::CompleteCommand>(&command);
+  return kCommandBytes + (complete ? complete->answer.body.data.size() : 0);
+}
+
+OperatorReply Unavailable(const std::string& error) {
+  return {503, R"({"error":")" + error + R"("})"};
+}
+
+}  // namespace
+
+ClientLoop::ClientLoop(LoopContext loop,
+                       ControlClientInit init,
+                       RenewalBox& renewals)
+    : m_loop(std::move(loop)),
+      m_init(std::move(init)),
+      m_envelope{m_init.cluster, m_init.cluster_key, m_init.identity.name},
+      m_renewals(renewals),
+      m_finder(m_init.control_addresses),
+      m_tasks(*this) {
+  m_tasks.add(TickForEver());
+}
+
+ClientLoop::~ClientLoop() {
+  while (!m_deadlines.empty()) {
+    const PendingPtr pending = m_deadlines.begin()->second;
+    Finish(*pending, std::nullopt);
+  }
+}
+
+void ClientLoop::taskFailed(kj::Exception&& exception) {
+  PartLog("control")->error("A task failed: {}.",
+                            exception.getDescription().cStr());
+}
+
+RpcChannel& ClientLoop::ChannelTo(const std::string& address) {
+  auto& channel = m_channels[address];
+  if (!channel) {
+    channel = std::make_unique<RpcChannel>(m_loop, address, m_init.filter);
+  }
+  return *channel;
+}
+
+kj::Promise<void> ClientLoop::TickForEver() {
+  return m_loop.timer.afterDelay(ToKj(kTick)).then([this] {
+    Tick();
+    return TickForEver();
+  });
+}
+
+void ClientLoop::Tick() {
+  const SteadyTime now = Now();
+  while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+    const PendingPtr pending = m_deadlines.begin()->second;
+    Finish(*pending, std::nullopt);
+  }
+  SendGroups();
+  if (m_listener != nullptr && now >= m_next_sync &&
+      now >= m_finder.ready_at()) {
+    Sync();
+  }
+}
+
+void ClientLoop::Finish(Pending& pending, std::optional<state::Result> result) {
+  if (!pending.done) {
+    return;
+  }
+  m_deadlines.erase(pending.deadline);
+  const Done done = std::exchange(pending.done, nullptr);
+  done(std::move(result));
+}
+
+// --- Commands --------------------------------------------------------------
+
+void ClientLoop::Submit(state::Command command,
+                        SteadyTime deadline,
+                        Done done) {
+  if (m_waiting.size() >= kMaxWaiting || deadline <= Now()) {
+    done(std::nullopt);
+    return;
+  }
+  const size_t bytes = BytesOf(command);
+  auto pending = std::make_shared<Pending>(
+      Pending{std::move(command), bytes, std::move(done), {}});
+  pending->deadline = m_deadlines.emplace(deadline, pending);
+  m_waiting.push_back(std::move(pending));
+  ScheduleSend();
+}
+
+void ClientLoop::ScheduleSend() {
+  if (m_is_send_scheduled) {
+    return;
+  }
+  m_is_send_scheduled = true;
+  m_tasks.add(kj::evalLast([this] {
+    m_is_send_scheduled = false;
+    SendGroups();
+  }));
+}
+
+void ClientLoop::SendGroups() {
+  while (!m_waiting.empty() && m_calls < kMaxCalls &&
+         Now() >= m_finder.ready_at()) {
+    Group group = TakeGroup();
+    if (!group.empty()) {
+      SendGroup(std::move(group));
+    }
+  }
+}
+
+ClientLoop::Group ClientLoop::TakeGroup() {
+  Group group;
+  size_t bytes = 0;
+  while (!m_waiting.empty() && group.size() < kMaxGroupCommands &&
+         (group.empty() || bytes + m_waiting.front()->bytes <= kMaxGroupBytes)) {
+    PendingPtr pending = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    if (pending->done) {
+      bytes += pending->bytes;
+      group.push_back(std::move(pending));
+    }
+  }
+  return group;
+}
+
+void ClientLoop::SendGroup(Group group) {
+  ++m_calls;
+  const std::string address = m_finder.current();
+  std::vector<state::Command> commands;
+  for (const PendingPtr& pending : group) {
+    commands.push_back(pending->command);
+  }
+  auto call = [this, address, group,
+               payload = state::EncodeCommands(commands)](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.submitRequest();
+    WriteEnvelope(m_envelope, request.initEnvelope());
+    request.setCommands(ToData(payload));
+    return request.send().then([this, address, group](auto&& response) {
+      OnSubmitReply(address, group, response.getReply());
+    });
+  };
+  m_tasks.add(ChannelTo(address)
+                  .Run(m_init.call_timeout, kj::mv(call))
+                  .catch_([this, address, group](kj::Exception&&) {
+                    m_finder.Failed(address, Now());
+                    Requeue(group);
+                  })
+                  .then([this] {
+                    --m_calls;
+                    SendGroups();
+                  }));
+}
+
+void ClientLoop::OnSubmitReply(const std::string& address,
+                               const Group& group,
+                               proto::SubmitReply::Reader reply) {
+  if (!reply.getIsLeader()) {
+    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    Requeue(group);
+    return;
+  }
+  const auto results = reply.getResults();
+  if (results.size() != group.size()) {
+    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    Requeue(group);
+    return;
+  }
+  m_finder.Led(address);
+  for (uint32_t i = 0; i < results.size(); ++i) {
+    Finish(*group[i], DecodeResult(ToString(results[i])));
+  }
+}
+
+// The same commands go out again: each is recognised by its request id.
+void ClientLoop::Requeue(const Group& group) {
+  for (auto pending = group.rbegin(); pending != group.rend(); ++pending) {
+    if ((*pending)->done) {
+      m_waiting.push_front(*pending);
+    }
+  }
+}
+
+// --- Sync ------------------------------------------------------------------
+
+void ClientLoop::Start(ViewListener& listener) {
+  m_listener = &listener;
+}
+
+void ClientLoop::Sync() {
+  if (m_is_sync_under_way) {
+    return;
+  }
+  m_is_sync_under_way = true;
+  const std::string address = m_finder.current();
+  const SteadyTime asked_at = Now();
+  m_next_sync = asked_at + m_init.sync_period;
+  auto question = std::make_shared<SyncQuestion>();
+  question->entry = m_init.identity;
+  question->settings_version = m_view.settings_version();
+  question->endpoints_index = m_view.endpoints_index();
+  question->demands = m_listener->SlotDemands();
+  question->renewals = m_renewals.TakeAll();
+  question->burn = std::exchange(m_unsent_burn, {});
+  for (state::BurnSample& sample : m_listener->TakeBurnSamples()) {
+    question->burn.push_back(std::move(sample));
+  }
+  auto call = [this, address, question, asked_at](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.syncRequest();
+    WriteEnvelope(m_envelope, request.initEnvelope());
+    WriteSyncQuestion(*question, request.initRequest());
+    return request.send().then(
+        [this, address, question, asked_at](auto&& response) {
+          OnSyncReply(address, *question, asked_at, response.getReply());
+        });
+  };
+  m_tasks.add(ChannelTo(address)
+                  .Run(m_init.call_timeout, kj::mv(call))
+                  .catch_([this, address, question](kj::Exception&&) {
+                    m_finder.Failed(address, Now());
+                    PutBack(*question, false);
+                  })
+                  .then([this] { m_is_sync_under_way = false; }));
+}
+
+void ClientLoop::OnSyncReply(const std::string& address,
+                             const SyncQuestion& question,
+                             SteadyTime asked_at,
+                             proto::SyncReply::Reader reply) {
+  if (!reply.getIsLeader()) {
+    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    PutBack(question, true);
+    return;
+  }
+  m_finder.Led(address);
+  std::optional<View> view;
+  try {
+    view = m_view.Take(ReadSyncAnswer(reply), asked_at);
+  } catch (const std::exception& error) {
+    PartLog("control")->error("The leader's answer does not fit: {}.",
+                              error.what());
+    return;
+  }
+  if (!view) {
+    PartLog("control")->warn("{} answered with an older state.", address);
+    m_finder.Failed(address, Now());
+    return;
+  }
+  m_listener->OnView(*view);
+}
+
+// Burn samples add up, so they go out again only if surely not counted.
+void ClientLoop::PutBack(const SyncQuestion& question, bool is_surely_unseen) {
+  m_next_sync = Now() + kSyncRetry;
+  for (const Renewal& renewal : question.renewals) {
+    m_renewals.Put(renewal.endpoint, renewal.incarnation);
+  }
+  if (is_surely_unseen && m_unsent_burn.size() < kMaxUnsentBurn) {
+    m_unsent_burn.insert(m_unsent_burn.end(), question.burn.begin(),
+                         question.burn.end());
+  }
+}
+
+// --- Operators -------------------------------------------------------------
+
+void ClientLoop::Operate(const std::string& method,
+                         const std::string& path,
+                         const std::string& body,
+                         SteadyTime deadline,
+                         const std::function<void(OperatorReply)>& done) {
+  const SteadyTime now = Now();
+  if (deadline <= now) {
+    done(Unavailable("no leader answered; resend under the same request id"));
+    return;
+  }
+  const std::string address = m_finder.current();
+  // Called again with the same arguments where it was surely not run.
+  const auto again = [this, method, path, body, deadline, done] {
+    const SteadyTime ready = std::max(m_finder.ready_at(), Now() + kTick);
+    const auto delay = std::chrono::ceil<Millis>(ready - Now());
+    m_tasks.add(m_loop.timer.afterDelay(ToKj(delay)).then(
+        [this, method, path, body, deadline, done] {
+          Operate(method, path, body, deadline, done);
+        }));
+  };
+  auto call = [this, address, method, path, body, done, again](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.operateRequest();
+    WriteEnvelope(m_envelope, request.initEnvelope());
+    request.setMethod(method);
+    request.setPath(path);
+    request.setBody(body);
+    return request.send().then([this, address, done, again](auto&& response) {
+      const auto reply = response.getReply();
+      if (!reply.getIsLeader()) {
+        m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
+                             Now());
+        again();
+        return;
+      }
+      done({reply.getStatus(), ToString(reply.getBody())});
+    });
+  };
+  const auto left = std::chrono::ceil<Millis>(deadline - now);
+  m_tasks.add(ChannelTo(address)
+                  .Run(left, kj::mv(call))
+                  .catch_([this, address, done](kj::Exception&&) {
+                    m_finder.Failed(address, Now());
+                    done(Unavailable("the outcome is not known; resend under "
+                                     "the same request id"));
+                  }));
+}
+
+}  // namespace laurelhall::control
--- a/packages/control/src/loop_thread.cc
+++ b/packages/control/src/loop_thread.cc
@@ -69,7 +69,7 @@
 LoopThread::LoopThread(Main main)
     : m_thread([this, main = std::move(main)] { Run(main); }) {}
 
-LoopThread::~LoopThread() {
+LoopThread::~LoopThread() noexcept {
   m_mailbox->Post([this] { m_stop->fulfill(); });
   m_thread.join();
 }
--- a/packages/control/src/loop_thread_p.h
+++ b/packages/control/src/loop_thread_p.h
@@ -51,7 +51,7 @@
   explicit LoopThread(Main main);
 
   /// Stops and joins; not to be called on the loop itself.
-  ~LoopThread();
+  ~LoopThread() noexcept;
 
   LoopThread(const LoopThread&) = delete;
   LoopThread& operator=(const LoopThread&) = delete;
