--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -28,7 +28,7 @@
   bool may_bootstrap = false;
   /// The first members by name, address and zone; used for bootstrap only.
   std::vector<consensus::Member> first_members;
-  uint64_t snapshot_every = 20'000;  ///< Entries between snapshots.
+  uint64_t snapshot_every = 20'000;            ///< Entries between snapshots.
   storage::FileSystem* file_system = nullptr;  ///< Null: the real one.
   std::shared_ptr<ConnectionFilter> filter;    ///< Null: no cuts.
   uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
@@ -67,11 +67,11 @@
   std::string leader_name;
   bool is_waiting = false;  ///< Not a member of any membership known to it.
   std::string waits_for;    ///< Why it still waits, when it does.
-  std::vector<EntryReport> entries;         ///< Leader only.
-  std::vector<std::string> repair;          ///< Leader only: what is left to
-                                            ///< repair and why it waits.
-  std::vector<std::string> zones_at_risk;   ///< Zones whose loss loses the
-                                            ///< quorum of live voters.
+  std::vector<EntryReport> entries;        ///< Leader only.
+  std::vector<std::string> repair;         ///< Leader only: what is left to
+                                           ///< repair and why it waits.
+  std::vector<std::string> zones_at_risk;  ///< Zones whose loss loses the
+                                           ///< quorum of live voters.
   ControlCounters counters;
 };
 
--- a/packages/control/src/applier.cc
+++ b/packages/control/src/applier.cc
@@ -89,11 +89,11 @@
   }
   m_is_busy = true;
   auto item = std::make_shared<Item>(TakeNext());
-  m_thread.TryPost([item, this,
-                    mailbox = m_loop.mailbox, &machine = m_machine] {
-    auto outcome = std::make_shared<Outcome>(Apply(machine, *item));
-    mailbox->Post([outcome, this] { Done(std::move(*outcome)); });
-  });
+  m_thread.TryPost(
+      [item, this, mailbox = m_loop.mailbox, &machine = m_machine] {
+        auto outcome = std::make_shared<Outcome>(Apply(machine, *item));
+        mailbox->Post([outcome, this] { Done(std::move(*outcome)); });
+      });
 }
 
 Applier::Outcome Applier::Apply(state::Machine& machine, const Item& item) {
--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -131,8 +131,9 @@
 ClientLoop::Group ClientLoop::TakeGroup() {
   Group group;
   size_t bytes = 0;
-  while (!m_waiting.empty() && group.size() < kMaxGroupCommands &&
-         (group.empty() || bytes + m_waiting.front()->bytes <= kMaxGroupBytes)) {
+  while (
+      !m_waiting.empty() && group.size() < kMaxGroupCommands &&
+      (group.empty() || bytes + m_waiting.front()->bytes <= kMaxGroupBytes)) {
     PendingPtr pending = std::move(m_waiting.front());
     m_waiting.pop_front();
     if (pending->done) {
@@ -150,8 +151,7 @@
   for (const PendingPtr& pending : group) {
     commands.push_back(pending->command);
   }
-  auto call = [this, address, group,
-               payload = state::EncodeCommands(commands)](
+  auto call = [this, address, group, payload = state::EncodeCommands(commands)](
                   proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.submitRequest();
     WriteEnvelope(m_envelope, request.initEnvelope());
@@ -299,13 +299,13 @@
   const auto again = [this, method, path, body, deadline, done] {
     const SteadyTime ready = std::max(m_finder.ready_at(), Now() + kTick);
     const auto delay = std::chrono::ceil<Millis>(ready - Now());
-    m_tasks.add(m_loop.timer.afterDelay(ToKj(delay)).then(
-        [this, method, path, body, deadline, done] {
-          Operate(method, path, body, deadline, done);
-        }));
+    m_tasks.add(m_loop.timer.afterDelay(ToKj(delay))
+                    .then([this, method, path, body, deadline, done] {
+                      Operate(method, path, body, deadline, done);
+                    }));
   };
-  auto call = [this, address, method, path, body, done, again](
-                  proto::ControlHost::Client& client) -> kj::Promise<void> {
+  auto call = [this, address, method, path, body, done,
+               again](proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.operateRequest();
     WriteEnvelope(m_envelope, request.initEnvelope());
     request.setMethod(method);
@@ -327,8 +327,9 @@
                   .Run(left, kj::mv(call))
                   .catch_([this, address, done](kj::Exception&&) {
                     m_finder.Failed(address, Now());
-                    done(Unavailable("the outcome is not known; resend under "
-                                     "the same request id"));
+                    done(
+                        Unavailable("the outcome is not known; resend under "
+                                    "the same request id"));
                   }));
 }
 
--- a/packages/control/src/client_loop_p.h
+++ b/packages/control/src/client_loop_p.h
@@ -79,7 +79,7 @@
   struct Pending {
     state::Command command;
     size_t bytes = 0;
-    Done done;  // Empty once called.
+    Done done;                     // Empty once called.
     Deadlines::iterator deadline;  // Until then.
   };
   using Group = std::vector<PendingPtr>;
--- a/packages/control/src/command_stamp.cc
+++ b/packages/control/src/command_stamp.cc
@@ -6,8 +6,7 @@
 
 namespace {
 
-Millis ClaimRetention(const model::Config* config,
-                      const std::string& service) {
+Millis ClaimRetention(const model::Config* config, const std::string& service) {
   if (config != nullptr) {
     const auto found = config->services.find(service);
     if (found != config->services.end()) {
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -11,7 +11,8 @@
 class ControlClient final : public ControlLink {
  public:
   explicit ControlClient(const ControlClientInit& init)
-      : m_thread([this, init](kj::AsyncIoContext& io, LoopContext& loop,
+      : m_thread([this, init](kj::AsyncIoContext& io,
+                              LoopContext& loop,
                               kj::Promise<void> stop) {
           ClientLoop client(loop, init, m_renewals);
           m_loop = &client;
@@ -53,12 +54,12 @@
  private:
   template <typename T, typename Callback>
   void Submit(state::Command command, SteadyTime deadline, Callback done) {
-    const auto typed = [done = std::move(done)](
-                           std::optional<state::Result> result) {
-      const bool is_known = result && std::holds_alternative<T>(*result);
-      done(is_known ? std::optional<T>(std::get<T>(std::move(*result)))
-                    : std::nullopt);
-    };
+    const auto typed =
+        [done = std::move(done)](std::optional<state::Result> result) {
+          const bool is_known = result && std::holds_alternative<T>(*result);
+          done(is_known ? std::optional<T>(std::get<T>(std::move(*result)))
+                        : std::nullopt);
+        };
     m_thread.mailbox().Post(
         [this, command = std::move(command), deadline, typed]() mutable {
           m_loop->Submit(std::move(command), deadline, typed);
--- a/packages/control/src/control_host.cc
+++ b/packages/control/src/control_host.cc
@@ -44,9 +44,9 @@
   void AddLearner(consensus::NodeId node,
                   consensus::Member member,
                   Done done) override {
-    Change({consensus::MembershipChangeKind::kAddLearner, node,
-            std::move(member)},
-           std::move(done));
+    Change(
+        {consensus::MembershipChangeKind::kAddLearner, node, std::move(member)},
+        std::move(done));
   }
 
   void Promote(consensus::NodeId node, Done done) override {
@@ -60,15 +60,13 @@
   }
 
   void Transfer(consensus::NodeId node, Done done) override {
-    m_thread->mailbox().Post([this, node, done = std::move(done)] {
-      m_host->Transfer(node, done);
-    });
+    m_thread->mailbox().Post(
+        [this, node, done = std::move(done)] { m_host->Transfer(node, done); });
   }
 
   void Repair(const std::string& name, Done done) override {
-    m_thread->mailbox().Post([this, name, done = std::move(done)] {
-      m_host->Repair(name, done);
-    });
+    m_thread->mailbox().Post(
+        [this, name, done = std::move(done)] { m_host->Repair(name, done); });
   }
 
  private:
@@ -92,8 +90,8 @@
                           .wait(io.waitScope)
                           ->listen();
       const std::string address = WithPort(wanted, receiver->getPort());
-      host = std::make_unique<HostLoop>(
-          loop, m_parts, m_parts.store.TakeRecovered(), address);
+      host = std::make_unique<HostLoop>(loop, m_parts,
+                                        m_parts.store.TakeRecovered(), address);
       listener = std::make_unique<RpcListener>(*host, kj::mv(receiver));
       m_host = host.get();
       listening.set_value(address);
--- a/packages/control/src/disk_writer.cc
+++ b/packages/control/src/disk_writer.cc
@@ -99,8 +99,7 @@
   }
   m_is_busy = true;
   auto shared = std::make_shared<DiskBatch>(std::move(batch));
-  m_thread.TryPost([shared, this,
-                    mailbox = m_loop.mailbox, &store = m_store] {
+  m_thread.TryPost([shared, this, mailbox = m_loop.mailbox, &store = m_store] {
     std::string error = WriteAll(store, *shared);
     const uint64_t bytes = store.disk_bytes();
     mailbox->Post([shared, this, bytes, error = std::move(error)] {
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -27,14 +27,14 @@
   m_led_term = m_status.term;
   m_leads_since = Now();
   m_next_leader_tick = Now();
-  m_leader_sync = std::make_unique<LeaderSync>(m_parts.machine, m_led_term,
-                                               m_leads_since);
+  m_leader_sync =
+      std::make_unique<LeaderSync>(m_parts.machine, m_led_term, m_leads_since);
   ++m_counters.elections;
 }
 
 void HostLoop::EndToLead() {
-  PartLog("control")->info("{} no longer leads in term {}.",
-                           m_parts.init.name, m_led_term);
+  PartLog("control")->info("{} no longer leads in term {}.", m_parts.init.name,
+                           m_led_term);
   m_leader_sync.reset();
   m_is_duty_running = false;
   m_approved.clear();
@@ -140,11 +140,10 @@
   };
 }
 
-void HostLoop::Operate(
-    std::string method,
-    std::string path,
-    std::string body,
-    std::function<void(std::optional<OperatorReply>)> done) {
+void HostLoop::Operate(std::string method,
+                       std::string path,
+                       std::string body,
+                       std::function<void(std::optional<OperatorReply>)> done) {
   Read([this, method = std::move(method), path = std::move(path),
         body = std::move(body), done = std::move(done)](bool is_confirmed) {
     if (!is_confirmed || !m_parts.operators) {
@@ -202,8 +201,8 @@
 void HostLoop::Transfer(consensus::NodeId node,
                         const ControlActions::Done& done) {
   const auto found = m_status.membership.members.find(node);
-  const bool is_voter = found != m_status.membership.members.end() &&
-                        found->second.is_voter;
+  const bool is_voter =
+      found != m_status.membership.members.end() && found->second.is_voter;
   if (!IsLeading() || !is_voter) {
     done({false, IsLeading() ? "not a voter" : "this host does not lead"});
     return;
--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -68,8 +68,7 @@
       m_reads([this](uint64_t context) {
         return m_node && m_node->RequestRead(context, Now());
       }),
-      m_bootstrap(BootstrapSelf(parts.init, m_self),
-                  parts.init.first_members),
+      m_bootstrap(BootstrapSelf(parts.init, m_self), parts.init.first_members),
       m_tasks(*this) {
   consensus::NodeInit init = NodeDefaults();
   consensus::EntryPosition last;
@@ -97,14 +96,13 @@
                          [this](const std::string& why) { Fail(why); }});
   m_applier = std::make_unique<Applier>(
       m_loop, parts.apply, parts.machine, applied, parts.init.snapshot_every,
-      Applier::Events{
-          [this](const std::vector<AppliedEntry>& entries) {
-            OnApplied(entries);
-          },
-          [this](consensus::Index index, std::string data) {
-            OnSaved(index, std::move(data));
-          },
-          [this](const std::string& why) { Fail(why); }});
+      Applier::Events{[this](const std::vector<AppliedEntry>& entries) {
+                        OnApplied(entries);
+                      },
+                      [this](consensus::Index index, std::string data) {
+                        OnSaved(index, std::move(data));
+                      },
+                      [this](const std::string& why) { Fail(why); }});
   MakeNode(std::move(init));
   if (recovered.snapshot) {
     m_node->Compact(std::move(*recovered.snapshot));
@@ -346,9 +344,8 @@
   if (IsLeading()) {
     status.entries = m_leader_sync->Entries(Now());
     status.repair = m_repair_notes;
-    status.zones_at_risk =
-        ZonesAtRisk(m_status.membership,
-                    SilentMembers(m_status, m_leads_since, Now()));
+    status.zones_at_risk = ZonesAtRisk(
+        m_status.membership, SilentMembers(m_status, m_leads_since, Now()));
   }
   m_counters.commands = m_submits.commands();
   m_counters.disk_syncs = m_writer->syncs();
--- a/packages/control/src/leader_sync.cc
+++ b/packages/control/src/leader_sync.cc
@@ -77,9 +77,8 @@
 std::vector<EntryReport> LeaderSync::Entries(SteadyTime now) const {
   std::vector<EntryReport> reports;
   for (const auto& [name, record] : m_entries) {
-    reports.push_back(
-        {name, record.incarnation, record.settings_version,
-         std::chrono::duration_cast<Millis>(now - record.at)});
+    reports.push_back({name, record.incarnation, record.settings_version,
+                       std::chrono::duration_cast<Millis>(now - record.at)});
   }
   return reports;
 }
@@ -87,9 +86,9 @@
 void LeaderSync::FollowEndpoints(SteadyTime now) {
   const auto config = m_machine.config();
   const bool is_new_config = config && config->version != m_config_version;
-  for (model::Endpoint& endpoint : m_machine.EndpointsSince(m_endpoints_index)) {
-    m_endpoints_index =
-        std::max(m_endpoints_index, endpoint.changed_at_index);
+  for (model::Endpoint& endpoint :
+       m_machine.EndpointsSince(m_endpoints_index)) {
+    m_endpoints_index = std::max(m_endpoints_index, endpoint.changed_at_index);
     if (endpoint.state == model::EndpointState::kGone) {
       m_allocator.RemoveEndpoint(endpoint.id);
       m_endpoints.erase(endpoint.id);
@@ -99,8 +98,8 @@
     if (endpoint.state == model::EndpointState::kLeaving) {
       m_allocator.RemoveEndpoint(endpoint.id);
     } else {
-      m_allocator.SetEndpoint(
-          endpoint, MaxRunTime(config.get(), endpoint.service), now);
+      m_allocator.SetEndpoint(endpoint,
+                              MaxRunTime(config.get(), endpoint.service), now);
     }
     m_signs[endpoint.id] = {endpoint.incarnation, now};
     m_endpoints[endpoint.id] = std::move(endpoint);
@@ -151,8 +150,8 @@
   if (version == since) {
     return;
   }
-  auto records = since < version ? m_machine.SettingsSince(since)
-                                 : std::nullopt;
+  auto records =
+      since < version ? m_machine.SettingsSince(since) : std::nullopt;
   if (records && !records->empty()) {
     answer.settings_version = records->back().version;
     answer.settings_records = std::move(*records);
--- a/packages/control/src/loop_thread.cc
+++ b/packages/control/src/loop_thread.cc
@@ -81,7 +81,10 @@
     m_stop = kj::mv(stop.fulfiller);
     LoopContext loop{io.provider->getNetwork(), io.provider->getTimer(),
                      m_mailbox};
-    const kj::Promise<void> pump = m_mailbox->Run().eagerlyEvaluate(nullptr);
+    // Later: tasks may be waiting already for what main() makes.
+    const kj::Promise<void> pump = kj::evalLater([this] {
+                                     return m_mailbox->Run();
+                                   }).eagerlyEvaluate(nullptr);
     main(io, loop, kj::mv(stop.promise));
     m_mailbox->Close();
   } catch (const std::exception& error) {
--- a/packages/control/src/message_wire.cc
+++ b/packages/control/src/message_wire.cc
@@ -73,9 +73,10 @@
   message.hint = in.getHint();
   message.round = in.getRound();
   for (const auto entry : in.getEntries()) {
-    message.entries.push_back({entry.getIndex(), entry.getTerm(),
-                               static_cast<consensus::EntryKind>(entry.getKind()),
-                               ToString(entry.getPayload())});
+    message.entries.push_back(
+        {entry.getIndex(), entry.getTerm(),
+         static_cast<consensus::EntryKind>(entry.getKind()),
+         ToString(entry.getPayload())});
   }
   if (message.kind == consensus::MessageKind::kSnapshot) {
     message.snapshot.meta.index = in.getSnapshotIndex();
--- a/packages/control/src/peer_links.cc
+++ b/packages/control/src/peer_links.cc
@@ -92,9 +92,10 @@
     return request.send().ignoreResult();
   };
   const Millis timeout = kCallTimeout + Millis(bytes / kSlowestBytesPerMilli);
-  m_tasks.add(ChannelTo(address)
-                  .Run(timeout, kj::mv(call))
-                  .then(ended, [ended](kj::Exception&&) { ended(); }));
+  m_tasks.add(
+      ChannelTo(address)
+          .Run(timeout, kj::mv(call))
+          .then([ended] { ended(); }, [ended](kj::Exception&&) { ended(); }));
 }
 
 }  // namespace laurelhall::control
--- a/packages/control/src/read_rounds_p.h
+++ b/packages/control/src/read_rounds_p.h
@@ -42,7 +42,7 @@
   Request m_request;
   uint64_t m_next_context = 1;
   std::vector<Done> m_waiting;
-  std::map<uint64_t, std::vector<Done>> m_asked;                // By context.
+  std::map<uint64_t, std::vector<Done>> m_asked;  // By context.
   std::multimap<consensus::Index, std::vector<Done>> m_confirmed;  // By index.
 };
 
--- a/packages/control/src/repair.cc
+++ b/packages/control/src/repair.cc
@@ -23,8 +23,7 @@
   explicit Planner(const RepairInput& input)
       : m_input(input),
         m_members(input.status.membership.members),
-        m_silent(
-            SilentMembers(input.status, input.leads_since, input.now)) {}
+        m_silent(SilentMembers(input.status, input.leads_since, input.now)) {}
 
   RepairPlan Plan() {
     for (const auto& [id, member] : m_members) {
@@ -46,8 +45,8 @@
   void Propose(const MembershipChange& change,
                const Member& member,
                const std::string& text) {
-    const std::string refusal = CheckZonePlacement(m_input.status.membership,
-                                                   change, m_silent);
+    const std::string refusal =
+        CheckZonePlacement(m_input.status.membership, change, m_silent);
     if (!refusal.empty()) {
       Note(member, text + " waits: " + refusal);
       return;
@@ -81,8 +80,7 @@
   void PlanLearner(NodeId id, const Member& member) {
     const auto old = Namesake(id, member.name);
     const bool is_replaced = old && !m_members.at(*old).is_voter &&
-                             m_silent.contains(id) &&
-                             !m_silent.contains(*old);
+                             m_silent.contains(id) && !m_silent.contains(*old);
     if (is_replaced) {
       return;  // The namesake is the newer one; it is planned by itself.
     }
@@ -148,10 +146,10 @@
       continue;
     }
     const auto peer = status.peers.find(id);
-    const SteadyTime heard = peer == status.peers.end()
-                                 ? leads_since
-                                 : std::max(peer->second.last_heard,
-                                            leads_since);
+    const SteadyTime heard =
+        peer == status.peers.end()
+            ? leads_since
+            : std::max(peer->second.last_heard, leads_since);
     if (now - heard > kSilentIsLost) {
       silent.insert(id);
     }
--- a/packages/control/src/rpc_channel.cc
+++ b/packages/control/src/rpc_channel.cc
@@ -39,8 +39,7 @@
   if (mode != CutMode::kStall) {
     done = Connect().then(
         [call = kj::mv(call)](kj::Own<Connection>&& connection) mutable {
-          auto called =
-              connection->m_canceler.wrap(call(connection->m_client));
+          auto called = connection->m_canceler.wrap(call(connection->m_client));
           return called.attach(kj::mv(connection));
         });
   }
--- a/packages/control/src/rpc_server.cc
+++ b/packages/control/src/rpc_server.cc
@@ -22,8 +22,8 @@
 // A promise's fulfiller in a form that std::function can hold.
 template <typename T>
 auto MakeFulfiller(kj::Own<kj::PromiseFulfiller<T>> fulfiller) {
-  auto shared = std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(
-      kj::mv(fulfiller));
+  auto shared =
+      std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(fulfiller));
   return [shared](T value) { (*shared)->fulfill(kj::mv(value)); };
 }
 
@@ -92,8 +92,8 @@
                    ToString(params.getBody()),
                    MakeFulfiller(kj::mv(pair.fulfiller)));
     return pair.promise.then(
-        [this, context, is_forwarded](std::optional<OperatorReply>&& reply) mutable
-        -> kj::Promise<void> {
+        [this, context, is_forwarded](
+            std::optional<OperatorReply>&& reply) mutable -> kj::Promise<void> {
           if (!reply && !is_forwarded && !m_host.LeaderAddress().empty()) {
             return Forward(context);
           }
@@ -150,8 +150,9 @@
 
   // Passes an operator's request on to the leader, one hop at most.
   kj::Promise<void> Forward(OperateContext context) {
-    auto call = [this, context](proto::ControlHost::Client& client) mutable
-        -> kj::Promise<void> {
+    auto call =
+        [this, context](
+            proto::ControlHost::Client& client) mutable -> kj::Promise<void> {
       const auto params = context.getParams();
       auto request = client.operateRequest();
       WriteEnvelope(m_host.peers().envelope(), request.initEnvelope());
--- a/packages/control/src/submit_queue.cc
+++ b/packages/control/src/submit_queue.cc
@@ -86,8 +86,9 @@
       continue;
     }
     const auto end = next + static_cast<std::ptrdiff_t>(waiter.count);
-    waiter.done({SubmitStatus::kCommitted,
-                 {std::make_move_iterator(next), std::make_move_iterator(end)}});
+    waiter.done(
+        {SubmitStatus::kCommitted,
+         {std::make_move_iterator(next), std::make_move_iterator(end)}});
     next = end;
   }
 }
--- a/packages/control/src/submit_queue_p.h
+++ b/packages/control/src/submit_queue_p.h
@@ -42,9 +42,7 @@
 
   /// Queues commands, whose results are answered together; `bytes` is about
   /// their encoded size.
-  void Add(std::vector<state::Command> commands,
-           size_t bytes,
-           SubmitDone done);
+  void Add(std::vector<state::Command> commands, size_t bytes, SubmitDone done);
 
   /// Proposes what waits, as few entries as the bounds allow.
   void Flush();
--- a/packages/control/tests/cluster_fixture.h
+++ b/packages/control/tests/cluster_fixture.h
@@ -124,9 +124,8 @@
   /// The host that leads and is confirmed, other than `except`; else size().
   size_t Leader(size_t except = SIZE_MAX) const {
     for (size_t i = 0; i < m_hosts.size(); ++i) {
-      const bool leads =
-          i != except && m_hosts[i] &&
-          m_hosts[i]->status().consensus.is_leader_confirmed;
+      const bool leads = i != except && m_hosts[i] &&
+                         m_hosts[i]->status().consensus.is_leader_confirmed;
       if (leads) {
         return i;
       }
--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -14,8 +14,8 @@
     for (int i = 0; i < count; ++i) {
       link.Claim(MakeClaim(prefix + std::to_string(i)),
                  std::chrono::steady_clock::now() + kCap, [&](auto result) {
-                   granted += result && result->verdict ==
-                                            state::ClaimVerdict::kGranted;
+                   granted += result &&
+                              result->verdict == state::ClaimVerdict::kGranted;
                    ++answered;
                  });
     }
@@ -47,8 +47,7 @@
   const auto link = m_cluster.MakeLink("entry");
   CHECK(ClaimMany(*link, "a", 500) == 500);
   CHECK(Eventually([&] { return AllApplied(m_cluster); }));
-  const ControlStatus status =
-      m_cluster.host(m_cluster.AwaitLeader()).status();
+  const ControlStatus status = m_cluster.host(m_cluster.AwaitLeader()).status();
   CHECK(status.consensus.membership.members.size() == 3);
   CHECK(status.zones_at_risk.empty());
 }
