--- /dev/null
+++ b/packages/net/src/http_server.cc
@@ -0,0 +1,612 @@
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "http_message_p.h"
+#include "io_threads_p.h"
+#include "laurelhall/base/log.h"
+#include "laurelhall/net/http.h"
+#include "stream_p.h"
+
+namespace laurelhall::net {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Above max_connections this many more may be told so before they are closed.
+constexpr int kRefusingConnections = 64;
+constexpr Millis kAcceptRetry{50};
+
+// Lets calls into the handler through until Close(), which waits for those
+// under way: afterwards the handler may be destroyed.
+class HandlerGate {
+ public:
+  explicit HandlerGate(HttpHandler& handler) : m_handler(&handler) {}
+
+  template <typename Call>
+  bool Enter(Call call) {
+    {
+      const std::lock_guard lock(m_mutex);
+      if (m_handler == nullptr) {
+        return false;
+      }
+      ++m_calls;
+    }
+    call(*m_handler);
+    const std::lock_guard lock(m_mutex);
+    --m_calls;
+    m_idle.notify_all();
+    return true;
+  }
+
+  void Close() {
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_calls == 0; });
+    m_handler = nullptr;
+  }
+
+ private:
+  std::mutex m_mutex;  // Guards the two below.
+  HttpHandler* m_handler;
+  int m_calls = 0;
+  std::condition_variable m_idle;
+};
+
+class ServerConnection;
+
+// The open connections of one server, which keeps them alive.
+class ConnectionSet {
+ public:
+  uint64_t Add(std::shared_ptr<ServerConnection> connection) {
+    const std::lock_guard lock(m_mutex);
+    if (!m_is_closed) {
+      m_connections[m_next_id] = std::move(connection);
+    }
+    return m_next_id++;
+  }
+
+  void Remove(uint64_t id) {
+    std::shared_ptr<ServerConnection> removed;  // Dropped without the lock.
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end()) {
+      removed = std::move(found->second);
+      m_connections.erase(found);
+    }
+  }
+
+  /// Lets go of all, now and later.
+  void Clear() {
+    std::map<uint64_t, std::shared_ptr<ServerConnection>> dropped;
+    const std::lock_guard lock(m_mutex);
+    m_is_closed = true;
+    dropped.swap(m_connections);
+  }
+
+  std::vector<std::shared_ptr<ServerConnection>> All() const {
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<ServerConnection>> all;
+    for (const auto& [id, connection] : m_connections) {
+      all.push_back(connection);
+    }
+    return all;
+  }
+
+ private:
+  mutable std::mutex m_mutex;  // Guards the three below.
+  bool m_is_closed = false;
+  uint64_t m_next_id = 0;
+  std::map<uint64_t, std::shared_ptr<ServerConnection>> m_connections;
+};
+
+// What connections share; outlives the server while one of them closes.
+struct ServerShared {
+  ServerShared(const HttpServerInit& server_init, HttpHandler& handler)
+      : init(server_init), gate(handler) {}
+
+  const HttpServerInit init;
+  HandlerGate gate;
+  ConnectionSet connections;
+  std::atomic<bool> is_draining{false};
+  std::atomic<int> connection_count{0};
+};
+
+// One connection of a caller. All members are touched on its strand alone.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<ServerShared> shared,
+                   std::shared_ptr<Stream> stream,
+                   std::string peer)
+      : m_shared(std::move(shared)),
+        m_stream(std::move(stream)),
+        m_timer(m_stream->strand()),
+        m_peer(std::move(peer)) {
+    ++m_shared->connection_count;
+  }
+  ~ServerConnection() { --m_shared->connection_count; }
+
+  Strand strand() const { return m_stream->strand(); }
+
+  void Start(bool is_refused) {
+    m_id = m_shared->connections.Add(shared_from_this());
+    StartTimer(m_shared->init.header_timeout);
+    m_stream->Handshake(
+        [self = shared_from_this(), is_refused](ErrorCode error) {
+          if (error) {
+            self->Close();
+          } else if (is_refused) {
+            self->Refuse({503, "too many connections"});
+          } else {
+            self->m_client_name = self->m_stream->PeerCommonName();
+            self->NextRequest();
+            self->Read();
+          }
+        });
+  }
+
+  void Respond(HttpResponse response) {
+    if (m_phase != Phase::kRunning) {
+      return;
+    }
+    const bool keep_alive =
+        m_decoder->keep_alive() && !m_is_eof && !m_shared->is_draining;
+    WriteResponse(std::move(response), keep_alive);
+  }
+
+  void OnGone(std::function<void()> callback) {
+    if (m_phase == Phase::kClosed || m_is_eof) {
+      callback();
+    } else if (m_phase == Phase::kRunning) {
+      m_on_gone = std::move(callback);
+    }
+  }
+
+  void CloseIfIdle() {
+    if (m_phase == Phase::kIdle) {
+      Close();
+    }
+  }
+
+  void Close() {
+    if (m_phase == Phase::kClosed) {
+      return;
+    }
+    End();
+    m_stream->Close();
+    TellGone();
+  }
+
+ private:
+  enum class Phase {
+    kIdle,  // No byte of the next request yet.
+    kHeader,
+    kBody,
+    kRunning,  // The handler has it.
+    kWriting,
+    kClosed,
+  };
+
+  void End() {
+    m_phase = Phase::kClosed;
+    m_timer.cancel();
+    m_shared->connections.Remove(m_id);
+  }
+
+  void StartTimer(Millis timeout) {
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](ErrorCode error) {
+      const auto self = weak.lock();
+      if (!error && self != nullptr) {
+        self->OnTimeout();
+      }
+    });
+  }
+
+  void OnTimeout() {
+    // A later deadline may have replaced the one that was already queued.
+    if (m_timer.expiry() > std::chrono::steady_clock::now()) {
+      return;
+    }
+    if (m_phase == Phase::kHeader || m_phase == Phase::kBody) {
+      Refuse({408, "the request did not arrive in time"});
+    } else if (m_phase != Phase::kRunning) {
+      Close();
+    }
+  }
+
+  void NextRequest() {
+    m_decoder.emplace(static_cast<size_t>(m_shared->init.max_header_bytes));
+    m_phase = Phase::kIdle;
+    StartTimer(m_shared->init.idle_timeout);
+    if (m_shared->is_draining && m_bytes.empty()) {
+      Close();
+    }
+  }
+
+  // One read is pending at all times, so that a caller that goes away while
+  // its request runs is seen; it pauses only when too much has come unasked.
+  void Read() {
+    if (m_is_reading || m_is_eof || m_phase == Phase::kClosed) {
+      return;
+    }
+    m_is_reading = true;
+    m_stream->Read(
+        [self = shared_from_this()](ErrorCode error, std::string_view bytes) {
+          self->m_is_reading = false;
+          self->OnRead(error, bytes);
+        });
+  }
+
+  void OnRead(ErrorCode error, std::string_view bytes) {
+    if (m_phase == Phase::kClosed) {
+      return;
+    }
+    if (error) {
+      OnReadEnd(error);
+      return;
+    }
+    m_bytes.append(bytes);
+    if (m_phase == Phase::kIdle) {
+      m_phase = Phase::kHeader;
+      StartTimer(m_shared->init.header_timeout);
+    }
+    Decode();
+    const auto limit = static_cast<size_t>(m_shared->init.max_header_bytes);
+    if (m_phase != Phase::kRunning || m_bytes.size() <= limit) {
+      Read();
+    }
+  }
+
+  void OnReadEnd(ErrorCode error) {
+    if (m_phase == Phase::kRunning && error == asio::error::eof) {
+      // It may have closed one way only: an answer is still tried.
+      m_is_eof = true;
+      TellGone();
+    } else if (m_phase == Phase::kWriting && error == asio::error::eof) {
+      m_is_eof = true;
+    } else {
+      Close();
+    }
+  }
+
+  void TellGone() {
+    if (auto callback = std::exchange(m_on_gone, nullptr)) {
+      callback();
+    }
+  }
+
+  void Decode() {
+    while (m_phase == Phase::kHeader || m_phase == Phase::kBody) {
+      const DecodeStep step = m_decoder->Feed(m_bytes);
+      if (step == DecodeStep::kNeedMore) {
+        return;
+      }
+      if (step == DecodeStep::kBad) {
+        Refuse(m_decoder->error());
+      } else if (step == DecodeStep::kDone) {
+        Run();
+      } else {
+        OnHead();
+      }
+    }
+  }
+
+  void OnHead() {
+    HttpRequest& head = m_decoder->request();
+    head.peer = m_peer;
+    head.client_name = m_client_name;
+    int64_t limit = 0;
+    const bool is_open = m_shared->gate.Enter(
+        [&](HttpHandler& handler) { limit = handler.MaxBodyBytes(head); });
+    if (!is_open) {
+      Close();
+      return;
+    }
+    const DecodeStep step = m_decoder->AllowBody(limit);
+    if (step == DecodeStep::kBad) {
+      Refuse(m_decoder->error());
+    } else if (step == DecodeStep::kDone) {
+      Run();
+    } else {
+      m_phase = Phase::kBody;
+      StartTimer(m_shared->init.body_timeout);
+      WriteContinue();
+    }
+  }
+
+  void WriteContinue() {
+    if (!m_decoder->expects_continue() || !m_bytes.empty()) {
+      return;
+    }
+    m_is_writing_continue = true;
+    m_stream->Write(
+        "HTTP/1.1 100 Continue\r\n\r\n", {},
+        [self = shared_from_this()](ErrorCode) {
+          self->m_is_writing_continue = false;
+          if (auto later = std::exchange(self->m_after_continue, nullptr)) {
+            later();
+          }
+        });
+  }
+
+  void Run();
+
+  void Refuse(const RequestError& error) {
+    WriteResponse(ProblemResponse(error), false);
+  }
+
+  void WriteResponse(HttpResponse response, bool keep_alive) {
+    m_phase = Phase::kWriting;
+    m_on_gone = nullptr;
+    const bool is_head =
+        m_decoder.has_value() && m_decoder->request().method == "HEAD";
+    std::string head = EncodeResponseHead(response, keep_alive);
+    auto write = [self = shared_from_this(), head = std::move(head),
+                  body = is_head ? std::string() : std::move(response.body),
+                  keep_alive] { self->Write(head, body, keep_alive); };
+    StartTimer(m_shared->init.body_timeout);
+    if (m_is_writing_continue) {
+      m_after_continue = std::move(write);
+    } else {
+      write();
+    }
+  }
+
+  void Write(const std::string& head,
+             const std::string& body,
+             bool keep_alive) {
+    m_stream->Write(head, body,
+                    [self = shared_from_this(), keep_alive](ErrorCode error) {
+                      self->OnWritten(error, keep_alive);
+                    });
+  }
+
+  void OnWritten(ErrorCode error, bool keep_alive) {
+    if (m_phase == Phase::kClosed) {
+      return;
+    }
+    if (error) {
+      Close();
+    } else if (!keep_alive || m_is_eof) {
+      End();
+      m_stream->CloseGracefully();
+    } else {
+      NextRequest();
+      Continue();
+    }
+  }
+
+  // Takes up bytes of the next request that came before the answer.
+  void Continue() {
+    if (m_phase != Phase::kIdle) {
+      return;
+    }
+    if (!m_bytes.empty()) {
+      m_phase = Phase::kHeader;
+      StartTimer(m_shared->init.header_timeout);
+      Decode();
+    }
+    Read();
+  }
+
+  std::shared_ptr<ServerShared> m_shared;
+  std::shared_ptr<Stream> m_stream;
+  asio::steady_timer m_timer;
+  uint64_t m_id = 0;
+  std::string m_peer;
+  std::string m_client_name;
+  Phase m_phase = Phase::kIdle;
+  bool m_is_reading = false;
+  bool m_is_eof = false;
+  bool m_is_writing_continue = false;
+  std::function<void()> m_after_continue;
+  std::function<void()> m_on_gone;
+  std::string m_bytes;  // Read and not decoded yet.
+  std::optional<RequestDecoder> m_decoder;
+};
+
+// Holds its connection weakly: it may be kept for longer than the server.
+class Exchange : public HttpExchange {
+ public:
+  Exchange(const std::shared_ptr<ServerConnection>& connection,
+           HttpRequest request)
+      : m_connection(connection), m_request(std::move(request)) {}
+
+  ~Exchange() override {
+    if (!m_is_answered.exchange(true)) {
+      OnStrand([](ServerConnection& open) { open.Close(); });
+    }
+  }
+
+  const HttpRequest& request() const override { return m_request; }
+
+  void Respond(HttpResponse response) override {
+    if (!m_is_answered.exchange(true)) {
+      OnStrand(
+          [response = std::move(response)](ServerConnection& open) mutable {
+            open.Respond(std::move(response));
+          });
+    }
+  }
+
+  void OnGone(std::function<void()> callback) override {
+    const bool is_open =
+        OnStrand([callback](ServerConnection& open) { open.OnGone(callback); });
+    if (!is_open) {
+      callback();
+    }
+  }
+
+ private:
+  template <typename Act>
+  bool OnStrand(Act act) {
+    auto connection = m_connection.lock();
+    if (connection == nullptr) {
+      return false;
+    }
+    const Strand strand = connection->strand();
+    asio::dispatch(strand,
+                   [connection = std::move(connection),
+                    act = std::move(act)]() mutable { act(*connection); });
+    return true;
+  }
+
+  std::weak_ptr<ServerConnection> m_connection;
+  HttpRequest m_request;
+  std::atomic<bool> m_is_answered{false};
+};
+
+void ServerConnection::Run() {
+  m_phase = Phase::kRunning;
+  m_timer.cancel();
+  auto exchange = std::make_shared<Exchange>(shared_from_this(),
+                                             std::move(m_decoder->request()));
+  // The method is needed once more, for the answer to HEAD.
+  m_decoder->request().method = exchange->request().method;
+  m_shared->gate.Enter(
+      [&](HttpHandler& handler) { handler.OnRequest(std::move(exchange)); });
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(IoThreads& threads, const HttpServerInit& init, HttpHandler& handler)
+      : m_context(threads.impl().context),
+        m_strand(asio::make_strand(m_context)),
+        m_acceptor(m_strand),
+        m_retry(m_strand),
+        m_tls(TlsContext::Make(init.tls, TlsContext::Side::kServer)),
+        m_shared(std::make_shared<ServerShared>(init, handler)) {
+    Listen(ParseAddress(init.address));
+  }
+
+  void Start() {
+    asio::post(m_strand, [self = shared_from_this()] { self->Accept(); });
+  }
+
+  const std::string& address() const { return m_address; }
+  int connection_count() const { return m_shared->connection_count; }
+
+  void Drain() {
+    m_shared->is_draining = true;
+    StopListening();
+    ForEachConnection([](ServerConnection& open) { open.CloseIfIdle(); });
+  }
+
+  void Stop() {
+    m_shared->is_draining = true;
+    StopListening();
+    ForEachConnection([](ServerConnection& open) { open.Close(); });
+    m_shared->connections.Clear();
+    m_shared->gate.Close();
+  }
+
+ private:
+  void Listen(const tcp::endpoint& endpoint) {
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
+    m_address = FormatAddress(m_acceptor.local_endpoint());
+  }
+
+  void StopListening() {
+    asio::post(m_strand, [self = shared_from_this()] {
+      ErrorCode ignored;
+      self->m_acceptor.close(ignored);
+      self->m_retry.cancel();
+    });
+  }
+
+  void ForEachConnection(const std::function<void(ServerConnection&)>& act) {
+    for (const auto& connection : m_shared->connections.All()) {
+      asio::post(connection->strand(), [connection, act] { act(*connection); });
+    }
+  }
+
+  void Accept() {
+    Strand strand = asio::make_strand(m_context);
+    m_acceptor.async_accept(strand, [self = shared_from_this(), strand](
+                                        ErrorCode error, tcp::socket socket) {
+      self->OnAccept(error, strand, std::move(socket));
+    });
+  }
+
+  void OnAccept(ErrorCode error, const Strand& strand, tcp::socket socket) {
+    if (!m_acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      // Out of descriptors, mostly: connections that end give them back.
+      m_retry.expires_after(kAcceptRetry);
+      m_retry.async_wait([self = shared_from_this()](ErrorCode cancelled) {
+        if (!cancelled) {
+          self->Accept();
+        }
+      });
+      return;
+    }
+    StartConnection(strand, std::move(socket));
+    Accept();
+  }
+
+  void StartConnection(const Strand& strand, tcp::socket socket) {
+    const int open = m_shared->connection_count;
+    const int most = m_shared->init.max_connections;
+    ErrorCode error;
+    const tcp::endpoint peer = socket.remote_endpoint(error);
+    if (error || open >= most + kRefusingConnections) {
+      return;
+    }
+    auto connection = std::make_shared<ServerConnection>(
+        m_shared, MakeStream(std::move(socket), strand, m_tls, {}),
+        FormatAddress(peer));
+    asio::post(strand, [connection, is_refused = open >= most] {
+      connection->Start(is_refused);
+    });
+  }
+
+  asio::io_context& m_context;
+  Strand m_strand;
+  tcp::acceptor m_acceptor;    // On the strand alone.
+  asio::steady_timer m_retry;  // On the strand alone.
+  std::shared_ptr<TlsContext> m_tls;
+  std::shared_ptr<ServerShared> m_shared;
+  std::string m_address;
+};
+
+HttpServer::HttpServer(IoThreads& threads,
+                       const HttpServerInit& init,
+                       HttpHandler& handler)
+    : m_impl(std::make_shared<Impl>(threads, init, handler)) {
+  m_impl->Start();
+}
+
+HttpServer::~HttpServer() {
+  m_impl->Stop();
+}
+
+std::string HttpServer::address() const {
+  return m_impl->address();
+}
+
+int HttpServer::connection_count() const {
+  return m_impl->connection_count();
+}
+
+void HttpServer::Drain() {
+  m_impl->Drain();
+}
+
+}  // namespace laurelhall::net
