--- a/packages/net/src/http_message.cc
+++ b/packages/net/src/http_message.cc
@@ -422,6 +422,20 @@
   return head;
 }
 
+struct ProblemSlug {
+  int status;
+  std::string_view slug;
+};
+
+constexpr std::array<ProblemSlug, 6> kSlugs{{
+    {400, "bad-request"},
+    {408, "request-timeout"},
+    {413, "payload-too-large"},
+    {431, "header-too-large"},
+    {501, "not-implemented"},
+    {503, "not-accepted"},
+}};
+
 // Answers to these have no body and no length field.
 bool HasNoBody(int status) {
   return status == 204 || status == 304;
@@ -459,16 +473,22 @@
 }
 
 HttpResponse ProblemResponse(const RequestError& error) {
+  const auto slug = std::find_if(
+      kSlugs.begin(), kSlugs.end(),
+      [&](const ProblemSlug& known) { return known.status == error.status; });
   const http::status status =
       http::int_to_status(static_cast<unsigned>(error.status));
   const boost::json::value problem{
-      {"type", "about:blank"},
+      {"type", slug == kSlugs.end() ? "about:blank" : slug->slug},
       {"title", std::string(http::obsolete_reason(status))},
       {"status", error.status},
       {"detail", error.detail}};
   HttpResponse response;
   response.status = error.status;
   response.headers.Set("Content-Type", "application/problem+json");
+  if (error.status == 503) {
+    response.headers.Set("Retry-After", "1");
+  }
   response.body = boost::json::serialize(problem);
   return response;
 }
