Give no work to a worker that does not confirm a stop

An urgent job's second try went to the same silent worker: 7.5 s in the test that cuts a worker off unnoticed.

--- a/packages/placement/src/ledger.cc
+++ b/packages/placement/src/ledger.cc
@@ -208,6 +208,9 @@
     CountStarved(job, run);
   } else if (IsExpectedToEnd(job, now)) {
     slot.coming = slot.coming + run.hold;
+  } else {
+    // A worker that does not answer gets no work until it does.
+    slot.is_open = false;
   }
   runs.push_back(run);
 }
