--- a/packages/base/src/log.cc
+++ b/packages/base/src/log.cc
@@ -14,12 +14,8 @@
 
 // One sink for all parts, so that one pattern and one lock serve them.
 const spdlog::sink_ptr& SharedSink() {
-  static const spdlog::sink_ptr sink = [] {
-    auto made = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-    made->set_formatter(std::make_unique<spdlog::pattern_formatter>(
-        kTextPattern, spdlog::pattern_time_type::utc));
-    return made;
-  }();
+  static const spdlog::sink_ptr sink =
+      std::make_shared<spdlog::sinks::stderr_sink_mt>();
   return sink;
 }
 
@@ -36,8 +32,8 @@
                                 init.format + "\"");
   }
   const char* pattern = init.format == "json" ? kJsonPattern : kTextPattern;
-  SharedSink()->set_formatter(std::make_unique<spdlog::pattern_formatter>(
-      pattern, spdlog::pattern_time_type::utc));
+  // The global formatter and level also hold for loggers made later.
+  spdlog::set_pattern(pattern, spdlog::pattern_time_type::utc);
   spdlog::set_level(level);
 }
 
--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -109,6 +110,14 @@
   virtual void Repair(const std::string& name, Done done) = 0;
 };
 
+/// What the leader sees beside the replicated state.
+struct LeaderView {
+  WallTime now{};
+  /// Slots of each host's endpoints that are lent, or that a silent entry host
+  /// may still be using. A draining host with none has no request in flight.
+  std::map<std::string, int> slots_out_by_host;
+};
+
 /// Work that only the confirmed leader does, resumed by the next one from the
 /// replicated state: controllers of waves, roll-outs, moves and jobs.
 class LeaderDuty {
@@ -118,7 +127,7 @@
   /// Looks at the committed state and proposes what should be done next.
   /// Called about once a second on the control host's worker thread.
   virtual std::vector<state::Command> Step(const state::Machine& machine,
-                                           WallTime now) = 0;
+                                           const LeaderView& view) = 0;
 };
 
 /// Answers an operator's request from the confirmed leader's state.
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -27,8 +27,8 @@
   m_led_term = m_status.term;
   m_leads_since = Now();
   m_next_leader_tick = Now();
-  m_leader_sync =
-      std::make_unique<LeaderSync>(m_parts.machine, m_led_term, m_leads_since);
+  m_leader_sync = std::make_unique<LeaderSync>(m_parts.machine, m_led_term,
+                                               m_status.last, m_leads_since);
   ++m_counters.elections;
 }
 
@@ -82,7 +82,7 @@
   }
   m_is_duty_running = true;
   Read([this, term = m_led_term](bool is_confirmed) {
-    if (is_confirmed) {
+    if (is_confirmed && IsLeading() && term == m_led_term) {
       RunDuties(term);
     } else if (term == m_led_term) {
       m_is_duty_running = false;
@@ -91,22 +91,23 @@
 }
 
 void HostLoop::RunDuties(uint64_t term) {
-  const bool is_posted = m_parts.worker.TryPost([this, term, &parts = m_parts,
-                                                 mailbox = m_loop.mailbox] {
-    std::vector<state::Command> commands;
-    for (const auto& duty : parts.duties) {
-      try {
-        for (state::Command& command : duty->Step(parts.machine, WallNow())) {
-          commands.push_back(std::move(command));
+  const LeaderView view{WallNow(), m_leader_sync->SlotsOutByHost(Now())};
+  const bool is_posted = m_parts.worker.TryPost(
+      [this, term, view, &parts = m_parts, mailbox = m_loop.mailbox] {
+        std::vector<state::Command> commands;
+        for (const auto& duty : parts.duties) {
+          try {
+            for (state::Command& command : duty->Step(parts.machine, view)) {
+              commands.push_back(std::move(command));
+            }
+          } catch (const std::exception& error) {
+            PartLog("control")->error("A duty failed: {}.", error.what());
+          }
         }
-      } catch (const std::exception& error) {
-        PartLog("control")->error("A duty failed: {}.", error.what());
-      }
-    }
-    mailbox->Post([this, term, commands = std::move(commands)] {
-      DutiesRan(term, commands);
-    });
-  });
+        mailbox->Post([this, term, commands = std::move(commands)] {
+          DutiesRan(term, commands);
+        });
+      });
   m_is_duty_running = is_posted;
 }
 
--- a/packages/control/src/leader_sync.cc
+++ b/packages/control/src/leader_sync.cc
@@ -33,8 +33,10 @@
 
 LeaderSync::LeaderSync(const state::Machine& machine,
                        uint64_t term,
+                       uint64_t first_index,
                        SteadyTime now)
     : m_machine(machine),
+      m_first_index(first_index),
       m_allocator(
           [term] {
             routing::SlotAllocatorInit init;
@@ -95,26 +97,42 @@
       m_signs.erase(endpoint.id);
       continue;
     }
-    if (endpoint.state == model::EndpointState::kLeaving) {
-      m_allocator.RemoveEndpoint(endpoint.id);
-    } else {
-      m_allocator.SetEndpoint(endpoint,
-                              MaxRunTime(config.get(), endpoint.service), now);
-    }
+    SetSlots(endpoint, config.get(), now);
     m_signs[endpoint.id] = {endpoint.incarnation, now};
     m_endpoints[endpoint.id] = std::move(endpoint);
   }
   if (is_new_config) {
     m_config_version = config->version;
     for (const auto& [id, endpoint] : m_endpoints) {
-      if (endpoint.state == model::EndpointState::kReady) {
-        m_allocator.SetEndpoint(
-            endpoint, MaxRunTime(config.get(), endpoint.service), now);
-      }
+      SetSlots(endpoint, config.get(), now);
     }
   }
 }
 
+// One that is closed is made known too: an earlier leader may have lent its
+// slots, and its host is not empty while runs under them may go on.
+void LeaderSync::SetSlots(const model::Endpoint& endpoint,
+                          const model::Config* config,
+                          SteadyTime now) {
+  const bool is_never_lent = endpoint.first_index >= m_first_index;
+  m_allocator.SetEndpoint(endpoint, MaxRunTime(config, endpoint.service), now,
+                          is_never_lent);
+  if (!endpoint.is_open()) {
+    m_allocator.RemoveEndpoint(endpoint.id);
+  }
+}
+
+std::map<std::string, int> LeaderSync::SlotsOutByHost(SteadyTime now) {
+  FollowEndpoints(now);
+  m_allocator.Expire(now);
+  std::map<std::string, int> slots;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    slots[endpoint.host] +=
+        m_allocator.LentSlots(id) + m_allocator.QuarantinedSlots(id);
+  }
+  return slots;
+}
+
 void LeaderSync::Remember(const SyncQuestion& question, SteadyTime now) {
   m_last_sync = now;
   const auto known = m_entries.find(question.entry.name);
--- a/packages/control/src/leader_sync_p.h
+++ b/packages/control/src/leader_sync_p.h
@@ -47,7 +47,15 @@
  public:
   /// @param machine Outlives this.
   /// @param term Makes the grants of this leader its own.
-  LeaderSync(const state::Machine& machine, uint64_t term, SteadyTime now);
+  /// @param first_index Of the first entry of this leader's term: what was
+  ///   first announced later, no earlier leader can have lent.
+  LeaderSync(const state::Machine& machine,
+             uint64_t term,
+             uint64_t first_index,
+             SteadyTime now);
+
+  /// Slots of each host's endpoints under which a run may be going on.
+  std::map<std::string, int> SlotsOutByHost(SteadyTime now);
 
   /// Answers an entry host. Precondition: a read was confirmed after the
   /// question came in, and the state applied up to `applied` covers it.
@@ -74,6 +82,9 @@
   };
 
   void FollowEndpoints(SteadyTime now);
+  void SetSlots(const model::Endpoint& endpoint,
+                const model::Config* config,
+                SteadyTime now);
   void Remember(const SyncQuestion& question, SteadyTime now);
   void FillSettings(uint64_t since, SyncAnswer& answer) const;
   void TakeSilentEndpoints(SteadyTime now,
@@ -82,6 +93,7 @@
   void TakeBurn(WallTime wall, std::vector<state::Command>& due);
 
   const state::Machine& m_machine;
+  const uint64_t m_first_index;
   routing::SlotAllocator m_allocator;
   SteadyTime m_leads_since;
   SteadyTime m_last_sync{};
--- /dev/null
+++ b/packages/daemon/src/daemon.cc
@@ -0,0 +1,223 @@
+#include "daemon_p.h"
+
+#include <boost/json.hpp>
+#include <condition_variable>
+#include <fstream>
+#include <mutex>
+#include <random>
+#include <sstream>
+
+#include "laurelhall/base/finding.h"
+#include "laurelhall/base/log.h"
+#include "laurelhall/control/control_host.h"
+#include "laurelhall/entry/entry_host.h"
+#include "laurelhall/net/http.h"
+#include "laurelhall/operations/operations.h"
+#include "metrics_p.h"
+#include "operator_api_p.h"
+
+namespace laurelhall::daemon {
+namespace {
+
+/// How long a stopping daemon goes on accepting: the balancer has seen the
+/// health page red by then.
+constexpr Millis kBalancerDelay = std::chrono::seconds(2);
+
+/// Reads the shared key of the inner protocol; empty without a file.
+std::string ReadKey(const std::string& file) {
+  if (file.empty()) {
+    return "";
+  }
+  std::ifstream stream(file);
+  std::string key;
+  if (!std::getline(stream, key) || key.empty()) {
+    throw FindingsError({{file, "expected a key on the first line"}});
+  }
+  return key;
+}
+
+uint64_t RandomIncarnation() {
+  // Wall time first, so that a later life has the larger number.
+  const auto millis =
+      static_cast<uint64_t>(WallNow().time_since_epoch().count());
+  return (millis << 16) | (std::random_device()() & 0xffff);
+}
+
+net::TlsInit TlsOf(const settings::TlsFiles& files) {
+  return {files.certificate_file, files.key_file, files.client_ca_file,
+          files.ca_file};
+}
+
+}  // namespace
+
+class Daemon::Impl {
+ public:
+  explicit Impl(const settings::DaemonSettings& settings)
+      : m_settings(settings),
+        m_key(ReadKey(settings.cluster_key_file)),
+        m_tokens(settings.operator_tokens_file),
+        m_threads(settings.io_threads) {
+    if (m_settings.is_control) {
+      StartControl();
+    }
+    StartLink();
+    if (m_settings.is_entry) {
+      StartEntry();
+    }
+    if (!m_settings.operator_address.empty()) {
+      StartOperators();
+    }
+  }
+
+  // The parts end in the reverse order of their use: servers, link, entry
+  // host, control host, threads.
+  ~Impl() {
+    m_operator_server.reset();
+    m_caller_server.reset();
+    m_link.reset();
+    m_operator_api.reset();
+    m_entry.reset();
+    m_control.reset();
+  }
+
+  bool Drain() {
+    if (m_entry == nullptr) {
+      return true;
+    }
+    std::mutex mutex;
+    std::condition_variable done;
+    bool is_done = false;
+    m_entry->Drain([&] {
+      const std::lock_guard lock(mutex);
+      is_done = true;
+      done.notify_one();
+    });
+    std::unique_lock lock(mutex);
+    done.wait(lock, [&] { return is_done; });
+    m_caller_server->Drain();
+    return m_entry->Stats().open == 0;
+  }
+
+ private:
+  void StartControl() {
+    control::ControlHostInit init;
+    init.cluster = m_settings.cluster;
+    init.cluster_key = m_key;
+    init.name = m_settings.name;
+    init.availability_zone = m_settings.availability_zone;
+    init.data_folder = m_settings.data_folder;
+    init.inner_address = m_settings.inner_address;
+    init.may_bootstrap = m_settings.may_bootstrap;
+    init.filter = m_filter;
+    for (const settings::ControlPeer& peer : m_settings.control_peers) {
+      init.first_members.push_back(
+          {peer.address, peer.availability_zone, peer.name, true});
+    }
+    init.on_store_failed = [](const std::string& text) {
+      PartLog("daemon")->critical(
+          "The store failed, this host votes no more: {}.", text);
+    };
+    operations::Operations operations = operations::MakeOperations();
+    m_control = std::make_unique<control::ControlHost>(
+        init, std::move(operations.duties), std::move(operations.service));
+  }
+
+  void StartLink() {
+    control::ControlClientInit init;
+    init.cluster = m_settings.cluster;
+    init.cluster_key = m_key;
+    init.identity = m_identity;
+    init.filter = m_filter;
+    for (const settings::ControlPeer& peer : m_settings.control_peers) {
+      init.control_addresses.push_back(peer.address);
+    }
+    m_link = control::MakeControlClient(init);
+  }
+
+  void StartEntry() {
+    entry::EntryInit init;
+    init.identity = m_identity;
+    init.availability_zone = m_settings.availability_zone;
+    init.balancer_delay = kBalancerDelay;
+    init.drain_grace = m_settings.drain_grace;
+    init.seed = m_identity.incarnation;
+    m_entry = std::make_unique<entry::EntryHost>(init, m_threads, *m_link);
+    net::HttpServerInit server;
+    server.address = m_settings.caller_address;
+    server.tls = TlsOf(m_settings.caller_tls);
+    m_caller_server =
+        std::make_unique<net::HttpServer>(m_threads, server, *m_entry);
+    m_link->Start(*m_entry);
+  }
+
+  void StartOperators() {
+    OperatorApiInit init;
+    init.link = m_link.get();
+    init.timers = &m_threads.timers();
+    init.tokens = &m_tokens;
+    init.filter = m_filter;
+    init.is_healthy = [this] {
+      return m_entry == nullptr || m_entry->IsHealthy();
+    };
+    init.metrics = [this] {
+      return MetricsPage({m_entry.get(), m_control.get()});
+    };
+    init.local_status = [this] { return LocalStatus(); };
+    m_operator_api = std::make_unique<OperatorApi>(std::move(init));
+    net::HttpServerInit server;
+    server.address = m_settings.operator_address;
+    server.tls = TlsOf(m_settings.operator_tls);
+    m_operator_server =
+        std::make_unique<net::HttpServer>(m_threads, server, *m_operator_api);
+  }
+
+  std::string LocalStatus() const {
+    boost::json::object status{{"name", m_settings.name},
+                               {"incarnation", m_identity.incarnation}};
+    if (m_entry != nullptr) {
+      const entry::EntryStats stats = m_entry->Stats();
+      status["entry"] = {{"healthy", m_entry->IsHealthy()},
+                         {"settings_version", stats.settings_version},
+                         {"view_fresh", stats.is_view_fresh},
+                         {"open", stats.open},
+                         {"requests", stats.requests}};
+    }
+    if (m_control != nullptr) {
+      const control::ControlStatus control = m_control->status();
+      status["control"] = {
+          {"id", std::to_string(control.consensus.self.value)},
+          {"leads", control.consensus.role == consensus::Role::kLeader},
+          {"leader", control.leader_name},
+          {"term", control.consensus.term},
+          {"applied", control.applied},
+          {"waits_for", control.waits_for},
+          {"store_failed", control.is_store_failed}};
+    }
+    return boost::json::serialize(status);
+  }
+
+  const settings::DaemonSettings m_settings;
+  const std::string m_key;
+  const model::EntryIdentity m_identity{m_settings.name, RandomIncarnation()};
+  const std::shared_ptr<control::ConnectionFilter> m_filter =
+      std::make_shared<control::ConnectionFilter>();
+  OperatorTokens m_tokens;
+  net::IoThreads m_threads;
+  std::unique_ptr<control::ControlHost> m_control;
+  std::unique_ptr<control::ControlLink> m_link;
+  std::unique_ptr<entry::EntryHost> m_entry;
+  std::unique_ptr<net::HttpServer> m_caller_server;
+  std::unique_ptr<OperatorApi> m_operator_api;
+  std::unique_ptr<net::HttpServer> m_operator_server;
+};
+
+Daemon::Daemon(const settings::DaemonSettings& settings)
+    : m_impl(std::make_unique<Impl>(settings)) {}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::Drain() {
+  return m_impl->Drain();
+}
+
+}  // namespace laurelhall::daemon
--- a/packages/daemon/pending/operator_api.cc
+++ b/packages/daemon/src/operator_api.cc
@@ -47,6 +47,7 @@
     {"/healthz", &OperatorApi::Health},
     {"/metrics", &OperatorApi::Metrics},
     {"/v1/local/status", &OperatorApi::LocalStatus},
+    {"/v1/local/cuts", &OperatorApi::Cuts},
 };
 
 OperatorApi::OperatorApi(OperatorApiInit init) : m_init(std::move(init)) {}
@@ -85,6 +86,29 @@
   exchange->Respond(Reply(200, "application/json", m_init.local_status()));
 }
 
+/// Cuts this daemon off from peers, for drills: {"peer": "*", "mode": "stall"}.
+void OperatorApi::Cuts(const std::shared_ptr<net::HttpExchange>& exchange) {
+  constexpr std::pair<const char*, control::CutMode> kModes[] = {
+      {"none", control::CutMode::kNone},
+      {"refuse", control::CutMode::kRefuse},
+      {"stall", control::CutMode::kStall}};
+  boost::json::error_code error;
+  const boost::json::value body =
+      boost::json::parse(exchange->request().body, error);
+  if (!error && body.is_object() && body.as_object().contains("peer") &&
+      body.as_object().contains("mode")) {
+    for (const auto& [name, mode] : kModes) {
+      if (body.at("mode") == name && body.at("peer").is_string()) {
+        m_init.filter->Set(std::string(body.at("peer").as_string()), mode);
+        exchange->Respond(Reply(200, "application/json", "{}"));
+        return;
+      }
+    }
+  }
+  exchange->Respond(Problem(400, "bad-request",
+                            "expected peer and mode: none, refuse or stall"));
+}
+
 void OperatorApi::Forward(const std::shared_ptr<net::HttpExchange>& exchange) {
   const net::HttpRequest& request = exchange->request();
   std::string body = request.body;
--- a/packages/daemon/pending/operator_api_p.h
+++ b/packages/daemon/src/operator_api_p.h
@@ -3,6 +3,7 @@
 #include <filesystem>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -41,6 +42,7 @@
   control::ControlLink* link = nullptr;
   TimerService* timers = nullptr;
   OperatorTokens* tokens = nullptr;
+  std::shared_ptr<control::ConnectionFilter> filter;
   std::function<bool()> is_healthy;
   std::function<std::string()> metrics;
   std::function<std::string()> local_status;  ///< JSON of this daemon alone.
@@ -68,6 +70,7 @@
   void Health(const std::shared_ptr<net::HttpExchange>& exchange);
   void Metrics(const std::shared_ptr<net::HttpExchange>& exchange);
   void LocalStatus(const std::shared_ptr<net::HttpExchange>& exchange);
+  void Cuts(const std::shared_ptr<net::HttpExchange>& exchange);
   void Forward(const std::shared_ptr<net::HttpExchange>& exchange);
 
   const OperatorApiInit m_init;
--- a/packages/entry/src/service_shard.cc
+++ b/packages/entry/src/service_shard.cc
@@ -176,7 +176,7 @@
 bool ServiceShard::IsAway(const Turn& turn) const {
   const std::lock_guard lock(m_mutex);
   const auto known = m_selector.Find(turn.endpoint);
-  return !known || known->state != model::EndpointState::kReady ||
+  return !known || !known->is_open() ||
          HasLeft(turn.endpoint, turn.incarnation);
 }
 
--- a/packages/model/include/laurelhall/model/endpoint.h
+++ b/packages/model/include/laurelhall/model/endpoint.h
@@ -13,6 +13,11 @@
 
 /// An endpoint (a runner of a service) as all entry hosts see it.
 struct Endpoint {
+  /// Whether it may get new work, as far as the replicated state knows.
+  bool is_open() const {
+    return state == EndpointState::kReady && !is_host_away;
+  }
+
   std::string id;
   std::string service;
   std::string address;  ///< "ip:port".
@@ -24,6 +29,8 @@
   int slots = 8;
   int connections = 64;
   uint64_t changed_at_index = 0;  ///< Log index of the last transition.
+  uint64_t first_index = 0;       ///< Log index of the first announcement.
+  bool is_host_away = false;      ///< Its host drains, is away or warms up.
   WallTime state_since{};
 };
 BOOST_DESCRIBE_STRUCT(Endpoint,
@@ -39,6 +46,8 @@
                        slots,
                        connections,
                        changed_at_index,
+                       first_index,
+                       is_host_away,
                        state_since))
 
 /// The scope of a caller's idempotency key.
--- a/packages/routing/src/endpoint_view.cc
+++ b/packages/routing/src/endpoint_view.cc
@@ -27,7 +27,8 @@
 }
 
 bool EndpointView::IsOpen(SteadyTime now, Millis view_bound) const {
-  return !m_has_left && now - m_confirmed_at <= view_bound;
+  return !m_has_left && !m_endpoint.is_host_away &&
+         now - m_confirmed_at <= view_bound;
 }
 
 bool EndpointView::IsOfThisLife(SteadyTime started_at) const {
--- a/packages/routing/src/slot_table_p.h
+++ b/packages/routing/src/slot_table_p.h
@@ -68,7 +68,10 @@
 
   int Lent(const CurrentIncarnations& current) const;
   int Quarantined(const CurrentIncarnations& current) const;
-  bool is_done() const { return m_is_closed && m_loans.empty(); }
+  /// Nothing is lent, and nothing that earlier leaders lent can be in use.
+  bool is_done() const {
+    return m_is_closed && m_loans.empty() && !m_is_taking_over;
+  }
 
  private:
   std::map<const model::EntryIdentity*, int> Targets(
--- a/packages/state/src/endpoint_table.cc
+++ b/packages/state/src/endpoint_table.cc
@@ -15,7 +15,8 @@
 bool HasSameFacts(const Endpoint& a, const Endpoint& b) {
   const auto facts = [](const Endpoint& e) {
     return std::tie(e.service, e.address, e.host, e.availability_zone, e.vendor,
-                    e.incarnation, e.state, e.slots, e.connections);
+                    e.incarnation, e.state, e.slots, e.connections,
+                    e.is_host_away);
   };
   return facts(a) == facts(b);
 }
@@ -42,8 +43,12 @@
 
 EndpointTable::EndpointTable(const MachineLimits& limits) : m_limits(limits) {}
 
-ActResult EndpointTable::Apply(uint64_t index, const EndpointCommand& command) {
-  const Endpoint& announced = command.endpoint;
+ActResult EndpointTable::Apply(uint64_t index,
+                               const EndpointCommand& command,
+                               bool is_host_away) {
+  Endpoint announced = command.endpoint;
+  announced.is_host_away = is_host_away;
+  announced.first_index = index;
   if (const auto error = Unfit(announced)) {
     return Refused(*error);
   }
@@ -82,6 +87,7 @@
                    known.incarnation);
   }
   EndpointRecord after{announced, has_left};
+  after.endpoint.first_index = known.first_index;
   if (announced.state != EndpointState::kReady && !is_fresh) {
     // Who says that it leaves or is gone need not know the rest.
     after.endpoint = known;
@@ -102,6 +108,24 @@
   return Accepted(announced.incarnation);
 }
 
+void EndpointTable::SetHostAway(uint64_t index,
+                                const std::string& host,
+                                bool is_away) {
+  std::vector<EndpointRecord> changed;
+  m_shards.ReadEach([&](const Shard& shard) {
+    for (const auto& [id, record] : shard.records) {
+      if (record.endpoint.host == host &&
+          record.endpoint.is_host_away != is_away) {
+        changed.push_back(record);
+      }
+    }
+  });
+  for (EndpointRecord& record : changed) {
+    record.endpoint.is_host_away = is_away;
+    Put(index, std::move(record));
+  }
+}
+
 void EndpointTable::Put(uint64_t index, EndpointRecord record) {
   record.endpoint.changed_at_index = index;
   Load(record);
--- a/packages/state/src/endpoint_table_p.h
+++ b/packages/state/src/endpoint_table_p.h
@@ -27,7 +27,14 @@
  public:
   explicit EndpointTable(const MachineLimits& limits);
 
-  ActResult Apply(uint64_t index, const EndpointCommand& command);
+  /// @param is_host_away Whether its host serves its pool just now.
+  ActResult Apply(uint64_t index,
+                  const EndpointCommand& command,
+                  bool is_host_away);
+
+  /// Closes or opens all endpoints of a host.
+  void SetHostAway(uint64_t index, const std::string& host, bool is_away);
+
   void Expire(WallTime now);
 
   /// Endpoints changed after a log index, in the order of their changes.
--- a/packages/state/src/fleet_table.cc
+++ b/packages/state/src/fleet_table.cc
@@ -207,6 +207,11 @@
   return Accepted(after->epoch);
 }
 
+bool FleetTable::IsHostAway(const std::string& host) const {
+  const std::optional<Host> known = m_hosts.Find(host);
+  return known && known->state != HostState::kInPool;
+}
+
 ActResult FleetTable::Apply(const WaveCommand& command,
                             const model::Config& config) {
   std::string error =
--- a/packages/state/src/fleet_table_p.h
+++ b/packages/state/src/fleet_table_p.h
@@ -30,6 +30,10 @@
   /// Fills in hosts, waves, roll-outs and jobs.
   void Read(model::Fleet& fleet) const;
 
+  /// Whether a host is known and does not serve its pool just now. Hosts that
+  /// nobody made known are not away: their endpoints announce themselves.
+  bool IsHostAway(const std::string& host) const;
+
   /// Hosts that belong to each pool or move to it, but for retired ones.
   HostsByPool CountHosts() const;
 
--- a/packages/state/src/machine.cc
+++ b/packages/state/src/machine.cc
@@ -99,7 +99,15 @@
 }
 
 std::vector<model::Endpoint> Machine::EndpointsSince(uint64_t index) const {
-  return m_impl->Current()->endpoints.Since(index);
+  const std::shared_ptr<Tables> tables = m_impl->Current();
+  // An entry that is being applied shows whole or not at all: who asks again
+  // from the last index seen would never hear of the other half.
+  const uint64_t applied = tables->applied_index;
+  std::vector<model::Endpoint> endpoints = tables->endpoints.Since(index);
+  std::erase_if(endpoints, [applied](const model::Endpoint& endpoint) {
+    return endpoint.changed_at_index > applied;
+  });
+  return endpoints;
 }
 
 model::Fleet Machine::fleet() const {
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -125,7 +125,8 @@
 }
 
 ActResult Tables::Run(const EndpointCommand& command) {
-  return endpoints.Apply(m_index, command);
+  const bool is_away = fleet.IsHostAway(command.endpoint.host);
+  return endpoints.Apply(m_index, command, is_away);
 }
 
 ActResult Tables::Run(const SettingsCommand& command) {
@@ -141,6 +142,16 @@
   return Accepted();
 }
 
+ActResult Tables::Run(const HostCommand& command) {
+  const ActResult result = fleet.Apply(command, *settings.config());
+  if (result.is_accepted) {
+    // In the same entry, so that no entry host sees one without the other.
+    const bool is_away = fleet.IsHostAway(command.host);
+    endpoints.SetHostAway(m_index, command.host, is_away);
+  }
+  return result;
+}
+
 template <typename FleetCommand>
 ActResult Tables::Run(const FleetCommand& command) {
   return fleet.Apply(command, *settings.config());
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -50,6 +50,7 @@
   ActResult Run(const SettingsCommand& command);
   ActResult Run(const BurnCommand& command);
   ActResult Run(const ExpireCommand& command);
+  ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
   ActResult Run(const FleetCommand& command);
 
