--- /dev/null
+++ b/packages/consensus/tests/cluster.cc
@@ -0,0 +1,415 @@
+#include "cluster.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace laurelhall::consensus {
+
+namespace {
+
+uint64_t NextHash(uint64_t hash, const Entry& entry) {
+  const std::string text = std::to_string(hash) + "/" +
+                           std::to_string(entry.term) + "/" + entry.payload;
+  return std::hash<std::string>{}(text);
+}
+
+}  // namespace
+
+Cluster::Cluster(const ClusterInit& init)
+    : m_init(init), m_random(init.seed), m_hosts(init.hosts) {
+  Membership bootstrap;
+  for (Host& host : m_hosts) {
+    host.id = {++m_next_id};
+    host.max_sync_ms = init.max_sync_ms[m_random() % init.max_sync_ms.size()];
+    bootstrap.members[host.id] = Member{};
+  }
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    m_hosts[i].bootstrap = bootstrap;
+    Start(i);
+  }
+}
+
+void Cluster::Start(size_t index) {
+  Host& host = m_hosts[index];
+  if (host.node) {
+    return;
+  }
+  NodeInit init;
+  init.self = host.id;
+  init.bootstrap = host.bootstrap;
+  init.hard_state = host.disk.hard_state;
+  init.log = host.disk.log;
+  init.heartbeat = Millis{50};
+  init.election_timeout_min = kElectionMin;
+  init.election_timeout_max = kElectionMax;
+  init.seed = m_random();
+  init.max_append_bytes = m_init.max_append_bytes;
+  init.max_uncommitted_bytes = m_init.max_uncommitted_bytes;
+  init.max_inflight_appends = 4;
+  init.mutations = m_init.mutations;
+  host.applied = 0;
+  host.hash = 0;
+  const std::optional<Snapshot>& snapshot = host.disk.snapshot;
+  if (snapshot) {
+    init.snapshot = snapshot->meta;
+    host.applied = snapshot->meta.index;
+    host.hash = std::stoull(snapshot->data);
+  }
+  if (!init.log.empty() && init.log.front().index != host.applied + 1) {
+    throw Violation("gap in the log on disk");
+  }
+  host.node = std::make_unique<Node>(std::move(init), m_now);
+  if (snapshot) {
+    host.node->Compact(*snapshot);
+  }
+}
+
+void Cluster::Crash(size_t index) {
+  Host& host = m_hosts[index];
+  if (!host.node) {
+    return;
+  }
+  const int kept = Pick(0, static_cast<int>(host.unsynced.size()));
+  for (int i = 0; i < kept; ++i) {
+    Write(host.disk, host.unsynced[i]);
+  }
+  host.unsynced.clear();
+  host.in_sync.reset();
+  host.proposals.clear();
+  host.reads.clear();
+  host.node.reset();
+}
+
+void Cluster::LoseDisk(size_t index) {
+  Crash(index);
+  Host& host = m_hosts[index];
+  host.disk.hard_state = {};
+  host.disk.snapshot.reset();
+  host.disk.log.clear();
+  host.bootstrap = Membership();
+  host.id = {++m_next_id};
+  Start(index);
+}
+
+void Cluster::Isolate(size_t host, bool is_in, bool is_out) {
+  for (size_t other = 0; other < m_hosts.size(); ++other) {
+    if (is_in) {
+      Cut(other, host);
+    }
+    if (is_out) {
+      Cut(host, other);
+    }
+  }
+}
+
+void Cluster::Freeze(size_t host, Millis time) {
+  m_hosts[host].frozen_until = m_now + time;
+}
+
+void Cluster::Run(Millis duration) {
+  RunUntil(duration, [] { return false; });
+}
+
+void Cluster::Step() {
+  m_now += kStep;
+  DeliverDue();
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    Host& host = m_hosts[i];
+    if (!host.node || IsFrozen(host)) {
+      continue;
+    }
+    host.node->Tick(m_now);
+    if (host.in_sync && m_now >= host.synced_at) {
+      Finish(host);
+    }
+    Pump(host);
+    TryCompact(i);
+  }
+  if (m_init.is_repaired) {
+    RepairStep();
+  }
+}
+
+void Cluster::DeliverDue() {
+  std::vector<Packet> kept;
+  std::vector<Packet> packets = std::exchange(m_packets, {});
+  for (Packet& packet : packets) {
+    Host* host = Find(packet.message.to);
+    if (packet.due > m_now || (host && IsFrozen(*host))) {
+      kept.push_back(std::move(packet));
+    } else if (host && host->node) {
+      host->node->Receive(packet.message, m_now);
+      Pump(*host);
+    }
+  }
+  m_packets.insert(m_packets.end(), std::make_move_iterator(kept.begin()),
+                   std::make_move_iterator(kept.end()));
+}
+
+void Cluster::Pump(Host& host) {
+  while (!host.in_sync) {
+    Ready ready = host.node->TakeReady();
+    if (ready.is_empty()) {
+      return;
+    }
+    CheckLeader(host);
+    Send(ready.messages_now);
+    host.unsynced = OpsOf(ready);
+    host.in_sync = std::move(ready);
+    host.synced_at = m_now + Millis(Pick(0, host.max_sync_ms));
+    if (host.unsynced.empty() || host.synced_at == m_now) {
+      Finish(host);
+    }
+  }
+}
+
+void Cluster::Finish(Host& host) {
+  for (const DiskOp& op : host.unsynced) {
+    Write(host.disk, op);
+  }
+  host.unsynced.clear();
+  const Ready ready = *std::exchange(host.in_sync, std::nullopt);
+  Send(ready.messages_synced);
+  EntryPosition last;
+  if (ready.snapshot) {
+    last = {ready.snapshot->meta.index, ready.snapshot->meta.term};
+    host.applied = last.index;
+    host.hash = std::stoull(ready.snapshot->data);
+    if (host.hash != m_hashes.at(host.applied - 1)) {
+      throw Violation("a snapshot differs from the committed state");
+    }
+  }
+  for (const Entry& entry : ready.committed) {
+    Apply(host, entry);
+  }
+  for (const ReadState& read : ready.reads) {
+    if (read.index < host.reads.at(read.context)) {
+      throw Violation("a confirmed read is older than an acknowledged entry");
+    }
+    ++m_reads_served;
+  }
+  if (!ready.entries.empty()) {
+    last = {ready.entries.back().index, ready.entries.back().term};
+  }
+  host.node->Persisted(last.index, last.term);
+}
+
+void Cluster::Apply(Host& host, const Entry& entry) {
+  if (entry.index != host.applied + 1) {
+    throw Violation("an entry is applied out of order");
+  }
+  host.applied = entry.index;
+  host.hash = NextHash(host.hash, entry);
+  if (m_committed.size() < entry.index) {
+    m_committed.push_back(entry);
+    m_hashes.push_back(host.hash);
+  } else if (m_committed[entry.index - 1] != entry ||
+             m_hashes[entry.index - 1] != host.hash) {
+    throw Violation("committed entry " + std::to_string(entry.index) +
+                    " has changed");
+  }
+  const auto proposal = host.proposals.find(entry.index);
+  if (proposal != host.proposals.end() && proposal->second == entry.term) {
+    m_acknowledged = std::max(m_acknowledged, entry.index);
+  }
+}
+
+void Cluster::CheckLeader(const Host& host) {
+  const Status status = host.node->status();
+  if (status.role != Role::kLeader) {
+    return;
+  }
+  const auto [found, is_new] = m_leaders.emplace(status.term, status.self);
+  if (found->second != status.self) {
+    throw Violation("two leaders in term " + std::to_string(status.term));
+  }
+  // A late winner of an old term may lack what a later term committed.
+  const bool is_latest = m_leaders.rbegin()->first == status.term;
+  if (is_new && is_latest && status.last < m_committed.size()) {
+    throw Violation("a new leader lacks committed entries");
+  }
+}
+
+void Cluster::Send(const std::vector<Message>& messages) {
+  std::bernoulli_distribution lost(m_init.loss);
+  for (const Message& message : messages) {
+    const bool is_lost = lost(m_random) || IsHeldBack(message);
+    const bool is_doubled = m_init.loss > 0 && Pick(0, 49) == 0;
+    for (int copy = 0; copy <= (is_doubled ? 1 : 0); ++copy) {
+      const Millis delay(Pick(1, m_init.max_delay_ms));
+      if (!is_lost && !IsCut(message.from, message.to)) {
+        m_packets.push_back({m_now + delay, message});
+      }
+    }
+  }
+}
+
+bool Cluster::IsCut(NodeId from, NodeId to) {
+  const Host* source = Find(from);
+  const Host* target = Find(to);
+  return !source || !target ||
+         m_cuts.contains({static_cast<size_t>(source - m_hosts.data()),
+                          static_cast<size_t>(target - m_hosts.data())});
+}
+
+// Lets through what the target would reject anyhow: so that the leader finds
+// where the logs part, and earlier entries get across.
+bool Cluster::IsHeldBack(const Message& message) {
+  const Host* target = Find(message.to);
+  if (!m_are_new_entries_held || !target || message.entries.empty() ||
+      message.entries.back().term != message.term) {
+    return false;
+  }
+  const auto& log = target->disk.log;
+  return std::any_of(log.begin(), log.end(), [&](const Entry& entry) {
+    return entry.index == message.index && entry.term == message.log_term;
+  });
+}
+
+std::vector<Cluster::DiskOp> Cluster::OpsOf(const Ready& ready) {
+  std::vector<DiskOp> ops;
+  if (ready.hard_state) {
+    ops.emplace_back(*ready.hard_state);
+  }
+  if (ready.truncate_from) {
+    ops.emplace_back(*ready.truncate_from);
+  }
+  ops.insert(ops.end(), ready.entries.begin(), ready.entries.end());
+  if (ready.snapshot) {
+    ops.emplace_back(*ready.snapshot);
+  }
+  return ops;
+}
+
+void Cluster::Write(Disk& disk, const DiskOp& op) {
+  if (const auto* hard_state = std::get_if<HardState>(&op)) {
+    disk.hard_state = *hard_state;
+  } else if (const auto* from = std::get_if<Index>(&op)) {
+    std::erase_if(disk.log,
+                  [from](const Entry& entry) { return entry.index >= *from; });
+  } else if (const auto* entry = std::get_if<Entry>(&op)) {
+    disk.log.push_back(*entry);
+  } else if (const auto* snapshot = std::get_if<Snapshot>(&op)) {
+    disk.snapshot = *snapshot;
+    std::erase_if(disk.log, [snapshot](const Entry& entry) {
+      return entry.index <= snapshot->meta.index;
+    });
+  }
+}
+
+Cluster::Host* Cluster::Find(NodeId id) {
+  const auto found =
+      std::find_if(m_hosts.begin(), m_hosts.end(),
+                   [id](const Host& host) { return host.id == id; });
+  return found == m_hosts.end() ? nullptr : &*found;
+}
+
+std::optional<EntryPosition> Cluster::Propose(size_t index) {
+  Host& host = m_hosts[index];
+  if (!host.node || IsFrozen(host)) {
+    return std::nullopt;
+  }
+  const auto position =
+      host.node->Propose("command " + std::to_string(++m_next_payload), m_now);
+  if (position) {
+    host.proposals[position->index] = position->term;
+    Pump(host);
+  }
+  return position;
+}
+
+bool Cluster::Read(size_t index) {
+  Host& host = m_hosts[index];
+  if (!host.node || IsFrozen(host)) {
+    return false;
+  }
+  const uint64_t context = ++m_next_payload;
+  host.reads[context] = m_acknowledged;
+  const bool is_taken = host.node->RequestRead(context, m_now);
+  Pump(host);
+  return is_taken;
+}
+
+bool Cluster::Change(size_t leader, MembershipChangeKind kind, NodeId node) {
+  const bool is_taken = m_hosts[leader]
+                            .node->ProposeMembership({kind, node, {}}, m_now)
+                            .has_value();
+  Pump(m_hosts[leader]);
+  return is_taken;
+}
+
+// What the control hosts' repair does: one safe change after the other.
+void Cluster::RepairStep() {
+  const std::optional<size_t> lead = leader();
+  if (!lead || IsFrozen(m_hosts[*lead])) {
+    return;
+  }
+  const Membership membership = status(*lead).membership;
+  for (const Host& host : m_hosts) {
+    const auto found = membership.members.find(host.id);
+    if (found == membership.members.end()) {
+      Change(*lead, MembershipChangeKind::kAddLearner, host.id);
+    } else if (!found->second.is_voter) {
+      Change(*lead, MembershipChangeKind::kPromote, host.id);
+    }
+  }
+  for (const auto& [id, member] : membership.members) {
+    if (!Find(id)) {
+      Change(*lead, MembershipChangeKind::kRemove, id);
+    }
+  }
+}
+
+void Cluster::TryCompact(size_t index) {
+  Host& host = m_hosts[index];
+  const Index from = host.disk.snapshot ? host.disk.snapshot->meta.index : 0;
+  if (host.in_sync || host.applied < from + m_init.snapshot_every) {
+    return;
+  }
+  const Snapshot snapshot{host.node->MetaAt(host.applied),
+                          std::to_string(host.hash)};
+  Write(host.disk, snapshot);
+  host.node->Compact(snapshot);
+}
+
+std::optional<size_t> Cluster::leader() const {
+  std::optional<size_t> found;
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    if (!is_up(i) || !status(i).is_leader_confirmed) {
+      continue;
+    }
+    if (!found || status(i).term > status(*found).term) {
+      found = i;
+    }
+  }
+  return found;
+}
+
+bool Cluster::IsFullStrength() const {
+  const std::optional<size_t> lead = leader();
+  if (!lead) {
+    return false;
+  }
+  const Status state = status(*lead);
+  const bool is_each_voter =
+      std::all_of(m_hosts.begin(), m_hosts.end(), [&](const Host& host) {
+        const auto found = state.membership.members.find(host.id);
+        return found != state.membership.members.end() &&
+               found->second.is_voter;
+      });
+  const bool is_latest_term =
+      std::all_of(m_hosts.begin(), m_hosts.end(), [&](const Host& host) {
+        return host.disk.hard_state.term <= state.term;
+      });
+  return is_each_voter && is_latest_term && state.commit == state.last &&
+         state.membership.members.size() == m_hosts.size();
+}
+
+bool Cluster::IsConverged() const {
+  return IsFullStrength() &&
+         std::all_of(m_hosts.begin(), m_hosts.end(), [this](const Host& host) {
+           return host.node && host.applied == m_committed.size();
+         });
+}
+
+}  // namespace laurelhall::consensus
