--- /dev/null
+++ b/packages/cli/tests/cli_test.cc
@@ -0,0 +1,193 @@
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "session_p.h"
+
+namespace laurelhall::cli {
+namespace {
+
+/// The program against a server that answers what the test says.
+struct CliFixture {
+  CliFixture() {
+    m_environment.fetch = [this](const std::string& address,
+                                 const net::HttpRequest& request, Millis) {
+      m_address = address;
+      m_requests.push_back(request);
+      if (m_answers.empty()) {
+        throw std::runtime_error("no route");
+      }
+      const net::HttpResponse answer = m_answers.front();
+      if (m_answers.size() > 1) {
+        m_answers.erase(m_answers.begin());
+      }
+      return answer;
+    };
+    m_environment.sleep = [this](Millis time) { m_slept += time; };
+  }
+
+  void Answer(int status, const std::string& body) {
+    net::HttpResponse response;
+    response.status = status;
+    response.body = body;
+    m_answers.push_back(response);
+  }
+
+  ExitCode Run(std::vector<std::string> arguments) {
+    m_requests.clear();
+    m_out.str("");
+    m_err.str("");
+    return RunCommandLine(arguments, m_environment);
+  }
+
+  boost::json::value Body() const {
+    return boost::json::parse(m_requests.back().body);
+  }
+
+  std::vector<net::HttpResponse> m_answers;
+  std::vector<net::HttpRequest> m_requests;
+  std::string m_address;
+  std::ostringstream m_out;
+  std::ostringstream m_err;
+  Millis m_slept{0};
+  Environment m_environment{nullptr, nullptr, m_out, m_err, false, {}};
+};
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, settings set, sends typed changes") {
+  Answer(200, R"({"is_accepted":true,"version":42})");
+  CHECK(Run({"settings", "set", "a.b=[1,2]", "c=\"2m\"", "--expect", "41",
+             "--operator", "ayse", "--request-id", "r1", "--server",
+             "10.0.0.1:7"}) == ExitCode::kDone);
+  CHECK(m_address == "10.0.0.1:7");
+  CHECK(m_requests.back().method == "POST");
+  CHECK(m_requests.back().target == "/v1/settings");
+  CHECK(Body() == boost::json::parse(
+                      R"({"expected_version":41,"operator":"ayse",
+            "request_id":"r1","changes":{"a.b":[1,2],"c":"2m"}})"));
+  CHECK(m_out.str() == "is_accepted  true\nversion      42\n");
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, two values not JSON, names both") {
+  CHECK(Run({"settings", "set", "a=x", "b=y"}) == ExitCode::kUsage);
+  CHECK(m_requests.empty());
+  CHECK(m_err.str().find("a=x: expected PATH=JSON") != std::string::npos);
+  CHECK(m_err.str().find("b=y: expected PATH=JSON") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, each verb's example, is a right call") {
+  const std::filesystem::path job =
+      std::filesystem::temp_directory_path() / "night.json";
+  std::ofstream(job) << R"({"id":"night"})";
+  Answer(200, R"({"state":"kDone","settings_version":99,"daemons":[]})");
+  for (const Verb& verb : Verbs()) {
+    CAPTURE(std::string(verb.name));
+    std::vector<std::string> arguments;
+    std::istringstream words(verb.example);
+    for (std::string word; words >> word && word != ">";) {
+      std::erase(word, '\'');
+      arguments.push_back(word == "night.json" ? job.string() : word);
+    }
+    if (arguments.back() == "burn.html") {
+      arguments.back() = job.string();
+    }
+    CHECK(FindVerb(arguments) == &verb);
+    CHECK(Run(arguments) == ExitCode::kDone);
+    CHECK(m_err.str() == "");
+    CHECK(Run({arguments.at(0), arguments.size() > 1 ? arguments[1] : "",
+               "--help"}) == ExitCode::kDone);
+    CHECK(m_out.str().find(verb.example) != std::string::npos);
+  }
+  std::filesystem::remove(job);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, answers of each kind, end with its code") {
+  struct Row {
+    int status;
+    ExitCode code;
+  };
+  for (const Row row :
+       {Row{200, ExitCode::kDone}, Row{400, ExitCode::kUsage},
+        Row{401, ExitCode::kRefused}, Row{409, ExitCode::kRefused},
+        Row{503, ExitCode::kNoAnswer}, Row{504, ExitCode::kNoAnswer}}) {
+    CAPTURE(row.status);
+    m_answers.clear();
+    Answer(row.status, R"({"detail":"epoch is 9"})");
+    CHECK(Run({"host", "drain", "w-1", "--request-id", "r7"}) == row.code);
+    CHECK((m_err.str().find("epoch is 9") != std::string::npos) ==
+          (row.code != ExitCode::kDone));
+    CHECK((m_err.str().find("--request-id r7") != std::string::npos) ==
+          (row.code == ExitCode::kNoAnswer));
+  }
+  m_answers.clear();
+  CHECK(Run({"status"}) == ExitCode::kNoAnswer);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, wrong usage, sends nothing") {
+  Answer(200, "{}");
+  const std::vector<std::vector<std::string>> lines = {
+      {"nonsense"},
+      {"host", "drain"},
+      {"host", "drain", "a", "b"},
+      {"host", "move", "w-1"},
+      {"host", "drain", "w-1", "--to", "annex"},
+      {"host", "drain", "w-1", "--expect", "soon"},
+      {"host", "list", "--dry-run"},
+      {"status", "--output", "xml"},
+      {"status", "--timeout", "soon"},
+      {"status", "--unknown"},
+      {"job", "submit", "/nowhere.json"},
+      {"status", "--token-file", "/nowhere"}};
+  for (const std::vector<std::string>& line : lines) {
+    CAPTURE(line.back());
+    CHECK(Run(line) == ExitCode::kUsage);
+    CHECK(m_requests.empty());
+    CHECK(m_err.str() != "");
+  }
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, list of hosts, prints chosen columns") {
+  Answer(200, R"([{"id":"w-1","pool":"annex","state":"kInPool","epoch":3,
+                   "capacity":{"processors":32}},
+                  {"id":"w-22","pool":"annex","state":"kDraining","epoch":12,
+                   "rack":"r1"}])");
+  CHECK(Run({"host", "list", "--pool", "an nex&x"}) == ExitCode::kDone);
+  CHECK(m_requests.back().target == "/v1/hosts?pool=an%20nex%26x");
+  CHECK(m_out.str() ==
+        "id    pool   availability_zone  rack  state     drain_reason  act  "
+        "version  epoch\n"
+        "w-1   annex  -                  -     in-pool   -             -    "
+        "-        3\n"
+        "w-22  annex  -                  r1    draining  -             -    "
+        "-        12\n");
+  CHECK(Run({"host", "list", "--output", "json"}) == ExitCode::kDone);
+  CHECK(boost::json::parse(m_out.str()).as_array().size() == 2);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, settings wait, names who lags") {
+  Answer(200, R"({"settings_version":8,"daemons":[
+      {"name":"entry-1","settings_version":8},
+      {"name":"entry-2","settings_version":7}]})");
+  CHECK(Run({"settings", "wait", "8", "--for", "2s"}) == ExitCode::kRefused);
+  CHECK(m_err.str() ==
+        "laurelhall: refused: version 8 is not in force at: entry-2\n");
+  CHECK(m_slept == Millis(2500));
+  CHECK(Run({"settings", "wait", "7"}) == ExitCode::kDone);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, wave watch, follows it to its end") {
+  Answer(200, R"({"id":"may","state":"kRunning"})");
+  Answer(200, R"({"id":"may","state":"kRunning"})");
+  Answer(200, R"({"id":"may","state":"kHalted","reason":"budget"})");
+  CHECK(Run({"wave", "watch", "may"}) == ExitCode::kRefused);
+  CHECK(m_requests.size() == 3);
+  CHECK(m_err.str() == "laurelhall: refused: ended: budget\n");
+}
+
+}  // namespace
+}  // namespace laurelhall::cli
