--- a/bench/storage_bench.cc
+++ b/bench/storage_bench.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr size_t kPayloadBytes = 300;
+constexpr int64_t kGroup = 100;  // Entries a sync in the recovered log.
 
 /// A folder of its own below the working folder, removed at the end.
 class BenchFolder {
@@ -64,7 +65,6 @@
     ->Unit(benchmark::kMicrosecond);
 
 void RecoverLog(benchmark::State& state) {
-  constexpr int64_t kGroup = 100;
   const BenchFolder folder;
   uint64_t bytes = 0;
   {
--- a/packages/cli/src/client.cc
+++ b/packages/cli/src/client.cc
@@ -10,6 +10,8 @@
 namespace laurelhall::cli {
 namespace {
 
+constexpr std::string_view kDigits = "0123456789ABCDEF";
+constexpr std::string_view kUnreserved = "-._~";
 constexpr int kBadRequest = 400;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -97,8 +99,6 @@
 }
 
 std::string EncodeUrlPart(const std::string& text) {
-  constexpr std::string_view kDigits = "0123456789ABCDEF";
-  constexpr std::string_view kUnreserved = "-._~";
   std::string encoded;
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -21,12 +21,11 @@
 };
 
 /// Options that some verbs take; a verb's row says which.
-constexpr std::array<OptionHelp, 19> kVerbOptions = {{
+constexpr std::array<OptionHelp, 16> kVerbOptions = {{
     {"expect", "version or epoch that must still be in force"},
     {"to", "pool that the host joins"},
     {"pool", "a pool"},
     {"team", "a team"},
-    {"service", "a service"},
     {"rack", "a rack"},
     {"zone", "an availability zone"},
     {"region", "a region"},
@@ -38,9 +37,7 @@
     {"html", "file that the report is written to"},
     {"for", "how long to wait, for example 30s"},
     {"interval", "time between looks, for example 1s"},
-    {"id", "id of the wave, roll-out or job"},
     {"time-per-host", "expected time per host, for dry runs"},
-    {"act", "wave or roll-out on whose behalf"},
 }};
 
 std::string RandomRequestId() {
--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -13,6 +13,7 @@
 namespace laurelhall::cli {
 namespace {
 
+constexpr std::string_view kFirstArgument = "{0}";
 constexpr Millis kWatchInterval = std::chrono::seconds(2);
 constexpr Millis kWaitInterval = std::chrono::milliseconds(500);
 constexpr Millis kWaitTimeout = std::chrono::seconds(60);
@@ -106,16 +107,19 @@
   }
 }
 
+/// Whether the verb takes an option.
+bool Session::IsOption(std::string_view name) const {
+  return std::any_of(
+             m_verb.fields.begin(), m_verb.fields.end(),
+             [&](const Field& field) { return name == field.source; }) ||
+         std::any_of(m_verb.options.begin(), m_verb.options.end(),
+                     [&](const char* option) { return name == option; });
+}
+
 void Session::CheckOptions() const {
   FindingList findings;
   for (const auto& [name, value] : m_line.verb_options) {
-    const bool is_field =
-        std::any_of(m_verb.fields.begin(), m_verb.fields.end(),
-                    [&](const Field& field) { return name == field.source; });
-    const bool is_extra =
-        std::any_of(m_verb.options.begin(), m_verb.options.end(),
-                    [&](const char* option) { return name == option; });
-    if (!is_field && !is_extra) {
+    if (!IsOption(name)) {
       findings.Add("--" + name, std::string("not an option of ") + m_verb.name);
     }
   }
@@ -184,7 +188,6 @@
 
 /// The path with its arguments; a GET carries its fields as the query.
 std::string Session::Target() const {
-  constexpr std::string_view kFirstArgument = "{0}";
   std::string target = m_verb.path;
   const size_t place = target.find(kFirstArgument);
   if (place != std::string::npos) {
--- a/packages/cli/src/session_p.h
+++ b/packages/cli/src/session_p.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "client_p.h"
@@ -46,6 +47,7 @@
 
  private:
   void CheckArguments() const;
+  bool IsOption(std::string_view name) const;
   void CheckOptions() const;
   const std::string* Source(const Field& field) const;
   boost::json::value FieldValue(const Field& field,
