Command line: the binary links the HTTP client

Seen against a small HTTP server on loopback: status, a drain with a token, a refused host event (exit 1); a closed port ends with exit 3 and the request id.

--- a/packages/cli/src/client.cc
+++ b/packages/cli/src/client.cc
@@ -70,10 +70,10 @@
   request.method = method;
   request.target = target;
   if (!m_token.empty()) {
-    request.headers.fields.emplace_back("Authorization", "Bearer " + m_token);
+    request.headers.Set("Authorization", "Bearer " + m_token);
   }
   if (!body.is_null()) {
-    request.headers.fields.emplace_back("Content-Type", "application/json");
+    request.headers.Set("Content-Type", "application/json");
     request.body = boost::json::serialize(body);
   }
   net::HttpResponse response;
