--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -212,8 +212,15 @@
   WallTime started{};
   Millis work_done{0};  ///< Run time kept by the last checkpoint.
   int attempts = 0;
-  double throttle = 1;  ///< Share of its processors that it is given.
-  std::string reason;   ///< Why it waits, failed or was refused.
+  double throttle = 1;       ///< Share of its processors that it is given.
+  std::string reason;        ///< Why it waits, failed or was refused.
+  std::string kind;          ///< What it does; estimates are learned per kind.
+  Resources reserved;        ///< What its worker holds for it while it runs.
+  bool is_stopping = false;  ///< Its worker was told to stop it.
+  WallTime state_since{};    ///< Of its last start, checkpoint or stop.
+  WallTime not_before{};     ///< Not started earlier, after a failure.
+  int failures = 0;          ///< Runs that failed.
+  std::vector<std::string> failed_on;  ///< Distinct workers it failed on.
 };
 BOOST_DESCRIBE_STRUCT(Job,
                       (),
@@ -233,7 +240,14 @@
                        work_done,
                        attempts,
                        throttle,
-                       reason))
+                       reason,
+                       kind,
+                       reserved,
+                       is_stopping,
+                       state_since,
+                       not_before,
+                       failures,
+                       failed_on))
 
 /// A team's part of the fleet.
 struct Quota {
@@ -274,6 +288,9 @@
   std::vector<std::string> postponed;
   std::vector<std::string> given_up;  ///< Never became empty; reported.
   std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Wave&, const Wave&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Wave,
                       (),
@@ -288,7 +305,8 @@
                        done,
                        postponed,
                        given_up,
-                       tries))
+                       tries,
+                       is_held))
 
 /// A roll-out of one version over the hosts of a service.
 struct Rollout {
@@ -304,7 +322,12 @@
   std::vector<std::string> pending;
   std::vector<std::string> active;
   std::vector<std::string> done;
-  std::map<std::string, int> tries;  ///< Cycles that came to nothing.
+  std::vector<std::string> postponed;
+  std::vector<std::string> given_up;  ///< Never became empty; reported.
+  std::map<std::string, int> tries;   ///< Drains that came to nothing.
+  bool is_held = false;  ///< Paused by an operator, who alone resumes it.
+
+  friend bool operator==(const Rollout&, const Rollout&) = default;
 };
 BOOST_DESCRIBE_STRUCT(Rollout,
                       (),
@@ -320,7 +343,10 @@
                        pending,
                        active,
                        done,
-                       tries))
+                       postponed,
+                       given_up,
+                       tries,
+                       is_held))
 
 /// Weights of the three measures; a deployment's own.
 struct MeasureWeights {
--- a/packages/settings/src/tree.cc
+++ b/packages/settings/src/tree.cc
@@ -1,5 +1,6 @@
 #include "laurelhall/settings/tree.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "canonical_json_p.h"
@@ -24,6 +25,18 @@
   return value;
 }
 
+// All findings at once, in the order of their places.
+void ThrowIfAny(const FindingList& findings) {
+  if (findings.is_empty()) {
+    return;
+  }
+  std::vector<Finding> sorted = findings.all();
+  std::stable_sort(
+      sorted.begin(), sorted.end(),
+      [](const Finding& a, const Finding& b) { return a.place < b.place; });
+  throw FindingsError(std::move(sorted));
+}
+
 void ApplyChange(const std::string& path,
                  const std::optional<std::string>& text,
                  json::value& root,
@@ -74,10 +87,11 @@
   if (!place.section->is_named) {
     return {section};
   }
+  const std::string prefix = section + ".";
   std::vector<std::string> paths;
   if (const json::value* nodes = FindPath(root, {section})) {
     for (const auto& name : ParentChain(nodes->get_object(), place.node)) {
-      paths.push_back(section + "." + name);
+      paths.push_back(prefix + name);
     }
   }
   return paths;
@@ -141,7 +155,7 @@
   if (root) {
     CheckTree(*root, findings);
   }
-  findings.ThrowIfAny();
+  ThrowIfAny(findings);
   Tree tree;
   tree.m_text = CanonicalText(*root);
   return tree;
@@ -154,7 +168,7 @@
     ApplyChange(path, text, root, findings);
   }
   CheckTree(root, findings);
-  findings.ThrowIfAny();
+  ThrowIfAny(findings);
   Tree tree;
   tree.m_text = CanonicalText(root);
   return tree;
