--- a/packages/routing/include/laurelhall/routing/grants.h
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -21,8 +21,10 @@
   std::string endpoint;
   uint64_t grant = 0;  ///< Id of the grant it holds; 0 for none.
   int held = 0;        ///< Slots it holds under that grant.
-  int in_use = 0;      ///< Runs in flight; never more than `held`.
-  int wanted = 0;      ///< In use and queued: what it could use now.
+  /// Runs in flight. More than `held` only while runs go on whose lease ran
+  /// out before it was renewed.
+  int in_use = 0;
+  int wanted = 0;  ///< In use and queued: what it could use now.
 };
 
 /// Slots lent to one entry host. Zero slots takes the grant back.
--- a/packages/routing/src/grant_holder.cc
+++ b/packages/routing/src/grant_holder.cc
@@ -82,7 +82,9 @@
     if (found == nullptr) {
       return;
     }
-    shard.holdings.at(found->endpoint).in_use--;
+    Holding& holding = shard.holdings.at(found->endpoint);
+    holding.in_use--;
+    holding.in_use_lapsed -= found->lapses == holding.lapses ? 0 : 1;
     shard.tickets.Remove(ticket);
   }
 
@@ -131,7 +133,8 @@
     uint64_t grant = 0;
     int slots = 0;
     int in_use = 0;
-    uint32_t lapses = 0;  ///< Times that a lease ran out unrenewed.
+    int in_use_lapsed = 0;  ///< Of `in_use`, those whose lease ran out.
+    uint32_t lapses = 0;    ///< Times that a lease ran out unrenewed.
     SteadyTime lease_until{};
     bool is_inherited = false;  ///< From an earlier leader, not yet sure.
     SteadyTime inherited_at{};
@@ -142,7 +145,7 @@
 
     void Fill(SlotDemand* demand) const {
       demand->grant = grant;
-      demand->held = std::max(slots, in_use);
+      demand->held = std::max(slots, in_use - in_use_lapsed);
       demand->in_use = in_use;
       demand->wanted += in_use;
     }
@@ -176,7 +179,10 @@
     } else if (asked_at > holding.inherited_at) {
       ConfirmInherited(holding, has_lapsed);
     }
-    holding.lapses += has_lapsed ? 1 : 0;
+    if (has_lapsed) {
+      holding.lapses++;
+      holding.in_use_lapsed = holding.in_use;
+    }
     holding.lease_until = std::max(holding.lease_until, asked_at + grant.lease);
   }
 
--- a/packages/routing/src/slot_allocator.cc
+++ b/packages/routing/src/slot_allocator.cc
@@ -138,14 +138,13 @@
     const bool is_earlier = demand.grant != 0;
     if (is_earlier && EpochOf(demand.grant) < m_init.epoch &&
         slots.is_taking_over()) {
-      slots.TakeOver(loan, demand.held);
+      slots.TakeOver(loan, demand);
     } else if (is_earlier) {
       loan.charge = demand.in_use;  // Its lease has surely run out.
     } else {
       const int slots_now =
           std::min(slots.TargetOf(entry, m_current), slots.Lendable());
-      loan.slots = std::max(slots_now, 0);
-      loan.charge = loan.slots;
+      EndpointSlots::Lend(loan, std::max(slots_now, 0));
     }
     return &loan;
   }
@@ -157,8 +156,9 @@
             Loan& loan) {
     int target = slots.TargetOf(entry, m_current);
     if (target > loan.slots) {
-      // Slots still in use above `slots` are charged to it already.
-      const int room = std::max(slots.Lendable(), 0) + loan.charge;
+      // Slots still in use above `slots` are charged to it already. Below
+      // zero there is nothing behind some charges, so these don't count.
+      const int room = slots.Lendable() + loan.charge;
       target = std::clamp(target, loan.slots, std::max(room, loan.slots));
     }
     if (target == loan.slots) {
--- a/packages/routing/src/slot_table.cc
+++ b/packages/routing/src/slot_table.cc
@@ -20,6 +20,11 @@
          it->second == entry.incarnation;
 }
 
+/// Slots that a report accounts for.
+int UsedBy(const SlotDemand& demand) {
+  return std::max(demand.held, demand.in_use);
+}
+
 /// One entry host's claim to a share of the slots.
 struct Claimant {
   const model::EntryIdentity* entry = nullptr;
@@ -80,34 +85,45 @@
   return m_loans[entry];
 }
 
-void EndpointSlots::TakeOver(Loan& loan, int held) {
+void EndpointSlots::TakeOver(Loan& loan, const SlotDemand& demand) {
   int charged = 0;
   for (const auto& [entry, other] : m_loans) {
     charged += other.charge;
   }
-  loan.slots = std::clamp(m_limit - charged, 0, held);
-  loan.charge = held;
-  loan.from_reserve = held;
-  m_reserve -= held;
+  loan.slots = std::clamp(m_limit - charged, 0, demand.held);
+  loan.charge = UsedBy(demand);
+  loan.from_reserve = demand.held;
+  loan.expected = demand.held;
+  m_reserve -= demand.held;
+}
+
+void EndpointSlots::Lend(Loan& loan, int slots) {
+  loan.slots = slots;
+  loan.charge = slots;
+  loan.expected = slots;
 }
 
 void EndpointSlots::Confirm(Loan& loan, const SlotDemand& demand) {
   if (loan.is_confirmed) {
     // Under one grant `held` only falls, so late copies do no harm.
-    loan.charge = std::min(loan.charge, demand.held);
+    loan.charge = std::min(loan.charge, UsedBy(demand));
     loan.is_declined |= demand.held < loan.slots && demand.wanted == 0;
-    loan.slots = std::min(loan.slots, demand.held);
-    return;
+  } else {
+    ConfirmFirst(loan, demand);
   }
-  // The first report under this leader is the truth about what it took over.
-  // What it holds less than reported before may be lent to somebody who has
-  // not reported yet, so that goes back into the reserve.
+  loan.slots = std::min(loan.slots, demand.held);
+}
+
+/// The first report under this leader is the truth about what was taken over.
+/// What is held less than reported before may be lent to somebody who has not
+/// reported yet, so that goes back into the reserve. Runs whose lease ran out
+/// are charged on top: no earlier leader's account has room for them.
+void EndpointSlots::ConfirmFirst(Loan& loan, const SlotDemand& demand) {
   if (m_is_taking_over) {
-    const int change = demand.held - loan.charge;
+    const int change = demand.held - loan.expected;
     m_reserve -= std::max(change, -loan.from_reserve);
   }
-  loan.charge = demand.held;
-  loan.slots = std::min(loan.slots, demand.held);
+  loan.charge = UsedBy(demand);
   loan.from_reserve = 0;
   loan.is_confirmed = true;
 }
@@ -140,7 +156,7 @@
   for (const auto& [entry, loan] : m_loans) {
     charged += loan.charge;
   }
-  return m_limit - charged - m_reserve;
+  return m_limit - charged - std::max(m_reserve, 0);
 }
 
 int EndpointSlots::TargetOf(const model::EntryIdentity& entry,
--- a/packages/routing/src/slot_table_p.h
+++ b/packages/routing/src/slot_table_p.h
@@ -18,7 +18,8 @@
   int slots = 0;       ///< What it was last told.
   /// Runs that it may have under way at most, by all that it was told.
   int charge = 0;
-  int from_reserve = 0;  ///< Part of `charge` that the take-over accounts for.
+  int expected = 0;           ///< What the first report should say is held.
+  int from_reserve = 0;       ///< Part of `expected` taken out of the reserve.
   bool is_confirmed = false;  ///< It has reported under a grant of ours.
   /// It gave back slots and wants none: it is about to stop.
   bool is_declined = false;
@@ -51,7 +52,10 @@
   Loan& Add(const model::EntryIdentity& entry);
 
   /// Adopts what an entry host holds of an earlier leader.
-  void TakeOver(Loan& loan, int held);
+  void TakeOver(Loan& loan, const SlotDemand& demand);
+
+  /// Starts a record with slots that nobody has.
+  static void Lend(Loan& loan, int slots);
 
   /// Takes in a report under the grant in force.
   void Confirm(Loan& loan, const SlotDemand& demand);
@@ -71,6 +75,7 @@
   bool is_done() const { return m_is_closed && m_loans.empty(); }
 
  private:
+  void ConfirmFirst(Loan& loan, const SlotDemand& demand);
   std::map<const model::EntryIdentity*, int> Targets(
       const CurrentIncarnations& current) const;
 
