--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -33,9 +33,9 @@
   static constexpr int kSlots = 8;
   static constexpr Millis kLease{1000};
   static constexpr Millis kSync{150};
-  static constexpr Millis kMaxRun{2000};
-  static constexpr Millis kMargin{200};
-  static constexpr double kDrift = 0.05;
+  static constexpr Millis kMaxRun{1500};
+  static constexpr Millis kMargin{600};
+  static constexpr double kDrift = 0.1;
 
   explicit SlotModel(const SlotModelInit& init)
       : m_init(init), m_random(init.seed) {
@@ -159,7 +159,7 @@
   void Send(const EntryPointer& entry, std::function<void()> deliver) {
     const int copies = Chance(0.05) ? 0 : Chance(0.1) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-      const Millis delay{Chance(0.03)  ? Any(0, 5000)
+      const Millis delay{Chance(0.05)  ? Any(0, 5000)
                          : Chance(0.1) ? Any(0, 500)
                                        : Any(1, 20)};
       After(delay, [this, entry, deliver] {
@@ -225,7 +225,7 @@
       entry->holder.Release(ticket);
       return;
     }
-    const bool is_late = Chance(0.2);
+    const bool is_late = Chance(0.4);
     After(is_late ? kMargin : Millis{Any(0, 3)},
           [this, entry, endpoint, ticket, is_late] {
             Start(entry, endpoint, ticket, is_late);
