entry: tests of the whole path over real sockets

Cause: each failure point of a request needs a test that brings it about. Found by them: a resend that waited between two polls was kept alive by nothing and its connection closed; a timer holds it now.

--- a/packages/entry/src/run.cc
+++ b/packages/entry/src/run.cc
@@ -262,19 +262,18 @@
   }
 }
 
+// The timer keeps the run alive meanwhile. No poll starts so late that its
+// result could only come after the deadline.
 void Run::Pause() {
   LeaveQueue();
   const SteadyTime now = m_context->Now();
-  if (now + m_pause >= m_deadline) {
-    // The deadline's own event ends the wait, unless it has come already.
-    if (now >= m_deadline) {
-      PostEvent(LifeEvent::kDeadline);
-    }
-    return;
-  }
+  const Millis left =
+      std::max(Millis(0), std::chrono::ceil<Millis>(m_deadline - now));
+  const bool is_last = m_pause >= left;
   m_context->threads.timers().SubscribeOnce(
-      m_pause, [self = shared_from_this()](SteadyTime) {
-        self->PostEvent(LifeEvent::kPollDue);
+      is_last ? left : m_pause,
+      [self = shared_from_this(), is_last](SteadyTime) {
+        self->PostEvent(is_last ? LifeEvent::kDeadline : LifeEvent::kPollDue);
       });
   m_pause = std::min(m_pause * 3 / 2, m_context->init.claim_poll_most);
 }
--- a/tools/standin_endpoint.cc
+++ b/tools/standin_endpoint.cc
@@ -6,13 +6,10 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <map>
 #include <mutex>
 #include <random>
-#include <set>
 #include <sstream>
 #include <string>
-#include <thread>
 
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
@@ -39,6 +36,8 @@
   std::string zone;
   std::string vendor;
   std::string vendor_name;
+  std::string ready_word;
+  std::string leaving_word;
   Millis delay{0};
   bool is_failing = false;
   std::string journal;
@@ -153,6 +152,9 @@
         m_boot(WallNow().time_since_epoch().count()),
         m_random(std::random_device{}()) {}
 
+  /// Within what time all entry hosts hold to the last accepted state.
+  Millis holds_from() const { return m_holds_from; }
+
   /// @returns Whether it was accepted.
   bool Announce(bool is_leaving) {
     if (m_init.announce_to.empty()) {
@@ -170,15 +172,22 @@
           m_init.announce_to[any(m_random)], request, kAnnounceTimeout);
       if (response.status != 200) {
         PartLog("standin")->warn("announcement refused: {}", response.body);
+        return false;
       }
-      return response.status == 200;
-    } catch (const std::runtime_error& error) {
+      m_holds_from = Millis(
+          json::parse(response.body).at("holds_from_ms").to_number<int64_t>());
+      return true;
+    } catch (const std::exception& error) {
       PartLog("standin")->warn("announcement failed: {}.", error.what());
       return false;
     }
   }
 
  private:
+  const std::string& StateWord(bool is_leaving) const {
+    return is_leaving ? m_init.leaving_word : m_init.ready_word;
+  }
+
   json::object Flat(bool is_leaving) const {
     return {{"vendor", m_init.vendor_name},
             {"id", m_init.id},
@@ -188,7 +197,7 @@
             {"zone", m_init.zone},
             {"boot", m_boot},
             {"slots", m_init.slots},
-            {"status", is_leaving ? "QUIESCING" : "UP"}};
+            {"status", StateWord(is_leaving)}};
   }
 
   json::object Nested(bool is_leaving) const {
@@ -203,13 +212,13 @@
             {"placement",
              json::object{{"machine", m_init.host}, {"zone", m_init.zone}}},
             {"capacity", json::object{{"parallel", m_init.slots}}},
-            {"health",
-             json::object{{"phase", is_leaving ? "draining" : "serving"}}}};
+            {"health", json::object{{"phase", StateWord(is_leaving)}}}};
   }
 
   const StandinInit& m_init;
   const std::string m_address;
   const int64_t m_boot;
+  Millis m_holds_from{0};
   std::mt19937_64 m_random;
 };
 
@@ -236,7 +245,11 @@
   add("host", "host it runs on", text("host-1"));
   add("zone", "availability zone", text("zone-a"));
   add("vendor", "form of its announcements: flat or nested", text("flat"));
-  add("vendor-name", "its vendor in the settings; as the form if empty",
+  add("vendor-name", "its vendor in the settings; <form>-vendor if empty",
+      text(""));
+  add("ready-word", "its vendor's word for ready; the form's own if empty",
+      text(""));
+  add("leaving-word", "its vendor's word for leaving; the form's own if empty",
       text(""));
   add("delay", "run time in ms", text("0"));
   add("fail", "answer 500 to all");
@@ -260,8 +273,13 @@
   init.host = text("host");
   init.zone = text("zone");
   init.vendor = text("vendor");
-  init.vendor_name =
-      text("vendor-name").empty() ? init.vendor : text("vendor-name");
+  const bool is_nested = init.vendor == "nested";
+  const auto text_or = [&](const char* name, const std::string& otherwise) {
+    return text(name).empty() ? otherwise : text(name);
+  };
+  init.vendor_name = text_or("vendor-name", init.vendor + "-vendor");
+  init.ready_word = text_or("ready-word", is_nested ? "serving" : "UP");
+  init.leaving_word = text_or("leaving-word", is_nested ? "stopping" : "DRAIN");
   init.delay = Millis(std::stoll(text("delay")));
   init.is_failing = given.count("fail") > 0;
   init.journal = text("journal");
@@ -293,9 +311,8 @@
   }
   while (!announcer.Announce(true) && !WaitForStop(signals, kAnnounceRetry)) {
   }
-  // Runs that were sent before the leaving was known still finish; renewed as
-  // leaving, so that its state is seen while they do.
-  const SteadyTime least = threads.timers().Now() + Millis(3'000);
+  // Runs that were sent before the leaving held everywhere still finish.
+  const SteadyTime least = threads.timers().Now() + announcer.holds_from();
   while (handler.running() > 0 || threads.timers().Now() < least) {
     if (WaitForStop(signals, kAnnounceRetry)) {
       break;
