--- a/packages/planning/src/schedule.cc
+++ b/packages/planning/src/schedule.cc
@@ -35,7 +35,7 @@
                            ? a->last_maintained < b->last_maintained
                            : DomainLess(*a, *b);
               });
-    const int now_due = std::min(NeededNow(), DailyQuota() - m_done_lately);
+    const int now_due = std::min(NeededNow(), Pace() - m_done_lately);
     std::vector<const Host*> picked;
     for (const Host* host : m_candidates) {
       const bool has_quota = static_cast<int>(picked.size()) < now_due;
@@ -93,6 +93,20 @@
     }
   }
 
+  /// Hosts to start on a day: more than the quota if it has become too small
+  /// for those that are due, so that they aren't left for the last day.
+  int Pace() const {
+    int pace = DailyQuota();
+    int due = 0;
+    for (const Host* host : m_candidates) {
+      ++due;
+      const auto days_left = std::max<int64_t>(1, TimeLeft(*host) / kDay);
+      const auto per_day = (due + days_left - 1) / days_left;
+      pace = std::max(pace, static_cast<int>(per_day));
+    }
+    return pace;
+  }
+
   /// Hosts that start on one day if all are spread over the period.
   int DailyQuota() const {
     const Millis spread =
