--- a/packages/consensus/include/laurelhall/consensus/message.h
+++ b/packages/consensus/include/laurelhall/consensus/message.h
@@ -18,6 +18,7 @@
   uint64_t value = 0;
 
   constexpr bool is_valid() const { return value != 0; }
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   friend constexpr auto operator<=>(NodeId, NodeId) = default;
 };
 
--- a/packages/consensus/src/consensus_p.h
+++ b/packages/consensus/src/consensus_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -70,6 +71,12 @@
   void TransferLeadership(NodeId target);
 
  private:
+  using Handler = void (Core::*)(const Message&);
+
+  // By MessageKind.
+  static const std::array<Handler, static_cast<size_t>(MessageKind::kCount)>
+      kHandlers;
+
   // node.cc: what every part needs.
   void AnswerLowerTerm(const Message& message);
   void AdoptHigherTerm(const Message& message);
@@ -123,7 +130,6 @@
   void ConfirmReads();
   void OnAppendReply(const Message& message);
   void OnHeartbeatReply(const Message& message);
-  void OnSnapshotReply(const Message& message);
 
   // replication.cc: follower.
   void HeardLeader(const Message& message);
--- a/packages/consensus/src/log.cc
+++ b/packages/consensus/src/log.cc
@@ -5,7 +5,7 @@
 
 namespace laurelhall::consensus {
 
-Log::Log(SnapshotMeta base, std::vector<Entry> entries) {
+Log::Log(const SnapshotMeta& base, std::vector<Entry> entries) {
   Reset(base);
   for (Entry& entry : entries) {
     Append(std::move(entry));
--- a/packages/consensus/src/log_p.h
+++ b/packages/consensus/src/log_p.h
@@ -14,7 +14,7 @@
 class Log {
  public:
   /// @param base Where the log starts; its membership is in force there.
-  Log(SnapshotMeta base, std::vector<Entry> entries);
+  Log(const SnapshotMeta& base, std::vector<Entry> entries);
 
   Index first() const { return m_base.index + 1; }
   Index last() const { return m_base.index + m_entries.size(); }
--- a/packages/consensus/src/node.cc
+++ b/packages/consensus/src/node.cc
@@ -1,6 +1,7 @@
 #include "laurelhall/consensus/node.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <stdexcept>
 #include <utility>
@@ -116,18 +117,17 @@
   }
 }
 
+constexpr std::array<Node::Core::Handler,
+                     static_cast<size_t>(MessageKind::kCount)>
+    Node::Core::kHandlers{
+        &Core::OnPreVote,     &Core::OnVoteReply,      &Core::OnVote,
+        &Core::OnVoteReply,   &Core::OnAppend,         &Core::OnAppendReply,
+        &Core::OnHeartbeat,   &Core::OnHeartbeatReply, &Core::OnSnapshot,
+        &Core::OnAppendReply, &Core::OnTimeoutNow};
+
 void Node::Core::Dispatch(const Message& message) {
-  using Handler = void (Core::*)(const Message&);
-  static constexpr Handler kHandlers[] = {
-      &Core::OnPreVote,       &Core::OnVoteReply,      &Core::OnVote,
-      &Core::OnVoteReply,     &Core::OnAppend,         &Core::OnAppendReply,
-      &Core::OnHeartbeat,     &Core::OnHeartbeatReply, &Core::OnSnapshot,
-      &Core::OnSnapshotReply, &Core::OnTimeoutNow,
-  };
-  static_assert(std::size(kHandlers) ==
-                static_cast<size_t>(MessageKind::kCount));
   const auto kind = static_cast<size_t>(message.kind);
-  if (kind < std::size(kHandlers)) {
+  if (kind < kHandlers.size()) {
     (this->*kHandlers[kind])(message);
   }
 }
--- a/packages/consensus/src/replication.cc
+++ b/packages/consensus/src/replication.cc
@@ -260,10 +260,6 @@
   ConfirmReads();
 }
 
-void Node::Core::OnSnapshotReply(const Message& message) {
-  OnAppendReply(message);
-}
-
 void Node::Core::HeardLeader(const Message& message) {
   if (m_leader != message.from || m_role == Role::kPreCandidate ||
       m_role == Role::kCandidate) {
--- a/packages/consensus/tests/cluster.cc
+++ b/packages/consensus/tests/cluster.cc
@@ -1,7 +1,6 @@
 #include "cluster.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace laurelhall::consensus {
 
@@ -25,8 +24,8 @@
   }
   for (size_t i = 0; i < m_hosts.size(); ++i) {
     m_hosts[i].bootstrap = bootstrap;
-    Start(i);
   }
+  StartAll();
 }
 
 void Cluster::Start(size_t index) {
@@ -55,8 +54,10 @@
     host.applied = snapshot->meta.index;
     host.hash = std::stoull(snapshot->data);
   }
-  if (!init.log.empty() && init.log.front().index != host.applied + 1) {
-    throw Violation("gap in the log on disk");
+  for (size_t i = 0; i < init.log.size(); ++i) {
+    if (init.log[i].index != host.applied + 1 + i) {
+      throw Violation("gap in the log on disk");
+    }
   }
   host.node = std::make_unique<Node>(std::move(init), m_now);
   if (snapshot) {
@@ -71,7 +72,7 @@
   }
   const int kept = Pick(0, static_cast<int>(host.unsynced.size()));
   for (int i = 0; i < kept; ++i) {
-    Write(host.disk, host.unsynced[i]);
+    host.unsynced[i](host.disk);
   }
   host.unsynced.clear();
   host.in_sync.reset();
@@ -80,6 +81,12 @@
   host.node.reset();
 }
 
+void Cluster::StartAll() {
+  for (size_t host = 0; host < m_hosts.size(); ++host) {
+    Start(host);
+  }
+}
+
 void Cluster::LoseDisk(size_t index) {
   Crash(index);
   Host& host = m_hosts[index];
@@ -125,25 +132,22 @@
     Pump(host);
     TryCompact(i);
   }
-  if (m_init.is_repaired) {
-    RepairStep();
-  }
+  RepairStep();
 }
 
 void Cluster::DeliverDue() {
-  std::vector<Packet> kept;
-  std::vector<Packet> packets = std::exchange(m_packets, {});
-  for (Packet& packet : packets) {
-    Host* host = Find(packet.message.to);
-    if (packet.due > m_now || (host && IsFrozen(*host))) {
-      kept.push_back(std::move(packet));
+  std::multimap<SteadyTime, Message> kept;
+  while (!m_packets.empty() && m_packets.begin()->first <= m_now) {
+    auto packet = m_packets.extract(m_packets.begin());
+    Host* host = Find(packet.mapped().to);
+    if (host && host->node && IsFrozen(*host)) {
+      kept.insert(std::move(packet));
     } else if (host && host->node) {
-      host->node->Receive(packet.message, m_now);
+      host->node->Receive(packet.mapped(), m_now);
       Pump(*host);
     }
   }
-  m_packets.insert(m_packets.end(), std::make_move_iterator(kept.begin()),
-                   std::make_move_iterator(kept.end()));
+  m_packets.merge(kept);
 }
 
 void Cluster::Pump(Host& host) {
@@ -165,7 +169,7 @@
 
 void Cluster::Finish(Host& host) {
   for (const DiskOp& op : host.unsynced) {
-    Write(host.disk, op);
+    op(host.disk);
   }
   host.unsynced.clear();
   const Ready ready = *std::exchange(host.in_sync, std::nullopt);
@@ -238,7 +242,7 @@
     for (int copy = 0; copy <= (is_doubled ? 1 : 0); ++copy) {
       const Millis delay(Pick(1, m_init.max_delay_ms));
       if (!is_lost && !IsCut(message.from, message.to)) {
-        m_packets.push_back({m_now + delay, message});
+        m_packets.emplace(m_now + delay, message);
       }
     }
   }
@@ -269,32 +273,31 @@
 std::vector<Cluster::DiskOp> Cluster::OpsOf(const Ready& ready) {
   std::vector<DiskOp> ops;
   if (ready.hard_state) {
-    ops.emplace_back(*ready.hard_state);
+    ops.push_back(
+        [state = *ready.hard_state](Disk& disk) { disk.hard_state = state; });
   }
   if (ready.truncate_from) {
-    ops.emplace_back(*ready.truncate_from);
+    ops.push_back([from = *ready.truncate_from](Disk& disk) {
+      std::erase_if(disk.log,
+                    [from](auto& entry) { return entry.index >= from; });
+    });
+  }
+  for (const Entry& entry : ready.entries) {
+    ops.push_back([entry](Disk& disk) { disk.log.push_back(entry); });
   }
-  ops.insert(ops.end(), ready.entries.begin(), ready.entries.end());
   if (ready.snapshot) {
-    ops.emplace_back(*ready.snapshot);
+    ops.push_back([snapshot = *ready.snapshot](Disk& disk) {
+      SaveSnapshot(disk, snapshot);
+    });
   }
   return ops;
 }
 
-void Cluster::Write(Disk& disk, const DiskOp& op) {
-  if (const auto* hard_state = std::get_if<HardState>(&op)) {
-    disk.hard_state = *hard_state;
-  } else if (const auto* from = std::get_if<Index>(&op)) {
-    std::erase_if(disk.log,
-                  [from](const Entry& entry) { return entry.index >= *from; });
-  } else if (const auto* entry = std::get_if<Entry>(&op)) {
-    disk.log.push_back(*entry);
-  } else if (const auto* snapshot = std::get_if<Snapshot>(&op)) {
-    disk.snapshot = *snapshot;
-    std::erase_if(disk.log, [snapshot](const Entry& entry) {
-      return entry.index <= snapshot->meta.index;
-    });
-  }
+void Cluster::SaveSnapshot(Disk& disk, const Snapshot& snapshot) {
+  disk.snapshot = snapshot;
+  std::erase_if(disk.log, [&snapshot](const Entry& entry) {
+    return entry.index <= snapshot.meta.index;
+  });
 }
 
 Cluster::Host* Cluster::Find(NodeId id) {
@@ -368,7 +371,7 @@
   }
   const Snapshot snapshot{host.node->MetaAt(host.applied),
                           std::to_string(host.hash)};
-  Write(host.disk, snapshot);
+  SaveSnapshot(host.disk, snapshot);
   host.node->Compact(snapshot);
 }
 
@@ -385,6 +388,15 @@
   return found;
 }
 
+std::optional<size_t> Cluster::AnyLeader() const {
+  for (size_t i = 0; i < m_hosts.size(); ++i) {
+    if (is_up(i) && status(i).role == Role::kLeader) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
 bool Cluster::IsFullStrength() const {
   const std::optional<size_t> lead = leader();
   if (!lead) {
--- a/packages/consensus/tests/cluster.h
+++ b/packages/consensus/tests/cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -8,7 +9,6 @@
 #include <stdexcept>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "laurelhall/consensus/node.h"
@@ -61,6 +61,7 @@
   void Thaw(size_t host) { m_hosts[host].frozen_until = m_now; }
   void Crash(size_t host);  ///< Unsynced writes are lost, but for a prefix.
   void Start(size_t host);
+  void StartAll();
   void LoseDisk(size_t host);  ///< Comes back with a new identity.
 
   // Work.
@@ -83,6 +84,7 @@
   Index committed() const { return m_committed.size(); }
   /// The confirmed leader of the highest term, if any.
   std::optional<size_t> leader() const;
+  std::optional<size_t> AnyLeader() const;  ///< Confirmed or not.
   /// All hosts are up, voters, and have applied the same entries.
   bool IsConverged() const;
   bool IsFullStrength() const;
@@ -101,8 +103,7 @@
     std::optional<Snapshot> snapshot;
     std::vector<Entry> log;
   };
-  /// Index: cut the log from there on.
-  using DiskOp = std::variant<HardState, Index, Entry, Snapshot>;
+  using DiskOp = std::function<void(Disk&)>;
   struct Host {
     NodeId id;
     Membership bootstrap;
@@ -118,10 +119,6 @@
     std::map<Index, Term> proposals;
     std::map<uint64_t, Index> reads;  // What a read must at least see.
   };
-  struct Packet {
-    SteadyTime due;
-    Message message;
-  };
 
   void Step();
   void Pump(Host& host);
@@ -131,7 +128,7 @@
   void Apply(Host& host, const Entry& entry);
   void CheckLeader(const Host& host);
   static std::vector<DiskOp> OpsOf(const Ready& ready);
-  static void Write(Disk& disk, const DiskOp& op);
+  static void SaveSnapshot(Disk& disk, const Snapshot& snapshot);
   Host* Find(NodeId id);
   bool IsFrozen(const Host& host) const { return m_now < host.frozen_until; }
   bool IsCut(NodeId from, NodeId to);
@@ -141,7 +138,7 @@
   std::mt19937_64 m_random;
   SteadyTime m_now{Seconds{1000}};
   std::vector<Host> m_hosts;
-  std::vector<Packet> m_packets;
+  std::multimap<SteadyTime, Message> m_packets;
   std::set<std::pair<size_t, size_t>> m_cuts;
   bool m_are_new_entries_held = false;
   uint64_t m_next_id = 0;
--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -29,6 +29,21 @@
   }
 };
 
+Message From(uint64_t from,
+             MessageKind kind,
+             Term term,
+             Index index = 0,
+             Term log_term = 0) {
+  Message message;
+  message.kind = kind;
+  message.from = {from};
+  message.to = {1};
+  message.term = term;
+  message.index = index;
+  message.log_term = log_term;
+  return message;
+}
+
 /// One node whose peers are played by the test.
 struct NodeFixture {
   SteadyTime now{Seconds{1}};
@@ -58,23 +73,18 @@
     }
     return sent;
   }
-  void Answer(uint64_t from, MessageKind kind, Term term, Index index) {
-    Message reply;
-    reply.kind = kind;
-    reply.from = {from};
-    reply.to = {1};
-    reply.term = term;
-    reply.index = index;
-    node.Receive(reply, now);
+  void Receive(const Message& message) { node.Receive(message, now); }
+  void Answer(uint64_t from, MessageKind kind, Index index = 0) {
+    Receive(From(from, kind, 1, index));
   }
   /// Leads term 1, with its empty entry at index 1.
   void Lead() {
     now += Seconds{2};
     node.Tick(now);
     Drive();
-    Answer(2, MessageKind::kPreVoteReply, 1, 0);
+    Answer(2, MessageKind::kPreVoteReply);
     Drive();
-    Answer(2, MessageKind::kVoteReply, 1, 0);
+    Answer(2, MessageKind::kVoteReply);
     REQUIRE_EQ(node.status().role, Role::kLeader);
   }
   bool Change(MembershipChangeKind kind, uint64_t id) {
@@ -82,6 +92,19 @@
   }
 };
 
+/// A node whose log holds three entries of term 1.
+struct FollowerFixture : NodeFixture {
+  FollowerFixture() {
+    Message append = From(2, MessageKind::kAppend, 1);
+    for (Index index = 1; index <= 3; ++index) {
+      append.entries.push_back({index, 1, EntryKind::kEmpty, ""});
+    }
+    Receive(append);
+    Drive();
+    now += Seconds{1};
+  }
+};
+
 }  // namespace
 
 TEST_CASE_FIXTURE(ClusterFixture,
@@ -159,7 +182,7 @@
   Lead();
   Ready ready = node.TakeReady();
   REQUIRE_EQ(ready.entries.size(), 1);
-  Answer(2, MessageKind::kAppendReply, 1, 1);
+  Answer(2, MessageKind::kAppendReply, 1);
   CHECK_EQ(node.status().commit, 0);
   Persist();
   CHECK_EQ(node.status().commit, 1);
@@ -172,7 +195,7 @@
   Drive();
   CHECK_FALSE(Change(MembershipChangeKind::kRemove, 3));
   CHECK_FALSE(node.RequestRead(1, now));
-  Answer(2, MessageKind::kAppendReply, 1, 1);
+  Answer(2, MessageKind::kAppendReply, 1);
   CHECK(Change(MembershipChangeKind::kRemove, 3));
   CHECK_FALSE(Change(MembershipChangeKind::kAddLearner, 4));
 }
@@ -182,18 +205,18 @@
                   "promoted and does not count") {
   Lead();
   Drive();
-  Answer(2, MessageKind::kAppendReply, 1, 1);
+  Answer(2, MessageKind::kAppendReply, 1);
   REQUIRE(Change(MembershipChangeKind::kAddLearner, 4));
   Drive();
-  Answer(4, MessageKind::kAppendReply, 1, 2);
+  Answer(4, MessageKind::kAppendReply, 2);
   CHECK_EQ(node.status().commit, 1);
-  Answer(2, MessageKind::kAppendReply, 1, 2);
+  Answer(2, MessageKind::kAppendReply, 2);
   CHECK_EQ(node.status().commit, 2);
   REQUIRE(node.Propose("x", now));
   Drive();
-  Answer(2, MessageKind::kAppendReply, 1, 3);
+  Answer(2, MessageKind::kAppendReply, 3);
   CHECK_FALSE(Change(MembershipChangeKind::kPromote, 4));
-  Answer(4, MessageKind::kAppendReply, 1, 3);
+  Answer(4, MessageKind::kAppendReply, 3);
   CHECK(Change(MembershipChangeKind::kPromote, 4));
 }
 
@@ -206,10 +229,101 @@
   CHECK(node.Propose(payload, now));
   CHECK_FALSE(node.Propose(payload, now));
   Drive();
-  Answer(2, MessageKind::kAppendReply, 1, 2);
+  Answer(2, MessageKind::kAppendReply, 2);
   CHECK(node.Propose(payload, now));
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Read, confirmed by a learner only, is not served") {
+  Lead();
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 1);
+  REQUIRE(Change(MembershipChangeKind::kAddLearner, 4));
+  REQUIRE(node.RequestRead(7, now));
+  Drive();
+  Message reply = From(4, MessageKind::kHeartbeatReply, 1);
+  reply.round = 1;
+  Receive(reply);
+  CHECK(node.TakeReady().reads.empty());
+  reply.from = {2};
+  Receive(reply);
+  CHECK_EQ(node.TakeReady().reads.at(0).index, 1);
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Membership change, its quorum not heard of, is refused") {
+  Lead();
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 1);
+  now += Seconds{2};
+  Answer(2, MessageKind::kAppendReply, 1);
+  CHECK_FALSE(Change(MembershipChangeKind::kRemove, 2));
+  CHECK(Change(MembershipChangeKind::kRemove, 3));
+  CHECK_EQ(node.MetaAt(0).membership.members.size(), 3);
+  CHECK_EQ(node.status().membership.members.size(), 2);
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Candidate, own vote not synced, does not count itself") {
+  now += Seconds{2};
+  node.Tick(now);
+  Drive();
+  Answer(2, MessageKind::kPreVoteReply);
+  const Ready ready = node.TakeReady();
+  CHECK(ready.messages_now.empty());
+  CHECK_EQ(ready.messages_synced.size(), 2);
+  Answer(2, MessageKind::kVoteReply);
+  CHECK_EQ(node.status().role, Role::kCandidate);
+  Persist();
+  CHECK_EQ(node.status().role, Role::kLeader);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Follower, append that ends before its log, answers for "
+                  "what was compared") {
+  Message append = From(2, MessageKind::kAppend, 2);
+  append.commit = 3;
+  append.entries = {{1, 1, EntryKind::kEmpty, ""}};
+  Receive(append);
+  CHECK_EQ(node.status().commit, 1);
+  CHECK_EQ(node.TakeReady().messages_synced.at(0).index, 1);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Voter, asked for votes, votes once, for a full log, after "
+                  "the sync") {
+  Message vote = From(2, MessageKind::kPreVote, 2, 2, 1);
+  Receive(vote);
+  CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
+  vote.kind = MessageKind::kVote;
+  vote.index = 3;
+  Receive(vote);
+  const Ready ready = node.TakeReady();
+  CHECK(ready.messages_now.empty());
+  CHECK_FALSE(ready.messages_synced.at(0).is_rejected);
+  CHECK_EQ(ready.hard_state->vote, NodeId{2});
+  vote.from = {3};
+  Receive(vote);
+  CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Node of a higher term, heartbeat of a lower one, answers "
+                  "with its term") {
+  Receive(From(2, MessageKind::kAppend, 5));
+  Drive();
+  Receive(From(3, MessageKind::kHeartbeat, 4));
+  CHECK_EQ(node.TakeReady().messages_synced.at(0).term, 5);
+}
+
+TEST_CASE("Learner, asked for a vote, votes: it may have been promoted") {
+  NodeInit init = NodeFixture::InitOf({1, 2, 3});
+  init.bootstrap.members[{1}].is_voter = false;
+  Node node(std::move(init), SteadyTime{Seconds{1}});
+  node.Receive(From(2, MessageKind::kVote, 1), SteadyTime{Seconds{1}});
+  CHECK_FALSE(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
 TEST_CASE("Node, empty folder and no bootstrap, neither votes nor campaigns") {
   SteadyTime now{Seconds{1}};
   Node node(NodeFixture::InitOf({}), now);
@@ -217,16 +331,9 @@
     now += Millis{100};
     node.Tick(now);
   }
-  Message vote;
-  vote.kind = MessageKind::kVote;
-  vote.from = {2};
-  vote.to = {1};
-  vote.term = 5;
-  vote.index = 10;
-  vote.log_term = 4;
-  node.Receive(vote, now);
-  vote.kind = MessageKind::kPreVote;
-  node.Receive(vote, now);
+  for (const MessageKind kind : {MessageKind::kPreVote, MessageKind::kVote}) {
+    node.Receive(From(2, kind, 5), now);
+  }
   CHECK(node.TakeReady().is_empty());
   CHECK_EQ(node.status().role, Role::kLearner);
 }
