--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "laurelhall/model/burn.h"
 #include "laurelhall/model/endpoint.h"
 #include "laurelhall/model/fleet.h"
 
@@ -79,31 +80,7 @@
 };
 BOOST_DESCRIBE_STRUCT(HostAddCommand, (), (request, host))
 
-/// What can happen to a host; each is a row in the lifecycle's table.
-enum class HostEvent {
-  kJoin,          ///< Announced host enters its pool's capacity.
-  kDrain,         ///< Start draining, with a reason.
-  kConfirmEmpty,  ///< Nothing runs there any more.
-  kCancelDrain,
-  kStopForMaintenance,
-  kMovePool,  ///< The one transition that changes the pool.
-  kReturn,    ///< Back from maintenance, move or failure; warms up.
-  kWarm,      ///< Warmed up: capacity again.
-  kFail,
-  kRetire,
-  kCount,
-};
-BOOST_DESCRIBE_ENUM(HostEvent,
-                    kJoin,
-                    kDrain,
-                    kConfirmEmpty,
-                    kCancelDrain,
-                    kStopForMaintenance,
-                    kMovePool,
-                    kReturn,
-                    kWarm,
-                    kFail,
-                    kRetire)
+using model::HostEvent;
 
 /// One transition of one host, fenced by its epoch.
 struct HostCommand {
@@ -144,19 +121,9 @@
 };
 BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
 
-/// Adds service-level samples to the recorded history.
-struct BurnSample {
-  std::string service;
-  WallTime at{};  ///< Start of the minute.
-  int64_t good = 0;
-  int64_t bad_failure = 0;
-  int64_t bad_wave = 0;
-  int64_t bad_overload = 0;
-};
-BOOST_DESCRIBE_STRUCT(BurnSample,
-                      (),
-                      (service, at, good, bad_failure, bad_wave, bad_overload))
+using model::BurnSample;
 
+/// Adds service-level samples to the recorded history.
 struct BurnCommand {
   std::vector<BurnSample> samples;
 };
