--- a/packages/routing/src/latency_estimate.cc
+++ b/packages/routing/src/latency_estimate.cc
@@ -9,10 +9,17 @@
 constexpr double kGain = 0.2;
 constexpr std::chrono::duration<double> kHalfLife{5};
 
+/// What is left of a sample's weight after `idle`.
+double Left(std::chrono::duration<double> idle) {
+  return std::exp2(-std::max(idle / kHalfLife, 0.0));
+}
+
 }  // namespace
 
 void LatencyEstimate::Add(double millis, SteadyTime now) {
-  m_millis = m_is_known ? m_millis + (millis - m_millis) * kGain : millis;
+  // After a long time the new sample counts for more than the old average.
+  const double gain = std::max(kGain, 1 - Left(now - m_last));
+  m_millis = m_is_known ? m_millis + (millis - m_millis) * gain : millis;
   m_is_known = true;
   m_last = std::max(m_last, now);
 }
@@ -21,9 +28,7 @@
   if (!m_is_known) {
     return optimum;
   }
-  const std::chrono::duration<double> idle = now - m_last;
-  const double left = std::exp2(-std::max(idle / kHalfLife, 0.0));
-  return optimum + (m_millis - optimum) * left;
+  return optimum + (m_millis - optimum) * Left(now - m_last);
 }
 
 }  // namespace laurelhall::routing
--- a/packages/routing/tests/grants_test.cc
+++ b/packages/routing/tests/grants_test.cc
@@ -30,7 +30,7 @@
 
   static int Schedules() {
     const char* text = std::getenv("LAURELHALL_SEEDS");
-    return text == nullptr ? 60 : std::atoi(text);
+    return text == nullptr ? 200 : std::atoi(text);
   }
 
   /// A slot on its way between two entry hosts takes some syncs.
