--- a/packages/placement/include/laurelhall/placement/placer.h
+++ b/packages/placement/include/laurelhall/placement/placer.h
@@ -37,6 +37,10 @@
   Millis urgent_checkpoint_timeout{3'000};
   /// A stop not confirmed within this is not counted on for urgent work.
   Millis stop_timeout{2'000};
+  /// How long an owner with slack waits before borrowed runs that cannot
+  /// checkpoint are stopped for its quota. What is borrowed is given back
+  /// within this, a checkpoint's and a lease's timeout together.
+  Millis reclaim_patience{60'000};
   /// A job that waits longer goes before others of its priority, and nothing
   /// is started on the host kept for it that may outlast its wait.
   Millis starvation_age{3'600'000};
--- a/packages/placement/src/preempt.cc
+++ b/packages/placement/src/preempt.cc
@@ -51,6 +51,14 @@
   std::vector<int> victims;
 };
 
+// Whether an owner still waits for borrowed runs to end by themselves, before
+// work is lost for its quota.
+bool MayWait(const StepContext& context, const QueuedJob& queued) {
+  const Millis patience = context.init.reclaim_patience;
+  return context.now < queued.waiting_since + patience &&
+         context.now + patience < queued.latest_start;
+}
+
 // Urgent work within its team's guarantee may take from all that is less
 // urgent; borrowing, from what is borrowed or its own. Other work within the
 // guarantee takes back what others borrow.
@@ -66,7 +74,9 @@
   if (claimant.is_urgent) {
     return is_lower && (claimant.is_guaranteed || is_own || run.is_borrowed);
   }
-  return run.is_borrowed && (is_lower || !is_own);
+  const bool loses_work = !run.job->can_checkpoint;
+  return run.is_borrowed && (is_lower || !is_own) &&
+         !(loses_work && MayWait(context, claimant.queued));
 }
 
 Millis WorkLost(const StepContext& context, const model::Job& job) {
