--- a/packages/budget/include/laurelhall/budget/burn.h
+++ b/packages/budget/include/laurelhall/budget/burn.h
@@ -44,6 +44,25 @@
   }
 };
 
+/// A severity and what it takes: both windows burn at `rate` or faster.
+struct BurnRule {
+  BurnSeverity severity = BurnSeverity::kNone;
+  BurnWindow shorter = BurnWindow::kCount;
+  BurnWindow longer = BurnWindow::kCount;
+  double rate = 0;
+
+  bool IsMetBy(const Burn& burn) const {
+    return burn.rate(shorter) >= rate && burn.rate(longer) >= rate;
+  }
+};
+
+/// Worst first. The rates are those of a 28 to 30 day objective.
+inline constexpr std::array<BurnRule, 3> kBurnRules = {{
+    {BurnSeverity::kFast, BurnWindow::kFiveMinutes, BurnWindow::kOneHour, 14.4},
+    {BurnSeverity::kMedium, BurnWindow::kOneHour, BurnWindow::kSixHours, 6},
+    {BurnSeverity::kSlow, BurnWindow::kSixHours, BurnWindow::kThreeDays, 1},
+}};
+
 using BurnByService = std::map<std::string, Burn>;
 
 /// Returns the length of a window. Thread-safe.
--- a/packages/budget/src/burn.cc
+++ b/packages/budget/src/burn.cc
@@ -9,20 +9,6 @@
     std::chrono::minutes(5), std::chrono::hours(1), std::chrono::hours(6),
     std::chrono::hours(72)};
 
-struct SeverityRule {
-  BurnSeverity severity;
-  BurnWindow shorter;
-  BurnWindow longer;
-  double rate;
-};
-
-// Worst first. The rates are those of a 28 to 30 day objective.
-constexpr SeverityRule kSeverityRules[] = {
-    {BurnSeverity::kFast, BurnWindow::kFiveMinutes, BurnWindow::kOneHour, 14.4},
-    {BurnSeverity::kMedium, BurnWindow::kOneHour, BurnWindow::kSixHours, 6},
-    {BurnSeverity::kSlow, BurnWindow::kSixHours, BurnWindow::kThreeDays, 1},
-};
-
 struct Counts {
   int64_t good = 0;
   int64_t bad = 0;
@@ -39,10 +25,8 @@
 };
 
 BurnSeverity Classify(const Burn& burn) {
-  for (const SeverityRule& rule : kSeverityRules) {
-    const bool burns = burn.rate(rule.shorter) >= rule.rate &&
-                       burn.rate(rule.longer) >= rule.rate;
-    if (burns) {
+  for (const BurnRule& rule : kBurnRules) {
+    if (rule.IsMetBy(burn)) {
       return rule.severity;
     }
   }
--- a/packages/placement/src/estimates.cc
+++ b/packages/placement/src/estimates.cc
@@ -11,6 +11,9 @@
 // With fewer ratios than this, the declared figure stands in for the rest.
 constexpr size_t kPriorWeight = 3;
 constexpr double kOverrunShare = 0.5;
+// Room over the learned memory, for the runs beyond the quantile: many small
+// misses on one host would add up to more than it has.
+constexpr double kMemoryHeadroom = 1.1;
 
 // Sizes are taken high, since too little memory costs a run; run times at
 // three quarters, since a late start costs a deadline.
@@ -89,7 +92,8 @@
   model::Resources size = job.declared;
   if (const Window* window = Find(job)) {
     size.processors *= window->quantile[IndexOf(RatioKind::kProcessors)];
-    size.memory_gb *= window->quantile[IndexOf(RatioKind::kMemory)];
+    size.memory_gb *=
+        window->quantile[IndexOf(RatioKind::kMemory)] * kMemoryHeadroom;
   }
   return size;
 }
--- a/packages/placement/src/pressure.cc
+++ b/packages/placement/src/pressure.cc
@@ -25,15 +25,19 @@
   }
 }
 
-// Ends the least urgent runs first, and of these the one that uses the most
-// over what was reserved for it.
+// Ends the least urgent runs first; of these those that use more than was
+// reserved for them, and of these, those that lose no work.
 void EndForMemory(StepContext& context, const HostSlot& slot) {
   std::vector<int> order = slot.runs;
   const std::vector<Run>& runs = context.ledger.runs;
-  std::stable_sort(order.begin(), order.end(), [&runs](int a, int b) {
-    return std::tuple(runs[b].job->priority, MemoryOveruse(runs[b])) <
-           std::tuple(runs[a].job->priority, MemoryOveruse(runs[a]));
-  });
+  const auto key = [&runs](int index) {
+    const Run& run = runs[index];
+    const double overuse = MemoryOveruse(run);
+    return std::tuple(run.job->priority, overuse > kEpsilon,
+                      run.job->can_checkpoint, overuse);
+  };
+  std::stable_sort(order.begin(), order.end(),
+                   [&key](int a, int b) { return key(b) < key(a); });
   for (const int index : order) {
     if (slot.free.memory_gb + slot.coming.memory_gb >= -kEpsilon) {
       return;
--- a/packages/placement/tests/placer_test.cc
+++ b/packages/placement/tests/placer_test.cc
@@ -378,6 +378,9 @@
   CHECK(JobOf(id).host != from);
   CHECK(JobOf(id).state == JobState::kRunning);
   CHECK_FALSE(AfterReport(JobOf(id), late, m_now).has_value());
+  JobReport of_old_lease = late;
+  of_old_lease.host = JobOf(id).host;
+  CHECK_FALSE(AfterReport(JobOf(id), of_old_lease, m_now).has_value());
 }
 
 TEST_CASE_FIXTURE(PlacerFixture,
@@ -444,10 +447,10 @@
   like.declared = {1, 4, 0};
   like.declared_run_time = std::chrono::minutes(1);
   const Estimates& estimates = m_placer.estimates();
-  CHECK(estimates.Size(like).memory_gb == doctest::Approx(40));
+  CHECK(estimates.Size(like).memory_gb == doctest::Approx(44));
   CHECK(estimates.RunTime(like) == std::chrono::minutes(10));
   like.kind = "small";
-  CHECK(estimates.Size(like).memory_gb == doctest::Approx(0.4));
+  CHECK(estimates.Size(like).memory_gb == doctest::Approx(0.44));
 }
 
 TEST_CASE_FIXTURE(PlacerFixture,
