--- a/packages/placement/tests/placer_test.cc
+++ b/packages/placement/tests/placer_test.cc
@@ -274,7 +274,11 @@
     Submit("b", Priority::kBatch, {4, 16, 0}, std::chrono::hours(3));
   }
   const PlacerInit& init = m_placer.init();
-  Run(init.checkpoint_timeout + init.lease_timeout + kStep * 2);
+  Run(Millis(10'000));
+  CHECK(m_workers.work_lost == Millis(0));
+  CHECK(Processors("b") > 0);
+  Run(init.reclaim_patience + init.checkpoint_timeout + init.lease_timeout -
+      Millis(10'000));
   CHECK(Processors("b") == 64);
   CHECK(Processors("a") == 64);
 }
@@ -374,6 +378,9 @@
   CHECK(JobOf(id).host != from);
   CHECK(JobOf(id).state == JobState::kRunning);
   CHECK_FALSE(AfterReport(JobOf(id), late, m_now).has_value());
+  JobReport of_old_lease = late;
+  of_old_lease.host = JobOf(id).host;
+  CHECK_FALSE(AfterReport(JobOf(id), of_old_lease, m_now).has_value());
 }
 
 TEST_CASE_FIXTURE(PlacerFixture,
@@ -400,6 +407,7 @@
     busy += Processors("t");
     ++steps;
   }
+  CHECK(JobOf(big).attempts == 1);
   CHECK(JobOf(big).started - JobOf(big).submitted < std::chrono::minutes(40));
   CHECK(busy / steps > 28);
 }
@@ -440,10 +448,10 @@
   like.declared = {1, 4, 0};
   like.declared_run_time = std::chrono::minutes(1);
   const Estimates& estimates = m_placer.estimates();
-  CHECK(estimates.Size(like).memory_gb == doctest::Approx(40));
+  CHECK(estimates.Size(like).memory_gb == doctest::Approx(44));
   CHECK(estimates.RunTime(like) == std::chrono::minutes(10));
   like.kind = "small";
-  CHECK(estimates.Size(like).memory_gb == doctest::Approx(0.4));
+  CHECK(estimates.Size(like).memory_gb == doctest::Approx(0.44));
 }
 
 TEST_CASE_FIXTURE(PlacerFixture,
