--- a/packages/cli/src/options_p.h
+++ b/packages/cli/src/options_p.h
@@ -26,7 +26,7 @@
 
 /// What the environment sets.
 struct Defaults {
-  std::string server = "127.0.0.1:7400";
+  std::string server = "127.0.0.1:9101";
   std::string operator_name = "operator";
 };
 
--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -79,6 +79,15 @@
   return text.str();
 }
 
+boost::json::object ReadObjectFile(const std::string& file) {
+  boost::json::error_code error;
+  boost::json::value value = boost::json::parse(ReadFile(file), error);
+  if (error || !value.is_object()) {
+    throw UsageError(file + ": expected a JSON object");
+  }
+  return std::move(value.get_object());
+}
+
 }  // namespace
 
 Session::Session(const Verb& verb,
@@ -308,14 +317,23 @@
   body["changes"] = changes;
 }
 
-void Session::AddJobFile(boost::json::object& body) const {
-  const std::string& file = m_arguments.front();
-  boost::json::error_code error;
-  const boost::json::value job = boost::json::parse(ReadFile(file), error);
-  if (error || !job.is_object()) {
-    throw UsageError(file + ": expected a JSON object");
+/// Each named node of the file becomes one change, so that nodes which the
+/// file does not name stay as they are.
+void Session::AddTreeFile(boost::json::object& body) const {
+  boost::json::object changes;
+  for (const auto& [section, nodes] : ReadObjectFile(m_arguments.front())) {
+    if (!nodes.is_object()) {
+      throw UsageError(std::string(section) + ": expected an object");
+    }
+    for (const auto& [name, node] : nodes.get_object()) {
+      changes[std::string(section) + "." + std::string(name)] = node;
+    }
   }
-  for (const auto& member : job.get_object()) {
+  body["changes"] = changes;
+}
+
+void Session::AddJobFile(boost::json::object& body) const {
+  for (const auto& member : ReadObjectFile(m_arguments.front())) {
     body[member.key()] = member.value();
   }
 }
--- a/packages/cli/src/session_p.h
+++ b/packages/cli/src/session_p.h
@@ -43,6 +43,7 @@
   // What verbs add to a body.
   void AddChanges(boost::json::object& body) const;
   void AddRemovals(boost::json::object& body) const;
+  void AddTreeFile(boost::json::object& body) const;
   void AddJobFile(boost::json::object& body) const;
 
  private:
--- a/tools/load.cc
+++ b/tools/load.cc
@@ -42,6 +42,7 @@
   uint64_t seed = 1;
   bool is_direct = false;  ///< Straight to an endpoint, for comparison.
   bool is_verbose = false;
+  bool is_strict = false;
 };
 
 /// One request to send: what, where and when.
@@ -305,7 +306,9 @@
       "body-bytes", "least size of a body",
       cxxopts::value<int>()->default_value("100"))(
       "seed", "seed", cxxopts::value<uint64_t>()->default_value("1"))(
-      "direct", "straight to endpoints")("verbose", "a line per answer");
+      "direct", "straight to endpoints")(
+      "strict", "fail unless all answers are whole")("verbose",
+                                                     "a line per answer");
   const auto parsed = options.parse(argc, argv);
   init.targets = tools::SplitCommas(parsed["targets"].as<std::string>());
   init.organisations =
@@ -321,6 +324,7 @@
   init.body_bytes = parsed["body-bytes"].as<int>();
   init.seed = parsed["seed"].as<uint64_t>();
   init.is_direct = parsed.count("direct") != 0;
+  init.is_strict = parsed.count("strict") != 0;
   init.is_verbose = parsed.count("verbose") != 0;
   if (init.targets.empty() || init.organisations.empty() || init.rate <= 0) {
     throw std::invalid_argument("expected targets, organisations and a rate");
@@ -335,7 +339,9 @@
     Load load(init, threads);
     const json::object report = load.Run();
     std::cout << json::serialize(report) << std::endl;
-    return report.at("kinds").as_object().contains("wrong") ? 1 : 0;
+    const json::object& kinds = report.at("kinds").as_object();
+    const bool is_all_ok = kinds.size() == 1 && kinds.contains("ok");
+    return kinds.contains("wrong") || (init.is_strict && !is_all_ok) ? 1 : 0;
   } catch (const std::exception& error) {
     std::cerr << "load: " << error.what() << '\n';
     return 2;
