Consensus: entries synced under load count; the term follows the log

Cause: a host that always has something unsynced would never call Persisted(), so a busy leader's own entries would not count; a crash may keep entries but not the term saved after them. Ruled out: letting Persisted() be called early (hard states, installs and cuts would count unsynced): EntriesPersisted() speaks of entries only and is ignored while a cut is unsynced. Conclusion: control may call EntriesPersisted() where it now waits for a lull.

--- a/packages/consensus/include/laurelhall/consensus/node.h
+++ b/packages/consensus/include/laurelhall/consensus/node.h
@@ -98,6 +98,10 @@
   /// snapshot, and the log up to this position (its last entry, or zeros).
   void Persisted(Index index, Term term);
 
+  /// Says that the log is synced up to this position, while something taken
+  /// later is not: a busy leader commits without waiting for a lull.
+  void EntriesPersisted(Index index, Term term);
+
   /// Says that the state machine stands at `snapshot.meta.index` and `snapshot`
   /// may replace the log up to there; the node sends it to peers that lag.
   ///
--- a/packages/consensus/src/consensus_p.h
+++ b/packages/consensus/src/consensus_p.h
@@ -55,6 +55,7 @@
   void Receive(const Message& message, SteadyTime now);
   Ready TakeReady();
   void Persisted(Index index, Term term);
+  void EntriesPersisted(Index index, Term term);
   void Compact(Snapshot snapshot);
   SnapshotMeta MetaAt(Index index) const;
   Status status() const;
@@ -176,6 +177,7 @@
   Index m_applied = 0;    // Committed entries up to here were given out.
   HardState m_offered_hard_state;
   bool m_is_hard_state_synced = true;
+  bool m_is_cut_synced = true;  // No truncation or install is unsynced.
 
   // Leader only.
   std::map<NodeId, Progress> m_peers;
--- a/packages/consensus/src/node.cc
+++ b/packages/consensus/src/node.cc
@@ -36,13 +36,19 @@
       m_term(m_init.hard_state.term),
       m_vote(m_init.hard_state.vote),
       m_log(BaseOf(m_init), std::move(m_init.log)) {
+  // A crash can have kept entries, but not the term that came with them. This
+  // node has not voted in that term: a vote goes out only once it is synced.
+  if (m_log.last_term() > m_term) {
+    m_term = m_log.last_term();
+    m_vote = NodeId();
+  }
   // A torn tail can leave the saved commit index past the log's end.
   m_commit = std::min(m_init.hard_state.commit, m_log.last());
   m_commit = std::max(m_commit, m_log.base().index);
   m_applied = m_log.base().index;
   m_persisted = m_log.last();
   m_offered = m_log.last();
-  m_offered_hard_state = CurrentHardState();
+  m_offered_hard_state = m_init.hard_state;
   BecomeFollower(m_term, NodeId());
 }
 
@@ -217,13 +223,20 @@
 
 void Node::Core::Persisted(Index index, Term term) {
   m_persisted = std::max(m_persisted, std::exchange(m_installed_offered, 0));
-  if (m_log.Matches(index, term)) {
-    m_persisted = std::max(m_persisted, std::min(index, m_offered));
-  }
   m_is_hard_state_synced = true;
+  m_is_cut_synced = true;
   if (m_role == Role::kCandidate) {
     CountOwnVote();
   }
+  EntriesPersisted(index, term);
+}
+
+// After a cut an entry may stand on disk, be about to be cut there and be
+// appended again: only Persisted() tells.
+void Node::Core::EntriesPersisted(Index index, Term term) {
+  if (m_is_cut_synced && m_log.Matches(index, term)) {
+    m_persisted = std::max(m_persisted, std::min(index, m_offered));
+  }
   if (is_leader()) {
     MaybeCommit();
   }
@@ -320,6 +333,10 @@
   m_core->Persisted(index, term);
 }
 
+void Node::EntriesPersisted(Index index, Term term) {
+  m_core->EntriesPersisted(index, term);
+}
+
 void Node::Compact(Snapshot snapshot) {
   m_core->Compact(std::move(snapshot));
 }
--- a/packages/consensus/src/replication.cc
+++ b/packages/consensus/src/replication.cc
@@ -324,6 +324,7 @@
   m_log.TruncateFrom(from);
   m_persisted = std::min(m_persisted, from - 1);
   if (from <= m_offered) {
+    m_is_cut_synced = false;
     m_offered = from - 1;
     m_ready.truncate_from =
         std::min(m_ready.truncate_from.value_or(from), from);
@@ -356,6 +357,7 @@
 void Node::Core::Install(const Snapshot& snapshot) {
   const Index index = snapshot.meta.index;
   m_persisted = std::min(m_persisted, m_commit);
+  m_is_cut_synced = false;
   if (m_offered > index) {
     m_ready.truncate_from = index + 1;
   }
--- a/packages/consensus/tests/cluster.cc
+++ b/packages/consensus/tests/cluster.cc
@@ -290,6 +290,10 @@
       SaveSnapshot(disk, snapshot);
     });
   }
+  // A host may save the hard state first or last.
+  if (ready.hard_state && Pick(0, 1) == 0) {
+    std::rotate(ops.begin(), ops.begin() + 1, ops.end());
+  }
   return ops;
 }
 
--- a/packages/consensus/tests/cluster.h
+++ b/packages/consensus/tests/cluster.h
@@ -127,7 +127,7 @@
   void DeliverDue();
   void Apply(Host& host, const Entry& entry);
   void CheckLeader(const Host& host);
-  static std::vector<DiskOp> OpsOf(const Ready& ready);
+  std::vector<DiskOp> OpsOf(const Ready& ready);
   static void SaveSnapshot(Disk& disk, const Snapshot& snapshot);
   Host* Find(NodeId id);
   bool IsFrozen(const Host& host) const { return m_now < host.frozen_until; }
--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -188,6 +188,20 @@
   CHECK_EQ(node.status().commit, 1);
 }
 
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Leader, always something unsynced, commits what is synced") {
+  Lead();
+  Drive();
+  REQUIRE(node.Propose("a", now));
+  node.TakeReady();
+  REQUIRE(node.Propose("b", now));
+  node.TakeReady();
+  Answer(2, MessageKind::kAppendReply, 3);
+  CHECK_EQ(node.status().commit, 1);
+  node.EntriesPersisted(2, 1);
+  CHECK_EQ(node.status().commit, 2);
+}
+
 TEST_CASE_FIXTURE(NodeFixture,
                   "Membership change, no entry of the own term committed, is "
                   "refused") {
@@ -289,6 +303,25 @@
   CHECK_EQ(node.TakeReady().messages_synced.at(0).index, 1);
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Follower, entry cut and taken again, is not taken as synced "
+                  "before the cut is") {
+  Message append = From(2, MessageKind::kAppend, 3, 1, 1);
+  append.entries = {{2, 3, EntryKind::kEmpty, ""}};
+  Receive(append);
+  append = From(3, MessageKind::kAppend, 4, 1, 1);
+  append.commit = 3;
+  append.entries = {{2, 1, EntryKind::kEmpty, ""},
+                    {3, 1, EntryKind::kEmpty, ""}};
+  Receive(append);
+  CHECK_EQ(node.TakeReady().hard_state->commit, 1);
+  node.EntriesPersisted(3, 1);
+  append.entries = {{4, 4, EntryKind::kEmpty, ""}};
+  append.index = 3;
+  Receive(append);
+  CHECK_FALSE(node.TakeReady().hard_state);  // Else: a commit index of 3.
+}
+
 TEST_CASE_FIXTURE(FollowerFixture,
                   "Voter, asked for votes, votes once, for a full log, after "
                   "the sync") {
@@ -307,6 +340,19 @@
   CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Voter, leader heard of, ignores votes but for a transfer") {
+  Receive(From(2, MessageKind::kHeartbeat, 1));
+  Drive();
+  Message vote = From(3, MessageKind::kVote, 9, 3, 1);
+  Receive(vote);
+  CHECK(node.TakeReady().is_empty());
+  CHECK_EQ(node.status().term, 1);
+  vote.is_transfer = true;
+  Receive(vote);
+  CHECK_FALSE(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
 TEST_CASE_FIXTURE(FollowerFixture,
                   "Node of a higher term, heartbeat of a lower one, answers "
                   "with its term") {
