Consensus tests: hosts that save several Readys in flight

Cause: a control host gathers Readys while its disk syncs; the schedules had one at a time. Ruled out: a second harness; half of the schedules now keep up to four.

--- a/packages/consensus/tests/cluster.cc
+++ b/packages/consensus/tests/cluster.cc
@@ -48,6 +48,7 @@
   init.mutations = m_init.mutations;
   host.applied = 0;
   host.hash = 0;
+  host.free_at = m_now;
   const std::optional<Snapshot>& snapshot = host.disk.snapshot;
   if (snapshot) {
     init.snapshot = snapshot->meta;
@@ -70,12 +71,15 @@
   if (!host.node) {
     return;
   }
-  const int kept = Pick(0, static_cast<int>(host.unsynced.size()));
-  for (int i = 0; i < kept; ++i) {
-    host.unsynced[i](host.disk);
+  std::vector<DiskOp> unsynced;
+  for (const Flight& flight : host.flights) {
+    unsynced.insert(unsynced.end(), flight.ops.begin(), flight.ops.end());
   }
-  host.unsynced.clear();
-  host.in_sync.reset();
+  unsynced.resize(Pick(0, static_cast<int>(unsynced.size())));
+  for (const DiskOp& op : unsynced) {
+    op(host.disk);
+  }
+  host.flights.clear();
   host.proposals.clear();
   host.reads.clear();
   host.node.reset();
@@ -126,9 +130,7 @@
       continue;
     }
     host.node->Tick(m_now);
-    if (host.in_sync && m_now >= host.synced_at) {
-      Finish(host);
-    }
+    FinishDue(host);
     Pump(host);
     TryCompact(i);
   }
@@ -151,28 +153,34 @@
 }
 
 void Cluster::Pump(Host& host) {
-  while (!host.in_sync) {
+  while (host.flights.size() < m_init.max_flights) {
     Ready ready = host.node->TakeReady();
     if (ready.is_empty()) {
       return;
     }
     CheckLeader(host);
     Send(ready.messages_now);
-    host.unsynced = OpsOf(ready);
-    host.in_sync = std::move(ready);
-    host.synced_at = m_now + Millis(Pick(0, host.max_sync_ms));
-    if (host.unsynced.empty() || host.synced_at == m_now) {
-      Finish(host);
-    }
+    std::vector<DiskOp> ops = OpsOf(ready);
+    const Millis sync(ops.empty() ? 0 : Pick(0, host.max_sync_ms));
+    host.free_at = std::max(host.free_at, m_now + sync);
+    host.flights.push_back({std::move(ready), std::move(ops), host.free_at});
+    FinishDue(host);
+  }
+}
+
+void Cluster::FinishDue(Host& host) {
+  while (!host.flights.empty() && host.flights.front().synced_at <= m_now) {
+    Finish(host);
   }
 }
 
 void Cluster::Finish(Host& host) {
-  for (const DiskOp& op : host.unsynced) {
+  const Flight flight = std::move(host.flights.front());
+  host.flights.pop_front();
+  for (const DiskOp& op : flight.ops) {
     op(host.disk);
   }
-  host.unsynced.clear();
-  const Ready ready = *std::exchange(host.in_sync, std::nullopt);
+  const Ready& ready = flight.ready;
   Send(ready.messages_synced);
   EntryPosition last;
   if (ready.snapshot) {
@@ -195,7 +203,11 @@
   if (!ready.entries.empty()) {
     last = {ready.entries.back().index, ready.entries.back().term};
   }
-  host.node->Persisted(last.index, last.term);
+  if (host.flights.empty()) {
+    host.node->Persisted(last.index, last.term);
+  } else {
+    host.node->EntriesPersisted(last.index, last.term);
+  }
 }
 
 void Cluster::Apply(Host& host, const Entry& entry) {
@@ -370,7 +382,8 @@
 void Cluster::TryCompact(size_t index) {
   Host& host = m_hosts[index];
   const Index from = host.disk.snapshot ? host.disk.snapshot->meta.index : 0;
-  if (host.in_sync || host.applied < from + m_init.snapshot_every) {
+  if (host.applied < from + m_init.snapshot_every ||
+      host.node->status().first > host.applied) {
     return;
   }
   const Snapshot snapshot{host.node->MetaAt(host.applied),
--- a/packages/consensus/tests/cluster.h
+++ b/packages/consensus/tests/cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,7 @@
   int max_delay_ms = 5;
   std::vector<int> max_sync_ms{3};  ///< Each host has one of these.
   bool is_repaired = true;          ///< The leader repairs lost identities.
+  size_t max_flights = 1;           ///< Readys that wait for their sync.
   Index snapshot_every = 1000;      ///< Entries between snapshots of a host.
   Mutations mutations;
 };
@@ -104,14 +106,18 @@
     std::vector<Entry> log;
   };
   using DiskOp = std::function<void(Disk&)>;
+  struct Flight {
+    Ready ready;
+    std::vector<DiskOp> ops;
+    SteadyTime synced_at;
+  };
   struct Host {
     NodeId id;
     Membership bootstrap;
     std::unique_ptr<Node> node;
     Disk disk;
-    std::optional<Ready> in_sync;
-    std::vector<DiskOp> unsynced;
-    SteadyTime synced_at{};
+    std::deque<Flight> flights;
+    SteadyTime free_at{};
     int max_sync_ms = 0;
     SteadyTime frozen_until{};
     Index applied = 0;
@@ -122,6 +128,7 @@
 
   void Step();
   void Pump(Host& host);
+  void FinishDue(Host& host);
   void Finish(Host& host);
   void Send(const std::vector<Message>& messages);
   void DeliverDue();
--- a/packages/consensus/tests/schedule_test.cc
+++ b/packages/consensus/tests/schedule_test.cc
@@ -34,6 +34,7 @@
   init.loss = one_of(std::array<double, 3>{0, 0.03, 0.15});
   init.max_delay_ms = one_of(std::array<int, 3>{5, 30, 100});
   init.max_sync_ms = {2, 20, 100};
+  init.max_flights = one_of(std::array<size_t, 2>{1, 4});
   init.snapshot_every = 40;
   return init;
 }
