Control: envelopes and messages by the proto package's codec

A waiting host that a leader added was left without addresses to answer to when the hello still showed the first membership; it now takes the membership that names it.

--- a/packages/control/src/bootstrap.cc
+++ b/packages/control/src/bootstrap.cc
@@ -75,7 +75,8 @@
     }
   }
   for (const auto& [name, hello] : m_heard) {
-    if (!hello.bootstrap && Names(hello.membership, m_self.node)) {
+    if (!Names(hello.bootstrap, m_self.node) &&
+        Names(hello.membership, m_self.node)) {
       return {std::nullopt, hello.membership, {}};
     }
   }
--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -34,7 +34,7 @@
                        RenewalBox& renewals)
     : m_loop(std::move(loop)),
       m_init(std::move(init)),
-      m_envelope{m_init.cluster, m_init.cluster_key, m_init.identity.name},
+      m_envelope{{m_init.cluster, m_init.cluster_key}, m_init.identity.name},
       m_renewals(renewals),
       m_finder(m_init.control_addresses),
       m_tasks(*this) {
@@ -154,7 +154,7 @@
   auto call = [this, address, group, payload = state::EncodeCommands(commands)](
                   proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.submitRequest();
-    WriteEnvelope(m_envelope, request.initEnvelope());
+    m_envelope.Fill(request.initEnvelope());
     request.setCommands(ToData(payload));
     return request.send().then([this, address, group](auto&& response) {
       OnSubmitReply(address, group, response.getReply());
@@ -228,7 +228,7 @@
   auto call = [this, address, question, asked_at](
                   proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.syncRequest();
-    WriteEnvelope(m_envelope, request.initEnvelope());
+    m_envelope.Fill(request.initEnvelope());
     WriteSyncQuestion(*question, request.initRequest());
     return request.send().then(
         [this, address, question, asked_at](auto&& response) {
@@ -307,7 +307,7 @@
   auto call = [this, address, method, path, body, done,
                again](proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.operateRequest();
-    WriteEnvelope(m_envelope, request.initEnvelope());
+    m_envelope.Fill(request.initEnvelope());
     request.setMethod(method);
     request.setPath(path);
     request.setBody(body);
--- a/packages/control/src/client_loop_p.h
+++ b/packages/control/src/client_loop_p.h
@@ -10,10 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "envelope_p.h"
 #include "laurelhall/control/control_client.h"
 #include "laurelhall/settings/tree.h"
 #include "leader_finder_p.h"
-#include "message_wire_p.h"
 #include "rpc_channel_p.h"
 #include "wire_p.h"
 
--- a/packages/control/src/host_join.cc
+++ b/packages/control/src/host_join.cc
@@ -64,7 +64,7 @@
 void HostLoop::SayHelloTo(const std::string& address) {
   auto call = [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.helloRequest();
-    WriteEnvelope(m_peers.envelope(), request.initEnvelope());
+    m_peers.envelope().Fill(request.initEnvelope());
     WriteHello(SelfHello(), request.initHello());
     const uint64_t epoch = m_bootstrap.epoch();
     return request.send().then([this, epoch](auto&& response) {
--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -20,7 +20,7 @@
 
 EnvelopeInfo MakeEnvelope(const ControlHostInit& init,
                           const std::string& address) {
-  return {init.cluster, init.cluster_key, address};
+  return {{init.cluster, init.cluster_key}, address};
 }
 
 HostHello BootstrapSelf(const ControlHostInit& init, consensus::NodeId self) {
--- a/packages/control/src/peer_links.cc
+++ b/packages/control/src/peer_links.cc
@@ -84,10 +84,10 @@
   auto call = [this, messages = std::move(messages)](
                   proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.stepRequest();
-    WriteEnvelope(m_envelope, request.initEnvelope());
+    m_envelope.Fill(request.initEnvelope());
     auto out = request.initMessages(messages.size());
     for (uint32_t i = 0; i < out.size(); ++i) {
-      WriteMessage(messages[i], out[i]);
+      proto::EncodeMessage(messages[i], out[i]);
     }
     return request.send().ignoreResult();
   };
--- a/packages/control/src/peer_links_p.h
+++ b/packages/control/src/peer_links_p.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "envelope_p.h"
 #include "laurelhall/consensus/message.h"
-#include "message_wire_p.h"
 #include "rpc_channel_p.h"
 
 namespace laurelhall::control {
--- a/packages/control/src/rpc_server.cc
+++ b/packages/control/src/rpc_server.cc
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr size_t kMaxConnections = 1'024;
-// A snapshot travels in one message; 8 bytes a word.
-constexpr uint64_t kMaxMessageWords = (512ull << 20) / 8;
 constexpr Millis kForwardTimeout = std::chrono::seconds(10);
 constexpr const char* kNoLeader =
     R"({"error":"no leader is known; try again"})";
@@ -38,7 +36,7 @@
     }
     std::vector<consensus::Message> messages;
     for (const auto message : params.getMessages()) {
-      messages.push_back(ReadMessage(message));
+      messages.push_back(proto::DecodeMessage(message));
     }
     context.releaseParams();
     m_host.Step(messages);
@@ -121,7 +119,7 @@
     if (mode == CutMode::kRefuse) {
       throw std::runtime_error("refused by the connection filter");
     }
-    CheckEnvelope(m_host.peers().envelope(), envelope);
+    proto::CheckEnvelope(m_host.peers().envelope().credentials, envelope);
     return mode == CutMode::kNone;
   }
 
@@ -155,7 +153,7 @@
             proto::ControlHost::Client& client) mutable -> kj::Promise<void> {
       const auto params = context.getParams();
       auto request = client.operateRequest();
-      WriteEnvelope(m_host.peers().envelope(), request.initEnvelope());
+      m_host.peers().envelope().Fill(request.initEnvelope());
       request.setMethod(params.getMethod());
       request.setPath(params.getPath());
       request.setBody(params.getBody());
@@ -178,11 +176,7 @@
       : stream(kj::mv(accepted)),
         network(*stream,
                 capnp::rpc::twoparty::Side::SERVER,
-                [] {
-                  capnp::ReaderOptions options;
-                  options.traversalLimitInWords = kMaxMessageWords;
-                  return options;
-                }()),
+                proto::BoundedReaderOptions()),
         rpc(capnp::makeRpcServer(network, kj::mv(server))) {}
 
   kj::Own<kj::AsyncIoStream> stream;
--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -110,9 +110,8 @@
     version = change->version;
   }
   const size_t leader = m_cluster.AwaitLeader();
-  REQUIRE(Eventually([&] {
-    return m_cluster.host(leader).status().counters.snapshots > 0;
-  }));
+  REQUIRE(Eventually(
+      [&] { return m_cluster.host(leader).status().counters.snapshots > 0; }));
   for (size_t i = 0; i < m_cluster.size(); ++i) {
     m_cluster.Stop(i);
   }
@@ -217,9 +216,8 @@
                                .status()
                                .consensus.membership.members;
       return members.size() == 3 && !members.contains(old) &&
-             std::all_of(members.begin(), members.end(), [](const auto& item) {
-               return item.second.is_voter;
-             });
+             std::all_of(members.begin(), members.end(),
+                         [](const auto& item) { return item.second.is_voter; });
     }));
   }
   m_cluster.Stop(first);
