--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "failing_files.h"
+
 namespace laurelhall::control {
 namespace {
 
@@ -231,5 +233,89 @@
   }
 }
 
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, leader's sync fails, it votes no more and the "
+                  "others go on") {
+  std::vector<std::unique_ptr<FailingFiles>> files;
+  std::atomic<int> failures{0};
+  for (size_t i = 0; i < m_cluster.size(); ++i) {
+    files.push_back(std::make_unique<FailingFiles>());
+    m_cluster.init(i).file_system = files.back().get();
+    m_cluster.init(i).on_store_failed = [&](const std::string&) { ++failures; };
+  }
+  m_cluster.StartAll();
+  const auto link = m_cluster.MakeLink("entry");
+  REQUIRE(ClaimMany(*link, "a", 20) == 20);
+  const size_t old = m_cluster.AwaitLeader();
+  files[old]->FailSyncs();
+  REQUIRE(ClaimMany(*link, "b", 20) == 20);
+  CHECK(
+      Eventually([&] { return m_cluster.host(old).status().is_store_failed; }));
+  CHECK(m_cluster.AwaitLeader(old) < m_cluster.size());
+  CHECK(failures == 1);
+  for (size_t i = 0; i < m_cluster.size(); ++i) {
+    m_cluster.Stop(i);
+  }
+}
+
+// Answers with the settings version, and commits what it is told to.
+class EchoOperators : public OperatorService {
+ public:
+  void Handle(const std::string& method,
+              const std::string& path,
+              const std::string& body,
+              const state::Machine& machine,
+              const ControlStatus& status,
+              const Commit& commit,
+              std::function<void(OperatorReply)> done) override {
+    const std::string leader = status.leader_name;
+    if (method == "GET") {
+      done({200, leader + " " + std::to_string(machine.settings_version())});
+      return;
+    }
+    commit({MakeSettings(0, path, std::stoi(body))},
+           [done, leader](const auto& results) {
+             const bool is_known = results && results->size() == 1;
+             done({is_known ? 200 : 503, leader});
+           });
+  }
+};
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, operator asks a follower, the leader answers") {
+  m_cluster.m_make_operators = [] { return std::make_unique<EchoOperators>(); };
+  m_cluster.StartAll();
+  const size_t leader = m_cluster.AwaitLeader();
+  REQUIRE(leader < m_cluster.size());
+  const size_t follower = (leader + 1) % m_cluster.size();
+  const auto link = m_cluster.MakeLinkTo("operator", follower);
+  const auto ask = [&](const std::string& method, const std::string& body) {
+    std::promise<OperatorReply> reply;
+    link->Operate(method, "id", body, std::chrono::steady_clock::now() + kCap,
+                  [&](OperatorReply answer) { reply.set_value(answer); });
+    return reply.get_future().get();
+  };
+  CHECK(ask("POST", "4").status == 200);
+  const OperatorReply reply = ask("GET", "");
+  CHECK(reply.status == 200);
+  CHECK(reply.body == m_cluster.init(leader).name + " 1");
+}
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, caller without the key, is not served") {
+  m_cluster.StartAll();
+  REQUIRE(m_cluster.AwaitLeader() < m_cluster.size());
+  ControlClientInit init;
+  init.cluster = "test";
+  init.cluster_key = "guess";
+  init.identity = {"stranger", 1};
+  init.control_addresses = {m_cluster.init(0).inner_address,
+                            m_cluster.init(1).inner_address,
+                            m_cluster.init(2).inner_address};
+  const auto link = MakeControlClient(init);
+  CHECK_FALSE(ClaimNow(*link, MakeClaim("k"), Seconds(2)));
+  CHECK_FALSE(m_cluster.host(0).machine().FindClaim(MakeClaim("k").key));
+}
+
 }  // namespace
 }  // namespace laurelhall::control
--- /dev/null
+++ b/packages/control/tests/decisions_test.cc
@@ -0,0 +1,186 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "leader_finder_p.h"
+#include "repair_p.h"
+#include "zone_placement_p.h"
+
+namespace laurelhall::control {
+namespace {
+
+using consensus::MembershipChangeKind;
+using consensus::NodeId;
+
+class MembershipFixture {
+ protected:
+  // Voters 1, 2, ... of these zones.
+  static consensus::Membership Voters(const std::vector<std::string>& zones) {
+    consensus::Membership membership;
+    uint64_t id = 1;
+    for (const std::string& zone : zones) {
+      membership.members[NodeId{id}] = {"", zone, "n" + std::to_string(id),
+                                        true};
+      ++id;
+    }
+    return membership;
+  }
+
+  // A leader (node 1) that has led and heard everybody just now.
+  RepairInput Healthy(const consensus::Membership& membership) {
+    RepairInput input;
+    input.now = SteadyTime(std::chrono::hours(1));
+    input.leads_since = input.now - std::chrono::minutes(1);
+    input.status.self = NodeId{1};
+    input.status.membership = membership;
+    input.status.commit = 1'000;
+    for (const auto& [id, member] : membership.members) {
+      input.status.peers[id] = {1'000, input.now};
+    }
+    return input;
+  }
+};
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "CheckZonePlacement, zone put at risk, says which") {
+  const auto spread = Voters({"a", "b", "c"});
+  CHECK(ZonesAtRisk(spread, {}).empty());
+  const consensus::MembershipChange same_zone{
+      MembershipChangeKind::kPromote, NodeId{4}, {}};
+  auto with_learner = spread;
+  with_learner.members[NodeId{4}] = {"", "a", "n4", false};
+  CHECK(CheckZonePlacement(with_learner, same_zone, {}).find("'a'") !=
+        std::string::npos);
+  with_learner.members[NodeId{4}].availability_zone = "d";
+  CHECK(CheckZonePlacement(with_learner, same_zone, {}).empty());
+  const consensus::MembershipChange removal{
+      MembershipChangeKind::kRemove, NodeId{3}, {}};
+  CHECK_FALSE(CheckZonePlacement(spread, removal, {}).empty());
+  CHECK(CheckZonePlacement(spread, removal, {NodeId{3}}).empty());
+  CHECK(CheckZonePlacement(spread, removal, {NodeId{2}}).find("quorum") !=
+        std::string::npos);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "CheckZonePlacement, any accepted change, loses no zone's "
+                  "safety nor the quorum") {
+  std::mt19937_64 random(7);
+  const auto pick = [&random](uint64_t count) { return random() % count; };
+  for (int round = 0; round < 5'000; ++round) {
+    std::vector<std::string> zones;
+    for (uint64_t i = 0; i < 1 + pick(6); ++i) {
+      zones.push_back(std::string(1, static_cast<char>('a' + pick(4))));
+    }
+    consensus::Membership membership = Voters(zones);
+    for (auto& [id, member] : membership.members) {
+      member.is_voter = id.value == 1 || pick(4) > 0;
+    }
+    LostVoters lost;
+    if (pick(2) == 0) {
+      lost.insert(NodeId{1 + pick(zones.size())});
+    }
+    const NodeId node{1 + pick(zones.size())};
+    const bool is_voter = membership.members.at(node).is_voter;
+    const consensus::MembershipChange change{
+        is_voter ? MembershipChangeKind::kRemove
+                 : MembershipChangeKind::kPromote,
+        node,
+        {}};
+    if (!CheckZonePlacement(membership, change, lost).empty()) {
+      continue;
+    }
+    const auto changed = WithChange(membership, change);
+    size_t voters = 0;
+    size_t live = 0;
+    for (const auto& [id, member] : changed.members) {
+      voters += member.is_voter ? 1 : 0;
+      live += member.is_voter && !lost.contains(id) ? 1 : 0;
+    }
+    CHECK(live * 2 > voters);
+    if (ZonesAtRisk(membership, lost).empty()) {
+      CHECK(ZonesAtRisk(changed, lost).empty());
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "PlanRepair, lost member's namesake, goes one safe step at "
+                  "a time") {
+  RepairInput input = Healthy(Voters({"a", "b", "c"}));
+  WaitingHost fresh{NodeId{9}, {"", "c", "n3", false}, input.now};
+  input.waiting = {fresh};
+  // The old identity is heard of: nothing happens, and it says why.
+  RepairPlan plan = PlanRepair(input);
+  CHECK_FALSE(plan.change);
+  CHECK(plan.notes.at(0).find("still heard") != std::string::npos);
+  // Silent, but this leader has not led for long enough to know.
+  input.status.peers[NodeId{3}].last_heard = SteadyTime();
+  input.leads_since = input.now;
+  CHECK_FALSE(PlanRepair(input).change);
+  input.leads_since = SteadyTime();
+  std::vector<MembershipChangeKind> steps;
+  while (const auto change = PlanRepair(input).change) {
+    steps.push_back(change->kind);
+    input.status.membership = WithChange(input.status.membership, *change);
+    if (change->kind == MembershipChangeKind::kAddLearner) {
+      input.status.peers[NodeId{9}] = {5, input.now};
+      plan = PlanRepair(input);
+      CHECK_FALSE(plan.change);  // Not before it has caught up.
+      CHECK(plan.notes.at(0).find("catches up") != std::string::npos);
+      input.status.peers[NodeId{9}] = {1'000, input.now};
+    }
+    REQUIRE(steps.size() < 5);
+  }
+  CHECK(steps == std::vector{MembershipChangeKind::kAddLearner,
+                             MembershipChangeKind::kRemove,
+                             MembershipChangeKind::kPromote});
+  CHECK(input.status.membership.members.contains(NodeId{9}));
+  CHECK_FALSE(input.status.membership.members.contains(NodeId{3}));
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "PlanRepair, stranger or second loss, waits for an operator "
+                  "or keeps the quorum") {
+  RepairInput input = Healthy(Voters({"a", "b", "c"}));
+  input.waiting = {{NodeId{9}, {"", "d", "stranger", false}, input.now}};
+  CHECK_FALSE(PlanRepair(input).change);
+  input.approved.insert("stranger");
+  CHECK(PlanRepair(input).change);
+  // Two of three are silent: no removal may be planned.
+  input.waiting.clear();
+  input.status.membership.members[NodeId{9}] = {"", "c", "n3", false};
+  input.status.peers[NodeId{9}] = {1'000, input.now};
+  input.status.peers[NodeId{2}].last_heard = SteadyTime();
+  input.status.peers[NodeId{3}].last_heard = SteadyTime();
+  input.leads_since = SteadyTime();
+  const RepairPlan plan = PlanRepair(input);
+  CHECK_FALSE(plan.change);
+  CHECK(plan.notes.at(0).find("quorum") != std::string::npos);
+}
+
+class LeaderFinderFixture {
+ protected:
+  SteadyTime m_now{std::chrono::hours(1)};
+  LeaderFinder m_finder{{"a", "b", "c"}};
+};
+
+TEST_CASE_FIXTURE(LeaderFinderFixture,
+                  "LeaderFinder, dead leader named by a follower, tries the "
+                  "others with backoff") {
+  m_finder.DoesNotLead("a", "b", m_now);
+  CHECK(m_finder.current() == "b");
+  m_finder.Failed("b", m_now);
+  CHECK(m_finder.current() != "b");
+  CHECK(m_finder.ready_at() > m_now);
+  const std::string asked = m_finder.current();
+  m_finder.DoesNotLead(asked, "b", m_now);  // Distrusted for a while.
+  CHECK(m_finder.current() != asked);
+  m_finder.Led("c");
+  CHECK(m_finder.current() == "c");
+  CHECK(m_finder.ready_at() <= m_now);
+  m_finder.Failed("a", m_now);  // A late failure of another call.
+  CHECK(m_finder.current() == "c");
+}
+
+}  // namespace
+}  // namespace laurelhall::control
