--- a/packages/routing/src/admission_queue.cc
+++ b/packages/routing/src/admission_queue.cc
@@ -46,8 +46,8 @@
     if (request.bytes > m_init.max_bytes) {
       return Refuse(RefusalReason::kQueueBytesFull, request);
     }
-    if (now + WaitOf(request) + Shortest(request.priority, now) >
-        request.deadline) {
+    const Millis needed = Needed(IndexOf(request.priority), now);
+    if (now + WaitOf(request) + needed > request.deadline) {
       return Refuse(RefusalReason::kCannotMeetDeadline, request);
     }
     const auto full = MakeRoom(request);
@@ -130,8 +130,8 @@
       if (m_queues[i].is_empty()) {
         continue;
       }
-      const Millis shortest = Shortest(static_cast<model::Priority>(i), now);
-      const SteadyTime hopeless = m_queues[i].EarliestDeadline() - shortest;
+      const SteadyTime hopeless =
+          m_queues[i].EarliestDeadline() - Needed(i, now);
       next = next ? std::min(*next, hopeless) : hopeless;
     }
     return next;
@@ -164,9 +164,9 @@
 
   void GiveUpHopeless(SteadyTime now) {
     for (size_t i = 0; i < kPriorityCount; ++i) {
-      const Millis shortest = Shortest(static_cast<model::Priority>(i), now);
       PriorityQueue& queue = m_queues[i];
-      while (!queue.is_empty() && queue.EarliestDeadline() < now + shortest) {
+      while (!queue.is_empty() &&
+             queue.EarliestDeadline() < now + Needed(i, now)) {
         GiveUp(queue.Earliest(), RefusalReason::kCannotMeetDeadline);
       }
     }
@@ -244,9 +244,13 @@
     return m_estimate.is_known() ? m_estimate.mean() : m_init.expected_run_time;
   }
 
-  Millis Shortest(model::Priority priority, SteadyTime now) const {
-    const RunEstimate& own = m_estimates[IndexOf(priority)];
-    return own.is_known() ? own.Shortest(now) : m_estimate.Shortest(now);
+  /// Time that a request must still have. When more wait than there are slots
+  /// a doubtful one gives way to those behind it; else it is worth a try.
+  Millis Needed(size_t priority, SteadyTime now) const {
+    const RunEstimate& own = m_estimates[priority];
+    const RunEstimate& estimate = own.is_known() ? own : m_estimate;
+    const bool is_pressed = m_queues[priority].size() > std::max(m_capacity, 1);
+    return is_pressed ? estimate.Long(now) : estimate.Short(now);
   }
 
   /// Time until a new request would be served; zero without a known capacity.
--- a/packages/routing/src/priority_queue.cc
+++ b/packages/routing/src/priority_queue.cc
@@ -51,9 +51,9 @@
 
 const OrganisationQueue& PriorityQueue::Of(
     const std::string& organisation) const {
-  static const OrganisationQueue kNone;
+  static const OrganisationQueue none;
   const auto it = m_organisations.find(organisation);
-  return it == m_organisations.end() ? kNone : it->second;
+  return it == m_organisations.end() ? none : it->second;
 }
 
 }  // namespace laurelhall::routing
--- a/packages/routing/src/run_estimate_p.h
+++ b/packages/routing/src/run_estimate_p.h
@@ -4,7 +4,22 @@
 
 namespace laurelhall::routing {
 
-/// How long runs take: the mean of late, and what the shortest tenth takes.
+/// Follows one quantile of a stream of samples.
+///
+/// @remarks Not thread-safe.
+class QuantileEstimate {
+ public:
+  explicit QuantileEstimate(double quantile) : m_quantile(quantile) {}
+
+  void Add(double sample);
+  double value() const { return m_value; }
+
+ private:
+  double m_quantile;
+  double m_value = 0;
+};
+
+/// How long runs take: the mean of late, and what a short and a long one take.
 ///
 /// @remarks Not thread-safe.
 class RunEstimate {
@@ -14,14 +29,21 @@
   bool is_known() const { return m_count > 0; }
   Millis mean() const;
 
-  /// Below this, hardly any run ends. Zero while too few runs were seen; falls
-  /// while none are, so that a bad estimate can't refuse everything for ever.
-  Millis Shortest(SteadyTime now) const;
+  /// Nine in ten runs take longer. This and Long() are zero while too few runs
+  /// were seen, and fall while none are, so that a bad estimate can't refuse
+  /// everything for ever.
+  Millis Short(SteadyTime now) const { return Fade(m_short, now); }
+
+  /// One in ten runs takes longer.
+  Millis Long(SteadyTime now) const { return Fade(m_long, now); }
 
  private:
+  Millis Fade(const QuantileEstimate& estimate, SteadyTime now) const;
+
   int m_count = 0;
-  double m_mean = 0;      ///< Milliseconds.
-  double m_shortest = 0;  ///< Milliseconds.
+  double m_mean = 0;  ///< Milliseconds.
+  QuantileEstimate m_short{0.1};
+  QuantileEstimate m_long{0.9};
   SteadyTime m_last{};
 };
 
--- a/packages/routing/src/slot_allocator.cc
+++ b/packages/routing/src/slot_allocator.cc
@@ -26,7 +26,8 @@
                    Millis max_run_time,
                    SteadyTime now,
                    bool is_never_lent) {
-    auto [it, is_new] = m_endpoints.try_emplace(endpoint.id);
+    auto [it, is_new] = m_endpoints.try_emplace(endpoint.id, m_ordinals);
+    m_ordinals += is_new ? 1 : 0;
     EndpointSlots& slots = it->second;
     const Millis longest = WithDrift(max_run_time + m_init.write_margin);
     if (is_new && !is_never_lent) {
@@ -172,6 +173,7 @@
   const SlotAllocatorInit m_init;
   const SteadyTime m_started_at;
   uint64_t m_counter = 0;
+  size_t m_ordinals = 0;
   std::map<std::string, EndpointSlots> m_endpoints;
   CurrentIncarnations m_current;
 };
--- a/packages/routing/src/slot_table.cc
+++ b/packages/routing/src/slot_table.cc
@@ -185,12 +185,12 @@
     return targets;
   }
   int left = std::max(m_limit - Quarantined(current), 0);
-  // Everybody gets one first, so that a first request need not wait a renewal.
-  if (left >= static_cast<int>(claimants.size())) {
-    for (Claimant& claimant : claimants) {
-      claimant.slots = 1;
-      --left;
-    }
+  // Each entry host keeps one slot of every second endpoint, so that a first
+  // request need not wait a renewal. One of every endpoint would take most of
+  // the slots out of the reach of demand.
+  for (size_t i = m_ordinal % 2; i < claimants.size() && left > 0; i += 2) {
+    claimants[i].slots = 1;
+    --left;
   }
   for (; left > 0; --left) {
     std::ranges::max_element(claimants, {}, &Claimant::Need)->slots++;
--- a/packages/routing/src/slot_table_p.h
+++ b/packages/routing/src/slot_table_p.h
@@ -37,6 +37,9 @@
 ///   reserve is at least what all entry hosts together may have under way.
 class EndpointSlots {
  public:
+  /// @param ordinal Differs between endpoints; spreads the minimum holdings.
+  explicit EndpointSlots(size_t ordinal) : m_ordinal(ordinal) {}
+
   void SetLimit(int slots, Millis longest_run);
 
   /// Lends nothing more; what is lent is called back.
@@ -79,6 +82,7 @@
   std::map<const model::EntryIdentity*, int> Targets(
       const CurrentIncarnations& current) const;
 
+  size_t m_ordinal;
   int m_limit = 0;
   Millis m_longest_run{0};
   bool m_is_closed = false;
