--- /dev/null
+++ b/packages/consensus/tests/node_test.cc
@@ -0,0 +1,352 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "cluster.h"
+
+namespace laurelhall::consensus {
+
+namespace {
+
+// Longer than any election and quorum check takes.
+constexpr Millis kLong = Cluster::kElectionMax * 5;
+
+struct ClusterFixture {
+  Cluster cluster{ClusterInit()};
+  size_t leader = WaitForLeader();
+  size_t other = (leader + 1) % cluster.size();
+
+  size_t WaitForLeader() {
+    REQUIRE(cluster.RunUntil(kLong, [this] { return cluster.IsConverged(); }));
+    return *cluster.leader();
+  }
+  void Commit(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      REQUIRE(cluster.Propose(*cluster.leader()));
+      cluster.Run(Cluster::kStep);
+    }
+    cluster.Run(kLong);
+  }
+};
+
+Message From(uint64_t from,
+             MessageKind kind,
+             Term term,
+             Index index = 0,
+             Term log_term = 0) {
+  Message message;
+  message.kind = kind;
+  message.from = {from};
+  message.to = {1};
+  message.term = term;
+  message.index = index;
+  message.log_term = log_term;
+  return message;
+}
+
+/// One node whose peers are played by the test.
+struct NodeFixture {
+  SteadyTime now{Seconds{1}};
+  Node node{InitOf({1, 2, 3}), now};
+
+  static NodeInit InitOf(const std::vector<uint64_t>& voters) {
+    NodeInit init;
+    init.self = {1};
+    for (uint64_t voter : voters) {
+      init.bootstrap.members[{voter}] = Member{};
+    }
+    return init;
+  }
+  void Persist() {
+    const Status status = node.status();
+    node.Persisted(status.last, status.term);
+  }
+  std::vector<Message> Drive() {
+    std::vector<Message> sent;
+    for (Ready ready = node.TakeReady(); !ready.is_empty();
+         ready = node.TakeReady()) {
+      sent.insert(sent.end(), ready.messages_now.begin(),
+                  ready.messages_now.end());
+      sent.insert(sent.end(), ready.messages_synced.begin(),
+                  ready.messages_synced.end());
+      Persist();
+    }
+    return sent;
+  }
+  void Receive(const Message& message) { node.Receive(message, now); }
+  void Answer(uint64_t from, MessageKind kind, Index index = 0) {
+    Receive(From(from, kind, 1, index));
+  }
+  /// Leads term 1, with its empty entry at index 1.
+  void Lead() {
+    now += Seconds{2};
+    node.Tick(now);
+    Drive();
+    Answer(2, MessageKind::kPreVoteReply);
+    Drive();
+    Answer(2, MessageKind::kVoteReply);
+    REQUIRE_EQ(node.status().role, Role::kLeader);
+  }
+  bool Change(MembershipChangeKind kind, uint64_t id) {
+    return node.ProposeMembership({kind, {id}, {}}, now).has_value();
+  }
+};
+
+/// A node whose log holds three entries of term 1.
+struct FollowerFixture : NodeFixture {
+  FollowerFixture() {
+    Message append = From(2, MessageKind::kAppend, 1);
+    for (Index index = 1; index <= 3; ++index) {
+      append.entries.push_back({index, 1, EntryKind::kEmpty, ""});
+    }
+    Receive(append);
+    Drive();
+    now += Seconds{1};
+  }
+};
+
+}  // namespace
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Leader, frozen and resumed, acknowledges nothing of its "
+                  "own and steps down") {
+  Commit(3);
+  cluster.Freeze(leader, kLong * 3);
+  cluster.Run(kLong);
+  REQUIRE_NE(*cluster.leader(), leader);
+  Commit(3);
+  const Index before = cluster.acknowledged();
+  const size_t reads = cluster.reads_served();
+  cluster.Thaw(leader);
+  const auto lost = cluster.Propose(leader);
+  REQUIRE(lost);
+  cluster.Read(leader);
+  cluster.Run(kLong);
+  CHECK_EQ(cluster.status(leader).role, Role::kFollower);
+  CHECK_EQ(cluster.acknowledged(), before);
+  CHECK_EQ(cluster.reads_served(), reads);
+  CHECK(cluster.IsConverged());
+}
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Follower, back from a long cut, leaves leader and term") {
+  const Term term = cluster.status(leader).term;
+  cluster.Isolate(other, true, true);
+  Commit(50);
+  cluster.HealNetwork();
+  cluster.Run(kLong);
+  CHECK_EQ(cluster.leader(), leader);
+  CHECK_EQ(cluster.status(leader).term, term);
+  CHECK(cluster.IsConverged());
+}
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, second disk lost right after a repair, keeps "
+                  "acknowledged entries") {
+  Commit(100);
+  const Index acknowledged = cluster.acknowledged();
+  for (size_t host = 0; host < cluster.size(); ++host) {
+    cluster.LoseDisk(host);
+    REQUIRE(cluster.RunUntil(kLong * 4, [this] {
+      return cluster.leader() && cluster.IsFullStrength();
+    }));
+  }
+  REQUIRE(cluster.RunUntil(kLong, [this] { return cluster.IsConverged(); }));
+  CHECK_GE(acknowledged, 100);
+  CHECK_GE(cluster.committed(), acknowledged);
+}
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Leader, hands over, the target leads without a timeout") {
+  cluster.node(leader).TransferLeadership(cluster.id(other), cluster.now());
+  const bool is_done = cluster.RunUntil(
+      Cluster::kElectionMin / 2, [this] { return cluster.leader() == other; });
+  CHECK(is_done);
+}
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Membership change, truncated by another leader, is undone") {
+  cluster.Isolate(leader, true, true);
+  REQUIRE(
+      cluster.Change(leader, MembershipChangeKind::kRemove, cluster.id(other)));
+  CHECK_EQ(cluster.status(leader).membership.members.size(), 2);
+  cluster.Run(kLong);
+  cluster.HealNetwork();
+  cluster.Run(kLong);
+  CHECK_EQ(cluster.status(leader).membership.members.size(), 3);
+  CHECK(cluster.IsConverged());
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Leader, own entry not synced, does not count itself") {
+  Lead();
+  Ready ready = node.TakeReady();
+  REQUIRE_EQ(ready.entries.size(), 1);
+  Answer(2, MessageKind::kAppendReply, 1);
+  CHECK_EQ(node.status().commit, 0);
+  Persist();
+  CHECK_EQ(node.status().commit, 1);
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Membership change, no entry of the own term committed, is "
+                  "refused") {
+  Lead();
+  Drive();
+  CHECK_FALSE(Change(MembershipChangeKind::kRemove, 3));
+  CHECK_FALSE(node.RequestRead(1, now));
+  Answer(2, MessageKind::kAppendReply, 1);
+  CHECK(Change(MembershipChangeKind::kRemove, 3));
+  CHECK_FALSE(Change(MembershipChangeKind::kAddLearner, 4));
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Learner, not caught up with synced entries, is not "
+                  "promoted and does not count") {
+  Lead();
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 1);
+  REQUIRE(Change(MembershipChangeKind::kAddLearner, 4));
+  Drive();
+  Answer(4, MessageKind::kAppendReply, 2);
+  CHECK_EQ(node.status().commit, 1);
+  Answer(2, MessageKind::kAppendReply, 2);
+  CHECK_EQ(node.status().commit, 2);
+  REQUIRE(node.Propose("x", now));
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 3);
+  CHECK_FALSE(Change(MembershipChangeKind::kPromote, 4));
+  Answer(4, MessageKind::kAppendReply, 3);
+  CHECK(Change(MembershipChangeKind::kPromote, 4));
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Leader, much uncommitted, refuses proposals until it is "
+                  "committed") {
+  Lead();
+  Drive();
+  const std::string payload(40 << 20, 'x');
+  CHECK(node.Propose(payload, now));
+  CHECK_FALSE(node.Propose(payload, now));
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 2);
+  CHECK(node.Propose(payload, now));
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Read, confirmed by a learner only, is not served") {
+  Lead();
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 1);
+  REQUIRE(Change(MembershipChangeKind::kAddLearner, 4));
+  REQUIRE(node.RequestRead(7, now));
+  Drive();
+  Message reply = From(4, MessageKind::kHeartbeatReply, 1);
+  reply.round = 1;
+  Receive(reply);
+  CHECK(node.TakeReady().reads.empty());
+  reply.from = {2};
+  Receive(reply);
+  CHECK_EQ(node.TakeReady().reads.at(0).index, 1);
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Membership change, its quorum not heard of, is refused") {
+  Lead();
+  Drive();
+  Answer(2, MessageKind::kAppendReply, 1);
+  now += Seconds{2};
+  Answer(2, MessageKind::kAppendReply, 1);
+  CHECK_FALSE(Change(MembershipChangeKind::kRemove, 2));
+  CHECK(Change(MembershipChangeKind::kRemove, 3));
+  CHECK_EQ(node.MetaAt(0).membership.members.size(), 3);
+  CHECK_EQ(node.status().membership.members.size(), 2);
+}
+
+TEST_CASE_FIXTURE(NodeFixture,
+                  "Candidate, own vote not synced, does not count itself") {
+  now += Seconds{2};
+  node.Tick(now);
+  Drive();
+  Answer(2, MessageKind::kPreVoteReply);
+  const Ready ready = node.TakeReady();
+  CHECK(ready.messages_now.empty());
+  CHECK_EQ(ready.messages_synced.size(), 2);
+  Answer(2, MessageKind::kVoteReply);
+  CHECK_EQ(node.status().role, Role::kCandidate);
+  Persist();
+  CHECK_EQ(node.status().role, Role::kLeader);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Follower, append that ends before its log, answers for "
+                  "what was compared") {
+  Message append = From(2, MessageKind::kAppend, 2);
+  append.commit = 3;
+  append.entries = {{1, 1, EntryKind::kEmpty, ""}};
+  Receive(append);
+  CHECK_EQ(node.status().commit, 1);
+  CHECK_EQ(node.TakeReady().messages_synced.at(0).index, 1);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Voter, asked for votes, votes once, for a full log, after "
+                  "the sync") {
+  Message vote = From(2, MessageKind::kPreVote, 2, 2, 1);
+  Receive(vote);
+  CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
+  vote.kind = MessageKind::kVote;
+  vote.index = 3;
+  Receive(vote);
+  const Ready ready = node.TakeReady();
+  CHECK(ready.messages_now.empty());
+  CHECK_FALSE(ready.messages_synced.at(0).is_rejected);
+  CHECK_EQ(ready.hard_state->vote, NodeId{2});
+  vote.from = {3};
+  Receive(vote);
+  CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Node of a higher term, heartbeat of a lower one, answers "
+                  "with its term") {
+  Receive(From(2, MessageKind::kAppend, 5));
+  Drive();
+  Receive(From(3, MessageKind::kHeartbeat, 4));
+  CHECK_EQ(node.TakeReady().messages_synced.at(0).term, 5);
+}
+
+TEST_CASE("Learner, asked for a vote, votes: it may have been promoted") {
+  NodeInit init = NodeFixture::InitOf({1, 2, 3});
+  init.bootstrap.members[{1}].is_voter = false;
+  Node node(std::move(init), SteadyTime{Seconds{1}});
+  node.Receive(From(2, MessageKind::kVote, 1), SteadyTime{Seconds{1}});
+  CHECK_FALSE(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
+TEST_CASE("Node, empty folder and no bootstrap, neither votes nor campaigns") {
+  SteadyTime now{Seconds{1}};
+  Node node(NodeFixture::InitOf({}), now);
+  for (int i = 0; i < 100; ++i) {
+    now += Millis{100};
+    node.Tick(now);
+  }
+  for (const MessageKind kind : {MessageKind::kPreVote, MessageKind::kVote}) {
+    node.Receive(From(2, kind, 5), now);
+  }
+  CHECK(node.TakeReady().is_empty());
+  CHECK_EQ(node.status().role, Role::kLearner);
+}
+
+TEST_CASE("Membership, encoded and decoded, is the same") {
+  Membership membership;
+  membership.members[{UINT64_MAX}] = {"10.0.0.7:70", "zone-a", "ctl \"1\"",
+                                      false};
+  membership.members[{2}] = {"10.0.0.8:70", "zone-b", "ctl 2", true};
+  CHECK_EQ(DecodeMembership(EncodeMembership(membership)), membership);
+  CHECK_THROWS_AS(DecodeMembership("{}"), std::invalid_argument);
+  CHECK_THROWS_AS(DecodeMembership("{\"members\":[{\"id\":\"0\"}]}"),
+                  std::invalid_argument);
+}
+
+}  // namespace laurelhall::consensus
