entry: no spin where nobody listens, and an orderly end of the link

Cause: attempts of which no byte is sent were queued again at once, so a service whose only endpoint refuses connections kept a thread busy until the deadline; and an open request could call a link that had gone. Conclusion: after two such attempts each next one waits longer; CloseLink() and the gate that the HTTP server used already end the calls into the link.

--- a/packages/entry/include/laurelhall/entry/entry_host.h
+++ b/packages/entry/include/laurelhall/entry/entry_host.h
@@ -52,6 +52,7 @@
   uint64_t replays = 0;  ///< Of these, kept answers of earlier runs.
   uint64_t attempts = 0;
   uint64_t retries = 0;
+  uint64_t unsent = 0;      ///< Attempts that ended with no byte sent.
   uint64_t mismatches = 0;  ///< Answers of other requests, discarded.
   uint64_t announcements = 0;
   std::array<uint64_t, static_cast<size_t>(ProblemKind::kCount)> problems{};
@@ -65,8 +66,8 @@
 /// claim, slot and endpoint, to its whole answer; and endpoints' announcements.
 ///
 /// @remarks Thread-safe. The caller starts the link with this object as its
-///   listener and ends the link and the HTTP server before this object. The
-///   IoThreads outlive it.
+///   listener. Order of the end: Drain(), the HTTP server, CloseLink(), the
+///   link, this object, the IoThreads.
 class EntryHost : public net::HttpHandler, public control::ViewListener {
  public:
   EntryHost(const EntryInit& init,
@@ -85,6 +86,12 @@
   /// and calls back once nothing is open or `drain_grace` has passed as well.
   void Drain(std::function<void()> done);
 
+  /// Makes no more calls into the link, so that it may go away. Requests that
+  /// are still open lose their connections unanswered.
+  ///
+  /// @pre Not called from one of the link's callbacks.
+  void CloseLink();
+
   /// Whether the balancer should send here: not draining, and a fresh view.
   bool IsHealthy() const;
 
--- a/packages/entry/src/announcer.cc
+++ b/packages/entry/src/announcer.cc
@@ -90,17 +90,21 @@
   const auto known = shard->Find(said.id);
   if (known && IsRenewal(*known, said)) {
     shard->ConfirmOne(said, context->Now());
-    context->link.Renewed(said.id, said.incarnation);
+    context->link_gate.Enter(
+        [&] { context->link.Renewed(said.id, said.incarnation); });
     Accept(*exchange, said.state, HoldsFrom(*context, said.state));
     return;
   }
   said.state_since = WallNow();
-  context->link.Act(state::EndpointCommand{said},
-                    context->Now() + context->init.commit_timeout,
-                    [context, shard, said,
-                     exchange](const std::optional<state::ActResult>& result) {
-                      OnCommitted(*context, *shard, said, *exchange, result);
-                    });
+  auto done = [context, shard, said,
+               exchange](const std::optional<state::ActResult>& result) {
+    OnCommitted(*context, *shard, said, *exchange, result);
+  };
+  context->link_gate.Enter([&] {
+    context->link.Act(state::EndpointCommand{said},
+                      context->Now() + context->init.commit_timeout,
+                      std::move(done));
+  });
 }
 
 }  // namespace laurelhall::entry
--- a/packages/entry/src/entry_context_p.h
+++ b/packages/entry/src/entry_context_p.h
@@ -7,6 +7,7 @@
 #include "connection_pool_p.h"
 #include "laurelhall/control/control_client.h"
 #include "laurelhall/entry/entry_host.h"
+#include "laurelhall/net/call_gate.h"
 #include "laurelhall/net/io_threads.h"
 #include "laurelhall/routing/grants.h"
 
@@ -19,6 +20,7 @@
   std::atomic<uint64_t> replays{0};
   std::atomic<uint64_t> attempts{0};
   std::atomic<uint64_t> retries{0};
+  std::atomic<uint64_t> unsent{0};
   std::atomic<uint64_t> mismatches{0};
   std::atomic<uint64_t> announcements{0};
   std::array<std::atomic<uint64_t>, static_cast<size_t>(ProblemKind::kCount)>
@@ -57,7 +59,8 @@
 
   const EntryInit init;
   net::IoThreads& threads;
-  control::ControlLink& link;
+  control::ControlLink& link;  // Called through the gate only.
+  net::CallGate link_gate;
   routing::GrantHolder grants;
   ConnectionPool pool;
   Counters counters;
--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -46,7 +46,12 @@
         });
   }
 
-  void Stop() { m_context->threads.timers().Cancel(m_tick); }
+  void Stop() {
+    m_context->threads.timers().Cancel(m_tick);
+    CloseLink();
+  }
+
+  void CloseLink() { m_context->link_gate.Close(); }
 
   int64_t MaxBodyBytes(const net::HttpRequest& head) const {
     if (PathOf(head) == kAnnouncePath) {
@@ -143,6 +148,7 @@
     stats.replays = counters.replays;
     stats.attempts = counters.attempts;
     stats.retries = counters.retries;
+    stats.unsent = counters.unsent;
     stats.mismatches = counters.mismatches;
     stats.announcements = counters.announcements;
     std::copy(counters.problems.begin(), counters.problems.end(),
@@ -367,6 +373,10 @@
   m_impl->Drain(std::move(done));
 }
 
+void EntryHost::CloseLink() {
+  m_impl->CloseLink();
+}
+
 bool EntryHost::IsHealthy() const {
   return m_impl->IsHealthy();
 }
--- a/packages/entry/src/run.cc
+++ b/packages/entry/src/run.cc
@@ -10,6 +10,9 @@
 constexpr Millis kInProgressRetry{1'000};
 constexpr Millis kUnavailableRetry{1'000};
 constexpr Millis kLeastReleaseTime{500};
+constexpr int kUnsentAtOnce = 2;
+constexpr Millis kFirstUnsentPause{2};
+constexpr Millis kMostUnsentPause{500};
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(routing::RefusalReason::kCount)>
@@ -117,12 +120,12 @@
   using Action = void (Run::*)();
   static constexpr std::array<Action, static_cast<size_t>(LifeAction::kCount)>
       k_actions{
-          &Run::DoNothing,     &Run::Claim,     &Run::Queue,
-          &Run::Pause,         &Run::Replay,    &Run::Disown,
-          &Run::Dispatch,      &Run::Requeue,   &Run::Retry,
-          &Run::Abandon,       &Run::Complete,  &Run::AnswerCaller,
-          &Run::Release,       &Run::SayNotRun, &Run::SayUnknown,
-          &Run::SayInProgress, &Run::SayLate,   &Run::Drop,
+          &Run::DoNothing,     &Run::Claim,         &Run::Queue,
+          &Run::Pause,         &Run::Replay,        &Run::Disown,
+          &Run::Dispatch,      &Run::RequeueUnsent, &Run::Retry,
+          &Run::Abandon,       &Run::Complete,      &Run::AnswerCaller,
+          &Run::Release,       &Run::SayNotRun,     &Run::SayUnknown,
+          &Run::SayInProgress, &Run::SayLate,       &Run::Drop,
       };
   const LifeAction action = m_life.Handle(event);
   (this->*k_actions.at(static_cast<size_t>(action)))();
@@ -210,6 +213,30 @@
   m_shard->Pump(m_context->Now());
 }
 
+// Where no endpoint takes connections this would spin: after a few attempts
+// each next one waits longer.
+void Run::RequeueUnsent() {
+  ++m_context->counters.unsent;
+  if (++m_unsent <= kUnsentAtOnce) {
+    Requeue();
+    return;
+  }
+  const Millis pause = std::min(
+      kFirstUnsentPause * (1 << std::min(m_unsent, 16)), kMostUnsentPause);
+  m_context->threads.timers().SubscribeOnce(
+      pause, [self = shared_from_this()](SteadyTime) {
+        self->m_serial.Post([self] {
+          // A caller that went meanwhile has ended it already.
+          if (!self->m_is_caller_gone) {
+            self->Requeue();
+          }
+        });
+      });
+  if (m_is_caller_gone) {
+    PostEvent(LifeEvent::kCallerGone);
+  }
+}
+
 void Run::Retry() {
   const bool may_retry = !m_is_answered && !m_is_caller_gone &&
                          m_context->Now() < m_deadline && m_shard->TryRetry();
@@ -387,20 +414,20 @@
     timeout = std::clamp(left, kLeastReleaseTime, timeout);
   }
   const SteadyTime deadline = m_context->Now() + timeout;
-  m_context->link.Act(
-      command, deadline,
-      [self = shared_from_this(), command, tries,
-       first_known = std::move(first_known)](
-          const std::optional<state::ActResult>& result) {
-        self->m_serial.Post([self, command, tries, first_known, result] {
-          if (first_known != nullptr) {
-            first_known(result && result->is_accepted);
-          }
-          if (!result && tries > 1) {
-            self->Commit(command, tries - 1, nullptr);
-          }
-        });
-      });
+  auto done = [self = shared_from_this(), command, tries,
+               first_known = std::move(first_known)](
+                  const std::optional<state::ActResult>& result) {
+    self->m_serial.Post([self, command, tries, first_known, result] {
+      if (first_known != nullptr) {
+        first_known(result && result->is_accepted);
+      }
+      if (!result && tries > 1) {
+        self->Commit(command, tries - 1, nullptr);
+      }
+    });
+  };
+  m_context->link_gate.Enter(
+      [&] { m_context->link.Act(command, deadline, std::move(done)); });
 }
 
 void Run::Complete() {
--- a/packages/entry/src/run_p.h
+++ b/packages/entry/src/run_p.h
@@ -50,6 +50,7 @@
   void Disown();
   void Dispatch();
   void Requeue();
+  void RequeueUnsent();
   void Retry();
   void Abandon();
   void Complete();
@@ -95,6 +96,7 @@
   std::optional<routing::RequestHandle> m_handle;  // While in the queue.
   std::optional<state::ClaimResult> m_claim;
   std::optional<Turn> m_turn;
+  int m_unsent = 0;  // Attempts that ended with no byte sent.
   std::string m_avoid;
   bool m_turn_was_away = false;  // The endpoint of a failed attempt left.
   Millis m_pause;
--- a/packages/entry/tests/entry_fixture_p.h
+++ b/packages/entry/tests/entry_fixture_p.h
@@ -266,7 +266,14 @@
         "nested", "nested", {{"serving", "ready"}, {"draining", "leaving"}}};
   }
 
-  ~EntryFixture() { m_link.Stop(); }
+  ~EntryFixture() {
+    m_link.Stop();
+    for (EntryNode* node : {m_first.get(), m_second.get()}) {
+      if (node != nullptr) {
+        node->host.CloseLink();
+      }
+    }
+  }
 
  protected:
   model::RequestPolicy& policy() { return m_config.services["quote"].requests; }
--- a/packages/entry/tests/entry_host_test.cc
+++ b/packages/entry/tests/entry_host_test.cc
@@ -144,14 +144,28 @@
   CHECK(m_first->host.Stats().mismatches == 1);
 }
 
+// An address where nobody listens.
+std::string DeadAddress() {
+  const net::RawListener listener;
+  return listener.address();
+}
+
+TEST_CASE_FIXTURE(
+    EntryFixture,
+    "EntryHost, only endpoint refuses connections, does not spin") {
+  StartHosts();
+  AddEndpoint("e1", DeadAddress(), 4);
+  CHECK(IsProblem(Send(*m_first, Ask("k1", "body", Millis(400))),
+                  ProblemKind::kNotRun));
+  CHECK(m_link.Count("release") == 1);
+  CHECK(m_first->host.Stats().unsent > 2);
+  CHECK(m_first->host.Stats().unsent < 20);
+}
+
 TEST_CASE_FIXTURE(EntryFixture,
                   "EntryHost, endpoint refuses connections, goes elsewhere") {
   StartHosts();
-  std::string dead;
-  {
-    const net::RawListener listener;
-    dead = listener.address();
-  }
+  const std::string dead = DeadAddress();
   AddEndpoint("e1", dead, 4);
   AddEndpoint("e2", m_endpoint.address(), 4);
   for (int i = 0; i < 8; ++i) {
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -12,7 +11,7 @@
 
 #include "http_message_p.h"
 #include "io_threads_p.h"
-#include "laurelhall/base/log.h"
+#include "laurelhall/net/call_gate.h"
 #include "laurelhall/net/http.h"
 #include "stream_p.h"
 
@@ -27,41 +26,6 @@
 constexpr int kRefusingConnections = 64;
 constexpr Millis kAcceptRetry{50};
 
-// Lets calls into the handler through until Close(), which waits for those
-// under way: afterwards the handler may be destroyed.
-class HandlerGate {
- public:
-  explicit HandlerGate(HttpHandler& handler) : m_handler(&handler) {}
-
-  template <typename Call>
-  bool Enter(Call call) {
-    {
-      const std::lock_guard lock(m_mutex);
-      if (m_handler == nullptr) {
-        return false;
-      }
-      ++m_calls;
-    }
-    call(*m_handler);
-    const std::lock_guard lock(m_mutex);
-    --m_calls;
-    m_idle.notify_all();
-    return true;
-  }
-
-  void Close() {
-    std::unique_lock lock(m_mutex);
-    m_idle.wait(lock, [this] { return m_calls == 0; });
-    m_handler = nullptr;
-  }
-
- private:
-  std::mutex m_mutex;  // Guards the two below.
-  HttpHandler* m_handler;
-  int m_calls = 0;
-  std::condition_variable m_idle;
-};
-
 class ServerConnection;
 
 // The open connections of one server, which keeps them alive.
@@ -111,11 +75,12 @@
 
 // What connections share; outlives the server while one of them closes.
 struct ServerShared {
-  ServerShared(const HttpServerInit& server_init, HttpHandler& handler)
-      : init(server_init), gate(handler) {}
+  ServerShared(const HttpServerInit& server_init, HttpHandler& http_handler)
+      : init(server_init), handler(http_handler) {}
 
   const HttpServerInit init;
-  HandlerGate gate;
+  HttpHandler& handler;  // Called through the gate only.
+  CallGate gate;
   ConnectionSet connections;
   std::atomic<bool> is_draining{false};
   std::atomic<int> connection_count{0};
@@ -307,7 +272,7 @@
     head.client_name = m_client_name;
     int64_t limit = 0;
     const bool is_open = m_shared->gate.Enter(
-        [&](HttpHandler& handler) { limit = handler.MaxBodyBytes(head); });
+        [&] { limit = m_shared->handler.MaxBodyBytes(head); });
     if (!is_open) {
       Close();
       return;
@@ -474,7 +439,7 @@
   // The method is needed once more, for the answer to HEAD.
   m_decoder->request().method = exchange->request().method;
   m_shared->gate.Enter(
-      [&](HttpHandler& handler) { handler.OnRequest(std::move(exchange)); });
+      [&] { m_shared->handler.OnRequest(std::move(exchange)); });
 }
 
 }  // namespace
