--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -143,7 +143,7 @@
 }
 
 ActResult Tables::Run(const HostCommand& command) {
-  const ActResult result = fleet.Apply(command, *settings.config());
+  ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
     // In the same entry, so that no entry host sees one without the other.
     const bool is_away = fleet.IsHostAway(command.host);
--- a/packages/state/tests/fleet_table_test.cc
+++ b/packages/state/tests/fleet_table_test.cc
@@ -70,6 +70,54 @@
   CHECK(HostOf("h").pool == "hall");
 }
 
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Hosts, leaving their pool, close their endpoints at once") {
+  const auto announce = [&](const std::string& id, const std::string& host) {
+    model::Endpoint endpoint;
+    endpoint.id = id;
+    endpoint.host = host;
+    endpoint.is_host_away = true;  // Not for an endpoint to say.
+    CHECK(Act(EndpointCommand{endpoint}).is_accepted);
+  };
+  CHECK(Add("h", "annex").is_accepted);
+  CHECK(Do("h", HostEvent::kJoin, 1).is_accepted);
+  CHECK(Do("h", HostEvent::kWarm, 2).is_accepted);
+  announce("e1", "h");
+  announce("e2", "h");
+  announce("other", "unknown");
+  for (const model::Endpoint& endpoint : m_machine->EndpointsSince(0)) {
+    CHECK(endpoint.is_open());
+  }
+  CHECK(Do("h", HostEvent::kDrain, 3, DrainReason::kOperator).is_accepted);
+  const auto closed = m_machine->EndpointsSince(m_index - 1);
+  REQUIRE(closed.size() == 2);
+  CHECK_FALSE(closed[0].is_open());
+  CHECK_FALSE(closed[1].is_open());
+  announce("e3", "h");
+  Reload();
+  CHECK_FALSE(m_machine->EndpointsSince(m_index - 1).at(0).is_open());
+  CHECK(Do("h", HostEvent::kCancelDrain, 4).is_accepted);
+  const auto opened = m_machine->EndpointsSince(m_index - 1);
+  REQUIRE(opened.size() == 3);
+  CHECK(opened[2].is_open());
+  CHECK(m_machine->EndpointsSince(0).size() == 4);
+}
+
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Hosts, pool asks for more meanwhile, don't join it") {
+  CHECK(Add("h", "annex").is_accepted);
+  CHECK(Do("h", HostEvent::kJoin, 1).is_accepted);
+  CHECK(Do("h", HostEvent::kWarm, 2).is_accepted);
+  CHECK(Do("h", HostEvent::kDrain, 3, DrainReason::kMove, "hall").is_accepted);
+  CHECK(Do("h", HostEvent::kConfirmEmpty, 4).is_accepted);
+  CHECK(Change("ana", "a2", 1, "pools.hall", std::nullopt).error ==
+        "pools.hall: 1 hosts belong to it");
+  CHECK(Change("ana", "a3", 1, "pools.hall.host_processors", "64").is_accepted);
+  CHECK(Do("h", HostEvent::kMovePool, 5).error ==
+        "host h offers less than pool hall asks for");
+  CHECK(HostOf("h").pool == "annex");
+}
+
 TEST_CASE_FIXTURE(FleetTableFixture,
                   "Hosts, commands that don't fit, say what stands there") {
   CHECK(Add("h", "cellar").error == "unknown pool \"cellar\"");
