--- a/packages/budget/src/burn.cc
+++ b/packages/budget/src/burn.cc
@@ -12,20 +12,6 @@
 /// An objective of 1 allows no error; any burns as if so few were allowed.
 constexpr double kLeastAllowedShare = 1e-9;
 
-struct SeverityRule {
-  BurnSeverity severity;
-  BurnWindow shorter;
-  BurnWindow longer;
-  double rate;
-};
-
-// Worst first. The rates are those of a 28 to 30 day objective.
-constexpr SeverityRule kSeverityRules[] = {
-    {BurnSeverity::kFast, BurnWindow::kFiveMinutes, BurnWindow::kOneHour, 14.4},
-    {BurnSeverity::kMedium, BurnWindow::kOneHour, BurnWindow::kSixHours, 6},
-    {BurnSeverity::kSlow, BurnWindow::kSixHours, BurnWindow::kThreeDays, 1},
-};
-
 struct Counts {
   int64_t good = 0;
   int64_t bad = 0;
@@ -42,10 +28,8 @@
 };
 
 BurnSeverity Classify(const Burn& burn) {
-  for (const SeverityRule& rule : kSeverityRules) {
-    const bool burns = burn.rate(rule.shorter) >= rule.rate &&
-                       burn.rate(rule.longer) >= rule.rate;
-    if (burns) {
+  for (const BurnRule& rule : kBurnRules) {
+    if (rule.IsMetBy(burn)) {
       return rule.severity;
     }
   }
