--- a/packages/planning/include/laurelhall/planning/wave.h
+++ b/packages/planning/include/laurelhall/planning/wave.h
@@ -43,8 +43,9 @@
 
 /// Starts the waves that keep every host within its pool's period.
 ///
-/// @returns A new wave `period-POOL` for each pool that has hosts due and no
-///   such wave under way; it replaces the pool's one before.
+/// @returns A new wave `period-POOL-DAY` for each pool that has hosts due and
+///   no wave under way; at most one for a pool and day, so that two leaders
+///   make the same one. A halted one holds up its pool until it is resolved.
 /// @remarks Thread-safe. A host goes as late as leaves a daily quota enough
 ///   for those that are due after it, so that none is done much more often
 ///   than its period asks; one near its end goes without quota.
--- a/packages/planning/src/schedule.cc
+++ b/packages/planning/src/schedule.cc
@@ -13,6 +13,7 @@
 using model::Wave;
 
 constexpr Millis kDay = std::chrono::hours(24);
+constexpr std::string_view kIdPrefix = "period-";
 
 Millis Share(Millis period, double share) {
   return Millis(static_cast<int64_t>(
@@ -124,50 +125,72 @@
   int m_done_lately = 0;
 };
 
-/// Whether the pool's standing wave keeps another one from starting. One that
-/// an operator cancelled does so for a day.
-bool IsInTheWay(const Wave& wave, WallTime now) {
-  if (wave.state == ActState::kDone) {
-    return false;
-  }
-  return wave.state != ActState::kCancelled || now - wave.started < kDay;
+/// What is known of one pool's waves.
+struct PoolWaves {
+  bool is_busy = false;          ///< A wave runs, or has halted.
+  const Wave* latest = nullptr;  ///< Of the standing ones.
+};
+
+bool IsStanding(const Wave& wave) {
+  return wave.id.starts_with(kIdPrefix) && wave.pools.size() == 1;
 }
 
-bool IsCovered(const model::Fleet& fleet, const std::string& pool) {
+std::map<std::string_view, PoolWaves> ReadWaves(const model::Fleet& fleet) {
+  std::map<std::string_view, PoolWaves> pools;
   for (const auto& [id, wave] : fleet.waves) {
     const bool is_open =
         wave.state == ActState::kRunning || wave.state == ActState::kPaused;
-    if (is_open && std::count(wave.pools.begin(), wave.pools.end(), pool)) {
-      return true;
+    const bool has_halted = wave.state == ActState::kHalted && IsStanding(wave);
+    for (const std::string& pool : wave.pools) {
+      PoolWaves& waves = pools[pool];
+      waves.is_busy |= is_open || has_halted;
+      const bool is_later =
+          IsStanding(wave) &&
+          (waves.latest == nullptr || waves.latest->started < wave.started);
+      waves.latest = is_later ? &wave : waves.latest;
     }
   }
-  return false;
+  return pools;
+}
+
+/// One standing wave of a pool a day: a second leader makes the same one.
+std::string StandingId(const std::string& pool, WallTime now) {
+  return std::string(kIdPrefix) + pool + "-" +
+         std::to_string(now.time_since_epoch() / kDay);
+}
+
+Wave MakeWave(const std::string& pool,
+              const std::vector<const Host*>& due,
+              WallTime now) {
+  Wave wave;
+  wave.id = StandingId(pool, now);
+  wave.pools = {pool};
+  wave.started = now;
+  wave.finish_by = now + kDay;
+  for (const Host* host : due) {
+    wave.pending.push_back(host->id);
+  }
+  return wave;
 }
 
 }  // namespace
 
 std::vector<Wave> ScheduleWavesIn(const PlanContext& context) {
+  const std::map<std::string_view, PoolWaves> known =
+      ReadWaves(context.fleet());
   std::vector<Wave> waves;
   for (const auto& [name, pool] : context.fleet().pools) {
-    const std::string id = "period-" + name;
-    const auto found = context.fleet().waves.find(id);
-    const Wave* previous =
-        found == context.fleet().waves.end() ? nullptr : &found->second;
-    if (previous != nullptr && IsInTheWay(*previous, context.now())) {
+    const auto found = known.find(name);
+    const PoolWaves of_pool =
+        found == known.end() ? PoolWaves() : found->second;
+    const std::string id = StandingId(name, context.now());
+    if (of_pool.is_busy || context.fleet().waves.contains(id)) {
       continue;
     }
     const std::vector<const Host*> due =
-        DueHosts(context, pool, previous).Pick();
-    if (due.empty() || IsCovered(context.fleet(), name)) {
-      continue;
-    }
-    Wave& wave = waves.emplace_back();
-    wave.id = id;
-    wave.pools = {name};
-    wave.started = context.now();
-    wave.finish_by = context.now() + kDay;
-    for (const Host* host : due) {
-      wave.pending.push_back(host->id);
+        DueHosts(context, pool, of_pool.latest).Pick();
+    if (!due.empty()) {
+      waves.push_back(MakeWave(name, due, context.now()));
     }
   }
   return waves;
--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -419,6 +419,25 @@
   CheckSafe(driver.counts());
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Schedule, wave of the day known or halted, adds no other") {
+  m_input.now = WallTime(hours(24 * 100));  // All hosts are overdue.
+  std::vector<model::Wave> waves = ScheduleWaves(m_fleet, m_input);
+  REQUIRE(waves.size() == 3);
+  for (const model::Wave& wave : waves) {
+    CHECK(wave.id.ends_with("-100"));
+    m_fleet.waves[wave.id] = wave;
+  }
+  CHECK(ScheduleWaves(m_fleet, m_input).empty());
+  m_fleet.waves["period-a-100"].state = ActState::kDone;
+  m_fleet.waves["period-b-100"].state = ActState::kHalted;
+  CHECK(ScheduleWaves(m_fleet, m_input).empty());
+  m_input.now += hours(24);
+  waves = ScheduleWaves(m_fleet, m_input);
+  REQUIRE(waves.size() == 1);
+  CHECK(waves.front().id == "period-a-101");
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Rollout, healthy, widens from a canary to all hosts") {
   StartRollout();
