--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -332,6 +332,20 @@
   CHECK(twice.tries.at("h102") == 1);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, postponed host alone is left, rests before a retry") {
+  model::Wave& wave = m_fleet.waves["wave"];
+  wave.id = "wave";
+  wave.pools = {"c"};
+  wave.postponed = {"h102"};
+  wave.tries["h102"] = 1;
+  Put("h102", HostState::kInPool, DrainReason::kNone, 29);
+  m_fleet.hosts["h102"].last_maintained = WallTime(-hours(1));
+  CHECK(Step().actions.empty());
+  Put("h102", HostState::kInPool, DrainReason::kNone, 30);
+  CHECK(Step().actions.size() == 1);
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Wave, host never empties, is postponed, given up and told") {
   StartWave();
@@ -405,6 +419,25 @@
   CheckSafe(driver.counts());
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Schedule, wave of the day known or halted, adds no other") {
+  m_input.now = WallTime(hours(24 * 100));  // All hosts are overdue.
+  std::vector<model::Wave> waves = ScheduleWaves(m_fleet, m_input);
+  REQUIRE(waves.size() == 3);
+  for (const model::Wave& wave : waves) {
+    CHECK(wave.id.ends_with("-100"));
+    m_fleet.waves[wave.id] = wave;
+  }
+  CHECK(ScheduleWaves(m_fleet, m_input).empty());
+  m_fleet.waves["period-a-100"].state = ActState::kDone;
+  m_fleet.waves["period-b-100"].state = ActState::kHalted;
+  CHECK(ScheduleWaves(m_fleet, m_input).empty());
+  m_input.now += hours(24);
+  waves = ScheduleWaves(m_fleet, m_input);
+  REQUIRE(waves.size() == 1);
+  CHECK(waves.front().id == "period-a-101");
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Rollout, healthy, widens from a canary to all hosts") {
   StartRollout();
@@ -561,6 +594,16 @@
   CHECK(plan.total == 5);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture, "WaveLowerBound, slowest service, sets it") {
+  // Of c's twelve, three may go at once by share, one as a rack holds two.
+  const Millis hour = hours(1);
+  CHECK(WaveLowerBound(m_fleet, {"c"}, hour) == hour * 12);
+  m_fleet.services["insurer-c"].min_available = 12;
+  CHECK(WaveLowerBound(m_fleet, {"c"}, hour) == Millis::max());
+  const PlanCost cost = CostOf(m_fleet, 9, hours(2), 18);
+  CHECK(cost.weighted == doctest::Approx(25 + 2 + 50));
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "ExplainHost, refused by a budget, names the service") {
   for (const char* id : {"h100", "h103", "h101", "h104", "h107"}) {
