--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -220,6 +220,7 @@
   WallTime state_since{};    ///< Of its last start, checkpoint or stop.
   WallTime not_before{};     ///< Not started earlier, after a failure.
   int failures = 0;          ///< Runs that failed.
+  Resources peak;            ///< The most that its ended runs used.
   std::vector<std::string> failed_on;  ///< Distinct workers it failed on.
 };
 BOOST_DESCRIBE_STRUCT(Job,
@@ -247,6 +248,7 @@
                        state_since,
                        not_before,
                        failures,
+                       peak,
                        failed_on))
 
 /// A team's part of the fleet.
--- a/packages/placement/include/laurelhall/placement/placer.h
+++ b/packages/placement/include/laurelhall/placement/placer.h
@@ -40,7 +40,7 @@
   /// How long an owner with slack waits before borrowed runs that cannot
   /// checkpoint are stopped for its quota. What is borrowed is given back
   /// within this, a checkpoint's and a lease's timeout together.
-  Millis reclaim_patience{60'000};
+  Millis reclaim_patience{300'000};
   /// A job that waits longer goes before others of its priority, and nothing
   /// is started on the host kept for it that may outlast its wait.
   Millis starvation_age{3'600'000};
--- a/packages/placement/src/estimates.cc
+++ b/packages/placement/src/estimates.cc
@@ -34,6 +34,12 @@
   return sorted[static_cast<size_t>(std::floor(place))];
 }
 
+// A job that keeps to what it declares gets no more than that.
+double WithHeadroom(double ratio) {
+  return ratio > 1 ? ratio * kMemoryHeadroom
+                   : std::min(1.0, ratio * kMemoryHeadroom);
+}
+
 }  // namespace
 
 void Estimates::Learn(const model::Job& job,
@@ -93,8 +99,10 @@
   if (const Window* window = Find(job)) {
     size.processors *= window->quantile[IndexOf(RatioKind::kProcessors)];
     size.memory_gb *=
-        window->quantile[IndexOf(RatioKind::kMemory)] * kMemoryHeadroom;
+        WithHeadroom(window->quantile[IndexOf(RatioKind::kMemory)]);
   }
+  // Its own earlier run says more than its kind does.
+  size.memory_gb = std::max(size.memory_gb, job.peak.memory_gb);
   return size;
 }
 
--- a/packages/placement/src/job_action.cc
+++ b/packages/placement/src/job_action.cc
@@ -120,6 +120,7 @@
     return std::nullopt;
   }
   Job next = job;
+  next.peak = Max(job.peak, report.peak);
   switch (report.kind) {
     case JobReportKind::kSucceeded:
       ClearRun(next);
--- a/packages/placement/tests/placer_test.cc
+++ b/packages/placement/tests/placer_test.cc
@@ -454,6 +454,28 @@
   CHECK(estimates.Size(like).memory_gb == doctest::Approx(0.44));
 }
 
+TEST_CASE_FIXTURE(
+    PlacerFixture,
+    "Placer, run uses more memory than its host has, ended once") {
+  AddHosts(1, kWorker, "h");
+  Submit("t", Priority::kStandard, {4, 100, 0}, std::chrono::hours(1));
+  Run(Millis(1'000));
+  Job& greedy =
+      Submit("t", Priority::kStandard, {4, 10, 0}, std::chrono::minutes(10));
+  const std::string id = greedy.id;
+  Run(Millis(1'000));
+  Observations seen;
+  seen.usage[id] = {JobOf(id).lease - 1, {4, 60, 0}, {}};
+  CHECK(m_placer.Step(m_workers.fleet, seen, m_now).empty());
+  seen.usage[id].lease = JobOf(id).lease;
+  CHECK(m_placer.Step(m_workers.fleet, seen, m_now).size() == 1);
+  m_workers.truth[id].used = {4, 60, 0};
+  Run(std::chrono::minutes(5));
+  CHECK(JobOf(id).attempts == 1);
+  CHECK(JobOf(id).peak.memory_gb == 60);
+  CHECK(JobOf(id).state == JobState::kQueued);
+}
+
 TEST_CASE_FIXTURE(PlacerFixture,
                   "Placer, wave of cancellations, no action is needed") {
   AddHosts(4, kWorker, "h");
@@ -462,9 +484,16 @@
   }
   Run(Millis(40'000));
   REQUIRE(Count(JobState::kRunning) == 64);
+  Submit("t", Priority::kUrgent, {1, 0, 0}, std::chrono::minutes(1));
+  const auto decided = m_placer.Step(m_workers.fleet, {}, m_now);
+  REQUIRE_FALSE(decided.empty());
   for (auto& [id, job] : m_workers.fleet.jobs) {
     job = AfterCancel(job, m_now, "cancelled by its caller");
   }
+  // What was decided before they were cancelled comes too late.
+  m_workers.Commit(decided, m_now);
+  CHECK(m_workers.rejected == static_cast<int>(decided.size()));
+  CHECK(Count(JobState::kCancelled) == 2'001);
   CHECK(Step().empty());
   CHECK(m_workers.runs.empty());
   CHECK(Step().empty());
