--- a/packages/control/tests/leader_sync_test.cc
+++ b/packages/control/tests/leader_sync_test.cc
@@ -12,7 +12,7 @@
  protected:
   LeaderSyncFixture() {
     Apply({Ready("e1"), Ready("e2")});
-    m_sync = std::make_unique<LeaderSync>(m_machine, 3, m_now);
+    m_sync = std::make_unique<LeaderSync>(m_machine, 3, m_index + 1, m_now);
   }
 
   static state::Command Ready(const std::string& id) {
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -74,6 +74,9 @@
   ~Impl() {
     m_operator_server.reset();
     m_caller_server.reset();
+    if (m_entry != nullptr) {
+      m_entry->CloseLink();
+    }
     m_link.reset();
     m_operator_api.reset();
     m_entry.reset();
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -75,6 +75,12 @@
                     });
 }
 
+/// JSON text; a page that is a plain text goes out as it is.
+std::string TextOf(const boost::json::value& body) {
+  return body.is_string() ? std::string(body.get_string())
+                          : boost::json::serialize(body);
+}
+
 control::OperatorReply Problem(int status, const std::string& text) {
   const boost::json::object problem{
       {"type", "refused"}, {"status", status}, {"detail", text}};
@@ -143,7 +149,7 @@
     if (outcome.action) {
       Act(outcome, std::move(done));
     } else if (outcome.commands.empty()) {
-      done({outcome.status, boost::json::serialize(outcome.body)});
+      done({outcome.status, TextOf(outcome.body)});
     } else {
       CommitOutcome(std::move(outcome), commit, std::move(done));
     }
--- a/packages/operations/src/report_routes.cc
+++ b/packages/operations/src/report_routes.cc
@@ -1,7 +1,11 @@
+#include <algorithm>
+#include <iterator>
+
 #include "burn_p.h"
 #include "laurelhall/budget/budget.h"
 #include "laurelhall/planning/buffer.h"
 #include "laurelhall/planning/controller.h"
+#include "laurelhall/report/burn_report.h"
 #include "operations_p.h"
 
 namespace laurelhall::operations {
@@ -66,10 +70,44 @@
           {}};
 }
 
+/// The report as JSON for the table, or as a page when asked for.
+Outcome Burn(const Request& request) {
+  const model::Fleet fleet = request.machine.fleet();
+  const WallTime now = WallNow();
+  std::vector<model::BurnSample> samples;
+  for (const auto& [name, service] : fleet.services) {
+    std::ranges::copy(
+        request.machine.Burn(name, now - service.objective_window),
+        std::back_inserter(samples));
+  }
+  const report::BurnReport made = report::MakeBurnReport(fleet, samples, now);
+  if (request.Query("format") == "html") {
+    return {200, boost::json::string(report::ToHtml(made)), {}, {}, {}};
+  }
+  if (request.Query("format") == "full") {
+    return {200, boost::json::parse(report::ToJson(made)), {}, {}, {}};
+  }
+  boost::json::array rows;
+  for (const report::ServiceReport& service : made.services) {
+    boost::json::object row{{"service", service.service},
+                            {"organisation", service.organisation},
+                            {"objective", service.objective},
+                            {"budget_left", service.budget_left},
+                            {"alert", service.Alert()},
+                            {"main_cause", service.main_cause}};
+    for (const report::WindowBurn& window : service.windows) {
+      row[window.window] = window.rate;
+    }
+    rows.push_back(row);
+  }
+  return {200, rows, {}, {}, {}};
+}
+
 }  // namespace
 
 std::vector<Route> ReportRoutes() {
-  return {{"GET", "budgets", ListBudgets},
+  return {{"GET", "report/burn", Burn},
+          {"GET", "budgets", ListBudgets},
           {"GET", "buffers", Buffers},
           {"GET", "explain/host/*", ExplainHost}};
 }
--- a/packages/operations/src/status_routes.cc
+++ b/packages/operations/src/status_routes.cc
@@ -26,31 +26,30 @@
 boost::json::array Entries(const control::ControlStatus& status) {
   boost::json::array entries;
   for (const control::EntryReport& entry : status.entries) {
-    entries.push_back(boost::json::object{
-        {"name", entry.name},
-        {"settings_version", entry.settings_version},
-        {"since_sync", FormatDuration(entry.since_sync)}});
+    entries.push_back(
+        boost::json::object{{"name", entry.name},
+                            {"settings_version", entry.settings_version},
+                            {"since_sync", FormatDuration(entry.since_sync)}});
   }
   return entries;
 }
 
 Outcome Status(const Request& request) {
   const control::ControlStatus& status = request.status;
-  return {
-      200,
-      boost::json::object{
-          {"leader", status.leader_name},
-          {"term", status.consensus.term},
-          {"commit", status.consensus.commit},
-          {"applied", status.applied},
-          {"settings_version", request.machine.settings_version()},
-          {"members", Members(status)},
-          {"daemons", Entries(status)},
-          {"repair", boost::json::value_from(status.repair)},
-          {"zones_at_risk", boost::json::value_from(status.zones_at_risk)}},
-      {},
-      {},
-      {}};
+  return {200,
+          boost::json::object{
+              {"leader", status.leader_name},
+              {"term", status.consensus.term},
+              {"commit", status.consensus.commit},
+              {"applied", status.applied},
+              {"settings_version", request.machine.settings_version()},
+              {"members", Members(status)},
+              {"daemons", Entries(status)},
+              {"repair", boost::json::value_from(status.repair)},
+              {"zones_at_risk", boost::json::value_from(status.zones_at_risk)}},
+          {},
+          {},
+          {}};
 }
 
 Outcome Endpoints(const Request& request) {
