--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -340,6 +340,24 @@
   CHECK(node.TakeReady().messages_synced.at(0).is_rejected);
 }
 
+TEST_CASE_FIXTURE(FollowerFixture,
+                  "Voter, its removal not committed, still campaigns") {
+  Membership others = node.status().membership;
+  others.members.erase({1});
+  Message append = From(2, MessageKind::kAppend, 1, 3, 1);
+  append.entries = {{4, 1, EntryKind::kMembership, EncodeMembership(others)}};
+  Receive(append);
+  Drive();
+  now += Seconds{2};
+  node.Tick(now);
+  CHECK_EQ(node.status().role, Role::kPreCandidate);
+  append.commit = 4;
+  Receive(append);
+  now += Seconds{2};
+  node.Tick(now);
+  CHECK_EQ(node.status().role, Role::kLearner);
+}
+
 TEST_CASE_FIXTURE(FollowerFixture,
                   "Voter, leader heard of, ignores votes but for a transfer") {
   Receive(From(2, MessageKind::kHeartbeat, 1));
@@ -384,6 +402,18 @@
   CHECK_EQ(node.status().role, Role::kLearner);
 }
 
+TEST_CASE(
+    "Node, restarted with entries of a term not saved, enters that term") {
+  NodeInit init = NodeFixture::InitOf({1, 2, 3});
+  init.hard_state = {3, {1}, 9};
+  init.log = {{1, 5, EntryKind::kEmpty, ""}};
+  Node node(std::move(init), SteadyTime{Seconds{1}});
+  CHECK_EQ(node.status().term, 5);
+  CHECK_EQ(node.status().commit, 1);
+  node.Receive(From(2, MessageKind::kVote, 5, 1, 5), SteadyTime{Seconds{1}});
+  CHECK_FALSE(node.TakeReady().messages_synced.at(0).is_rejected);
+}
+
 TEST_CASE("Membership, encoded and decoded, is the same") {
   Membership membership;
   membership.members[{UINT64_MAX}] = {"10.0.0.7:70", "zone-a", "ctl \"1\"",
