--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -381,10 +381,18 @@
 }
 
 TEST_CASE("Learner, asked for a vote, votes: it may have been promoted") {
-  NodeInit init = NodeFixture::InitOf({1, 2, 3});
-  init.bootstrap.members[{1}].is_voter = false;
-  Node node(std::move(init), SteadyTime{Seconds{1}});
-  node.Receive(From(2, MessageKind::kVote, 1), SteadyTime{Seconds{1}});
+  SteadyTime now{Seconds{1}};
+  Node node(NodeFixture::InitOf({}), now);
+  Membership membership = NodeFixture::InitOf({1, 2, 3}).bootstrap;
+  membership.members[{1}].is_voter = false;
+  Message append = From(2, MessageKind::kAppend, 1);
+  append.entries = {
+      {1, 1, EntryKind::kMembership, EncodeMembership(membership)}};
+  node.Receive(append, now);
+  CHECK_EQ(node.status().role, Role::kLearner);
+  node.TakeReady();
+  now += Seconds{1};
+  node.Receive(From(3, MessageKind::kVote, 2, 1, 1), now);
   CHECK_FALSE(node.TakeReady().messages_synced.at(0).is_rejected);
 }
 
