--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -121,9 +121,9 @@
 void ClientLoop::SendGroups() {
   while (!m_waiting.empty() && m_calls < kMaxCalls &&
          Now() >= m_finder.ready_at()) {
-    Group group = TakeGroup();
+    const Group group = TakeGroup();
     if (!group.empty()) {
-      SendGroup(std::move(group));
+      SendGroup(group);
     }
   }
 }
@@ -144,7 +144,7 @@
   return group;
 }
 
-void ClientLoop::SendGroup(Group group) {
+void ClientLoop::SendGroup(const Group& group) {
   ++m_calls;
   const std::string address = m_finder.current();
   std::vector<state::Command> commands;
--- a/packages/control/src/client_loop_p.h
+++ b/packages/control/src/client_loop_p.h
@@ -92,7 +92,7 @@
   void ScheduleSend();
   void SendGroups();
   Group TakeGroup();
-  void SendGroup(Group group);
+  void SendGroup(const Group& group);
   void OnSubmitReply(const std::string& address,
                      const Group& group,
                      proto::SubmitReply::Reader reply);
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -181,7 +181,7 @@
   if (is_addition == m_status.membership.members.contains(change.node)) {
     return is_addition ? "already a member" : "not a member";
   }
-  const std::string refusal =
+  std::string refusal =
       CheckZonePlacement(m_status.membership, change,
                          SilentMembers(m_status, m_leads_since, Now()));
   if (!refusal.empty()) {
--- a/packages/control/src/view_keeper.cc
+++ b/packages/control/src/view_keeper.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <utility>
+
 #include "client_loop_p.h"
 
 namespace laurelhall::control {
@@ -15,6 +18,7 @@
     taken.swap(m_renewals);
   }
   std::vector<Renewal> renewals;
+  renewals.reserve(taken.size());
   for (const auto& [endpoint, incarnation] : taken) {
     renewals.push_back({endpoint, incarnation});
   }
