--- a/packages/routing/src/endpoint_view.cc
+++ b/packages/routing/src/endpoint_view.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace laurelhall::routing {
+namespace {
+
+constexpr Millis kForgetAfter{std::chrono::minutes(10)};
+
+}  // namespace
 
 void EndpointView::Update(const model::Endpoint& endpoint,
                           SteadyTime confirmed_at) {
@@ -15,6 +20,7 @@
     m_alive_since = confirmed_at;
   }
   m_endpoint = endpoint;
+  m_left_at = m_has_left ? m_left_at : confirmed_at;
   m_has_left |= endpoint.state != model::EndpointState::kReady;
   if (m_has_left && endpoint.state == model::EndpointState::kReady) {
     m_endpoint.state = model::EndpointState::kLeaving;
@@ -31,6 +37,11 @@
          now - m_confirmed_at <= view_bound;
 }
 
+bool EndpointView::MayForget(SteadyTime now) const {
+  return m_endpoint.state == model::EndpointState::kGone &&
+         now - m_left_at > kForgetAfter;
+}
+
 bool EndpointView::IsOfThisLife(SteadyTime started_at) const {
   // Latencies come in whole milliseconds, cut off.
   return started_at + Millis{1} >= m_alive_since;
--- a/packages/routing/src/endpoint_view_p.h
+++ b/packages/routing/src/endpoint_view_p.h
@@ -23,6 +23,9 @@
   /// Ready, and confirmed within the bound.
   bool IsOpen(SteadyTime now, Millis view_bound) const;
 
+  /// Gone for so long that no late transition can bring it back.
+  bool MayForget(SteadyTime now) const;
+
   /// Whether the attempt belongs to the present incarnation.
   bool IsOfThisLife(SteadyTime started_at) const;
 
@@ -35,6 +38,7 @@
  private:
   model::Endpoint m_endpoint;
   bool m_has_left = false;  ///< In this incarnation; it stays so.
+  SteadyTime m_left_at{};
   SteadyTime m_confirmed_at{};
   SteadyTime m_alive_since{};  ///< When its incarnation was taken in.
   int m_in_flight = 0;
--- a/packages/routing/src/selector.cc
+++ b/packages/routing/src/selector.cc
@@ -43,6 +43,9 @@
     for (auto& [id, view] : m_views) {
       view.Confirm(confirmed_at);
     }
+    std::erase_if(m_views, [&](const auto& item) {
+      return item.second.MayForget(confirmed_at);
+    });
   }
 
   void ConfirmOne(const std::string& endpoint,
--- a/packages/routing/tests/selector_test.cc
+++ b/packages/routing/tests/selector_test.cc
@@ -196,6 +196,16 @@
   CHECK(m_selector->MaySend("0", m_now));
 }
 
+TEST_CASE_FIXTURE(SelectorFixture,
+                  "Selector, endpoint is gone, is remembered for ten minutes") {
+  Start(1);
+  Update("0", 1, EndpointState::kGone, 5);
+  m_selector->ConfirmAll(m_now + seconds(600));
+  CHECK(m_selector->Find("0"));
+  m_selector->ConfirmAll(m_now + seconds(601));
+  CHECK_FALSE(m_selector->Find("0"));
+}
+
 TEST_CASE_FIXTURE(SelectorFixture,
                   "Selector, outcomes of an older incarnation, are ignored") {
   Start(2);
