--- a/bench/planning_bench.cc
+++ b/bench/planning_bench.cc
@@ -511,6 +511,8 @@
   return static_cast<double>(mallinfo2().uordblks) / (1 << 20);
 }
 
+constexpr int kTimedSteps = 60;
+
 struct StepTimes {
   double median = 0;
   double longest = 0;
@@ -518,10 +520,9 @@
 
 /// Times the planner alone over some steps of the driver.
 StepTimes TimeSteps(FleetDriver& driver) {
-  constexpr int kSteps = 60;
   const FleetController controller;
   std::vector<double> times;
-  for (int i = 0; i < kSteps; ++i) {
+  for (int i = 0; i < kTimedSteps; ++i) {
     driver.Step();
     const auto start = std::chrono::steady_clock::now();
     controller.Step(driver.fleet(), driver.input());
