--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -332,6 +332,19 @@
   CHECK(twice.tries.at("h102") == 1);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, time to spare, keeps the pool at its target") {
+  m_fleet.services["insurer-c"].min_available = 7;
+  m_fleet.pools["c"].target_hosts = 11;
+  model::Wave& wave = m_fleet.waves["wave"];
+  wave = PlanWave(m_fleet, "wave", {"c"}, m_input.now);
+  CHECK(Step().actions.size() == 3);  // As many as the budget allows.
+  wave.finish_by = m_input.now + hours(24);
+  CHECK(Step().actions.size() == 1);
+  wave.finish_by = m_input.now + hours(4);
+  CHECK(Step().actions.size() == 3);
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Wave, postponed host alone is left, rests before a retry") {
   model::Wave& wave = m_fleet.waves["wave"];
