--- a/packages/placement/tests/memory_test.cc
+++ b/packages/placement/tests/memory_test.cc
@@ -45,6 +45,15 @@
   CHECK(m_estimates.Size(job).memory_gb == doctest::Approx(4.4));
 }
 
+TEST_CASE_FIXTURE(MemoryFixture,
+                  "Estimates, ratios are spread, takes a high one") {
+  const model::Job job = JobOf("j", "k");
+  for (int i = 1; i <= 16; ++i) {
+    m_estimates.Learn(job, std::chrono::minutes(i), {2, 8, 0});
+  }
+  CHECK(m_estimates.RunTime(job) == std::chrono::minutes(12));
+}
+
 TEST_CASE_FIXTURE(MemoryFixture,
                   "Estimates, one ratio alone, the declared figure stands") {
   const model::Job job = JobOf("j", "k");
--- a/packages/report/src/burn_report.cc
+++ b/packages/report/src/burn_report.cc
@@ -76,6 +76,7 @@
 
 std::vector<AlertState> AlertsOf(const Burn& burn) {
   std::vector<AlertState> alerts;
+  alerts.reserve(budget::kBurnRules.size());
   for (const budget::BurnRule& rule : budget::kBurnRules) {
     alerts.push_back(
         {kSeverityNames[static_cast<size_t>(rule.severity)],
