--- /dev/null
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "laurelhall/control/control_host.h"
+
+namespace laurelhall::operations {
+
+/// What a control host needs of this package: the operators' API, and what the
+/// leader does about waves, roll-outs, moves and jobs.
+struct Operations {
+  std::unique_ptr<control::OperatorService> service;
+  std::vector<std::unique_ptr<control::LeaderDuty>> duties;
+};
+
+/// Makes both for one control host; they share what workers reported.
+Operations MakeOperations();
+
+}  // namespace laurelhall::operations
