--- a/tools/load.cc
+++ b/tools/load.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -43,6 +44,8 @@
   bool is_direct = false;  ///< Straight to an endpoint, for comparison.
   bool is_verbose = false;
   bool is_strict = false;
+  Millis resend_delay{0};
+  std::string answers_file;  ///< Empty: none is written.
 };
 
 /// One request to send: what, where and when.
@@ -104,6 +107,29 @@
   int m_done = 0;
 };
 
+/// One line an answer: key, digest of the body, kind, target. Thread-safe.
+class AnswerFile {
+ public:
+  explicit AnswerFile(const std::string& file) {
+    if (!file.empty()) {
+      m_file.open(file, std::ios::app);
+    }
+  }
+
+  void Write(const Shot& shot, const std::string& kind) {
+    const std::lock_guard lock(m_mutex);
+    if (m_file.is_open()) {
+      m_file << (shot.key.empty() ? "-" : shot.key) << ' '
+             << tools::DigestOf(shot.body) << ' ' << kind << ' ' << shot.target
+             << std::endl;
+    }
+  }
+
+ private:
+  std::mutex m_mutex;  // Guards m_file.
+  std::ofstream m_file;
+};
+
 /// Open connections by target, used again when they may be. Thread-safe.
 class Connections {
  public:
@@ -163,7 +189,10 @@
 class Load {
  public:
   Load(const LoadInit& init, net::IoThreads& threads)
-      : m_init(init), m_threads(threads), m_connections(threads) {}
+      : m_init(init),
+        m_threads(threads),
+        m_connections(threads),
+        m_answers(init.answers_file) {}
 
   json::object Run() {
     const std::vector<Shot> shots = Plan(m_threads.timers().Now());
@@ -201,13 +230,28 @@
       }
       shots.push_back(shot);
       if (!shot.key.empty() && share(random) < m_init.resend_share) {
-        shot.target = m_init.targets[random() % m_init.targets.size()];
+        shot.target = OtherTarget(shot.target, random);
+        shot.due += m_init.resend_delay;
         shots.push_back(shot);
       }
     }
+    std::stable_sort(
+        shots.begin(), shots.end(),
+        [](const Shot& a, const Shot& b) { return a.due < b.due; });
     return shots;
   }
 
+  // A resend goes through another entry host, if there is one.
+  const std::string& OtherTarget(const std::string& target,
+                                 std::mt19937_64& random) const {
+    const size_t count = m_init.targets.size();
+    const auto own = static_cast<size_t>(
+        std::find(m_init.targets.begin(), m_init.targets.end(), target) -
+        m_init.targets.begin());
+    const size_t step = count > 1 ? 1 + random() % (count - 1) : 0;
+    return m_init.targets[(own + step) % count];
+  }
+
   void Send(const Shot& shot) {
     // A keyed request takes a fresh connection: a byte written to one that
     // the other side just closed would leave its outcome unknown to us.
@@ -271,12 +315,14 @@
            << kind << ' ' << latency.count() << "ms " << result.response.body;
       std::cerr << line.str() << (line.str().ends_with('\n') ? "" : "\n");
     }
+    m_answers.Write(shot, kind);
     m_tally.Add(kind, shot.organisation, latency);
   }
 
   const LoadInit& m_init;
   net::IoThreads& m_threads;
   Connections m_connections;
+  AnswerFile m_answers;
   Tally m_tally;
 };
 
@@ -307,6 +353,10 @@
       cxxopts::value<int>()->default_value("100"))(
       "seed", "seed", cxxopts::value<uint64_t>()->default_value("1"))(
       "direct", "straight to endpoints")(
+      "resend-delay", "ms between a request and its resend",
+      cxxopts::value<int>()->default_value("0"))(
+      "answers", "file to append a line per answer to",
+      cxxopts::value<std::string>()->default_value(""))(
       "strict", "fail unless all answers are whole")("verbose",
                                                      "a line per answer");
   const auto parsed = options.parse(argc, argv);
@@ -323,6 +373,8 @@
   init.deadline = Millis(parsed["deadline"].as<int>());
   init.body_bytes = parsed["body-bytes"].as<int>();
   init.seed = parsed["seed"].as<uint64_t>();
+  init.resend_delay = Millis(parsed["resend-delay"].as<int>());
+  init.answers_file = parsed["answers"].as<std::string>();
   init.is_direct = parsed.count("direct") != 0;
   init.is_strict = parsed.count("strict") != 0;
   init.is_verbose = parsed.count("verbose") != 0;
--- a/tools/standin_endpoint.cc
+++ b/tools/standin_endpoint.cc
@@ -7,16 +7,18 @@
 #include <fstream>
 #include <iostream>
 #include <mutex>
+#include <optional>
 #include <random>
-#include <sstream>
 #include <string>
 
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
 
+#include "cutting_proxy_p.h"
 #include "laurelhall/base/log.h"
 #include "laurelhall/net/http.h"
 #include "laurelhall/net/io_threads.h"
+#include "tool_p.h"
 
 namespace laurelhall {
 namespace {
@@ -26,6 +28,7 @@
 constexpr Millis kRenewPeriod{1'000};
 constexpr Millis kAnnounceTimeout{2'000};
 constexpr Millis kAnnounceRetry{200};
+constexpr const char* kAnyPort = "127.0.0.1:0";
 
 struct StandinInit {
   std::string listen;
@@ -44,21 +47,15 @@
   size_t answer_bytes = 0;
   int slots = 8;
   int threads = 2;
+  double cut_share = 0;   ///< Of its connections, cut in an answer.
+  double swap_share = 0;  ///< Of its answers, those of another request.
+  Millis linger{0};       ///< Goes on listening so long once it may go.
+  uint64_t seed = 1;
 };
 
-// FNV-1a: enough to tell one test's body from another's.
-std::string DigestOf(std::string_view body) {
-  uint64_t hash = 0xcbf29ce484222325;
-  for (const char c : body) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
-  }
-  std::ostringstream text;
-  text << std::hex << hash;
-  return text.str();
-}
-
 /// One line per start and end of a run: event, request id, idempotency key,
-/// digest of the body, runs under way. Thread-safe.
+/// digest of the body, runs under way, wall time in ms. One line more when the
+/// leaving is accepted, with the ms within which it holds. Thread-safe.
 class Journal {
  public:
   explicit Journal(const std::string& file) {
@@ -79,12 +76,22 @@
     Write("end", request);
   }
 
+  void Leaving(Millis holds_from) {
+    const std::lock_guard lock(m_mutex);
+    if (m_file.is_open()) {
+      m_file << "leaving - - - " << m_running << ' ' << NowMs() << ' '
+             << holds_from.count() << std::endl;
+    }
+  }
+
   int running() const {
     const std::lock_guard lock(m_mutex);
     return m_running;
   }
 
  private:
+  static int64_t NowMs() { return WallNow().time_since_epoch().count(); }
+
   void Write(const char* event, const net::HttpRequest& request) {
     const auto or_dash = [](std::string_view text) {
       return text.empty() ? std::string_view("-") : text;
@@ -92,7 +99,8 @@
     if (m_file.is_open()) {
       m_file << event << ' ' << or_dash(request.headers.Get("X-Request-Id"))
              << ' ' << or_dash(request.headers.Get("Idempotency-Key")) << ' '
-             << DigestOf(request.body) << ' ' << m_running << std::endl;
+             << tools::DigestOf(request.body) << ' ' << m_running << ' '
+             << NowMs() << std::endl;
     }
   }
 
@@ -101,11 +109,43 @@
   int m_running = 0;
 };
 
+/// What an answer says of its request.
+struct AnswerMark {
+  std::string request_id;
+  std::string digest;
+};
+
+/// Now and then gives one request's answer to another. Thread-safe.
+class AnswerSwapper {
+ public:
+  AnswerSwapper(double share, uint64_t seed) : m_share(share), m_random(seed) {}
+
+  /// Returns the mark to answer with: the own one, or that of the request
+  /// before it.
+  AnswerMark Swap(const AnswerMark& own) {
+    const std::lock_guard lock(m_mutex);
+    std::uniform_real_distribution<double> share(0, 1);
+    const bool is_swapped = m_last && share(m_random) < m_share;
+    const AnswerMark answer = is_swapped ? *m_last : own;
+    m_last = own;
+    return answer;
+  }
+
+ private:
+  const double m_share;
+  std::mutex m_mutex;  // Guards the two below.
+  std::mt19937_64 m_random;
+  std::optional<AnswerMark> m_last;
+};
+
 /// Runs requests: waits for the delay, then answers.
 class StandinHandler : public net::HttpHandler {
  public:
   StandinHandler(const StandinInit& init, net::IoThreads& threads)
-      : m_init(init), m_threads(threads), m_journal(init.journal) {}
+      : m_init(init),
+        m_threads(threads),
+        m_journal(init.journal),
+        m_swapper(init.swap_share, init.seed) {}
 
   int64_t MaxBodyBytes(const net::HttpRequest&) override { return 64 << 20; }
 
@@ -121,6 +161,7 @@
   }
 
   int running() const { return m_journal.running(); }
+  Journal& journal() { return m_journal; }
 
  private:
   void Answer(net::HttpExchange& exchange) {
@@ -128,11 +169,13 @@
     net::HttpResponse response;
     response.status = m_init.is_failing ? 500 : 200;
     response.headers.Set("Content-Type", "text/plain");
-    response.headers.Set("X-Request-Id",
-                         std::string(request.headers.Get("X-Request-Id")));
-    response.body = m_init.id + " " + DigestOf(request.body) + "\n";
+    const AnswerMark mark =
+        m_swapper.Swap({std::string(request.headers.Get("X-Request-Id")),
+                        tools::DigestOf(request.body)});
+    response.headers.Set("X-Request-Id", mark.request_id);
+    response.body = m_init.id + " " + mark.digest + "\n";
     while (response.body.size() < m_init.answer_bytes) {
-      response.body += DigestOf(request.body);
+      response.body += mark.digest;
     }
     m_journal.End(request);
     exchange.Respond(std::move(response));
@@ -141,6 +184,7 @@
   const StandinInit& m_init;
   net::IoThreads& m_threads;
   Journal m_journal;
+  AnswerSwapper m_swapper;
 };
 
 /// Tells one entry host at random, as the balancer would choose.
@@ -222,15 +266,6 @@
   std::mt19937_64 m_random;
 };
 
-std::vector<std::string> Split(const std::string& text) {
-  std::vector<std::string> parts;
-  std::istringstream stream(text);
-  for (std::string part; std::getline(stream, part, ',');) {
-    parts.push_back(part);
-  }
-  return parts;
-}
-
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("standin_endpoint",
                            "A vendor's endpoint, for tests");
@@ -257,6 +292,10 @@
   add("answer-bytes", "least size of an answer", text("0"));
   add("slots", "runs it takes at once", text("8"));
   add("threads", "IO threads", text("2"));
+  add("cut-answers", "share of connections cut in an answer", text("0"));
+  add("swap-ids", "share of answers that are another request's", text("0"));
+  add("linger", "ms it goes on listening after it may go", text("0"));
+  add("seed", "seed of the two shares", text("1"));
   add("help", "show this");
   return options;
 }
@@ -267,7 +306,7 @@
   };
   StandinInit init;
   init.listen = text("listen");
-  init.announce_to = Split(text("announce"));
+  init.announce_to = tools::SplitCommas(text("announce"));
   init.id = text("id");
   init.service = text("service");
   init.host = text("host");
@@ -286,6 +325,10 @@
   init.answer_bytes = std::stoul(text("answer-bytes"));
   init.slots = std::stoi(text("slots"));
   init.threads = std::stoi(text("threads"));
+  init.cut_share = std::stod(text("cut-answers"));
+  init.swap_share = std::stod(text("swap-ids"));
+  init.linger = Millis(std::stoll(text("linger")));
+  init.seed = std::stoull(text("seed"));
   return init;
 }
 
@@ -301,18 +344,27 @@
   net::IoThreads threads(init.threads);
   StandinHandler handler(init, threads);
   net::HttpServerInit server_init;
-  server_init.address = init.listen;
+  const bool is_cutting = init.cut_share > 0;
+  server_init.address = is_cutting ? kAnyPort : init.listen;
   net::HttpServer server(threads, server_init, handler);
-  std::cout << "listening " << server.address() << std::endl;
-  Announcer announcer(init, server.address());
+  std::unique_ptr<tools::CuttingProxy> proxy;
+  if (is_cutting) {
+    proxy = std::make_unique<tools::CuttingProxy>(init.listen, server.address(),
+                                                  init.cut_share, init.seed);
+  }
+  const std::string address = is_cutting ? proxy->address() : server.address();
+  std::cout << "listening " << address << std::endl;
+  Announcer announcer(init, address);
   bool is_accepted = announcer.Announce(false);
   while (!WaitForStop(signals, is_accepted ? kRenewPeriod : kAnnounceRetry)) {
     is_accepted = announcer.Announce(false);
   }
   while (!announcer.Announce(true) && !WaitForStop(signals, kAnnounceRetry)) {
   }
+  handler.journal().Leaving(announcer.holds_from());
   // Runs that were sent before the leaving held everywhere still finish.
-  const SteadyTime least = threads.timers().Now() + announcer.holds_from();
+  const SteadyTime least =
+      threads.timers().Now() + announcer.holds_from() + init.linger;
   while (handler.running() > 0 || threads.timers().Now() < least) {
     if (WaitForStop(signals, kAnnounceRetry)) {
       break;
