--- a/packages/daemon/tests/scenario.cc
+++ b/packages/daemon/tests/scenario.cc
@@ -285,6 +285,7 @@
                     std::to_string(rate),
                     "--count",
                     std::to_string(count),
+                    "--verbose",
                     "--deadline",
                     std::to_string(deadline)};
   for (const char* option : {"service", "keyed", "resend", "resend-delay",
