--- a/cmake/laurelhall_package.cmake
+++ b/cmake/laurelhall_package.cmake
@@ -34,7 +34,8 @@
     target_link_libraries(${name}_test PRIVATE ${ARGN} Threads::Threads)
     target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
     target_compile_options(${name}_test PRIVATE -Wall -Wextra)
-    add_test(NAME ${name}_test COMMAND ${name}_test)
+    add_test(NAME ${name}_test COMMAND ${name}_test
+             WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
   endif()
 endfunction()
 
