Consensus: a learner gets the log from its start

Cause: a leader probed a new learner at the end of its log; the empty learner had to refuse, but knew no member's address to answer to. Control's test of a disk lost twice in a row failed by it: the learner stayed silent for ever. Ruled out: a change in control (the host could answer a sender by its connection, but a node should not need it); learning the members from hello.

--- a/packages/consensus/src/membership.cc
+++ b/packages/consensus/src/membership.cc
@@ -126,7 +126,9 @@
       continue;
     }
     Progress progress;
-    progress.next = m_log.last() + 1;
+    // A learner is mostly empty: it gets the log from its start, or a snapshot,
+    // and learns from it who its peers are.
+    progress.next = member.is_voter ? m_log.last() + 1 : 1;
     progress.last_heard = m_now;
     progress.last_progress = m_now;
     m_peers.emplace(id, std::move(progress));
--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -221,7 +221,11 @@
   Drive();
   Answer(2, MessageKind::kAppendReply, 1);
   REQUIRE(Change(MembershipChangeKind::kAddLearner, 4));
-  Drive();
+  const std::vector<Message> sent = Drive();
+  // The first append must name its peers to the learner.
+  CHECK(std::any_of(sent.begin(), sent.end(), [](const Message& message) {
+    return message.to == NodeId{4} && message.entries.size() == 2;
+  }));
   Answer(4, MessageKind::kAppendReply, 2);
   CHECK_EQ(node.status().commit, 1);
   Answer(2, MessageKind::kAppendReply, 2);
