--- a/packages/control/tests/cluster_fixture.h
+++ b/packages/control/tests/cluster_fixture.h
@@ -104,7 +104,9 @@
 
   void Start(size_t i) {
     m_hosts[i] = std::make_unique<ControlHost>(
-        m_inits[i], std::vector<std::unique_ptr<LeaderDuty>>(),
+        m_inits[i],
+        m_make_duties ? m_make_duties()
+                      : std::vector<std::unique_ptr<LeaderDuty>>(),
         m_make_operators ? m_make_operators() : nullptr);
   }
 
@@ -152,6 +154,7 @@
   }
 
   std::function<std::unique_ptr<OperatorService>()> m_make_operators;
+  std::function<std::vector<std::unique_ptr<LeaderDuty>>()> m_make_duties;
 
  private:
   static std::unique_ptr<ControlLink> MakeLinkTo(
--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -204,8 +204,15 @@
 TEST_CASE_FIXTURE(ClusterFixture,
                   "Cluster, disk lost twice in a row, repairs itself and "
                   "loses nothing") {
+  // Small, so that the new identities catch up by snapshot.
+  for (size_t i = 0; i < m_cluster.size(); ++i) {
+    m_cluster.init(i).snapshot_every = 10;
+  }
   m_cluster.StartAll();
   const auto link = m_cluster.MakeLink("entry");
+  for (int i = 0; i < 40; ++i) {
+    REQUIRE(ClaimNow(*link, MakeClaim("one" + std::to_string(i))));
+  }
   REQUIRE(ClaimMany(*link, "a", 100) == 100);
   const size_t first = m_cluster.AwaitLeader();
   for (const size_t lost : {(first + 1) % 3, (first + 2) % 3}) {
@@ -222,6 +229,7 @@
                          [](const auto& item) { return item.second.is_voter; });
     }));
   }
+  CHECK(Eventually([&] { return AllApplied(m_cluster); }));
   m_cluster.Stop(first);
   REQUIRE(m_cluster.AwaitLeader(first) < m_cluster.size());
   for (int i = 0; i < 100; ++i) {
@@ -301,6 +309,45 @@
   CHECK(reply.body == m_cluster.init(leader).name + " 1");
 }
 
+// Counts settings versions up to five, one a step.
+class CountingDuty : public LeaderDuty {
+ public:
+  explicit CountingDuty(std::atomic<int>& early) : m_early(early) {}
+
+  std::vector<state::Command> Step(const state::Machine& machine,
+                                   WallTime /*now*/) override {
+    const uint64_t version = machine.settings_version();
+    m_early += version < m_proposed ? 1 : 0;
+    if (version >= 5) {
+      return {};
+    }
+    m_proposed = version + 1;
+    return {MakeSettings(version, "duty-" + std::to_string(version),
+                         static_cast<int>(version))};
+  }
+
+ private:
+  std::atomic<int>& m_early;
+  uint64_t m_proposed = 0;
+};
+
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, leader's duty, each step sees what the last one "
+                  "committed") {
+  std::atomic<int> early{0};
+  m_cluster.m_make_duties = [&early] {
+    std::vector<std::unique_ptr<LeaderDuty>> duties;
+    duties.push_back(std::make_unique<CountingDuty>(early));
+    return duties;
+  };
+  m_cluster.StartAll();
+  for (size_t i = 0; i < m_cluster.size(); ++i) {
+    CHECK(Eventually(
+        [&] { return m_cluster.host(i).machine().settings_version() == 5; }));
+  }
+  CHECK(early == 0);
+}
+
 TEST_CASE_FIXTURE(ClusterFixture,
                   "Cluster, caller without the key, is not served") {
   m_cluster.StartAll();
