--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -315,7 +315,7 @@
   explicit CountingDuty(std::atomic<int>& early) : m_early(early) {}
 
   std::vector<state::Command> Step(const state::Machine& machine,
-                                   WallTime /*now*/) override {
+                                   const LeaderView& /*view*/) override {
     const uint64_t version = machine.settings_version();
     m_early += version < m_proposed ? 1 : 0;
     if (version >= 5) {
