Operators' resends are recognised by what the operator sent

Cause: the leader fills in what a request leaves out (the settings version in force, a host's epoch, the time a host was added), and the digest that tells a resend from another command was taken over the filled-in command. So a change without an expected version, resent after its answer was lost, was refused as 'used with another command' although it had been applied. Ruled out: making the expected version optional in the command, which would drop the check against a change in between and leave host acts as they were. The digest is now of method, path and body; a command without one is compared as before.

--- a/packages/operations/src/operations_p.h
+++ b/packages/operations/src/operations_p.h
@@ -33,6 +33,7 @@
   std::vector<std::string> segments;  ///< Of the path after "/v1/".
   std::map<std::string, std::string> query;
   boost::json::object body;
+  uint64_t digest = 0;  ///< Of method, path and body.
   const state::Machine& machine;
   const control::ControlStatus& status;
 
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -59,6 +59,7 @@
           Split(rest.substr(0, mark), '/'),
           ParseQuery(query),
           ParseBody(body),
+          state::HashText(method + ' ' + target + ' ' + body),
           machine,
           status};
 }
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -61,8 +62,13 @@
   std::string operator_name;
   std::string request_id;
   WallTime at{};
+  /// Of what the operator sent; 0: the command itself is compared. A leader
+  /// fills in what the operator left out, which differs at a resend.
+  uint64_t digest = 0;
 };
-BOOST_DESCRIBE_STRUCT(OperatorRequest, (), (operator_name, request_id, at))
+BOOST_DESCRIBE_STRUCT(OperatorRequest,
+                      (),
+                      (operator_name, request_id, at, digest))
 
 /// Changes settings when the version is still the expected one. A value is
 /// JSON text; none removes the path, so that the parent's value shows again.
@@ -198,4 +204,7 @@
 
 using Result = std::variant<ClaimResult, ActResult>;
 
+/// A hash of 64 bits, the same in every process. Thread-safe.
+uint64_t HashText(std::string_view text);
+
 }  // namespace laurelhall::state
--- a/packages/state/src/command.cc
+++ b/packages/state/src/command.cc
@@ -1,5 +1,7 @@
 #include "laurelhall/state/command.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
@@ -86,4 +88,8 @@
   return commands;
 }
 
+uint64_t HashText(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
 }  // namespace laurelhall::state
--- a/packages/state/src/snapshot.cc
+++ b/packages/state/src/snapshot.cc
@@ -1,9 +1,8 @@
 #include "snapshot_p.h"
 
-#include <xxhash.h>
-
 #include <stdexcept>
 
+#include "laurelhall/state/command.h"
 #include "read_json_p.h"
 
 namespace laurelhall::state {
@@ -70,8 +69,4 @@
   }
 }
 
-uint64_t HashText(std::string_view text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 }  // namespace laurelhall::state
--- a/packages/state/src/snapshot_p.h
+++ b/packages/state/src/snapshot_p.h
@@ -36,7 +36,4 @@
     const std::function<void(std::string_view table,
                              const boost::json::value& value)>& use);
 
-/// The hash that closes snapshots and that Machine::Digest() returns.
-uint64_t HashText(std::string_view text);
-
 }  // namespace laurelhall::state
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -80,6 +80,9 @@
 // The time of a resend differs from the first one's; all else is the same.
 template <typename OperatorCommand>
 uint64_t DigestOf(OperatorCommand command) {
+  if (command.request.digest != 0) {
+    return command.request.digest;
+  }
   command.request.at = {};
   return HashText(EncodeCommands({std::move(command)}));
 }
--- a/packages/state/tests/settings_history_test.cc
+++ b/packages/state/tests/settings_history_test.cc
@@ -78,6 +78,18 @@
         "refused: request id a1 was used with another command");
 }
 
+TEST_CASE_FIXTURE(SettingsHistoryFixture,
+                  "Settings, resent without a version, repeats the answer") {
+  SettingsCommand command{RequestOf("ana", "a1"), 0, {{"weights.buffer", "2"}}};
+  command.request.digest = 77;
+  CHECK(Act(command).version == 1);
+  // The leader filled in the version that is in force by now.
+  command.expected_version = 1;
+  CHECK(Act(command).is_resend);
+  command.request.digest = 78;
+  CHECK_FALSE(Act(command).is_accepted);
+}
+
 TEST_CASE_FIXTURE(SettingsHistoryFixture,
                   "Settings, memory past its age, takes a resend as new") {
   CHECK(Weigh("ana", "a1", 0, 2).is_accepted);
