--- a/packages/daemon/tests/scenario.h
+++ b/packages/daemon/tests/scenario.h
@@ -107,7 +107,9 @@
   std::vector<JournalLine> RunsAt(const std::string& endpoint) const;
   /// Of one load, or of all of them when no name is given.
   std::vector<AnswerLine> Answers(const std::string& load) const;
+  double MetricAt(const std::string& host, const std::string& name);
   double SumOfMetric(const std::string& name);
+  double LeastOfMetric(const std::string& name);
   std::string ControlId(const std::string& host);
 
   const std::filesystem::path m_folder;
--- a/packages/daemon/tests/scenario_expectations.cc
+++ b/packages/daemon/tests/scenario_expectations.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <sstream>
 
 #include "scenario.h"
@@ -66,31 +67,45 @@
 
 void Scenario::ExpectMetric(Arguments& arguments) {
   const std::string name = arguments.Next("a metric");
-  const std::string relation = arguments.Next("is or at-least");
+  const std::string relation = arguments.Next("is, at-least or each-at-least");
   const int64_t expected = arguments.NextNumber("a value");
   double value = 0;
   Require(Poll([&] {
-            value = SumOfMetric(name);
+            value = relation == "each-at-least" ? LeastOfMetric(name)
+                                                : SumOfMetric(name);
             return relation == "is" ? value == static_cast<double>(expected)
                                     : value >= static_cast<double>(expected);
           }),
           Differs(static_cast<int64_t>(value), expected));
 }
 
+double Scenario::MetricAt(const std::string& host, const std::string& name) {
+  double sum = 0;
+  std::istringstream page(cluster().Metrics(host));
+  for (std::string line; std::getline(page, line);) {
+    const bool is_named = line.starts_with(name) && (line[name.size()] == '{' ||
+                                                     line[name.size()] == ' ');
+    sum += is_named ? std::stod(line.substr(line.rfind(' '))) : 0;
+  }
+  return sum;
+}
+
 double Scenario::SumOfMetric(const std::string& name) {
   double sum = 0;
   for (const std::string& host : cluster().names()) {
-    std::istringstream page(cluster().Metrics(host));
-    for (std::string line; std::getline(page, line);) {
-      const bool is_named =
-          line.starts_with(name) &&
-          (line[name.size()] == '{' || line[name.size()] == ' ');
-      sum += is_named ? std::stod(line.substr(line.rfind(' '))) : 0;
-    }
+    sum += MetricAt(host, name);
   }
   return sum;
 }
 
+double Scenario::LeastOfMetric(const std::string& name) {
+  double least = std::numeric_limits<double>::max();
+  for (const std::string& host : cluster().names()) {
+    least = std::min(least, MetricAt(host, name));
+  }
+  return least;
+}
+
 void Scenario::ExpectRunsPerKey(Arguments& arguments) {
   const int64_t expected = arguments.NextNumber("how many");
   const std::map<std::string, int> runs = RunsByKey(AllRuns());
