Channel between control hosts: waiting to reconnect is no failure

Cause: a call that was refused because the channel waits before its next attempt was itself counted as a failed attempt and put the next one off again. Heartbeats come more often than the longest pause (500 ms), so a control host that was gone for a moment was never reached again by its leader: a restarted one stayed behind for ever, and a repaired one remained a silent learner. Ruled out: the step's handler at the other end and the bootstrap (it joined at once and was sent nothing); old and new identity sharing one address.

--- a/packages/control/src/rpc_channel.cc
+++ b/packages/control/src/rpc_channel.cc
@@ -35,6 +35,11 @@
     Drop();
     return Unreachable("refused by the connection filter");
   }
+  // Not a failure of its own: counted as one, frequent calls would put off
+  // the next attempt for ever.
+  if (IsBackingOff()) {
+    return Unreachable("waits before it connects again");
+  }
   kj::Promise<void> done = kj::NEVER_DONE;
   if (mode != CutMode::kStall) {
     done = Connect().then(
@@ -52,14 +57,16 @@
       });
 }
 
+bool RpcChannel::IsBackingOff() const {
+  return m_connection == nullptr && m_connecting == nullptr &&
+         std::chrono::steady_clock::now() < m_retry_at;
+}
+
 kj::Promise<kj::Own<RpcChannel::Connection>> RpcChannel::Connect() {
   KJ_IF_MAYBE (connection, m_connection) {
     return kj::addRef(**connection);
   }
   if (m_connecting == nullptr) {
-    if (std::chrono::steady_clock::now() < m_retry_at) {
-      return Unreachable("waits before it connects again");
-    }
     m_connecting = Open().fork();
   }
   return KJ_ASSERT_NONNULL(m_connecting)
--- a/packages/control/src/rpc_channel_p.h
+++ b/packages/control/src/rpc_channel_p.h
@@ -42,6 +42,7 @@
     kj::Canceler m_canceler;  // Ends the calls of a dropped connection.
   };
 
+  bool IsBackingOff() const;
   kj::Promise<kj::Own<Connection>> Connect();
   kj::Promise<void> Open();
   void Drop();
