--- a/packages/daemon/tests/scenario.h
+++ b/packages/daemon/tests/scenario.h
@@ -95,6 +95,7 @@
   void ExpectNoStart(Arguments& arguments);
   void ExpectNoLateStart(Arguments& arguments);
   void ExpectExit(Arguments& arguments);
+  void ExpectCaughtUp(Arguments& arguments);
   void ExpectVoter(Arguments& arguments);
   void ExpectNewIdentity(Arguments& arguments);
 
--- a/packages/daemon/tests/scenario_expectations.cc
+++ b/packages/daemon/tests/scenario_expectations.cc
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <limits>
 #include <sstream>
+#include <stdexcept>
 
 #include "scenario.h"
 
@@ -16,6 +17,14 @@
                     [&](const AnswerLine& line) { return line.kind == kind; }));
 }
 
+// The words are put together after the last look.
+template <typename Predicate, typename Words>
+void RequirePolled(Predicate predicate, Words words) {
+  if (!Poll(predicate)) {
+    throw std::runtime_error(words());
+  }
+}
+
 std::string Differs(int64_t is, int64_t expected) {
   return "it is " + std::to_string(is) + ", not " + std::to_string(expected);
 }
@@ -48,6 +57,7 @@
     {"no-start", &Scenario::ExpectNoStart},
     {"no-late-start", &Scenario::ExpectNoLateStart},
     {"exit", &Scenario::ExpectExit},
+    {"caught-up", &Scenario::ExpectCaughtUp},
     {"voter", &Scenario::ExpectVoter},
     {"new-identity", &Scenario::ExpectNewIdentity},
 };
@@ -58,11 +68,12 @@
 
 void Scenario::ExpectLeader(Arguments& arguments) {
   const bool is_another = arguments.Flag("not") && arguments.Flag("last");
-  Require(Poll([&] {
-            const std::string leader = cluster().Leader();
-            return !leader.empty() && (!is_another || leader != m_last_host);
-          }),
-          "nobody leads");
+  RequirePolled(
+      [&] {
+        const std::string leader = cluster().Leader();
+        return !leader.empty() && (!is_another || leader != m_last_host);
+      },
+      [&] { return std::string("nobody leads"); });
 }
 
 void Scenario::ExpectMetric(Arguments& arguments) {
@@ -70,13 +81,16 @@
   const std::string relation = arguments.Next("is, at-least or each-at-least");
   const int64_t expected = arguments.NextNumber("a value");
   double value = 0;
-  Require(Poll([&] {
-            value = relation == "each-at-least" ? LeastOfMetric(name)
-                                                : SumOfMetric(name);
-            return relation == "is" ? value == static_cast<double>(expected)
-                                    : value >= static_cast<double>(expected);
-          }),
-          Differs(static_cast<int64_t>(value), expected));
+  RequirePolled(
+      [&] {
+        value = relation == "each-at-least" ? LeastOfMetric(name)
+                                            : SumOfMetric(name);
+        return relation == "is" ? value == static_cast<double>(expected)
+                                : value >= static_cast<double>(expected);
+      },
+      [&] {
+        return std::string(Differs(static_cast<int64_t>(value), expected));
+      });
 }
 
 double Scenario::MetricAt(const std::string& host, const std::string& name) {
@@ -170,18 +184,22 @@
   const uint64_t expected =
       word == "acknowledged" ? m_operator->acknowledged() : std::stoull(word);
   std::string laggard;
-  Require(Poll([&] {
-            laggard.clear();
-            for (const std::string& host : cluster().names()) {
-              const auto status = cluster().LocalStatus(host);
-              const bool is_there = status.is_object() &&
-                                    status.at("entry").at("settings_version") ==
+  RequirePolled(
+      [&] {
+        laggard.clear();
+        for (const std::string& host : cluster().names()) {
+          const auto status = cluster().LocalStatus(host);
+          const bool is_there =
+              status.is_object() && status.at("entry").at("settings_version") ==
                                         boost::json::value(expected);
-              laggard += is_there ? "" : host + " ";
-            }
-            return laggard.empty();
-          }),
-          "not at " + std::to_string(expected) + ": " + laggard);
+          laggard += is_there ? "" : host + " ";
+        }
+        return laggard.empty();
+      },
+      [&] {
+        return std::string("not at " + std::to_string(expected) + ": " +
+                           laggard);
+      });
 }
 
 void Scenario::ExpectNoReversion(Arguments&) {
@@ -209,15 +227,15 @@
   const std::string host = arguments.Next("a daemon");
   const std::string type = arguments.Next("a type of answer");
   net::HttpResponse response;
-  Require(Poll([&] {
-            if (is_keyed) {
-              request.headers.Set("Idempotency-Key", NewRequestId());
-            }
-            response =
-                net::Fetch(cluster().caller_address(host), request, kCap);
-            return TypeOf(response) == type;
-          }),
-          "the answer is " + TypeOf(response));
+  RequirePolled(
+      [&] {
+        if (is_keyed) {
+          request.headers.Set("Idempotency-Key", NewRequestId());
+        }
+        response = net::Fetch(cluster().caller_address(host), request, kCap);
+        return TypeOf(response) == type;
+      },
+      [&] { return std::string("the answer is " + TypeOf(response)); });
   Require(!has_retry || !response.headers.Get("Retry-After").empty(),
           "no Retry-After");
 }
@@ -227,14 +245,15 @@
   Require(arguments.Next("state") == "state", "expected state");
   const std::string expected = arguments.Next("a state");
   std::string state;
-  Require(Poll([&] {
-            const Reply reply = cluster().Operate("GET", "/v1/hosts/" + host);
-            state = reply.status == 200
-                        ? std::string(reply.body.at("state").as_string())
-                        : "";
-            return state == expected;
-          }),
-          "its state is " + state);
+  RequirePolled(
+      [&] {
+        const Reply reply = cluster().Operate("GET", "/v1/hosts/" + host);
+        state = reply.status == 200
+                    ? std::string(reply.body.at("state").as_string())
+                    : "";
+        return state == expected;
+      },
+      [&] { return std::string("its state is " + state); });
 }
 
 void Scenario::ExpectIdle(Arguments& arguments) {
@@ -268,31 +287,58 @@
   Require(*code == expected, Differs(*code, expected));
 }
 
+// Each control host but the leader holds all that was committed by now.
+void Scenario::ExpectCaughtUp(Arguments& arguments) {
+  const int64_t count = arguments.NextNumber("how many control hosts");
+  boost::json::value seen;
+  uint64_t least = 0;
+  Require(
+      Poll([&] {
+        const Reply reply = cluster().Operate("GET", "/v1/status");
+        if (reply.status != 200) {
+          return false;
+        }
+        seen = reply.body;
+        least = least != 0 ? least : seen.at("commit").to_number<uint64_t>();
+        const auto& members = seen.at("members").as_array();
+        return std::count_if(
+                   members.begin(), members.end(),
+                   [&](const boost::json::value& member) {
+                     return member.at("leader").as_bool() ||
+                            member.at("match").to_number<uint64_t>() >= least;
+                   }) == count;
+      }),
+      "not all are: " + boost::json::serialize(seen));
+}
+
 void Scenario::ExpectVoter(Arguments& arguments) {
   const std::string host = arguments.Next("a daemon");
   boost::json::value seen;
-  Require(Poll([&] {
-            const std::string id = ControlId(host);
-            const Reply reply = cluster().Operate("GET", "/v1/status");
-            seen = reply.body;
-            if (reply.status != 200 || id.empty()) {
-              return false;
-            }
-            const auto& members = reply.body.at("members").as_array();
-            return std::any_of(
-                members.begin(), members.end(), [&](const auto& member) {
-                  return member.at("id") == boost::json::value(id) &&
-                         member.at("voter").as_bool();
-                });
-          }),
-          "it doesn't vote: " + boost::json::serialize(seen));
+  RequirePolled(
+      [&] {
+        const std::string id = ControlId(host);
+        const Reply reply = cluster().Operate("GET", "/v1/status");
+        seen = reply.body;
+        if (reply.status != 200 || id.empty()) {
+          return false;
+        }
+        const auto& members = reply.body.at("members").as_array();
+        return std::any_of(members.begin(), members.end(),
+                           [&](const auto& member) {
+                             return member.at("id") == boost::json::value(id) &&
+                                    member.at("voter").as_bool();
+                           });
+      },
+      [&] {
+        return std::string("it doesn't vote: " + boost::json::serialize(seen));
+      });
 }
 
 void Scenario::ExpectNewIdentity(Arguments& arguments) {
   const std::string host = arguments.Next("a daemon");
   std::string id;
-  Require(Poll([&] { return !(id = ControlId(host)).empty(); }),
-          "it says no identity");
+  RequirePolled([&] { return !(id = ControlId(host)).empty(); },
+                [&] { return std::string("it says no identity"); });
   Require(id != m_lost_ids.at(host), "it came back as " + id);
 }
 
