--- a/packages/daemon/tests/scenario.cc
+++ b/packages/daemon/tests/scenario.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
 #include <iterator>
 #include <sstream>
 #include <stdexcept>
@@ -64,6 +65,7 @@
     {"cut", &Scenario::Cut},
     {"heal", &Scenario::Heal},
     {"wait", &Scenario::Wait},
+    {"report", &Scenario::Report},
     {"expect", &Scenario::Expect},
 };
 
@@ -352,6 +354,18 @@
   std::this_thread::sleep_for(pause);
 }
 
+void Scenario::Report(Arguments&) {
+  std::map<std::string, int> kinds;
+  for (const AnswerLine& line : Answers("")) {
+    ++kinds[line.kind];
+  }
+  std::cout << "keys run: " << RunsByKey(AllRuns()).size() << "; answers:";
+  for (const auto& [kind, count] : kinds) {
+    std::cout << ' ' << kind << ' ' << count;
+  }
+  std::cout << std::endl;
+}
+
 Cluster& Scenario::cluster() {
   Require(m_cluster != nullptr, "no cluster yet");
   return *m_cluster;
--- a/packages/daemon/tests/scenario.h
+++ b/packages/daemon/tests/scenario.h
@@ -75,6 +75,7 @@
   void Cut(Arguments& arguments);
   void Heal(Arguments& arguments);
   void Wait(Arguments& arguments);
+  void Report(Arguments& arguments);
   void Expect(Arguments& arguments);
 
   // What "expect" knows, by the second word.
