A wave waits for hosts that have just failed; a joined service gives none

A wave ended as done, with 28 of 36 hosts left out, when all that was left had failed at once: failed hosts now count as out of reach after an hour, and a paused wave doesn't end. And a step that moved a host into a pool drained another one of the same service on the budget counted before the move; the check on commit refused it.

--- a/packages/planning/src/act_progress_p.h
+++ b/packages/planning/src/act_progress_p.h
@@ -11,12 +11,15 @@
 // fleet at each step, so that no step depends on the one before.
 namespace laurelhall::planning {
 
-/// A host that a wave or roll-out can't wait for.
-inline bool IsOutOfReach(const model::Host& host) {
+/// Whether a wave or roll-out can't wait for the host: an operator holds it,
+/// or it has failed for longer than hosts take to come back.
+inline bool IsOutOfReach(const PlanContext& context, const model::Host& host) {
   const bool is_operators =
       IsLeaving(host) && !IsPlannedReason(host.drain_reason);
-  return host.state == model::HostState::kFailed ||
-         host.state == model::HostState::kAnnounced || is_operators;
+  const bool is_lost =
+      host.state == model::HostState::kFailed &&
+      context.now() - host.state_since >= context.policy().return_timeout;
+  return is_lost || is_operators || host.state == model::HostState::kAnnounced;
 }
 
 /// Whether the host drains past its bound, which costs it one try.
@@ -139,7 +142,7 @@
 bool IsFinished(const PlanContext& context, const Act& act) {
   const auto is_out_of_reach = [&](const std::string& id) {
     const model::Host* host = context.view().FindHost(id);
-    return host == nullptr || IsOutOfReach(*host);
+    return host == nullptr || IsOutOfReach(context, *host);
   };
   return act.active.empty() &&
          std::all_of(act.pending.begin(), act.pending.end(), is_out_of_reach) &&
--- a/packages/planning/src/plan_context.cc
+++ b/packages/planning/src/plan_context.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <tuple>
 
 #include "planning_p.h"
@@ -42,6 +43,10 @@
   if (!m_touched.insert(host.id).second) {
     return;
   }
+  if (event == HostEvent::kMovePool) {
+    const std::vector<int>& services = m_budget.PoolServices(host.move_to);
+    m_joined_services.insert(services.begin(), services.end());
+  }
   m_actions.push_back({.transition = {.host = host.id,
                                       .expected_epoch = host.epoch,
                                       .event = event,
@@ -55,7 +60,7 @@
 bool PlanContext::Drain(const Host& host,
                         const DrainRequest& request,
                         std::string why) {
-  if (!IsFree(host) || IsTouched(host) ||
+  if (!IsFree(host) || IsTouched(host) || IsJoined(host.pool) ||
       !m_budget.Take(host.id, request.gate).is_allowed()) {
     return false;
   }
@@ -71,6 +76,13 @@
   return true;
 }
 
+bool PlanContext::IsJoined(const std::string& pool) const {
+  const std::vector<int>& services = m_budget.PoolServices(pool);
+  return std::any_of(services.begin(), services.end(), [this](int service) {
+    return m_joined_services.count(service) > 0;
+  });
+}
+
 bool PlanContext::IsEmpty(const Host& host) const {
   const auto found = m_input.in_flight.find(host.id);
   return found != m_input.in_flight.end() && found->second == 0;
--- a/packages/planning/src/planning_p.h
+++ b/packages/planning/src/planning_p.h
@@ -97,6 +97,9 @@
   /// Whether a planned drain has lasted its bound without coming to an end.
   bool IsPastDrainBound(const model::Host& host) const;
 
+  /// Whether a host joins a service of this pool in this step.
+  bool IsJoined(const std::string& pool) const;
+
   std::vector<Action> TakeActions() { return std::move(m_actions); }
 
  private:
@@ -106,6 +109,9 @@
   const PlanningPolicy& m_policy;
   std::vector<Action> m_actions;
   std::unordered_set<std::string_view> m_touched;
+  /// Services that a host joins in this step. It is away until it is warm, so
+  /// that they may have less to give than the budget was counted with.
+  std::set<int> m_joined_services;
 };
 
 /// Whether the host serves its pool and nothing holds it.
--- a/packages/planning/src/rollout.cc
+++ b/packages/planning/src/rollout.cc
@@ -131,11 +131,6 @@
       ReadProgress();
       return;
     }
-    if (IsFinished(m_context, m_rollout)) {
-      m_rollout.state = ActState::kDone;
-      m_rollout.reason = LeftOut(m_rollout);
-      return;
-    }
     PauseOrGoOn();
   }
 
@@ -238,9 +233,15 @@
     m_rollout.reason = PauseReason(m_context, found->second.pools);
     m_rollout.state =
         m_rollout.reason.empty() ? ActState::kRunning : ActState::kPaused;
-    if (m_rollout.state == ActState::kRunning) {
-      WidenStage();
+    if (m_rollout.state != ActState::kRunning) {
+      return;
+    }
+    if (IsFinished(m_context, m_rollout)) {
+      m_rollout.state = ActState::kDone;
+      m_rollout.reason = LeftOut(m_rollout);
+      return;
     }
+    WidenStage();
   }
 
   WallTime LastDoneAt() const {
--- a/packages/planning/src/wave.cc
+++ b/packages/planning/src/wave.cc
@@ -54,13 +54,13 @@
                   FormatDuration(context.policy().return_timeout);
     return;
   }
-  if (IsFinished(context, wave)) {
+  wave.reason = PauseReason(context, wave.pools);
+  wave.state = wave.reason.empty() ? ActState::kRunning : ActState::kPaused;
+  // Not while it pauses: what has just failed may be most of what is left.
+  if (wave.state == ActState::kRunning && IsFinished(context, wave)) {
     wave.state = ActState::kDone;
     wave.reason = LeftOut(wave);
-    return;
   }
-  wave.reason = PauseReason(context, wave.pools);
-  wave.state = wave.reason.empty() ? ActState::kRunning : ActState::kPaused;
 }
 
 namespace {
--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -209,6 +209,7 @@
     CHECK(driver.counts().planned_drains > 20);
     const model::Wave& wave = driver.fleet().waves.at("wave");
     CHECK(wave.state == ActState::kDone);
+    CHECK(wave.done.size() + wave.given_up.size() >= 30);
     CHECK(driver.fleet().hosts.size() == 36);
     for (const auto& [id, host] : driver.fleet().hosts) {
       CHECK(driver.fleet().pools.count(host.pool) == 1);
@@ -261,6 +262,20 @@
   CheckSafe(driver.counts());
 }
 
+TEST_CASE_FIXTURE(
+    PlanningFixture,
+    "Wave, all that is left fails, isn't done until they return") {
+  StartWave();
+  FleetDriver driver = MakeDriver();
+  for (const char* zone : {"az0", "az1", "az2", "az3"}) {
+    driver.FailZone(zone, minutes(40));
+  }
+  driver.Run(minutes(30));
+  CHECK(driver.fleet().waves.at("wave").state == ActState::kPaused);
+  RunUntilDone(driver, hours(24));
+  CHECK(driver.fleet().waves.at("wave").done.size() == 36);
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Wave, budget short by failures, gives back what it needs") {
   StartWave();
@@ -550,6 +565,29 @@
   CHECK(CountState(driver.fleet(), HostState::kInPool) == 36);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Moves, host joins a pool, whose budget gives nothing yet") {
+  // Of c's twelve three may be away and two are; joined by a thirteenth that
+  // warms up, it is three of thirteen, of whom no fourth may go.
+  m_fleet.services["insurer-c"].min_available = 7;
+  m_fleet.pools["c"].target_hosts = 13;
+  m_fleet.waves["wave"] = PlanWave(m_fleet, "wave", {"c"}, m_input.now);
+  Put("h102", HostState::kReturning, DrainReason::kMaintenance, 0);
+  Put("h105", HostState::kReturning, DrainReason::kMaintenance, 0);
+  const auto drains_of_wave = [this] {
+    int drains = 0;
+    for (const Action& action : Step().actions) {
+      drains += action.transition.event == HostEvent::kDrain &&
+                action.transition.act == "wave";
+    }
+    return drains;
+  };
+  CHECK(drains_of_wave() == 1);
+  Put("h100", HostState::kDrained, DrainReason::kMove, 1);
+  m_fleet.hosts["h100"].move_to = "c";
+  CHECK(drains_of_wave() == 0);
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Moves, donors that fit differ, serves as many as can be") {
   // a fits b and c; only a's spare hosts have the accelerators that c needs.
