Tests that tell the two reasons apart for which a wave isn't done

Mutations caught, each alone: done while paused; failed hosts out of reach at once. The one test before caught neither, since each hid the other.

--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -268,14 +268,30 @@
   StartWave();
   FleetDriver driver = MakeDriver();
   for (const char* zone : {"az0", "az1", "az2", "az3"}) {
-    driver.FailZone(zone, minutes(40));
+    driver.FailZone(zone, hours(3));
   }
-  driver.Run(minutes(30));
+  driver.Run(hours(2));  // Long enough to be given up, were it for the hosts.
   CHECK(driver.fleet().waves.at("wave").state == ActState::kPaused);
   RunUntilDone(driver, hours(24));
   CHECK(driver.fleet().waves.at("wave").done.size() == 36);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Wave, last host fails, is done only an hour later") {
+  model::Wave& wave = m_fleet.waves["wave"];
+  wave.id = "wave";
+  wave.pools = {"c"};
+  wave.pending = {"h102"};
+  Put("h102", HostState::kFailed, DrainReason::kNone, 59);
+  const auto is_done = [this] {
+    const std::vector<model::Wave> waves = Step().waves;
+    return !waves.empty() && waves.front().state == ActState::kDone;
+  };
+  CHECK_FALSE(is_done());
+  Put("h102", HostState::kFailed, DrainReason::kNone, 60);
+  CHECK(is_done());
+}
+
 TEST_CASE_FIXTURE(PlanningFixture,
                   "Wave, budget short by failures, gives back what it needs") {
   StartWave();
