Inner protocol verified both ways by the cluster's authority

A key sent in clear tells nobody apart once somebody listens. KJ's TLS with client certificates now carries the inner protocol when tls.inner is set, and the settings refuse an inner, operator or caller address off loopback without.

Ruled out: the role of a control host by its DNS name on the server's side (kj 0.9.2 declares matchesHostname and does not define it), and by a list of names (a member that was away would refuse a leader that joined meanwhile, and never learn of it). The role stands in the common name, NAME.control.

--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -77,6 +77,17 @@
   virtual void Start(ViewListener& listener) = 0;
 };
 
+/// Files of the inner protocol's TLS, in PEM; all empty: no TLS.
+///
+/// @remarks The common name of a certificate is its daemon's name, and for a
+///   control host "NAME.control"; a control host's also holds the DNS name
+///   "control.CLUSTER", by which it is known when it is called.
+struct InnerTlsFiles {
+  std::string certificate_file;
+  std::string key_file;
+  std::string ca_file;  ///< The cluster's own authority, or several.
+};
+
 struct ControlClientInit {
   std::string cluster;
   std::string cluster_key;
@@ -85,9 +96,12 @@
   Millis sync_period{std::chrono::milliseconds(500)};
   Millis call_timeout{std::chrono::seconds(2)};
   std::shared_ptr<ConnectionFilter> filter;  ///< Null: no cuts.
+  InnerTlsFiles tls;
 };
 
 /// The link over Cap'n Proto RPC, on a KJ thread of its own.
+///
+/// @throws FindingsError when the TLS files cannot be used.
 std::unique_ptr<ControlLink> MakeControlClient(const ControlClientInit& init);
 
 }  // namespace laurelhall::control
--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -32,6 +32,7 @@
   uint64_t snapshot_every = 20'000;            ///< Entries between snapshots.
   storage::FileSystem* file_system = nullptr;  ///< Null: the real one.
   std::shared_ptr<ConnectionFilter> filter;    ///< Null: no cuts.
+  InnerTlsFiles tls;
   uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
   /// Told once when the store has failed and the host votes no more; called
   /// on the host's loop, must not block.
@@ -160,7 +161,8 @@
  public:
   /// Recovers the data folder and starts.
   /// @throws storage::CorruptionError, storage::StoreFailedError;
-  ///   std::runtime_error when it cannot listen.
+  ///   std::runtime_error when it cannot listen; FindingsError when the TLS
+  ///   files cannot be used.
   ControlHost(const ControlHostInit& init,
               std::vector<std::unique_ptr<LeaderDuty>> duties,
               std::unique_ptr<OperatorService> operators);
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "client_loop_p.h"
+#include "inner_tls_p.h"
 
 namespace laurelhall::control {
 
@@ -11,9 +12,11 @@
 class ControlClient final : public ControlLink {
  public:
   explicit ControlClient(const ControlClientInit& init)
-      : m_thread([this, init](kj::AsyncIoContext& io,
+      : m_tls(init.tls, init.cluster),
+        m_thread([this, init](kj::AsyncIoContext& io,
                               LoopContext& loop,
                               kj::Promise<void> stop) {
+          loop.tls = &m_tls;
           ClientLoop client(loop, init, m_renewals);
           m_loop = &client;
           stop.wait(io.waitScope);
@@ -67,6 +70,7 @@
   }
 
   RenewalBox m_renewals;
+  InnerTls m_tls;                // On the loop's thread only, once made.
   ClientLoop* m_loop = nullptr;  // On the loop's thread only.
   LoopThread m_thread;           // Last: ends before the rest.
 };
--- a/packages/control/src/control_host.cc
+++ b/packages/control/src/control_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "host_loop_p.h"
+#include "inner_tls_p.h"
 #include "rpc_server_p.h"
 
 namespace laurelhall::control {
@@ -23,7 +24,8 @@
   Impl(const ControlHostInit& init,
        std::vector<std::unique_ptr<LeaderDuty>> duties,
        std::unique_ptr<OperatorService> operators)
-      : m_parts(init, std::move(duties), std::move(operators)) {
+      : m_parts(init, std::move(duties), std::move(operators)),
+        m_tls(init.tls, init.cluster) {
     if (m_parts.operators) {
       m_parts.operators->Attach(*this);
     }
@@ -82,6 +84,7 @@
            LoopContext& loop,
            kj::Promise<void> stop,
            std::promise<std::string>& listening) {
+    loop.tls = &m_tls;
     std::unique_ptr<HostLoop> host;
     std::unique_ptr<RpcListener> listener;
     try {
@@ -92,7 +95,7 @@
       const std::string address = WithPort(wanted, receiver->getPort());
       host = std::make_unique<HostLoop>(loop, m_parts,
                                         m_parts.store.TakeRecovered(), address);
-      listener = std::make_unique<RpcListener>(*host, kj::mv(receiver));
+      listener = std::make_unique<RpcListener>(loop, *host, kj::mv(receiver));
       m_host = host.get();
       listening.set_value(address);
     } catch (const kj::Exception& error) {
@@ -107,6 +110,7 @@
   }
 
   HostParts m_parts;
+  InnerTls m_tls;  // On the loop's thread only, once made.
   std::string m_address;
   HostLoop* m_host = nullptr;  // On the loop's thread only.
   std::unique_ptr<LoopThread> m_thread;
--- a/packages/control/src/loop_thread_p.h
+++ b/packages/control/src/loop_thread_p.h
@@ -12,6 +12,8 @@
 
 namespace laurelhall::control {
 
+class InnerTls;
+
 /// The way into a KJ loop from other threads.
 class Mailbox {
  public:
@@ -38,6 +40,7 @@
   kj::Network& network;
   kj::Timer& timer;
   std::shared_ptr<Mailbox> mailbox;
+  InnerTls* tls = nullptr;  ///< Null: connections are plain.
 };
 
 /// A thread with a KJ loop of its own.
--- a/packages/control/src/rpc_channel.cc
+++ b/packages/control/src/rpc_channel.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "inner_tls_p.h"
+#include "laurelhall/base/log.h"
+
 namespace laurelhall::control {
 
 namespace {
@@ -78,12 +81,29 @@
         auto connected = address->connect();
         return connected.attach(kj::mv(address));
       })
+      .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+        return Verify(kj::mv(stream));
+      })
       .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
         m_connection = kj::refcounted<Connection>(kj::mv(stream));
         m_backoff = Millis(0);
       });
 }
 
+kj::Promise<kj::Own<kj::AsyncIoStream>> RpcChannel::Verify(
+    kj::Own<kj::AsyncIoStream> stream) {
+  if (m_loop.tls == nullptr) {
+    return kj::mv(stream);
+  }
+  return m_loop.tls->Connect(kj::mv(stream))
+      .catch_([this](kj::Exception&& error)
+                  -> kj::Promise<kj::Own<kj::AsyncIoStream>> {
+        PartLog("control")->warn("{} is not verified: {}.", m_address,
+                                 error.getDescription().cStr());
+        return Unreachable("not verified by its certificate");
+      });
+}
+
 void RpcChannel::Drop() {
   m_connecting = nullptr;
   KJ_IF_MAYBE (connection, m_connection) {
--- a/packages/control/src/rpc_channel_p.h
+++ b/packages/control/src/rpc_channel_p.h
@@ -44,6 +44,8 @@
 
   kj::Promise<kj::Own<Connection>> Connect();
   kj::Promise<void> Open();
+  kj::Promise<kj::Own<kj::AsyncIoStream>> Verify(
+      kj::Own<kj::AsyncIoStream> stream);
   void Drop();
 
   LoopContext m_loop;
--- a/packages/control/src/rpc_server.cc
+++ b/packages/control/src/rpc_server.cc
@@ -14,6 +14,7 @@
 
 constexpr size_t kMaxConnections = 1'024;
 constexpr Millis kForwardTimeout = std::chrono::seconds(10);
+constexpr Millis kHandshakeTimeout = std::chrono::seconds(5);
 constexpr const char* kNoLeader =
     R"({"error":"no leader is known; try again"})";
 
@@ -27,13 +28,15 @@
 
 class RpcServer final : public proto::ControlHost::Server {
  public:
-  explicit RpcServer(HostLoop& host) : m_host(host) {}
+  RpcServer(HostLoop& host, std::optional<PeerIdentity> peer)
+      : m_host(host), m_peer(std::move(peer)) {}
 
   kj::Promise<void> step(StepContext context) override {
     const auto params = context.getParams();
     if (!Admit(params.getEnvelope())) {
       return kj::NEVER_DONE;
     }
+    RequireControlHost();
     std::vector<consensus::Message> messages;
     for (const auto message : params.getMessages()) {
       messages.push_back(proto::DecodeMessage(message));
@@ -49,6 +52,7 @@
       return kj::NEVER_DONE;
     }
     SyncQuestion question = ReadSyncQuestion(params.getRequest());
+    RequireName(question.entry.name);
     context.releaseParams();
     auto pair = kj::newPromiseAndFulfiller<std::optional<SyncAnswer>>();
     m_host.Sync(std::move(question), MakeFulfiller(kj::mv(pair.fulfiller)));
@@ -68,6 +72,7 @@
     if (!Admit(params.getEnvelope())) {
       return kj::NEVER_DONE;
     }
+    RequireName(ToString(params.getEnvelope().getSender()));
     const std::string payload = ToString(params.getCommands());
     context.releaseParams();
     auto pair = kj::newPromiseAndFulfiller<SubmitOutcome>();
@@ -83,8 +88,13 @@
     if (!Admit(params.getEnvelope())) {
       return kj::NEVER_DONE;
     }
-    const bool is_forwarded =
-        m_host.IsPeerAddress(ToString(params.getEnvelope().getSender()));
+    const std::string sender = ToString(params.getEnvelope().getSender());
+    const bool is_forwarded = m_host.IsPeerAddress(sender);
+    if (is_forwarded) {
+      RequireControlHost();
+    } else {
+      RequireName(sender);
+    }
     auto pair = kj::newPromiseAndFulfiller<std::optional<OperatorReply>>();
     m_host.Operate(ToString(params.getMethod()), ToString(params.getPath()),
                    ToString(params.getBody()),
@@ -105,7 +115,10 @@
     if (!Admit(params.getEnvelope())) {
       return kj::NEVER_DONE;
     }
-    const HostHello answer = m_host.Hello(ReadHello(params.getHello()));
+    const HostHello hello = ReadHello(params.getHello());
+    RequireControlHost();
+    RequireName(hello.name);
+    const HostHello answer = m_host.Hello(hello);
     WriteHello(answer, context.getResults().initHello());
     return kj::READY_NOW;
   }
@@ -123,6 +136,24 @@
     return mode == CutMode::kNone;
   }
 
+  // With TLS, the caller's certificate must be a control host's. Not only one
+  // of the membership known here: a member that was away must hear a leader
+  // that joined meanwhile, or it would never learn of it.
+  void RequireControlHost() const {
+    if (m_peer && !m_peer->is_control_host) {
+      throw std::runtime_error("refused: \"" + m_peer->name +
+                               "\" has no control host's certificate");
+    }
+  }
+
+  // With TLS, the caller must be whom it says it is.
+  void RequireName(const std::string& name) const {
+    if (m_peer && m_peer->name != name) {
+      throw std::runtime_error("refused: the certificate of \"" + m_peer->name +
+                               "\" does not speak for another daemon");
+    }
+  }
+
   void WriteOutcome(const SubmitOutcome& outcome,
                     proto::SubmitReply::Builder out) {
     out.setIsLeader(outcome.status != SubmitStatus::kNotLeader);
@@ -167,6 +198,7 @@
   }
 
   HostLoop& m_host;
+  const std::optional<PeerIdentity> m_peer;  // None without TLS.
 };
 
 // One accepted connection and all that serves it.
@@ -186,9 +218,11 @@
 
 }  // namespace
 
-RpcListener::RpcListener(HostLoop& host,
+RpcListener::RpcListener(LoopContext loop,
+                         HostLoop& host,
                          kj::Own<kj::ConnectionReceiver> receiver)
-    : m_server(kj::heap<RpcServer>(host)),
+    : m_loop(std::move(loop)),
+      m_host(host),
       m_receiver(kj::mv(receiver)),
       m_tasks(*this) {
   m_tasks.add(AcceptForEver());
@@ -202,19 +236,33 @@
 kj::Promise<void> RpcListener::AcceptForEver() {
   return m_receiver->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
     if (m_connections < kMaxConnections) {
-      Serve(kj::mv(stream));
+      ++m_connections;
+      m_tasks.add(Verify(kj::mv(stream))
+                      .then([this](VerifiedStream&& verified) {
+                        return Serve(kj::mv(verified));
+                      })
+                      .attach(kj::defer([this] { --m_connections; })));
     }
     return AcceptForEver();
   });
 }
 
-void RpcListener::Serve(kj::Own<kj::AsyncIoStream> stream) {
-  ++m_connections;
-  auto session = kj::heap<Session>(kj::mv(stream), m_server);
+kj::Promise<VerifiedStream> RpcListener::Verify(
+    kj::Own<kj::AsyncIoStream> stream) {
+  if (m_loop.tls == nullptr) {
+    return VerifiedStream{kj::mv(stream), std::nullopt};
+  }
+  return m_loop.timer.timeoutAfter(ToKj(kHandshakeTimeout),
+                                   m_loop.tls->Accept(kj::mv(stream)));
+}
+
+kj::Promise<void> RpcListener::Serve(VerifiedStream verified) {
+  auto session =
+      kj::heap<Session>(kj::mv(verified.stream),
+                        kj::heap<RpcServer>(m_host, std::move(verified.peer)));
   auto ended = session->network.onDisconnect();
-  m_tasks.add(ended.attach(kj::mv(session))
-                  .then([this] { --m_connections; },
-                        [this](kj::Exception&&) { --m_connections; }));
+  // How a connection that was served ends is no fault of this host.
+  return ended.attach(kj::mv(session)).catch_([](kj::Exception&&) {});
 }
 
 }  // namespace laurelhall::control
--- a/packages/control/src/rpc_server_p.h
+++ b/packages/control/src/rpc_server_p.h
@@ -4,6 +4,7 @@
 #include <kj/async-io.h>
 
 #include "host_loop_p.h"
+#include "inner_tls_p.h"
 #include "laurelhall.capnp.h"
 
 namespace laurelhall::control {
@@ -11,18 +12,23 @@
 /// Accepts connections of the inner protocol and answers its calls.
 ///
 /// @remarks On the loop's thread only. Calls from another cluster, with
-///   another schema version or without the key are refused by name.
+///   another schema version or without the key are refused by name; with TLS
+///   also those that the caller's certificate does not speak for.
 class RpcListener final : private kj::TaskSet::ErrorHandler {
  public:
   /// @param host Outlives this.
-  RpcListener(HostLoop& host, kj::Own<kj::ConnectionReceiver> receiver);
+  RpcListener(LoopContext loop,
+              HostLoop& host,
+              kj::Own<kj::ConnectionReceiver> receiver);
 
  private:
   void taskFailed(kj::Exception&& exception) override;
   kj::Promise<void> AcceptForEver();
-  void Serve(kj::Own<kj::AsyncIoStream> stream);
+  kj::Promise<VerifiedStream> Verify(kj::Own<kj::AsyncIoStream> stream);
+  kj::Promise<void> Serve(VerifiedStream verified);
 
-  proto::ControlHost::Client m_server;
+  LoopContext m_loop;
+  HostLoop& m_host;
   kj::Own<kj::ConnectionReceiver> m_receiver;
   size_t m_connections = 0;
   kj::TaskSet m_tasks;
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -48,6 +48,10 @@
           files.ca_file};
 }
 
+control::InnerTlsFiles InnerTlsOf(const settings::TlsFiles& files) {
+  return {files.certificate_file, files.key_file, files.ca_file};
+}
+
 }  // namespace
 
 class Daemon::Impl {
@@ -112,6 +116,7 @@
     init.inner_address = m_settings.inner_address;
     init.may_bootstrap = m_settings.may_bootstrap;
     init.filter = m_filter;
+    init.tls = InnerTlsOf(m_settings.inner_tls);
     for (const settings::ControlPeer& peer : m_settings.control_peers) {
       init.first_members.push_back(
           {peer.address, peer.availability_zone, peer.name, true});
@@ -131,6 +136,7 @@
     init.cluster_key = m_key;
     init.identity = m_identity;
     init.filter = m_filter;
+    init.tls = InnerTlsOf(m_settings.inner_tls);
     for (const settings::ControlPeer& peer : m_settings.control_peers) {
       init.control_addresses.push_back(peer.address);
     }
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -39,8 +39,12 @@
   std::vector<ControlPeer> control_peers;
   std::string cluster_key_file;  ///< Shared key of the inner protocol.
   std::string operator_tokens_file;
+  TlsFiles inner_tls;
   TlsFiles caller_tls;
+  /// TLS towards callers ends at the balancer, which alone reaches this host.
+  bool is_caller_tls_at_balancer = false;
   TlsFiles operator_tls;
+  bool allows_drills = false;  ///< Off loopback; on it they are allowed.
   std::string log_level = "info";
   std::string log_format = "text";
   int io_threads = 2;
@@ -52,7 +56,8 @@
 /// Reads and checks a daemon's settings file.
 ///
 /// @throws FindingsError with every finding and its place: unknown keys, bad
-///   addresses, off-loopback without keys, a control host without a folder.
+///   addresses, off-loopback without keys or TLS, a control host without a
+///   folder.
 DaemonSettings ReadDaemonSettings(const std::string& file);
 
 /// Same, from text; `place` stands before each finding.
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -188,6 +188,7 @@
   ReadEach(value, target, &ReadPeer);
 }
 
+constexpr auto kInnerTls = &DaemonSettings::inner_tls;
 constexpr auto kCallerTls = &DaemonSettings::caller_tls;
 constexpr auto kOperatorTls = &DaemonSettings::operator_tls;
 
@@ -211,6 +212,13 @@
         &ReadText<&DaemonSettings::operator_tokens_file>},
     Key{"log.level", &ReadLogLevel},
     Key{"log.format", &ReadLogFormat},
+    Key{"operators.allow_drills", &ReadBoolean<&DaemonSettings::allows_drills>},
+    Key{"tls.inner.certificate_file",
+        &ReadText<kInnerTls, &TlsFiles::certificate_file>},
+    Key{"tls.inner.key_file", &ReadText<kInnerTls, &TlsFiles::key_file>},
+    Key{"tls.inner.ca_file", &ReadText<kInnerTls, &TlsFiles::ca_file>},
+    Key{"tls.caller.terminated_by_balancer",
+        &ReadBoolean<&DaemonSettings::is_caller_tls_at_balancer>},
     Key{"tls.caller.certificate_file",
         &ReadText<kCallerTls, &TlsFiles::certificate_file>},
     Key{"tls.caller.key_file", &ReadText<kCallerTls, &TlsFiles::key_file>},
@@ -282,6 +290,7 @@
     CheckPeers();
     CheckRoles();
     CheckKeys();
+    CheckInnerTls();
     CheckTls(m_settings.caller_tls, "tls.caller");
     CheckTls(m_settings.operator_tls, "tls.operator");
   }
@@ -329,12 +338,16 @@
     return parsed && !parsed->is_loopback;
   }
 
-  void CheckKeys() {
-    bool is_inner_open = IsOffLoopback(m_settings.inner_address);
+  bool IsInnerOpen() const {
+    bool is_open = IsOffLoopback(m_settings.inner_address);
     for (const ControlPeer& peer : m_settings.control_peers) {
-      is_inner_open = is_inner_open || IsOffLoopback(peer.address);
+      is_open = is_open || IsOffLoopback(peer.address);
     }
-    if (is_inner_open && m_settings.cluster_key_file.empty()) {
+    return is_open;
+  }
+
+  void CheckKeys() {
+    if (IsInnerOpen() && m_settings.cluster_key_file.empty()) {
       Add("keys.cluster_key_file",
           "expected a file: the inner protocol leaves loopback");
     }
@@ -343,6 +356,33 @@
       Add("keys.operator_tokens_file",
           "expected a file: operators are served off loopback");
     }
+    if (IsOffLoopback(m_settings.operator_address)) {
+      Require(m_settings.operator_tls.certificate_file,
+              "tls.operator.certificate_file",
+              "expected a file: tokens go off loopback");
+    }
+    if (IsOffLoopback(m_settings.caller_address) &&
+        !m_settings.is_caller_tls_at_balancer) {
+      Require(m_settings.caller_tls.certificate_file,
+              "tls.caller.certificate_file",
+              "expected a file, or terminated_by_balancer: callers come from "
+              "off loopback");
+    }
+  }
+
+  void CheckInnerTls() {
+    const TlsFiles& files = m_settings.inner_tls;
+    const bool is_off = files.certificate_file.empty() &&
+                        files.key_file.empty() && files.ca_file.empty();
+    const bool is_whole = !files.certificate_file.empty() &&
+                          !files.key_file.empty() && !files.ca_file.empty();
+    if (!is_off && !is_whole) {
+      Add("tls.inner",
+          "expected certificate_file, key_file and ca_file together");
+    }
+    if (is_off && IsInnerOpen()) {
+      Add("tls.inner", "expected files: the inner protocol leaves loopback");
+    }
   }
 
   void CheckTls(const TlsFiles& files, const std::string& key) {
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -32,11 +32,13 @@
   // A whole file with these addresses and keys.
   static std::string With(const std::string& inner,
                           const std::string& operators,
-                          const std::string& keys) {
+                          const std::string& keys,
+                          const std::string& tls = "",
+                          const std::string& caller = "127.0.0.1:80") {
     return R"({"name": "e1", "availability_zone": "z1", "roles": ["entry"],
       "addresses": {"inner": ")" +
-           inner + R"(", "caller": "0.0.0.0:80", "operator": ")" + operators +
-           R"("}, "keys": {)" + keys +
+           inner + R"(", "caller": ")" + caller + R"(", "operator": ")" +
+           operators + R"("}, "tls": {)" + tls + R"(}, "keys": {)" + keys +
            R"(}, "control": {"peers": [{"name": "c1", "address": "127.0.0.1:71",
             "availability_zone": "z1"}]}})";
   }
@@ -106,17 +108,53 @@
     "ParseDaemonSettings, addresses off loopback, asks for keys") {
   CHECK(FindingsOf(With("127.0.0.1:0", "[::1]:90", "")).empty());
   CHECK(FindingsOf(With("10.0.0.4:71", "127.9.9.9:90", "")) ==
-        std::set<std::string>{"d.json: keys.cluster_key_file: expected a file: "
-                              "the inner protocol leaves loopback"});
+        std::set<std::string>{
+            "d.json: keys.cluster_key_file: expected a file: the inner "
+            "protocol leaves loopback",
+            "d.json: tls.inner: expected files: the inner protocol leaves "
+            "loopback"});
   CHECK(FindingsOf(With("127.0.0.1:71", "0.0.0.0:90", "")) ==
-        std::set<std::string>{"d.json: keys.operator_tokens_file: expected a "
-                              "file: operators are served off loopback"});
+        std::set<std::string>{
+            "d.json: keys.operator_tokens_file: expected a file: operators "
+            "are served off loopback",
+            "d.json: tls.operator.certificate_file: expected a file: tokens "
+            "go off loopback"});
   CHECK(FindingsOf(With("10.0.0.4:71", "[fd00::1]:90",
                         R"("cluster_key_file": "k",
-                           "operator_tokens_file": "t")"))
+                           "operator_tokens_file": "t")",
+                        R"("inner": {"certificate_file": "c", "key_file": "k",
+                                     "ca_file": "a"},
+                           "operator": {"certificate_file": "c",
+                                        "key_file": "k"})"))
             .empty());
 }
 
+TEST_CASE_FIXTURE(
+    DaemonSettingsFixture,
+    "ParseDaemonSettings, callers off loopback, asks for TLS or balancer") {
+  const auto with = [](const std::string& caller_tls) {
+    return With("127.0.0.1:71", "127.0.0.1:90", "",
+                R"("caller": {)" + caller_tls + "}", "0.0.0.0:80");
+  };
+  const std::set<std::string> expected{
+      "d.json: tls.caller.certificate_file: expected a file, or "
+      "terminated_by_balancer: callers come from off loopback"};
+  CHECK(FindingsOf(with("")) == expected);
+  CHECK(FindingsOf(with(R"("terminated_by_balancer": false)")) == expected);
+  CHECK(FindingsOf(with(R"("terminated_by_balancer": true)")).empty());
+  CHECK(
+      FindingsOf(with(R"("certificate_file": "c", "key_file": "k")")).empty());
+}
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ParseDaemonSettings, inner TLS in part, asks for the rest") {
+  CHECK(FindingsOf(With("127.0.0.1:71", "127.0.0.1:90", "",
+                        R"("inner": {"certificate_file": "c",
+                                     "key_file": "k"})")) ==
+        std::set<std::string>{"d.json: tls.inner: expected certificate_file, "
+                              "key_file and ca_file together"});
+}
+
 TEST_CASE_FIXTURE(DaemonSettingsFixture,
                   "ParseDaemonSettings, text that is no object, says so") {
   CHECK(FindingsOf("[1]") ==
