State: sessions of entry hosts end the claims of lost ones

Cause: an entry host that died with a claim in hand left its key in progress until the claim expired, and a claim that overtook its own release did too. A session is opened or lost by a command; losing it turns what its owner has in progress to unknown, through an index by owner, so it costs that owner's claims only. A claim by a lost owner is not granted and leaves a free key free. An owner that is not known is opened by its first claim, so that each claim has a session that can be lost. A release that finds no claim of its own is remembered like one that did.

Ruled out: freeing or taking over a claim of a lost owner, for a frozen one may wake and write; purging lost sessions by the wall clock and the longest run, for the leader knows by its steady clock when no slot depends on them.

--- a/packages/control/src/command_stamp.cc
+++ b/packages/control/src/command_stamp.cc
@@ -31,6 +31,10 @@
     Set(command.endpoint.state_since, m_now);
   }
 
+  void operator()(state::SessionCommand& command) const {
+    Set(command.at, m_now);
+  }
+
   template <typename T>
   void operator()(T& command) const {
     if constexpr (requires { command.request.at; }) {
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -135,6 +135,21 @@
 };
 BOOST_DESCRIBE_STRUCT(ExpireCommand, (), (now))
 
+/// Whether an entry host's incarnation may act, as far as is committed.
+enum class SessionState { kOpen, kLost, kCount };
+BOOST_DESCRIBE_ENUM(SessionState, kOpen, kLost)
+
+/// Opens the session of an entry host's incarnation, or declares it lost:
+/// what it had claimed and not ended is then of unknown outcome.
+struct SessionCommand {
+  model::EntryIdentity entry;
+  SessionState state = SessionState::kOpen;
+  WallTime at{};
+  /// With kLost: false once no run under its slots can be going on.
+  bool may_hold_slots = true;
+};
+BOOST_DESCRIBE_STRUCT(SessionCommand, (), (entry, state, at, may_hold_slots))
+
 using Command = std::variant<ClaimCommand,
                              CompleteCommand,
                              ReleaseCommand,
@@ -147,7 +162,8 @@
                              RolloutCommand,
                              JobCommand,
                              BurnCommand,
-                             ExpireCommand>;
+                             ExpireCommand,
+                             SessionCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
@@ -191,8 +207,10 @@
 struct ActResult {
   bool is_accepted = false;
   bool is_resend = false;  ///< Recognised; the first answer is repeated.
-  uint64_t version = 0;    ///< Settings version, host epoch or job lease now.
-  std::string error;       ///< Why not, with what stands there now.
+  /// Settings version, host epoch or job lease now. Of a session's command:
+  /// how many claims became of unknown outcome.
+  uint64_t version = 0;
+  std::string error;  ///< Why not, with what stands there now.
 };
 BOOST_DESCRIBE_STRUCT(ActResult, (), (is_accepted, is_resend, version, error))
 
--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -27,6 +27,9 @@
   Millis claim_tombstone_retention{std::chrono::hours(24 * 7)};
   size_t max_claim_tombstones = 8'000'000;
   size_t max_released_requests = 100'000;  ///< Remembered against late copies.
+  size_t max_sessions = 10'000;
+  /// Lost sessions are kept for this long against late copies of claims.
+  Millis lost_session_retention{std::chrono::hours(1)};
   size_t max_endpoints = 20'000;
   Millis gone_endpoint_retention{std::chrono::hours(1)};
   size_t max_hosts = 20'000;
@@ -44,6 +47,20 @@
 };
 BOOST_DESCRIBE_STRUCT(SettingsRecord, (), (version, request, changes))
 
+/// The session of one incarnation of an entry host.
+struct SessionRecord {
+  model::EntryIdentity entry;
+  SessionState state = SessionState::kOpen;
+  /// A leader may have lent it slots under which a run may be going on.
+  bool may_hold_slots = false;
+  WallTime changed_at{};
+  uint64_t changed_at_index = 0;  ///< Log index of the last change of state.
+};
+BOOST_DESCRIBE_STRUCT(
+    SessionRecord,
+    (),
+    (entry, state, may_hold_slots, changed_at, changed_at_index))
+
 /// One operator's act, accepted or refused.
 struct AuditRecord {
   uint64_t index = 0;
@@ -106,6 +123,11 @@
   /// Looks a claim up without claiming; none when the key is not known.
   std::optional<ClaimResult> FindClaim(const model::ClaimKey& key) const;
 
+  /// The sessions of entry hosts, open and lost, by name and incarnation.
+  std::vector<SessionRecord> Sessions() const;
+  std::optional<SessionRecord> FindSession(
+      const model::EntryIdentity& entry) const;
+
   /// A digest of the whole state, to compare replicas.
   uint64_t Digest() const;
 
--- a/packages/state/src/claim_table.cc
+++ b/packages/state/src/claim_table.cc
@@ -43,7 +43,7 @@
 
 ClaimTable::ClaimTable(const MachineLimits& limits) : m_limits(limits) {}
 
-ClaimResult ClaimTable::Claim(const ClaimCommand& command) {
+ClaimResult ClaimTable::Claim(const ClaimCommand& command, bool may_grant) {
   const auto known = m_entries.Read(
       command.key, [&](const Entries& entries) -> std::optional<ClaimResult> {
         const auto found = entries.find(command.key);
@@ -58,8 +58,10 @@
   if (auto buried = FindTombstone(command.key, &digest)) {
     return *buried;
   }
-  if (m_released.contains(HashOfRun(command.key, command.request_id))) {
-    // A late copy of a claim that was released: its run was called not run.
+  const WideHash run = HashOfRun(command.key, command.request_id);
+  if (!may_grant || m_released.contains(run)) {
+    // Nobody waits for it: its owner was lost, or released it and may have
+    // called it not run. Granted, it would only lock the key.
     return {ClaimVerdict::kInProgress, command.owner, command.request_id, {}};
   }
   if (m_entry_count >= m_limits.max_claims) {
@@ -89,12 +91,11 @@
   entry.owner = Intern(command.owner);
   entry.expires_at = command.expires_at;
   entry.sequence = ++m_sequence;
-  const DueKey due = DueOf(entry);
-  const ClaimKey* stored = m_entries.Write(command.key, [&](Entries& entries) {
-    const auto added = entries.emplace(command.key, std::move(entry));
-    return &added.first->first;
-  });
-  m_by_due.emplace(due, stored);
+  const auto& [stored, kept] =
+      *m_entries.Write(command.key, [&](Entries& entries) {
+        return &*entries.emplace(command.key, std::move(entry)).first;
+      });
+  Index(kept, &stored);
   ++m_entry_count;
   return {ClaimVerdict::kGranted, command.owner, command.request_id, {}};
 }
@@ -183,6 +184,7 @@
 ActResult ClaimTable::Release(const ReleaseCommand& command) {
   const auto [entry, error] = Held(command.key, command.request_id);
   if (entry == nullptr) {
+    RememberReleased(HashOfRun(command.key, command.request_id));
     return Refused(error);
   }
   if (entry->state != ClaimState::kInProgress) {
@@ -206,9 +208,43 @@
 }
 
 void ClaimTable::SetState(const ClaimKey& key, Entry& entry, ClaimState state) {
-  const auto due = m_by_due.extract(DueOf(entry));
+  const ClaimKey* stored = m_by_due.at(DueOf(entry));
+  Unindex(entry);
   m_entries.Write(key, [&](Entries&) { entry.state = state; });
-  m_by_due.emplace(DueOf(entry), due.mapped());
+  Index(entry, stored);
+}
+
+void ClaimTable::Unindex(const Entry& entry) {
+  m_by_due.erase(DueOf(entry));
+  if (entry.state != ClaimState::kInProgress) {
+    return;
+  }
+  const auto owned = m_open_by_owner.find(*entry.owner);
+  owned->second.erase(entry.sequence);
+  if (owned->second.empty()) {
+    m_open_by_owner.erase(owned);
+  }
+}
+
+void ClaimTable::Index(const Entry& entry, const ClaimKey* stored) {
+  m_by_due.emplace(DueOf(entry), stored);
+  if (entry.state == ClaimState::kInProgress) {
+    m_open_by_owner[*entry.owner].emplace(entry.sequence, stored);
+  }
+}
+
+size_t ClaimTable::AbandonAllOf(const model::EntryIdentity& owner) {
+  const auto found = m_open_by_owner.find(owner);
+  if (found == m_open_by_owner.end()) {
+    return 0;
+  }
+  const auto owned = found->second;  // A copy: each step takes from it.
+  for (const auto& [sequence, key] : owned) {
+    Entry* entry = m_entries.Write(
+        *key, [&](Entries& entries) { return &entries.at(*key); });
+    SetState(*key, *entry, ClaimState::kUnknown);
+  }
+  return owned.size();
 }
 
 void ClaimTable::KeepAnswer(const ClaimKey& key,
@@ -270,12 +306,13 @@
   }
   // Nobody else may run it, whatever time has passed. It stays for another
   // margin so that its owner's late answer still finds it.
-  const auto due = m_by_due.extract(DueOf(entry));
+  const ClaimKey* stored = m_by_due.at(DueOf(entry));
+  Unindex(entry);
   m_entries.Write(key, [&](Entries&) {
     entry.state = ClaimState::kUnknown;
     entry.expires_at = now + m_limits.unfinished_claim_margin;
   });
-  m_by_due.emplace(DueOf(entry), due.mapped());
+  Index(entry, stored);
 }
 
 void ClaimTable::Bury(const ClaimKey& key, const Entry& entry, WallTime now) {
@@ -291,7 +328,7 @@
   Entry* entry =
       m_entries.Write(key, [&](Entries& entries) { return &entries.at(key); });
   DropAnswer(key, *entry);
-  m_by_due.erase(DueOf(*entry));
+  Unindex(*entry);
   m_entries.Write(key, [&](Entries& entries) { entries.erase(key); });
   --m_entry_count;
 }
@@ -368,13 +405,13 @@
     entry.answer = std::make_unique<model::Answer>(*record.answer);
     m_kept_bytes += AnswerBytes(*record.answer);
   }
-  const DueKey due = DueOf(entry);
-  const ClaimKey* stored = m_entries.Write(record.key, [&](Entries& entries) {
-    return &entries.emplace(record.key, std::move(entry)).first->first;
-  });
-  m_by_due.emplace(due, stored);
+  const auto& [stored, kept] =
+      *m_entries.Write(record.key, [&](Entries& entries) {
+        return &*entries.emplace(record.key, std::move(entry)).first;
+      });
+  Index(kept, &stored);
   if (record.answer) {
-    m_kept.emplace(record.kept_sequence, stored);
+    m_kept.emplace(record.kept_sequence, &stored);
   }
   ++m_entry_count;
 }
--- a/packages/state/src/claim_table_p.h
+++ b/packages/state/src/claim_table_p.h
@@ -87,11 +87,19 @@
  public:
   explicit ClaimTable(const MachineLimits& limits);
 
-  ClaimResult Claim(const ClaimCommand& command);
+  /// @param may_grant False when the owner's session is lost: the claim then
+  ///   hears what holds the key, and a free key stays free.
+  ClaimResult Claim(const ClaimCommand& command, bool may_grant = true);
   ActResult Complete(const CompleteCommand& command);
+
+  /// Frees the key. A release that finds no claim of its own is refused and
+  /// remembered: its claim may be late, and is then not granted.
   ActResult Release(const ReleaseCommand& command);
   ActResult Abandon(const AbandonCommand& command);
 
+  /// Abandons all that an owner has in progress; returns how many.
+  size_t AbandonAllOf(const model::EntryIdentity& owner);
+
   /// Turns what is past its time to tombstones and drops old tombstones.
   void Expire(WallTime now);
 
@@ -136,6 +144,9 @@
   void DropAnswer(const model::ClaimKey& key, Entry& entry);
   void DropOldAnswers();
   void SetState(const model::ClaimKey& key, Entry& entry, ClaimState state);
+  // To be called before and after each change of what it depends on.
+  void Unindex(const Entry& entry);
+  void Index(const Entry& entry, const model::ClaimKey* stored);
   void ExpireOne(const model::ClaimKey& key, Entry& entry, WallTime now);
   void Bury(const model::ClaimKey& key, const Entry& entry, WallTime now);
   void Erase(const model::ClaimKey& key);
@@ -152,6 +163,9 @@
   // The rest is touched by the applying thread alone. Keys point into
   // m_entries, whose nodes stay where they are.
   std::map<DueKey, const model::ClaimKey*> m_by_due;
+  // In progress, by owner and sequence.
+  std::map<model::EntryIdentity, std::map<uint64_t, const model::ClaimKey*>>
+      m_open_by_owner;
   std::map<uint64_t, const model::ClaimKey*> m_kept;  // By kept_sequence.
   std::deque<std::pair<WallTime, WideHash>> m_tombstone_order;
   std::deque<WideHash> m_released_order;  // Of key and request id.
--- a/packages/state/src/machine.cc
+++ b/packages/state/src/machine.cc
@@ -138,6 +138,15 @@
   return m_impl->Current()->claims.Find(key);
 }
 
+std::vector<SessionRecord> Machine::Sessions() const {
+  return m_impl->Current()->sessions.All();
+}
+
+std::optional<SessionRecord> Machine::FindSession(
+    const model::EntryIdentity& entry) const {
+  return m_impl->Current()->sessions.Find(entry);
+}
+
 uint64_t Machine::Digest() const {
   return HashText(m_impl->Save());
 }
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -75,6 +75,7 @@
        tables.audit.Add(ReadAs<AuditRecord>(value));
      }},
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
+    {"session", &LoadInto<&Tables::sessions, SessionRecord>},
 };
 
 // The time of a resend differs from the first one's; all else is the same.
@@ -93,7 +94,8 @@
       fleet(limits),
       requests(limits),
       audit(limits),
-      burn(limits) {}
+      burn(limits),
+      sessions(limits) {}
 
 Result Tables::Apply(uint64_t index, const Command& command) {
   m_index = index;
@@ -109,7 +111,10 @@
 }
 
 ClaimResult Tables::Run(const ClaimCommand& command) {
-  return claims.Claim(command);
+  std::vector<model::EntryIdentity> lost;
+  const bool may_grant = sessions.Admit(m_index, command, &lost);
+  EndClaims(lost);
+  return claims.Claim(command, may_grant);
 }
 
 ActResult Tables::Run(const CompleteCommand& command) {
@@ -142,6 +147,12 @@
   return Accepted();
 }
 
+ActResult Tables::Run(const SessionCommand& command) {
+  SessionTable::Change change = sessions.Apply(m_index, command);
+  change.result.version = EndClaims(change.lost);
+  return change.result;
+}
+
 ActResult Tables::Run(const HostCommand& command) {
   ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
@@ -180,12 +191,21 @@
   return result;
 }
 
+uint64_t Tables::EndClaims(const std::vector<model::EntryIdentity>& lost) {
+  uint64_t ended = 0;
+  for (const model::EntryIdentity& owner : lost) {
+    ended += claims.AbandonAllOf(owner);
+  }
+  return ended;
+}
+
 void Tables::Expire(WallTime now) {
   claims.Expire(now);
   endpoints.Expire(now);
   fleet.Expire(now);
   requests.Expire(now);
   burn.Expire(now);
+  sessions.Expire(now);
 }
 
 std::string Tables::Save() const {
@@ -198,6 +218,7 @@
   requests.Save(writer);
   audit.Save(writer);
   burn.Save(writer);
+  sessions.Save(writer);
   return writer.Finish();
 }
 
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -11,6 +11,7 @@
 #include "endpoint_table_p.h"
 #include "fleet_table_p.h"
 #include "request_memory_p.h"
+#include "session_table_p.h"
 #include "settings_history_p.h"
 
 namespace laurelhall::state {
@@ -39,6 +40,7 @@
   RequestMemory requests;
   AuditLog audit;
   BurnHistory burn;
+  SessionTable sessions;
   std::atomic<uint64_t> applied_index{0};
 
  private:
@@ -50,6 +52,7 @@
   ActResult Run(const SettingsCommand& command);
   ActResult Run(const BurnCommand& command);
   ActResult Run(const ExpireCommand& command);
+  ActResult Run(const SessionCommand& command);
   ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
   ActResult Run(const FleetCommand& command);
@@ -58,6 +61,8 @@
   template <typename OperatorCommand>
   ActResult RunOnce(const OperatorCommand& command);
 
+  // Ends the claims of lost owners; returns how many.
+  uint64_t EndClaims(const std::vector<model::EntryIdentity>& lost);
   void Expire(WallTime now);
   void LoadRecord(std::string_view table, const boost::json::value& value);
 
