--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr const char* kWords = "words";
+constexpr const char* kForce = "force";
 
 struct OptionHelp {
   const char* name;
@@ -68,6 +69,7 @@
   for (const OptionHelp& option : kVerbOptions) {
     options.add_options("verb")(option.name, option.help, text(""));
   }
+  options.add_options("verb")(kForce, "take the host whatever the budgets say");
   options.add_options("words")(kWords, "",
                                cxxopts::value<std::vector<std::string>>());
   options.parse_positional({kWords});
@@ -105,6 +107,9 @@
       line.verb_options[option.name] = text(option.name);
     }
   }
+  if (parsed.count(kForce) > 0) {
+    line.verb_options[kForce] = "";
+  }
   return line;
 }
 
--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -157,6 +157,8 @@
       return ParseNumber(field, text);
     case FieldType::kMillis:
       return ParseDuration(text).count();
+    case FieldType::kFlag:
+      return true;
     case FieldType::kList: {
       boost::json::array list;
       for (size_t i = std::stoul(field.source); i < m_arguments.size(); ++i) {
--- a/packages/cli/src/verb_p.h
+++ b/packages/cli/src/verb_p.h
@@ -8,7 +8,7 @@
 
 class Session;
 
-enum class FieldType { kText, kNumber, kMillis, kList, kCount };
+enum class FieldType { kText, kNumber, kMillis, kList, kFlag, kCount };
 
 /// A member of the body, and which argument or option it comes from.
 struct Field {
--- a/packages/cli/src/verb_table.cc
+++ b/packages/cli/src/verb_table.cc
@@ -18,6 +18,7 @@
     "pending", "active",  "done",    "reason"};
 
 const Field kExpectedEpoch = {"expected_epoch", "expect", kNumber};
+const Field kForce = {"force", "force", kFlag};
 
 std::vector<Verb> SettingsVerbs() {
   return {
@@ -213,7 +214,7 @@
        "host drain w-17 --dry-run",
        "POST",
        "/v1/hosts/{0}/drain",
-       {kExpectedEpoch},
+       {kExpectedEpoch, kForce},
        {},
        &Session::CallOnce},
       {"host undrain",
@@ -235,7 +236,7 @@
        "host move w-17 --to counter",
        "POST",
        "/v1/hosts/{0}/move",
-       {{"to", "to", kText, true}, kExpectedEpoch},
+       {{"to", "to", kText, true}, kExpectedEpoch, kForce},
        {},
        &Session::CallOnce},
       {"host return",
--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -103,6 +103,7 @@
   std::string move_to;  ///< The pool a drained host joins; empty if none.
   std::string act;      ///< Id of the wave, roll-out or move that holds it.
   std::string version;  ///< Software version in force on the host.
+  std::string install;  ///< Version to come back with; empty if as it was.
   WallTime state_since{};
   WallTime last_maintained{};
   WallTime last_seen{};
@@ -123,6 +124,7 @@
                        move_to,
                        act,
                        version,
+                       install,
                        state_since,
                        last_maintained,
                        last_seen,
--- a/packages/operations/include/laurelhall/operations/operations.h
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -15,6 +16,9 @@
 };
 
 /// Makes both for one control host; they share what workers reported.
-Operations MakeOperations();
+///
+/// @param clock The wall clock of operators' requests; called on the thread
+///   that handles them.
+Operations MakeOperations(std::function<WallTime()> clock = WallNow);
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/act_routes.cc
+++ b/packages/operations/src/act_routes.cc
@@ -16,23 +16,45 @@
 struct ActVerb {
   const char* name;
   ActState state;
+  bool holds = false;  ///< Until an operator resumes it.
+  bool is_for_rollouts = false;
 };
 
 constexpr ActVerb kActVerbs[] = {
-    {"pause", ActState::kPaused},         {"resume", ActState::kRunning},
-    {"halt", ActState::kHalted},          {"cancel", ActState::kCancelled},
-    {"rollback", ActState::kRollingBack},
+    {"pause", ActState::kPaused, true},
+    {"resume", ActState::kRunning},
+    {"halt", ActState::kHalted},
+    {"cancel", ActState::kCancelled},
+    {"rollback", ActState::kRollingBack, false, true},
 };
 
-ActState StateAfter(const std::string& verb) {
+const ActVerb& FindVerb(const std::string& verb, bool is_rollout) {
   for (const ActVerb& row : kActVerbs) {
-    if (verb == row.name) {
-      return row.state;
+    if (verb == row.name && (is_rollout || !row.is_for_rollouts)) {
+      return row;
     }
   }
   throw RequestError(404, "verb " + verb + ": not known");
 }
 
+/// Changes a wave or roll-out as its verb says, fenced by the state it is in.
+template <typename Command, typename Act>
+Outcome ChangeAct(const Request& request,
+                  const Act& act,
+                  Act Command::*member) {
+  const ActVerb& verb =
+      FindVerb(request.Segment(2), std::is_same_v<Act, Rollout>);
+  Command command;
+  command.request = request.Operator();
+  command.expected_state = act.state;
+  Act& changed = command.*member;
+  changed = act;
+  changed.state = verb.state;
+  changed.is_held = verb.holds;
+  changed.reason = "by operator " + command.request.operator_name;
+  return Proposal(command);
+}
+
 boost::json::object CostJson(const planning::PlanCost& cost) {
   return boost::json::value_from(cost).as_object();
 }
@@ -44,15 +66,13 @@
 }
 
 Outcome ListWaves(const Request& request) {
-  return {200, ValuesOf(request.machine.fleet().waves), {}};
+  return Answer(ValuesOf(request.machine.fleet().waves));
 }
 
 Outcome ShowWave(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  return {200,
-          boost::json::value_from(
-              FindOr404(fleet.waves, "wave", request.Segment(1))),
-          {}};
+  return Answer(boost::json::value_from(
+      FindOr404(fleet.waves, "wave", request.Segment(1))));
 }
 
 Outcome DryRunWave(const Request& request,
@@ -63,14 +83,12 @@
                            planning::BufferPolicy{}.maintenance_time.count()));
   const Millis bound =
       planning::WaveLowerBound(fleet, wave.pools, time_per_host);
-  return {200,
-          boost::json::object{
-              {"dry_run", true},
-              {"hosts", wave.pending.size()},
-              {"order", boost::json::value_from(wave.pending)},
-              {"lower_bound", FormatDuration(bound)},
-              {"cost", CostJson(planning::CostOf(fleet, 0, bound, 0))}},
-          {}};
+  return Answer(boost::json::object{
+      {"dry_run", true},
+      {"hosts", wave.pending.size()},
+      {"order", boost::json::value_from(wave.pending)},
+      {"lower_bound", FormatDuration(bound)},
+      {"cost", CostJson(planning::CostOf(fleet, 0, bound, 0))}});
 }
 
 Outcome StartWave(const Request& request) {
@@ -84,30 +102,23 @@
   if (request.is_dry_run()) {
     return DryRunWave(request, fleet, command.wave);
   }
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 Outcome ChangeWave(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  state::WaveCommand command;
-  command.request = request.Operator();
-  command.wave = FindOr404(fleet.waves, "wave", request.Segment(1));
-  command.expected_state = command.wave.state;
-  command.wave.state = StateAfter(request.Segment(2));
-  command.wave.reason = "by operator " + command.request.operator_name;
-  return {200, {}, {command}};
+  return ChangeAct(request, FindOr404(fleet.waves, "wave", request.Segment(1)),
+                   &state::WaveCommand::wave);
 }
 
 Outcome ListRollouts(const Request& request) {
-  return {200, ValuesOf(request.machine.fleet().rollouts), {}};
+  return Answer(ValuesOf(request.machine.fleet().rollouts));
 }
 
 Outcome ShowRollout(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  return {200,
-          boost::json::value_from(
-              FindOr404(fleet.rollouts, "rollout", request.Segment(1))),
-          {}};
+  return Answer(boost::json::value_from(
+      FindOr404(fleet.rollouts, "rollout", request.Segment(1))));
 }
 
 Outcome StartRollout(const Request& request) {
@@ -122,26 +133,20 @@
       BodyValueOr<std::string>(request.body, "previous_version", ""),
       command.request.at);
   if (request.is_dry_run()) {
-    return {200,
-            boost::json::object{
-                {"dry_run", true},
-                {"hosts", command.rollout.pending.size()},
-                {"stages", boost::json::value_from(planning::RolloutStages(
-                               fleet, command.rollout))}},
-            {}};
+    return Answer(boost::json::object{
+        {"dry_run", true},
+        {"hosts", command.rollout.pending.size()},
+        {"stages", boost::json::value_from(
+                       planning::RolloutStages(fleet, command.rollout))}});
   }
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 Outcome ChangeRollout(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  state::RolloutCommand command;
-  command.request = request.Operator();
-  command.rollout = FindOr404(fleet.rollouts, "rollout", request.Segment(1));
-  command.expected_state = command.rollout.state;
-  command.rollout.state = StateAfter(request.Segment(2));
-  command.rollout.reason = "by operator " + command.request.operator_name;
-  return {200, {}, {command}};
+  return ChangeAct(request,
+                   FindOr404(fleet.rollouts, "rollout", request.Segment(1)),
+                   &state::RolloutCommand::rollout);
 }
 
 }  // namespace
--- a/packages/operations/src/control_routes.cc
+++ b/packages/operations/src/control_routes.cc
@@ -18,7 +18,9 @@
 
 Outcome ActionOutcome(
     std::function<void(ControlActions&, ControlActions::Done)> action) {
-  return {200, {}, {}, {}, std::move(action)};
+  Outcome outcome;
+  outcome.action = std::move(action);
+  return outcome;
 }
 
 Outcome Repair(const Request& request) {
--- a/packages/operations/src/duties_p.h
+++ b/packages/operations/src/duties_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "job_board_p.h"
@@ -15,6 +16,7 @@
     std::shared_ptr<JobBoard> board);
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board);
+    const std::shared_ptr<JobBoard>& board,
+    std::function<WallTime()> clock);
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/host_routes.cc
+++ b/packages/operations/src/host_routes.cc
@@ -49,15 +49,13 @@
       hosts.push_back(boost::json::value_from(host));
     }
   }
-  return {200, hosts, {}};
+  return Answer(hosts);
 }
 
 Outcome ShowHost(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  return {200,
-          boost::json::value_from(
-              FindOr404(fleet.hosts, "host", request.Segment(1))),
-          {}};
+  return Answer(boost::json::value_from(
+      FindOr404(fleet.hosts, "host", request.Segment(1))));
 }
 
 Outcome AddHost(const Request& request) {
@@ -77,7 +75,7 @@
   host.state_since = command.request.at;
   host.last_seen = command.request.at;
   host.last_maintained = command.request.at;
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 state::HostCommand MakeHostCommand(const Request& request, const Host& host) {
@@ -92,6 +90,7 @@
   command.move_to = BodyValueOr<std::string>(request.body, "to", "");
   command.act = BodyValueOr<std::string>(request.body, "act", "");
   command.version = BodyValueOr<std::string>(request.body, "version", "");
+  command.force = BodyValueOr<bool>(request.body, "force", false);
   if (verb.reason == DrainReason::kMove && command.move_to.empty()) {
     throw RequestError(400, "to: expected the pool to move to");
   }
@@ -103,15 +102,14 @@
   const Host& host = FindOr404(fleet.hosts, "host", request.Segment(1));
   const state::HostCommand command = MakeHostCommand(request, host);
   if (!request.is_dry_run()) {
-    return {200, {}, {command}};
+    return Proposal(command);
   }
-  return {200,
-          boost::json::object{{"dry_run", true},
-                              {"host", host.id},
-                              {"state", boost::json::value_from(host.state)},
-                              {"event", boost::json::value_from(command.event)},
-                              {"epoch", host.epoch}},
-          {}};
+  return Answer(
+      boost::json::object{{"dry_run", true},
+                          {"host", host.id},
+                          {"state", boost::json::value_from(host.state)},
+                          {"event", boost::json::value_from(command.event)},
+                          {"epoch", host.epoch}});
 }
 
 int CountIn(const Fleet& fleet,
@@ -140,11 +138,11 @@
     row["hosts"] = total;
     pools.push_back(row);
   }
-  return {200, pools, {}};
+  return Answer(pools);
 }
 
 Outcome ListServices(const Request& request) {
-  return {200, ValuesOf(request.machine.fleet().services), {}};
+  return Answer(ValuesOf(request.machine.fleet().services));
 }
 
 }  // namespace
--- a/packages/operations/src/job_routes.cc
+++ b/packages/operations/src/job_routes.cc
@@ -18,15 +18,13 @@
       jobs.push_back(boost::json::value_from(job));
     }
   }
-  return {200, jobs, {}};
+  return Answer(jobs);
 }
 
 Outcome ShowJob(const Request& request) {
   const Fleet fleet = request.machine.fleet();
-  return {
-      200,
-      boost::json::value_from(FindOr404(fleet.jobs, "job", request.Segment(1))),
-      {}};
+  return Answer(boost::json::value_from(
+      FindOr404(fleet.jobs, "job", request.Segment(1))));
 }
 
 Job ReadJob(const Request& request, WallTime now) {
@@ -58,11 +56,10 @@
                        "job " + command.job.id + ": can never run: " + *reason);
   }
   if (request.is_dry_run()) {
-    return {200,
-            boost::json::object{{"dry_run", true}, {"job", command.job.id}},
-            {}};
+    return Answer(
+        boost::json::object{{"dry_run", true}, {"job", command.job.id}});
   }
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 Outcome CancelJob(const Request& request) {
@@ -73,7 +70,7 @@
   command.expected_lease = job.lease;
   command.job = placement::AfterCancel(
       job, command.request.at, "by operator " + command.request.operator_name);
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 /// What a worker has to do: its jobs with their leases, as committed.
@@ -85,16 +82,15 @@
       tasks.push_back(boost::json::value_from(job));
     }
   }
-  return {200, tasks, {}};
+  return Answer(tasks);
 }
 
 Outcome ExplainJob(const Request& request) {
   const Fleet fleet = request.machine.fleet();
   const std::string& id = request.Segment(2);
   FindOr404(fleet.jobs, "job", id);
-  return {200,
-          boost::json::value_from(placement::ExplainJob(fleet, id, WallNow())),
-          {}};
+  return Answer(
+      boost::json::value_from(placement::ExplainJob(fleet, id, request.now)));
 }
 
 /// A worker's word on one of its runs: usage, or how it ended.
@@ -105,7 +101,7 @@
   if (request.body.contains("usage")) {
     board->NoteUsage(job.id,
                      BodyValue<placement::JobUsage>(request.body, "usage"));
-    return {200, boost::json::object{{"is_accepted", true}}, {}};
+    return Answer(boost::json::object{{"is_accepted", true}});
   }
   const auto report = BodyValue<placement::JobReport>(request.body, "report");
   state::JobCommand command;
@@ -117,8 +113,11 @@
   }
   command.expected_lease = job.lease;
   command.job = *after;
-  const auto note = [board, job, report] { board->NoteEnded({job, report}); };
-  return {200, {}, {command}, note, {}};
+  Outcome outcome = Proposal(command);
+  outcome.on_accepted = [board, job, report] {
+    board->NoteEnded({job, report});
+  };
+  return outcome;
 }
 
 }  // namespace
--- a/packages/operations/src/operations.cc
+++ b/packages/operations/src/operations.cc
@@ -1,13 +1,15 @@
 #include "laurelhall/operations/operations.h"
 
+#include <utility>
+
 #include "duties_p.h"
 
 namespace laurelhall::operations {
 
-Operations MakeOperations() {
+Operations MakeOperations(std::function<WallTime()> clock) {
   const auto board = std::make_shared<JobBoard>();
   Operations made;
-  made.service = MakeOperatorService(board);
+  made.service = MakeOperatorService(board, std::move(clock));
   made.duties.push_back(MakeFleetDuty());
   made.duties.push_back(MakeJobDuty(board));
   return made;
--- a/packages/operations/src/operations_p.h
+++ b/packages/operations/src/operations_p.h
@@ -33,6 +33,8 @@
   std::vector<std::string> segments;  ///< Of the path after "/v1/".
   std::map<std::string, std::string> query;
   boost::json::object body;
+  std::string digest;  ///< Of all of the request, to recognise a resend.
+  WallTime now{};
   const state::Machine& machine;
   const control::ControlStatus& status;
 
@@ -57,6 +59,20 @@
       action;
 };
 
+/// An answer that changes nothing.
+inline Outcome Answer(boost::json::value body) {
+  Outcome outcome;
+  outcome.body = std::move(body);
+  return outcome;
+}
+
+/// A command to commit, whose result is the answer.
+inline Outcome Proposal(state::Command command) {
+  Outcome outcome;
+  outcome.commands.push_back(std::move(command));
+  return outcome;
+}
+
 using RouteFunction = std::function<Outcome(const Request&)>;
 
 /// One row of the table of routes. A segment "*" matches any.
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -1,4 +1,7 @@
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cctype>
 #include <iterator>
 
 #include "laurelhall/base/log.h"
@@ -21,12 +24,44 @@
   return parts;
 }
 
+int DigitOf(char c) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const size_t digit = kDigits.find(
+      static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
+  return digit == std::string_view::npos ? -1 : static_cast<int>(digit);
+}
+
+/// Reads one part of a path or query, in which "%2F" stands for a slash.
+std::string Decode(std::string_view part) {
+  std::string text;
+  for (size_t i = 0; i < part.size(); ++i) {
+    if (part[i] != '%') {
+      text += part[i];
+      continue;
+    }
+    const int high = i + 2 < part.size() ? DigitOf(part[i + 1]) : -1;
+    const int low = i + 2 < part.size() ? DigitOf(part[i + 2]) : -1;
+    if (high < 0 || low < 0) {
+      throw RequestError(400, "path: expected two digits after %");
+    }
+    text += static_cast<char>(high * 16 + low);
+    i += 2;
+  }
+  return text;
+}
+
+std::vector<std::string> ParsePath(std::string_view path) {
+  std::vector<std::string> segments = Split(path, '/');
+  std::ranges::transform(segments, segments.begin(), &Decode);
+  return segments;
+}
+
 std::map<std::string, std::string> ParseQuery(std::string_view text) {
   std::map<std::string, std::string> query;
   for (const std::string& pair : Split(text, '&')) {
     const size_t equals = pair.find('=');
-    query[pair.substr(0, equals)] =
-        equals == std::string::npos ? "" : pair.substr(equals + 1);
+    query[Decode(pair.substr(0, equals))] =
+        equals == std::string::npos ? "" : Decode(pair.substr(equals + 1));
   }
   return query;
 }
@@ -43,11 +78,23 @@
   return std::move(value.as_object());
 }
 
-Request MakeRequest(const std::string& method,
-                    const std::string& target,
-                    const std::string& body,
+/// A request as it came in.
+struct RawRequest {
+  const std::string& method;
+  const std::string& target;
+  const std::string& body;
+};
+
+std::string DigestOf(const RawRequest& raw) {
+  const std::string text = raw.method + ' ' + raw.target + '\n' + raw.body;
+  return std::to_string(XXH3_64bits(text.data(), text.size()));
+}
+
+Request MakeRequest(const RawRequest& raw,
                     const state::Machine& machine,
-                    const control::ControlStatus& status) {
+                    const control::ControlStatus& status,
+                    WallTime now) {
+  const std::string& target = raw.target;
   if (!target.starts_with(kPrefix)) {
     throw RequestError(404, "path: expected /v1/...");
   }
@@ -55,12 +102,10 @@
   const size_t mark = rest.find('?');
   const std::string_view query =
       mark == std::string_view::npos ? "" : rest.substr(mark + 1);
-  return {method,
-          Split(rest.substr(0, mark), '/'),
-          ParseQuery(query),
-          ParseBody(body),
-          machine,
-          status};
+  return {raw.method,        ParsePath(rest.substr(0, mark)),
+          ParseQuery(query), ParseBody(raw.body),
+          DigestOf(raw),     now,
+          machine,           status};
 }
 
 bool Matches(const Route& route, const Request& request) {
@@ -115,9 +160,19 @@
                           : ReplyOf(results->back());
 }
 
+/// Whether an earlier copy of the request did it.
+bool IsResend(const std::vector<state::Result>& results) {
+  return std::ranges::any_of(results, [](const state::Result& result) {
+    const auto* act = std::get_if<state::ActResult>(&result);
+    return act != nullptr && act->is_resend;
+  });
+}
+
 class RoutedService : public control::OperatorService {
  public:
-  explicit RoutedService(const std::shared_ptr<JobBoard>& board) {
+  RoutedService(const std::shared_ptr<JobBoard>& board,
+                std::function<WallTime()> clock)
+      : m_clock(std::move(clock)) {
     for (const auto& rows :
          {StatusRoutes(), ControlRoutes(), SettingsRoutes(), HostRoutes(),
           ActRoutes(), JobRoutes(board), ReportRoutes()}) {
@@ -138,7 +193,13 @@
               std::function<void(control::OperatorReply)> done) override {
     Outcome outcome;
     try {
-      outcome = Run(MakeRequest(method, path, body, machine, status));
+      const Request request =
+          MakeRequest({method, path, body}, machine, status, m_clock());
+      if (const auto first = AnswerOfFirst(request)) {
+        done(*first);
+        return;
+      }
+      outcome = Run(request);
     } catch (const RequestError& error) {
       done(Problem(error.status(), error.what()));
       return;
@@ -156,6 +217,17 @@
   }
 
  private:
+  /// The first answer when the request is a resend: what it asked for may
+  /// make another command now, or none.
+  static std::optional<control::OperatorReply> AnswerOfFirst(
+      const Request& request) {
+    if (request.method != "POST" || !request.body.contains("request_id")) {
+      return std::nullopt;
+    }
+    const auto first = request.machine.FindRequest(request.Operator());
+    return first ? std::optional(ReplyOf(state::Result(*first))) : std::nullopt;
+  }
+
   Outcome Run(const Request& request) const {
     for (const Route& route : m_routes) {
       if (Matches(route, request)) {
@@ -172,7 +244,7 @@
            [done = std::move(done), accepted = std::move(outcome.on_accepted)](
                const std::optional<std::vector<state::Result>>& results) {
              const control::OperatorReply reply = ReplyOf(results);
-             if (reply.status == kOk && accepted) {
+             if (reply.status == kOk && accepted && !IsResend(*results)) {
                accepted();
              }
              done(reply);
@@ -189,6 +261,7 @@
     });
   }
 
+  const std::function<WallTime()> m_clock;
   std::vector<Route> m_routes;
   control::ControlActions* m_actions = nullptr;  // Set before any request.
 };
@@ -196,8 +269,9 @@
 }  // namespace
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board) {
-  return std::make_unique<RoutedService>(board);
+    const std::shared_ptr<JobBoard>& board,
+    std::function<WallTime()> clock) {
+  return std::make_unique<RoutedService>(board, std::move(clock));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/report_routes.cc
+++ b/packages/operations/src/report_routes.cc
@@ -15,7 +15,7 @@
 
 Outcome ListBudgets(const Request& request) {
   const model::Fleet fleet = request.machine.fleet();
-  const auto burn = BurnOfServices(request.machine, fleet, WallNow());
+  const auto burn = BurnOfServices(request.machine, fleet, request.now);
   const budget::Budget budgets = budget::Budget::Evaluate(fleet, burn);
   boost::json::array rows;
   for (const ServiceBudget& service : budgets.services()) {
@@ -32,7 +32,7 @@
         {"burn_left", service.burn.left},
         {"burn", boost::json::value_from(service.burn.severity)}});
   }
-  return {200, rows, {}, {}, {}};
+  return Answer(rows);
 }
 
 Outcome Buffers(const Request& request) {
@@ -45,15 +45,11 @@
         {"shared", cost.shared},
         {"per_pool", cost.per_pool}});
   }
-  return {200,
-          boost::json::object{{"total", plan.total},
-                              {"per_pool_total", plan.per_pool_total},
-                              {"n_plus_one_total", plan.n_plus_one_total},
-                              {"lower_bound", plan.lower_bound},
-                              {"guarantees", guarantees}},
-          {},
-          {},
-          {}};
+  return Answer(boost::json::object{{"total", plan.total},
+                                    {"per_pool_total", plan.per_pool_total},
+                                    {"n_plus_one_total", plan.n_plus_one_total},
+                                    {"lower_bound", plan.lower_bound},
+                                    {"guarantees", guarantees}});
 }
 
 Outcome ExplainHost(const Request& request) {
@@ -61,19 +57,16 @@
   const std::string& id = request.Segment(2);
   FindOr404(fleet.hosts, "host", id);
   planning::StepInput input;
-  input.now = WallNow();
+  input.now = request.now;
   input.burn = BurnOfServices(request.machine, fleet, input.now);
-  return {200,
-          boost::json::value_from(planning::ExplainHost(fleet, id, input)),
-          {},
-          {},
-          {}};
+  return Answer(
+      boost::json::value_from(planning::ExplainHost(fleet, id, input)));
 }
 
 /// The report as JSON for the table, or as a page when asked for.
 Outcome Burn(const Request& request) {
   const model::Fleet fleet = request.machine.fleet();
-  const WallTime now = WallNow();
+  const WallTime now = request.now;
   std::vector<model::BurnSample> samples;
   for (const auto& [name, service] : fleet.services) {
     std::ranges::copy(
@@ -82,10 +75,10 @@
   }
   const report::BurnReport made = report::MakeBurnReport(fleet, samples, now);
   if (request.Query("format") == "html") {
-    return {200, boost::json::string(report::ToHtml(made)), {}, {}, {}};
+    return Answer(boost::json::string(report::ToHtml(made)));
   }
   if (request.Query("format") == "full") {
-    return {200, boost::json::parse(report::ToJson(made)), {}, {}, {}};
+    return Answer(boost::json::parse(report::ToJson(made)));
   }
   boost::json::array rows;
   for (const report::ServiceReport& service : made.services) {
@@ -100,7 +93,7 @@
     }
     rows.push_back(row);
   }
-  return {200, rows, {}, {}, {}};
+  return Answer(rows);
 }
 
 }  // namespace
--- a/packages/operations/src/request.cc
+++ b/packages/operations/src/request.cc
@@ -19,7 +19,8 @@
   state::OperatorRequest request;
   request.operator_name = BodyValue<std::string>(body, "operator");
   request.request_id = BodyValue<std::string>(body, "request_id");
-  request.at = WallNow();
+  request.at = now;
+  request.digest = digest;
   if (request.operator_name.empty() || request.request_id.empty()) {
     throw RequestError(400, "operator, request_id: expected a text");
   }
--- a/packages/operations/src/settings_routes.cc
+++ b/packages/operations/src/settings_routes.cc
@@ -11,20 +11,16 @@
   const std::string text = request.machine.settings_tree();
   const uint64_t version = request.machine.settings_version();
   if (path.empty()) {
-    return {200,
-            boost::json::object{{"version", version},
-                                {"tree", boost::json::parse(text)}},
-            {}};
+    return Answer(boost::json::object{{"version", version},
+                                      {"tree", boost::json::parse(text)}});
   }
   const auto value = settings::Tree::Parse(text).Get(path);
   if (!value) {
     throw RequestError(404, path + ": not set here; see settings explain");
   }
-  return {200,
-          boost::json::object{{"version", version},
-                              {"path", path},
-                              {"value", boost::json::parse(*value)}},
-          {}};
+  return Answer(boost::json::object{{"version", version},
+                                    {"path", path},
+                                    {"value", boost::json::parse(*value)}});
 }
 
 /// A JSON value of `changes` as the command holds it: its text, or none.
@@ -54,22 +50,18 @@
   if (request.is_dry_run()) {
     settings::Tree::Parse(request.machine.settings_tree())
         .With(command.changes);
-    return {200,
-            boost::json::object{{"dry_run", true},
-                                {"changes", command.changes.size()}},
-            {}};
+    return Answer(boost::json::object{{"dry_run", true},
+                                      {"changes", command.changes.size()}});
   }
-  return {200, {}, {command}};
+  return Proposal(command);
 }
 
 Outcome History(const Request& request) {
   const uint64_t version = request.machine.settings_version();
   const uint64_t since = version > kHistoryShown ? version - kHistoryShown : 0;
   const auto records = request.machine.SettingsSince(since);
-  return {200,
-          boost::json::value_from(
-              records.value_or(std::vector<state::SettingsRecord>{})),
-          {}};
+  return Answer(boost::json::value_from(
+      records.value_or(std::vector<state::SettingsRecord>{})));
 }
 
 uint64_t QueryNumber(const Request& request, const std::string& name) {
@@ -97,7 +89,7 @@
       changes[path] = value;
     }
   }
-  return {200, boost::json::value_from(changes), {}};
+  return Answer(boost::json::value_from(changes));
 }
 
 Outcome Explain(const Request& request) {
@@ -109,7 +101,7 @@
                                           {"value", origin.value},
                                           {"in_force", origin.is_in_force}});
   }
-  return {200, origins, {}};
+  return Answer(origins);
 }
 
 }  // namespace
--- a/packages/operations/src/status_routes.cc
+++ b/packages/operations/src/status_routes.cc
@@ -36,28 +36,24 @@
 
 Outcome Status(const Request& request) {
   const control::ControlStatus& status = request.status;
-  return {200,
-          boost::json::object{
-              {"leader", status.leader_name},
-              {"term", status.consensus.term},
-              {"commit", status.consensus.commit},
-              {"applied", status.applied},
-              {"settings_version", request.machine.settings_version()},
-              {"members", Members(status)},
-              {"daemons", Entries(status)},
-              {"repair", boost::json::value_from(status.repair)},
-              {"zones_at_risk", boost::json::value_from(status.zones_at_risk)}},
-          {},
-          {},
-          {}};
+  return Answer(boost::json::object{
+      {"leader", status.leader_name},
+      {"term", status.consensus.term},
+      {"commit", status.consensus.commit},
+      {"applied", status.applied},
+      {"settings_version", request.machine.settings_version()},
+      {"members", Members(status)},
+      {"daemons", Entries(status)},
+      {"repair", boost::json::value_from(status.repair)},
+      {"zones_at_risk", boost::json::value_from(status.zones_at_risk)}});
 }
 
 Outcome Endpoints(const Request& request) {
-  return {200, boost::json::value_from(request.machine.EndpointsSince(0)), {}};
+  return Answer(boost::json::value_from(request.machine.EndpointsSince(0)));
 }
 
 Outcome Audit(const Request& request) {
-  return {200, boost::json::value_from(request.machine.Audit(kAuditShown)), {}};
+  return Answer(boost::json::value_from(request.machine.Audit(kAuditShown)));
 }
 
 }  // namespace
--- a/packages/planning/src/act_progress_p.h
+++ b/packages/planning/src/act_progress_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,6 +41,12 @@
         m_postponed(m_before.postponed.begin(), m_before.postponed.end()),
         m_given_up(m_before.given_up.begin(), m_before.given_up.end()) {}
 
+  /// Drops hosts from the lists that are neither among these nor held by the
+  /// act: they moved to where it doesn't apply.
+  void KeepOnly(const std::vector<std::string>& members) {
+    m_members.emplace(members.begin(), members.end());
+  }
+
   /// @param members Hosts that belong to the act besides those in its lists.
   void Read(const std::vector<std::string>& members) {
     for (auto* list : {&m_act.pending, &m_act.active, &m_act.done,
@@ -64,12 +71,16 @@
     const model::Host* host = m_context.view().FindHost(id);
     const bool is_gone =
         host == nullptr || host->state == model::HostState::kRetired;
-    if (is_gone || !m_placed.insert(host->id).second) {
+    if (is_gone || HasLeft(*host) || !m_placed.insert(host->id).second) {
       return;
     }
     ListFor(*host).push_back(host->id);
   }
 
+  bool HasLeft(const model::Host& host) const {
+    return m_members && !m_members->count(host.id) && host.act != m_act.id;
+  }
+
   std::vector<std::string>& ListFor(const model::Host& host) {
     if (host.act == m_act.id) {
       return ListForActive(host);
@@ -106,6 +117,7 @@
   std::set<std::string_view> m_postponed;
   std::set<std::string_view> m_given_up;
   std::set<std::string_view> m_placed;
+  std::optional<std::set<std::string>> m_members;
 };
 
 /// Whether a postponed host has rested for long enough to be tried again.
--- a/packages/planning/src/lifecycle.cc
+++ b/packages/planning/src/lifecycle.cc
@@ -193,6 +193,7 @@
   host.drain_reason = DrainReason::kNone;
   host.move_to.clear();
   host.act.clear();
+  host.install.clear();
 }
 
 void OnDrain(model::Host& host, const Transition& transition, WallTime) {
@@ -201,6 +202,10 @@
   host.act = transition.act;
 }
 
+void OnStop(model::Host& host, const Transition& transition, WallTime) {
+  host.install = transition.version;
+}
+
 void OnMovePool(model::Host& host, const Transition&, WallTime at) {
   host.moved_from = host.pool;
   host.last_moved = at;
@@ -233,7 +238,7 @@
     &OnDrain,     // kDrain
     &Keep,        // kConfirmEmpty
     &OnEnd,       // kCancelDrain
-    &Keep,        // kStopForMaintenance
+    &OnStop,      // kStopForMaintenance
     &OnMovePool,  // kMovePool
     &OnReturn,    // kReturn
     &OnEnd,       // kWarm
--- a/packages/planning/src/moves.cc
+++ b/packages/planning/src/moves.cc
@@ -290,7 +290,8 @@
   std::map<std::string_view, int> too_many;
   bool is_counted = false;
   for (const auto& [id, host] : context.fleet().hosts) {
-    if (!IsMovingAway(host)) {
+    // A move without an act is an operator's own, needed or not.
+    if (!IsMovingAway(host) || host.act.empty()) {
       continue;
     }
     if (!is_counted) {
--- a/packages/planning/src/rollout.cc
+++ b/packages/planning/src/rollout.cc
@@ -142,9 +142,12 @@
  private:
   void ReadProgress() {
     const std::string target = TargetVersion(m_rollout);
-    ProgressReader<Rollout>(m_context, m_rollout, [&](const Host& host) {
+    const std::vector<std::string> members = Ids(m_hosts);
+    ProgressReader<Rollout> reader(m_context, m_rollout, [&](const Host& host) {
       return host.version == target;
-    }).Read(Ids(m_hosts));
+    });
+    reader.KeepOnly(members);
+    reader.Read(members);
   }
 
   bool HaltIfOverdue() {
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -61,8 +61,13 @@
   std::string operator_name;
   std::string request_id;
   WallTime at{};
+  /// Of what was asked, when the command depends on the state it was made on;
+  /// a resend is told by it in place of the command.
+  std::string digest{};
 };
-BOOST_DESCRIBE_STRUCT(OperatorRequest, (), (operator_name, request_id, at))
+BOOST_DESCRIBE_STRUCT(OperatorRequest,
+                      (),
+                      (operator_name, request_id, at, digest))
 
 /// Changes settings when the version is still the expected one. A value is
 /// JSON text; none removes the path, so that the parent's value shows again.
@@ -83,6 +88,10 @@
 using model::HostEvent;
 
 /// One transition of one host, fenced by its epoch.
+///
+/// @remarks A drain is refused when, as of its entry, a service's availability
+///   budget forbids it, unless `force` says that the operator answers for it.
+///   A host that holds a job is neither confirmed empty, stopped nor moved.
 struct HostCommand {
   OperatorRequest request;
   std::string host;
@@ -92,11 +101,19 @@
   std::string move_to;
   std::string act;      ///< Wave, roll-out or move on whose behalf.
   std::string version;  ///< With kReturn: the version it came back with.
+  bool force = false;   ///< With kDrain: whatever the budgets say.
 };
-BOOST_DESCRIBE_STRUCT(
-    HostCommand,
-    (),
-    (request, host, expected_epoch, event, drain_reason, move_to, act, version))
+BOOST_DESCRIBE_STRUCT(HostCommand,
+                      (),
+                      (request,
+                       host,
+                       expected_epoch,
+                       event,
+                       drain_reason,
+                       move_to,
+                       act,
+                       version,
+                       force))
 
 /// Creates or replaces a wave; `expected_state` fences racing controllers.
 struct WaveCommand {
@@ -135,6 +152,15 @@
 };
 BOOST_DESCRIBE_STRUCT(ExpireCommand, (), (now))
 
+/// Keeps what a duty of the leader learned, under a name; an empty text
+/// removes it.
+struct NoteCommand {
+  std::string name;
+  std::string text;
+};
+BOOST_DESCRIBE_STRUCT(NoteCommand, (), (name, text))
+
+/// New kinds go to the end: a kind is written as its place.
 using Command = std::variant<ClaimCommand,
                              CompleteCommand,
                              ReleaseCommand,
@@ -147,7 +173,8 @@
                              RolloutCommand,
                              JobCommand,
                              BurnCommand,
-                             ExpireCommand>;
+                             ExpireCommand,
+                             NoteCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -32,6 +32,9 @@
   size_t max_hosts = 20'000;
   size_t max_acts = 2'000;  ///< Waves, and roll-outs, each.
   size_t max_jobs = 200'000;
+  static constexpr size_t kMaxNoteName = 64;
+  size_t max_notes = 64;
+  size_t max_note_bytes = 1u << 20;
   /// Finished acts and jobs, and retired hosts, are dropped after this.
   Millis finished_retention{std::chrono::hours(24 * 7)};
 };
@@ -103,6 +106,14 @@
   std::vector<BurnSample> Burn(const std::string& service,
                                WallTime since) const;
 
+  /// The first answer to an operator's request; none when it is new.
+  ///
+  /// @throws std::invalid_argument when its id was used for another request.
+  std::optional<ActResult> FindRequest(const OperatorRequest& request) const;
+
+  /// The text of a note; none when there is none.
+  std::optional<std::string> Note(const std::string& name) const;
+
   /// Looks a claim up without claiming; none when the key is not known.
   std::optional<ClaimResult> FindClaim(const model::ClaimKey& key) const;
 
--- a/packages/state/src/audit_log.cc
+++ b/packages/state/src/audit_log.cc
@@ -68,7 +68,8 @@
 }
 
 std::string ActText(const HostCommand& command) {
-  return "host." + Word(command.event) + " " + command.host;
+  return "host." + Word(command.event) + " " + command.host +
+         (command.force ? " forced" : "");
 }
 
 std::string ActText(const WaveCommand& command) {
--- a/packages/state/src/fenced_table_p.h
+++ b/packages/state/src/fenced_table_p.h
@@ -55,6 +55,20 @@
     return found ? std::optional(found->value) : std::nullopt;
   }
 
+  /// The id of a record that fits, or none. O(records).
+  template <typename Fits>
+  std::optional<std::string> FindId(Fits fits) const {
+    std::optional<std::string> id;
+    m_records.ReadEach([&](const Map& map) {
+      for (auto at = map.begin(); at != map.end() && !id; ++at) {
+        if (fits(at->second.value)) {
+          id = at->first;
+        }
+      }
+    });
+    return id;
+  }
+
   std::map<std::string, T> All() const {
     std::map<std::string, T> all;
     m_records.ReadAtOnce([&](const Map& map) {
--- a/packages/state/src/fleet_table.cc
+++ b/packages/state/src/fleet_table.cc
@@ -4,70 +4,18 @@
 #include <utility>
 
 #include "laurelhall/planning/lifecycle.h"
+#include "transition_check_p.h"
 
 namespace laurelhall::state {
 namespace {
 
 using model::ActState;
 using model::Host;
-using model::HostEvent;
 using model::HostState;
 using model::JobState;
 
 constexpr uint64_t kFirstEpoch = 1;
 
-bool Fits(const model::Resources& capacity, const model::Resources& shape) {
-  return capacity.processors >= shape.processors &&
-         capacity.memory_gb >= shape.memory_gb &&
-         capacity.accelerators >= shape.accelerators;
-}
-
-// Why a host can't belong to a pool, or "".
-std::string WhyNotJoin(const Host& host,
-                       const std::string& pool_name,
-                       const model::Config& config) {
-  const auto pool = config.pools.find(pool_name);
-  if (pool == config.pools.end()) {
-    return "unknown pool \"" + pool_name + "\"";
-  }
-  if (!Fits(host.capacity, pool->second.host_shape)) {
-    return "host " + host.id + " offers less than pool " + pool_name +
-           " asks for";
-  }
-  return "";
-}
-
-bool IsMoveDrain(const HostCommand& command) {
-  return command.event == HostEvent::kDrain &&
-         command.drain_reason == model::DrainReason::kMove;
-}
-
-// What the lifecycle can't know: the settings, and who holds the host.
-std::string WhyNotTransition(const Host& host,
-                             const HostCommand& command,
-                             const model::Config& config) {
-  if (command.expected_epoch != host.epoch) {
-    return "host " + host.id + " is at epoch " + std::to_string(host.epoch) +
-           " in state " + NameOf(host.state) + ", expected epoch " +
-           std::to_string(command.expected_epoch);
-  }
-  const bool is_held_by_other =
-      !host.act.empty() && !command.act.empty() && host.act != command.act;
-  if (is_held_by_other && command.event != HostEvent::kFail) {
-    return "host " + host.id + " is held by " + host.act;
-  }
-  if (IsMoveDrain(command)) {
-    return WhyNotJoin(host, command.move_to, config);
-  }
-  if (command.event == HostEvent::kMovePool) {
-    if (!command.move_to.empty() && command.move_to != host.move_to) {
-      return "host " + host.id + " drained to move to \"" + host.move_to + "\"";
-    }
-    return WhyNotJoin(host, host.move_to, config);
-  }
-  return "";
-}
-
 planning::Transition TransitionOf(const HostCommand& command) {
   return {command.host,         command.expected_epoch, command.event,
           command.drain_reason, command.move_to,        command.act,
@@ -79,12 +27,35 @@
   return act.state == ActState::kDone || act.state == ActState::kCancelled;
 }
 
+bool IsRolloutOpen(const model::Rollout& rollout) {
+  return rollout.state == ActState::kRunning ||
+         rollout.state == ActState::kPaused ||
+         rollout.state == ActState::kRollingBack;
+}
+
+// Whether two services run on hosts of one pool.
+bool SharePool(const std::string& a,
+               const std::string& b,
+               const model::Config& config) {
+  const auto found_a = config.services.find(a);
+  const auto found_b = config.services.find(b);
+  if (found_a == config.services.end() || found_b == config.services.end()) {
+    return false;
+  }
+  const std::vector<std::string>& others = found_b->second.budget.pools;
+  return std::ranges::any_of(found_a->second.budget.pools,
+                             [&](const std::string& pool) {
+                               return std::ranges::count(others, pool) > 0;
+                             });
+}
+
 bool IsJobFinished(const model::Job& job) {
   return job.state == JobState::kSucceeded || job.state == JobState::kFailed ||
          job.state == JobState::kCancelled;
 }
 
-// Done and cancelled acts stay so.
+// Done and cancelled acts stay so, and only an operator holds or resumes one:
+// a controller may have read it before.
 template <typename Command, typename Act>
 std::string WhyNotAct(const std::optional<Act>& before,
                       const Act& act,
@@ -92,10 +63,16 @@
   if (act.state >= ActState::kCount) {
     return "expected a state";
   }
-  if (before && command.expected_state == before->state &&
-      IsActFinished(*before) && act.state != before->state) {
+  if (!before || command.expected_state != before->state) {
+    return "";  // The fence decides.
+  }
+  if (IsActFinished(*before) && act.state != before->state) {
     return act.id + " is " + NameOf(before->state) + " and stays so";
   }
+  const bool is_operators = !command.request.request_id.empty();
+  if (act.is_held != before->is_held && !is_operators) {
+    return act.id + " is held or resumed by an operator alone";
+  }
   return "";
 }
 
@@ -132,6 +109,15 @@
 
 }  // namespace
 
+void FillSettings(const model::Config& config, model::Fleet& fleet) {
+  fleet.pools = config.pools;
+  for (const auto& [name, service] : config.services) {
+    fleet.services.emplace(name, service.budget);
+  }
+  fleet.quotas = config.quotas;
+  fleet.weights = config.weights;
+}
+
 FleetTable::FleetTable(const MachineLimits& limits)
     : m_limits(limits),
       m_waves("wave", limits.max_acts, &IsActFinished<model::Wave>),
@@ -191,7 +177,10 @@
   if (!host) {
     return Refused("unknown host \"" + command.host + "\"");
   }
-  const std::string error = WhyNotTransition(*host, command, config);
+  std::string error = WhyNotTransition(*host, command, config);
+  if (error.empty()) {
+    error = WhyNotNow(command, config);
+  }
   if (!error.empty()) {
     return Refused(error, host->epoch);
   }
@@ -207,6 +196,57 @@
   return Accepted(after->epoch);
 }
 
+/// What other records of this entry's state say against a transition.
+std::string FleetTable::WhyNotNow(const HostCommand& command,
+                                  const model::Config& config) const {
+  if (TakesFromBudget(command)) {
+    model::Fleet fleet;
+    FillSettings(config, fleet);
+    m_hosts.ReadEach([&](const Hosts& hosts) {
+      fleet.hosts.insert(hosts.begin(), hosts.end());
+    });
+    return WhyNotDrain(fleet, command.host);
+  }
+  if (!NeedsEmptyHost(command.event)) {
+    return "";
+  }
+  const std::optional<std::string> job = m_jobs.FindId(
+      [&](const model::Job& each) { return each.host == command.host; });
+  return job ? "host " + command.host + " still holds job " + *job : "";
+}
+
+/// A job starts only on a host that serves its pool as of this entry.
+std::string FleetTable::WhyNotStart(const std::optional<model::Job>& before,
+                                    const model::Job& job) const {
+  const bool is_start = !job.host.empty() && (!before || before->host.empty());
+  if (!is_start) {
+    return "";
+  }
+  const std::optional<Host> host = m_hosts.Find(job.host);
+  if (!host) {
+    return "unknown host \"" + job.host + "\"";
+  }
+  return host->state == HostState::kInPool
+             ? ""
+             : "host " + job.host + " is " + NameOf(host->state) +
+                   ": nothing starts there";
+}
+
+/// Two roll-outs under way over one host would undo each other for ever.
+std::string FleetTable::WhyNotOpen(const model::Rollout& rollout,
+                                   const model::Config& config) const {
+  if (!IsRolloutOpen(rollout)) {
+    return "";
+  }
+  const std::optional<std::string> other =
+      m_rollouts.FindId([&](const model::Rollout& each) {
+        return each.id != rollout.id && IsRolloutOpen(each) &&
+               SharePool(each.service, rollout.service, config);
+      });
+  return other ? "roll-out " + *other + " is under way over the same pools"
+               : "";
+}
+
 bool FleetTable::IsHostAway(const std::string& host) const {
   const std::optional<Host> known = m_hosts.Find(host);
   return known && known->state != HostState::kInPool;
@@ -229,6 +269,9 @@
   const model::Rollout& rollout = command.rollout;
   std::string error = WhyNotAct(m_rollouts.Find(rollout.id), rollout, command);
   const bool is_known = config.services.contains(rollout.service);
+  if (error.empty()) {
+    error = WhyNotOpen(rollout, config);
+  }
   if (error.empty() && !command.expected_state && !is_known) {
     error = "unknown service \"" + rollout.service + "\"";
   }
@@ -241,6 +284,9 @@
                             const model::Config& config) {
   const std::optional<model::Job> before = m_jobs.Find(command.job.id);
   std::string error = WhyNotJob(before, command);
+  if (error.empty() && (!before || command.expected_lease == before->lease)) {
+    error = WhyNotStart(before, command.job);
+  }
   if (error.empty() && !command.expected_lease) {
     error = UnknownPoolText({command.job.pool}, config);
   }
--- a/packages/state/src/fleet_table_p.h
+++ b/packages/state/src/fleet_table_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "fenced_table_p.h"
@@ -12,6 +13,9 @@
 
 namespace laurelhall::state {
 
+/// Copies what the settings say of a fleet: pools, services, quotas, weights.
+void FillSettings(const model::Config& config, model::Fleet& fleet);
+
 /// Hosts, waves, roll-outs and jobs. Each host has one record, and the record
 /// names one pool: no moment has a host in two pools or in none.
 ///
@@ -53,6 +57,12 @@
   ActResult AddHost(const HostAddCommand& command, const model::Config& config);
   ActResult RefreshHost(const model::Host& known,
                         const HostAddCommand& command);
+  std::string WhyNotNow(const HostCommand& command,
+                        const model::Config& config) const;
+  std::string WhyNotOpen(const model::Rollout& rollout,
+                         const model::Config& config) const;
+  std::string WhyNotStart(const std::optional<model::Job>& before,
+                          const model::Job& job) const;
 
   const MachineLimits m_limits;
   ShardedMap<Hosts, std::hash<std::string>, kHostShards> m_hosts;
--- a/packages/state/src/machine.cc
+++ b/packages/state/src/machine.cc
@@ -115,12 +115,7 @@
   const std::shared_ptr<const model::Config> config = tables->settings.config();
   model::Fleet fleet;
   tables->fleet.Read(fleet);
-  fleet.pools = config->pools;
-  for (const auto& [name, service] : config->services) {
-    fleet.services.emplace(name, service.budget);
-  }
-  fleet.quotas = config->quotas;
-  fleet.weights = config->weights;
+  FillSettings(*config, fleet);
   return fleet;
 }
 
@@ -133,6 +128,24 @@
   return m_impl->Current()->burn.Since(service, since);
 }
 
+std::optional<ActResult> Machine::FindRequest(
+    const OperatorRequest& request) const {
+  const auto first = m_impl->Current()->requests.Find(request);
+  if (!first) {
+    return std::nullopt;
+  }
+  if (first->request.digest != request.digest) {
+    throw std::invalid_argument(OtherRequestText(request));
+  }
+  ActResult answer = first->answer;
+  answer.is_resend = true;
+  return answer;
+}
+
+std::optional<std::string> Machine::Note(const std::string& name) const {
+  return m_impl->Current()->notes.Find(name);
+}
+
 std::optional<ClaimResult> Machine::FindClaim(
     const model::ClaimKey& key) const {
   return m_impl->Current()->claims.Find(key);
--- a/packages/state/src/request_memory.cc
+++ b/packages/state/src/request_memory.cc
@@ -10,16 +10,19 @@
   return {request.operator_name, request.request_id};
 }
 
-const RememberedRequest* RequestMemory::Find(
+std::optional<RememberedRequest> RequestMemory::Find(
     const OperatorRequest& request) const {
+  const std::lock_guard lock(m_mutex);
   const auto found = m_requests.find(KeyOf(request));
-  return found == m_requests.end() ? nullptr : &found->second;
+  return found == m_requests.end() ? std::nullopt
+                                   : std::optional(found->second);
 }
 
 void RequestMemory::Remember(RememberedRequest remembered) {
   if (remembered.request.request_id.empty()) {
     return;
   }
+  const std::lock_guard lock(m_mutex);
   const Key key = KeyOf(remembered.request);
   if (m_requests.emplace(key, std::move(remembered)).second) {
     m_order.push_back(key);
@@ -35,6 +38,7 @@
 }
 
 void RequestMemory::Expire(WallTime now) {
+  const std::lock_guard lock(m_mutex);
   while (!m_order.empty()) {
     const RememberedRequest& oldest = m_requests.at(m_order.front());
     if (oldest.request.at + m_limits.remember_requests > now) {
@@ -45,6 +49,7 @@
 }
 
 void RequestMemory::Save(SnapshotWriter& writer) const {
+  const std::lock_guard lock(m_mutex);
   for (const Key& key : m_order) {
     writer.Add("request", m_requests.at(key));
   }
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -75,11 +75,15 @@
        tables.audit.Add(ReadAs<AuditRecord>(value));
      }},
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
+    {"note", &LoadInto<&Tables::notes, NoteCommand>},
 };
 
 // The time of a resend differs from the first one's; all else is the same.
 template <typename OperatorCommand>
 uint64_t DigestOf(OperatorCommand command) {
+  if (!command.request.digest.empty()) {
+    return HashText(command.request.digest);
+  }
   command.request.at = {};
   return HashText(EncodeCommands({std::move(command)}));
 }
@@ -93,7 +97,8 @@
       fleet(limits),
       requests(limits),
       audit(limits),
-      burn(limits) {}
+      burn(limits),
+      notes(limits) {}
 
 Result Tables::Apply(uint64_t index, const Command& command) {
   m_index = index;
@@ -142,6 +147,10 @@
   return Accepted();
 }
 
+ActResult Tables::Run(const NoteCommand& command) {
+  return notes.Apply(command);
+}
+
 ActResult Tables::Run(const HostCommand& command) {
   ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
@@ -162,14 +171,13 @@
   const OperatorRequest& request = command.request;
   const uint64_t digest = DigestOf(command);
   ActResult result;
-  const RememberedRequest* first =
-      request.request_id.empty() ? nullptr : requests.Find(request);
-  if (first == nullptr) {
+  const std::optional<RememberedRequest> first =
+      request.request_id.empty() ? std::nullopt : requests.Find(request);
+  if (!first) {
     result = Run(command);
     requests.Remember({request, digest, result});
   } else if (first->digest != digest) {
-    result = Refused("request id " + request.request_id +
-                     " was used with another command");
+    result = Refused(OtherRequestText(request));
   } else {
     result = first->answer;
     result.is_resend = true;
@@ -198,6 +206,7 @@
   requests.Save(writer);
   audit.Save(writer);
   burn.Save(writer);
+  notes.Save(writer);
   return writer.Finish();
 }
 
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -10,6 +10,7 @@
 #include "claim_table_p.h"
 #include "endpoint_table_p.h"
 #include "fleet_table_p.h"
+#include "note_table_p.h"
 #include "request_memory_p.h"
 #include "settings_history_p.h"
 
@@ -39,6 +40,7 @@
   RequestMemory requests;
   AuditLog audit;
   BurnHistory burn;
+  NoteTable notes;
   std::atomic<uint64_t> applied_index{0};
 
  private:
@@ -50,6 +52,7 @@
   ActResult Run(const SettingsCommand& command);
   ActResult Run(const BurnCommand& command);
   ActResult Run(const ExpireCommand& command);
+  ActResult Run(const NoteCommand& command);
   ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
   ActResult Run(const FleetCommand& command);
--- a/packages/state/tests/fleet_table_test.cc
+++ b/packages/state/tests/fleet_table_test.cc
@@ -1,5 +1,6 @@
 #include <random>
 
+#include "laurelhall/budget/budget.h"
 #include "laurelhall/planning/lifecycle.h"
 #include "machine_fixture.h"
 
@@ -139,6 +140,110 @@
   CHECK(m_machine->Audit(1).front().act == "host.drain h");
 }
 
+struct BudgetFixture : FleetTableFixture {
+  BudgetFixture() {
+    CHECK(Change("ana", "service", 1, "services.quote",
+                 R"({"pools": ["annex", "hall"], "min_available": 6,
+                     "max_away_share": 0.4})")
+              .is_accepted);
+    for (int i = 0; i < 10; ++i) {
+      const std::string id = "h" + std::to_string(i);
+      Host host;
+      host.id = id;
+      host.pool = i % 2 == 0 ? "annex" : "hall";
+      host.rack = "r" + std::to_string(i / 2);
+      host.availability_zone = "z" + std::to_string(i / 4);
+      host.capacity = {32, 128, 0};
+      CHECK(Act(HostAddCommand{RequestOf("ana"), host}).is_accepted);
+      CHECK(Do(id, HostEvent::kJoin, 1).is_accepted);
+      CHECK(Do(id, HostEvent::kWarm, 2).is_accepted);
+    }
+  }
+
+  /// Counted here anew, without the budget package.
+  int Available() const {
+    int available = 0;
+    for (const auto& [id, host] : m_machine->fleet().hosts) {
+      available += host.state == HostState::kInPool;
+    }
+    return available;
+  }
+};
+
+TEST_CASE_FIXTURE(BudgetFixture,
+                  "Drains, budget spent, are refused unless forced") {
+  // Ten hosts, two to a rack: two may go, and a rack besides.
+  CHECK(Do("h0", HostEvent::kDrain, 3, DrainReason::kOperator).is_accepted);
+  CHECK(
+      Do("h1", HostEvent::kDrain, 3, DrainReason::kMove, "annex").is_accepted);
+  CHECK(Do("h2", HostEvent::kDrain, 3, DrainReason::kMaintenance).error ==
+        "host h2 may not drain now: quote: kRackLoss");
+  HostCommand forced;
+  forced.request = RequestOf("ana", "f1");
+  forced.host = "h2";
+  forced.expected_epoch = 3;
+  forced.event = HostEvent::kDrain;
+  forced.drain_reason = DrainReason::kOperator;
+  forced.force = true;
+  CHECK(Act(forced).is_accepted);
+  CHECK(m_machine->Audit(1).front().act == "host.drain h2 forced");
+  CHECK(Available() == 7);
+}
+
+TEST_CASE_FIXTURE(BudgetFixture,
+                  "Hosts, holding a job, are neither stopped nor given one") {
+  model::Job job;
+  job.id = "j";
+  job.pool = "annex";
+  const auto put = [&](std::optional<uint64_t> expected) {
+    return Act(JobCommand{RequestOf("ana"), expected, job});
+  };
+  CHECK(put(std::nullopt).is_accepted);
+  CHECK(Do("h0", HostEvent::kDrain, 3, DrainReason::kOperator).is_accepted);
+  job.state = model::JobState::kRunning;
+  job.lease = 1;
+  job.host = "h0";
+  CHECK(put(0).error == "host h0 is kDraining: nothing starts there");
+  job.host = "h2";
+  CHECK(put(0).is_accepted);
+  CHECK(Do("h2", HostEvent::kDrain, 3, DrainReason::kOperator).is_accepted);
+  CHECK(Do("h2", HostEvent::kConfirmEmpty, 4).error ==
+        "host h2 still holds job j");
+  job.host.clear();
+  CHECK(put(1).is_accepted);
+  CHECK(Do("h2", HostEvent::kConfirmEmpty, 4).is_accepted);
+}
+
+/// Operators and leaders plan drains, each fine on the state that it saw, and
+/// commit them in any order.
+TEST_CASE("Drains, of racing planners over seeds, keep the budget together") {
+  int refused = 0;
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    BudgetFixture fixture;
+    for (int round = 0; round < 30; ++round) {
+      const model::Fleet seen = fixture.m_machine->fleet();
+      for (int planner = 0; planner < 4; ++planner) {
+        const std::string id = "h" + std::to_string(random() % 10);
+        const Host& host = seen.hosts.at(id);
+        const bool may = budget::MayDrain(seen, id).is_allowed();
+        const auto event = host.state == HostState::kInPool
+                               ? HostEvent::kDrain
+                               : HostEvent::kCancelDrain;
+        if (event == HostEvent::kDrain && !may) {
+          continue;
+        }
+        const ActResult result =
+            fixture.Do(id, event, host.epoch, DrainReason::kMaintenance);
+        refused += event == HostEvent::kDrain && !result.is_accepted;
+        CHECK(fixture.Available() >= 8);
+      }
+    }
+  }
+  CHECK(refused > 20);
+}
+
 // Mostly an event that the lifecycle allows, and seldom a failure.
 HostEvent LikelyEvent(const Host& host, std::mt19937_64& random) {
   auto event = HostEvent::kFail;
@@ -240,6 +345,24 @@
   CHECK(m_machine->fleet().waves.empty());
 }
 
+TEST_CASE_FIXTURE(FleetTableFixture,
+                  "Waves, held by an operator, are not released by a leader") {
+  model::Wave wave;
+  wave.id = "w1";
+  wave.pools = {"annex"};
+  wave.state = ActState::kPaused;
+  CHECK(Act(WaveCommand{RequestOf("leader"), std::nullopt, wave}).is_accepted);
+  wave.is_held = true;
+  CHECK(Act(WaveCommand{RequestOf("ana", "p1"), ActState::kPaused, wave})
+            .is_accepted);
+  wave.is_held = false;
+  wave.state = ActState::kRunning;
+  CHECK(Act(WaveCommand{RequestOf("leader"), ActState::kPaused, wave}).error ==
+        "w1 is held or resumed by an operator alone");
+  CHECK(Act(WaveCommand{RequestOf("ana", "p2"), ActState::kPaused, wave})
+            .is_accepted);
+}
+
 TEST_CASE_FIXTURE(FleetTableFixture,
                   "Jobs, replaced under an old lease, stay as they are") {
   model::Job job;
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -53,7 +53,8 @@
           RolloutCommand{request, std::nullopt, RolloutOf("s")},
           JobCommand{request, 9, job},
           BurnCommand{{{"s", WallTime(Millis(60'000)), 1, 2, 3, 4}}},
-          ExpireCommand{WallTime(Millis(8))}};
+          ExpireCommand{WallTime(Millis(8))},
+          NoteCommand{"n", "t"}};
 }
 
 TEST_CASE("Commands, one of each kind, decode as they were") {
@@ -78,7 +79,7 @@
 
 TEST_CASE("Commands, text that is none, throws") {
   for (const char* text :
-       {"", "{}", "[1]", "[{}]", R"([{"kind":13,"value":{}}])",
+       {"", "{}", "[1]", "[{}]", R"([{"kind":14,"value":{}}])",
         R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
         R"([{"kind":12,"value":{"now":"soon"}}])"}) {
@@ -256,5 +257,45 @@
   CHECK(m_machine->Digest() == m_replica->Digest());
 }
 
+TEST_CASE("Notes, beyond their bounds, are refused and survive a snapshot") {
+  MachineLimits limits;
+  limits.max_notes = 2;
+  limits.max_note_bytes = 4;
+  MachineFixture fixture(limits);
+  const auto put = [&](const std::string& name, const std::string& text) {
+    return fixture.Act(NoteCommand{name, text}).is_accepted;
+  };
+  CHECK(put("a", "1234"));
+  CHECK_FALSE(put("a", "12345"));
+  CHECK_FALSE(put("", "1"));
+  CHECK_FALSE(put(std::string(MachineLimits::kMaxNoteName + 1, 'n'), "1"));
+  CHECK(put("b", "1"));
+  CHECK_FALSE(put("c", "1"));
+  CHECK(put("b", ""));
+  CHECK(put("c", "1"));
+  fixture.Reload();
+  CHECK(fixture.m_machine->Note("a") == "1234");
+  CHECK_FALSE(fixture.m_machine->Note("b"));
+}
+
+TEST_CASE_FIXTURE(MachineFixture,
+                  "Requests, told by a digest, are answered as the first") {
+  OperatorRequest request = RequestOf("ana", "r1");
+  request.digest = "7";
+  CHECK(Act(SettingsCommand{request, 0, {{"pools", "{\"annex\": {}}"}}})
+            .version == 1);
+  // The same request, made into a command on a later state.
+  const ActResult again =
+      Act(SettingsCommand{request, 1, {{"pools", "{\"annex\": {}}"}}});
+  CHECK(again.is_resend);
+  CHECK(again.version == 1);
+  Reload();
+  CHECK(m_machine->FindRequest(request)->version == 1);
+  CHECK_FALSE(m_machine->FindRequest(RequestOf("ana", "r2")));
+  request.digest = "8";
+  CHECK_THROWS_AS(m_machine->FindRequest(request), std::invalid_argument);
+  CHECK_FALSE(Act(SettingsCommand{request, 1, {}}).is_accepted);
+}
+
 }  // namespace
 }  // namespace laurelhall::state
