--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -76,11 +76,15 @@
      }},
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
     {"session", &LoadInto<&Tables::sessions, SessionRecord>},
+    {"note", &LoadInto<&Tables::notes, NoteCommand>},
 };
 
 // The time of a resend differs from the first one's; all else is the same.
 template <typename OperatorCommand>
 uint64_t DigestOf(OperatorCommand command) {
+  if (!command.request.digest.empty()) {
+    return HashText(command.request.digest);
+  }
   command.request.at = {};
   return HashText(EncodeCommands({std::move(command)}));
 }
@@ -95,7 +99,8 @@
       requests(limits),
       audit(limits),
       burn(limits),
-      sessions(limits) {}
+      sessions(limits),
+      notes(limits) {}
 
 Result Tables::Apply(uint64_t index, const Command& command) {
   m_index = index;
@@ -153,6 +158,10 @@
   return change.result;
 }
 
+ActResult Tables::Run(const NoteCommand& command) {
+  return notes.Apply(command);
+}
+
 ActResult Tables::Run(const HostCommand& command) {
   ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
@@ -173,14 +182,13 @@
   const OperatorRequest& request = command.request;
   const uint64_t digest = DigestOf(command);
   ActResult result;
-  const RememberedRequest* first =
-      request.request_id.empty() ? nullptr : requests.Find(request);
-  if (first == nullptr) {
+  const std::optional<RememberedRequest> first =
+      request.request_id.empty() ? std::nullopt : requests.Find(request);
+  if (!first) {
     result = Run(command);
     requests.Remember({request, digest, result});
   } else if (first->digest != digest) {
-    result = Refused("request id " + request.request_id +
-                     " was used with another command");
+    result = Refused(OtherRequestText(request));
   } else {
     result = first->answer;
     result.is_resend = true;
@@ -219,6 +227,7 @@
   audit.Save(writer);
   burn.Save(writer);
   sessions.Save(writer);
+  notes.Save(writer);
   return writer.Finish();
 }
 
