Leader's decisions recorded as a trace, replayed by the command line

Cause: replay.h read traces, but no daemon wrote one and no command read one. The duties now hand what they saw and decided to a recorder; it keeps the fleet as a replay has it and writes only the difference, so a quiet step costs nothing and what others changed in between is in the trace. Ruled out: writing each committed command (the replay would need the whole replicated state); writing the fleet at each step (1 MB a step at 1,900 hosts).

--- a/packages/budget/include/laurelhall/budget/burn.h
+++ b/packages/budget/include/laurelhall/budget/burn.h
@@ -43,6 +43,7 @@
     return rates[static_cast<size_t>(window)];
   }
 };
+BOOST_DESCRIBE_STRUCT(Burn, (), (rates, left, severity))
 
 /// A severity and what it takes: both windows burn at `rate` or faster.
 struct BurnRule {
--- a/packages/cli/src/errors_p.h
+++ b/packages/cli/src/errors_p.h
@@ -7,7 +7,7 @@
 /// How the program ends.
 enum class ExitCode {
   kDone = 0,
-  kRefused = 1,   ///< The system answered, and said no.
+  kRefused = 1,   ///< The system said no, or a trace did not hold.
   kUsage = 2,     ///< Bad usage or bad input; nothing was sent, or a 400.
   kNoAnswer = 3,  ///< The outcome is not known: resend with the same id.
 };
@@ -22,6 +22,11 @@
   using std::runtime_error::runtime_error;
 };
 
+/// A replay came to other decisions than its trace states.
+class MismatchError : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 /// No answer came, or one that leaves the outcome open.
 class NoAnswerError : public std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "laurelhall/base/finding.h"
+#include "laurelhall/report/replay.h"
 #include "table_p.h"
 
 namespace laurelhall::cli {
@@ -290,6 +291,28 @@
   m_environment.out << BashCompletion();
 }
 
+void Session::ReplayTrace() const {
+  const std::string& file = m_arguments.front();
+  std::ifstream trace(file);
+  if (!trace) {
+    throw UsageError(file + ": cannot be read");
+  }
+  const report::ReplayResult result = report::Replay(trace, file);
+  for (const Finding& failure : result.failures) {
+    m_environment.out << failure.place << ": " << failure.text << '\n';
+  }
+  if (result.steps + result.expectations == 0) {
+    throw UsageError(file + ": not a trace, it asks for nothing");
+  }
+  m_environment.out << file << ": " << result.lines << " lines, "
+                    << result.steps << " steps, " << result.expectations
+                    << " expectations, " << result.failures.size()
+                    << " failures\n";
+  if (!result.failures.empty()) {
+    throw MismatchError(file + " does not hold");
+  }
+}
+
 /// Reads each PATH=JSON, and reports all that are none together.
 void Session::AddChanges(boost::json::object& body) const {
   FindingList findings;
@@ -388,6 +411,9 @@
   } catch (const RefusedError& error) {
     environment.err << "laurelhall: refused: " << error.what() << '\n';
     return ExitCode::kRefused;
+  } catch (const MismatchError& error) {
+    environment.err << "laurelhall: " << error.what() << '\n';
+    return ExitCode::kRefused;
   } catch (const std::exception& error) {
     environment.err << "laurelhall: " << error.what() << '\n';
     return ExitCode::kUsage;
--- a/packages/cli/src/session_p.h
+++ b/packages/cli/src/session_p.h
@@ -39,6 +39,7 @@
   void WatchAct() const;
   void WaitForSettings() const;
   void PrintCompletion() const;
+  void ReplayTrace() const;
 
   // What verbs add to a body.
   void AddChanges(boost::json::object& body) const;
--- a/packages/cli/src/verb_help.cc
+++ b/packages/cli/src/verb_help.cc
@@ -9,6 +9,10 @@
 namespace laurelhall::cli {
 namespace {
 
+constexpr const char* kExitCodesHelp =
+    "Exit codes: 0 done, 1 refused or a trace did not hold, 2 bad usage or "
+    "input,\n3 no answer (resend with the same --request-id)\n";
+
 std::string FirstWord(const Verb& verb) {
   const std::string_view name = verb.name;
   return std::string(name.substr(0, name.find(' ')));
@@ -48,7 +52,7 @@
     text += std::string(" --") + option;
   }
   return text + " and those of all verbs\n\nExample:\n  laurelhall " +
-         verb.example + "\n";
+         verb.example + "\n\n" + kExitCodesHelp;
 }
 
 std::string OverviewHelp() {
@@ -60,9 +64,7 @@
     text += synopsis + verb.summary + "\n";
   }
   return text + "\nlaurelhall VERB --help shows an example.\n" +
-         GlobalOptionsHelp() +
-         "\nExit codes: 0 done, 1 refused, 2 bad usage or input, 3 no answer "
-         "(resend with the same --request-id)\n";
+         GlobalOptionsHelp() + "\n" + kExitCodesHelp;
 }
 
 std::string BashCompletion() {
--- a/packages/cli/tests/cli_test.cc
+++ b/packages/cli/tests/cli_test.cc
@@ -102,6 +102,8 @@
     CHECK(Run({arguments.at(0), arguments.size() > 1 ? arguments[1] : "",
                "--help"}) == ExitCode::kDone);
     CHECK(m_out.str().find(verb.example) != std::string::npos);
+    CHECK(m_out.str().find("Exit codes: ") != std::string::npos);
+    CHECK(m_out.str().find('\033') == std::string::npos);
   }
   std::filesystem::remove(job);
 }
@@ -128,6 +130,26 @@
   CHECK(Run({"status"}) == ExitCode::kNoAnswer);
 }
 
+TEST_CASE_FIXTURE(CliFixture, "Cli, replay of traces, ends with its code") {
+  const std::string file =
+      (std::filesystem::temp_directory_path() / "cli_test.jsonl").string();
+  const auto run = [&](const std::string& text) {
+    std::ofstream(file) << text;
+    return Run({"replay", file});
+  };
+  CHECK(run("{\"at\":0,\"event\":\"place\"}\n"
+            "{\"at\":0,\"expect\":\"actions\",\"count\":0}\n") ==
+        ExitCode::kDone);
+  CHECK(run("{\"at\":0,\"event\":\"place\"}\n"
+            "{\"at\":0,\"expect\":\"actions\",\"count\":2}\n") ==
+        ExitCode::kRefused);
+  CHECK(m_out.str().starts_with(file + ":2: expected 2 actions"));
+  CHECK(run("no trace\n") == ExitCode::kUsage);
+  std::filesystem::remove(file);
+  CHECK(Run({"replay", file}) == ExitCode::kUsage);
+  CHECK(m_requests.empty());
+}
+
 TEST_CASE_FIXTURE(CliFixture, "Cli, wrong usage, sends nothing") {
   Answer(200, "{}");
   const std::vector<std::vector<std::string>> lines = {
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -120,7 +120,8 @@
       PartLog("daemon")->critical(
           "The store failed, this host votes no more: {}.", text);
     };
-    operations::Operations operations = operations::MakeOperations();
+    operations::Operations operations =
+        operations::MakeOperations(m_settings.trace_file);
     m_control = std::make_unique<control::ControlHost>(
         init, std::move(operations.duties), std::move(operations.service));
   }
--- a/packages/operations/include/laurelhall/operations/operations.h
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "laurelhall/control/control_host.h"
@@ -15,6 +16,11 @@
 };
 
 /// Makes both for one control host; they share what workers reported.
-Operations MakeOperations();
+///
+/// @param trace_file Where the leader's decisions are recorded for replay, up
+///   to report::kMaxTraceBytes; the file of an earlier process is kept beside
+///   it, with `.1` after its name. Empty: nowhere.
+/// @throws FindingsError when the file can't be written.
+Operations MakeOperations(const std::string& trace_file = "");
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/fleet_duty.cc
+++ b/packages/operations/src/fleet_duty.cc
@@ -51,11 +51,17 @@
 
 class FleetDuty : public control::LeaderDuty {
  public:
+  explicit FleetDuty(std::shared_ptr<report::TraceRecorder> recorder)
+      : m_recorder(std::move(recorder)) {}
+
   std::vector<state::Command> Step(const state::Machine& machine,
                                    const control::LeaderView& view) override {
     const model::Fleet fleet = machine.fleet();
     const planning::StepInput input = InputOf(machine, fleet, view);
     planning::StepResult step = m_controller.Step(fleet, input);
+    if (m_recorder != nullptr) {
+      m_recorder->Planned(fleet, input, step);
+    }
     std::vector<state::Command> commands;
     for (model::Wave& wave : step.waves) {
       commands.emplace_back(ActCommand(fleet.waves, std::move(wave),
@@ -94,13 +100,15 @@
     return input;
   }
 
+  const std::shared_ptr<report::TraceRecorder> m_recorder;  // Null: none.
   planning::FleetController m_controller;
 };
 
 }  // namespace
 
-std::unique_ptr<control::LeaderDuty> MakeFleetDuty() {
-  return std::make_unique<FleetDuty>();
+std::unique_ptr<control::LeaderDuty> MakeFleetDuty(
+    std::shared_ptr<report::TraceRecorder> recorder) {
+  return std::make_unique<FleetDuty>(std::move(recorder));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/planning/include/laurelhall/planning/lifecycle.h
+++ b/packages/planning/include/laurelhall/planning/lifecycle.h
@@ -30,6 +30,10 @@
   std::string act;      ///< Wave, roll-out or move on whose behalf.
   std::string version;  ///< With kReturn: the version that it came back with.
 };
+BOOST_DESCRIBE_STRUCT(
+    Transition,
+    (),
+    (host, expected_epoch, event, drain_reason, move_to, act, version))
 
 /// Applies a transition to a host; the one place that changes its pool.
 ///
--- a/packages/planning/include/laurelhall/planning/plan.h
+++ b/packages/planning/include/laurelhall/planning/plan.h
@@ -22,6 +22,7 @@
   int64_t good = 0;
   int64_t bad = 0;
 };
+BOOST_DESCRIBE_STRUCT(HostOutcomes, (), (good, bad))
 
 /// What is seen of the fleet beside the replicated state.
 struct StepInput {
@@ -32,6 +33,7 @@
   budget::BurnByService burn;
   std::map<std::string, HostOutcomes> outcomes;
 };
+BOOST_DESCRIBE_STRUCT(StepInput, (), (now, in_flight, burn, outcomes))
 
 /// The bounds that planning works within.
 struct PlanningPolicy {
--- a/packages/report/include/laurelhall/report/replay.h
+++ b/packages/report/include/laurelhall/report/replay.h
@@ -8,7 +8,8 @@
 
 #include "laurelhall/base/finding.h"
 #include "laurelhall/model/json.h"
-#include "laurelhall/placement/job_action.h"
+#include "laurelhall/placement/placer.h"
+#include "laurelhall/planning/plan.h"
 
 // Recorded traces of decisions, as JSON lines. A line has "at" (milliseconds)
 // and either "event", which changes the fleet or asks for a decision, or
@@ -47,10 +48,33 @@
     Line(at, "event", event, {{event, boost::json::value_from(value)}});
   }
 
+  /// Records that a value of a kind is gone.
+  void Forgot(WallTime at, std::string_view kind, const std::string& id);
+
   /// Records a placement step: asks for it, and states all its actions.
-  void Placed(WallTime at, const std::vector<placement::JobAction>& actions);
+  ///
+  /// @param seen What the step saw besides the fleet.
+  void Placed(WallTime at,
+              const std::vector<placement::JobAction>& actions,
+              const placement::Observations& seen = {});
+
+  /// Records a planning step with its input, and states all its outcomes.
+  void Planned(const planning::StepInput& input,
+               const planning::StepResult& result);
 
  private:
+  /// States every value, and how many there are.
+  template <typename T>
+  void ExpectAll(WallTime at,
+                 std::string_view one,
+                 std::string_view all,
+                 const std::vector<T>& values) {
+    for (const T& value : values) {
+      Line(at, "expect", one, {{"is", boost::json::value_from(value)}});
+    }
+    Line(at, "expect", all, {{"count", values.size()}});
+  }
+
   void Line(WallTime at,
             std::string_view verb,
             std::string_view what,
--- a/packages/report/src/json_pattern.cc
+++ b/packages/report/src/json_pattern.cc
@@ -36,7 +36,8 @@
       throw std::invalid_argument("unknown member " +
                                   std::string(member.key()));
     }
-    if (found->is_object() && member.value().is_object()) {
+    const bool is_empty = found->is_object() && found->as_object().empty();
+    if (found->is_object() && member.value().is_object() && !is_empty) {
       Overlay(found->as_object(), member.value().as_object());
     } else {
       *found = member.value();
--- a/packages/report/src/replay.cc
+++ b/packages/report/src/replay.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <stdexcept>
 
+#include "fleet_copy_p.h"
 #include "json_pattern_p.h"
 #include "laurelhall/model/fleet.h"
 #include "laurelhall/placement/placer.h"
@@ -27,13 +28,17 @@
   return std::string(line.at(key).as_string());
 }
 
-// Applies the members that a line names to the value that it is keyed by.
+// Applies the members that a line names to the value that it is keyed by. A
+// line that names all of them replaces it.
 template <typename T>
 void Set(std::map<std::string, T>& values,
          const json::object& part,
          const char* key) {
   T& value = values[TextOf(part, key)];
-  json::value whole = json::value_from(value);
+  json::value whole = json::value_from(T{});
+  if (part.size() < whole.as_object().size()) {
+    whole = json::value_from(value);
+  }
   Overlay(whole.as_object(), part);
   value = json::value_to<T>(whole);
 }
@@ -48,6 +53,34 @@
   return json::value_from(found->second);
 }
 
+template <typename T>
+void CheckAmong(const char* what,
+                const json::object& line,
+                const std::vector<T>& values) {
+  const json::value& wanted = line.at("is");
+  const bool is_there =
+      std::any_of(values.begin(), values.end(), [&wanted](const T& value) {
+        return Matches(wanted, json::value_from(value));
+      });
+  if (!is_there) {
+    throw ExpectationError(std::string("no ") + what + " " +
+                           json::serialize(wanted) + " among " +
+                           json::serialize(json::value_from(values)));
+  }
+}
+
+template <typename T>
+void CheckCount(const char* what,
+                const json::object& line,
+                const std::vector<T>& values) {
+  const auto wanted = line.at("count").to_number<size_t>();
+  if (wanted != values.size()) {
+    throw ExpectationError("expected " + std::to_string(wanted) + " " + what +
+                           ", there are " +
+                           json::serialize(json::value_from(values)));
+  }
+}
+
 class Replayer {
  public:
   void Apply(const json::object& line, ReplayResult& result);
@@ -60,18 +93,25 @@
   void SetService(const json::object& line);
   void SetQuota(const json::object& line);
   void SetWave(const json::object& line);
+  void SetRollout(const json::object& line);
   void SetJob(const json::object& line);
+  void SetWeights(const json::object& line);
+  void Forget(const json::object& line);
   void Cancel(const json::object& line);
   void Report(const json::object& line);
   void Usage(const json::object& line);
   void Place(const json::object& line);
   void Plan(const json::object& line);
+  planning::StepInput DerivedInput() const;
 
   void ExpectHost(const json::object& line);
   void ExpectJob(const json::object& line);
   void ExpectWave(const json::object& line);
+  void ExpectRollout(const json::object& line);
   void ExpectAction(const json::object& line);
   void ExpectActions(const json::object& line);
+  void ExpectTransition(const json::object& line);
+  void ExpectTransitions(const json::object& line);
   void ExpectRefused(const json::object& line);
 
   static void Check(const json::object& line, const json::value& value);
@@ -86,24 +126,29 @@
   placement::Observations m_seen;
   placement::Placer m_placer;
   planning::FleetController m_controller;
-  std::vector<placement::JobAction> m_actions;  // Of the last placement.
+  std::vector<placement::JobAction> m_actions;      // Of the last placement.
+  std::vector<planning::Transition> m_transitions;  // Of the last plan.
 };
 
 const std::map<std::string, Replayer::Handler> Replayer::kEvents = {
     {"host", &Replayer::SetHost},       {"pool", &Replayer::SetPool},
     {"service", &Replayer::SetService}, {"quota", &Replayer::SetQuota},
-    {"wave", &Replayer::SetWave},       {"job", &Replayer::SetJob},
-    {"cancel", &Replayer::Cancel},      {"report", &Replayer::Report},
-    {"usage", &Replayer::Usage},        {"place", &Replayer::Place},
-    {"plan", &Replayer::Plan},
+    {"wave", &Replayer::SetWave},       {"rollout", &Replayer::SetRollout},
+    {"job", &Replayer::SetJob},         {"weights", &Replayer::SetWeights},
+    {"forget", &Replayer::Forget},      {"cancel", &Replayer::Cancel},
+    {"report", &Replayer::Report},      {"usage", &Replayer::Usage},
+    {"place", &Replayer::Place},        {"plan", &Replayer::Plan},
 };
 
 const std::map<std::string, Replayer::Handler> Replayer::kExpectations = {
     {"host", &Replayer::ExpectHost},
     {"job", &Replayer::ExpectJob},
     {"wave", &Replayer::ExpectWave},
+    {"rollout", &Replayer::ExpectRollout},
     {"action", &Replayer::ExpectAction},
     {"actions", &Replayer::ExpectActions},
+    {"transition", &Replayer::ExpectTransition},
+    {"transitions", &Replayer::ExpectTransitions},
     {"refused", &Replayer::ExpectRefused},
 };
 
@@ -150,6 +195,26 @@
   Set(m_fleet.waves, line.at("wave").as_object(), "id");
 }
 
+void Replayer::SetRollout(const json::object& line) {
+  Set(m_fleet.rollouts, line.at("rollout").as_object(), "id");
+}
+
+void Replayer::SetWeights(const json::object& line) {
+  m_fleet.weights = json::value_to<model::MeasureWeights>(line.at("weights"));
+}
+
+void Replayer::Forget(const json::object& line) {
+  const std::string kind = TextOf(line, "kind");
+  const std::string id = TextOf(line, "id");
+  size_t erased = 0;
+  ForEachTable(m_fleet, [&](std::string_view name, auto& table) {
+    erased += name == kind ? table.erase(id) : 0;
+  });
+  if (erased == 0) {
+    throw std::invalid_argument("there is no " + kind + " " + id);
+  }
+}
+
 void Replayer::SetJob(const json::object& line) {
   const json::object& part = line.at("job").as_object();
   const bool is_new = m_fleet.jobs.count(TextOf(part, "id")) == 0;
@@ -192,18 +257,17 @@
       json::value_to<placement::JobUsage>(whole);
 }
 
-void Replayer::Place(const json::object&) {
-  m_actions = m_placer.Step(m_fleet, m_seen, m_now);
-  for (const placement::JobAction& action : m_actions) {
-    Job& job = m_fleet.jobs.at(action.job);
-    if (job.lease == action.expected_lease) {
-      job = placement::AfterAction(job, action, m_now);
-    }
+// What a recorded line names as seen stands in place of the usage so far.
+void Replayer::Place(const json::object& line) {
+  if (const json::value* seen = line.if_contains("seen")) {
+    m_seen = json::value_to<placement::Observations>(*seen);
   }
+  m_actions = m_placer.Step(m_fleet, m_seen, m_now);
+  ApplyPlacement(m_fleet, m_actions, m_now);
 }
 
 // Runs that are on a host are what is in flight there.
-void Replayer::Plan(const json::object&) {
+planning::StepInput Replayer::DerivedInput() const {
   planning::StepInput input;
   input.now = m_now;
   for (const auto& [id, host] : m_fleet.hosts) {
@@ -214,17 +278,19 @@
       ++input.in_flight[job.host];
     }
   }
+  return input;
+}
+
+void Replayer::Plan(const json::object& line) {
+  const json::value* recorded = line.if_contains("input");
+  const planning::StepInput input =
+      recorded == nullptr ? DerivedInput()
+                          : json::value_to<planning::StepInput>(*recorded);
   const planning::StepResult result = m_controller.Step(m_fleet, input);
+  ApplyPlan(m_fleet, result, m_now);
+  m_transitions.clear();
   for (const planning::Action& action : result.actions) {
-    model::Host& host = m_fleet.hosts.at(action.transition.host);
-    host = planning::ApplyTransition(host, action.transition, m_now)
-               .value_or(host);
-  }
-  for (const model::Wave& wave : result.waves) {
-    m_fleet.waves[wave.id] = wave;
-  }
-  for (const model::Rollout& rollout : result.rollouts) {
-    m_fleet.rollouts[rollout.id] = rollout;
+    m_transitions.push_back(action.transition);
   }
 }
 
@@ -254,25 +320,24 @@
   Check(line, Read(m_fleet.waves, TextOf(line, "id")));
 }
 
+void Replayer::ExpectRollout(const json::object& line) {
+  Check(line, Read(m_fleet.rollouts, TextOf(line, "id")));
+}
+
 void Replayer::ExpectAction(const json::object& line) {
-  const json::value& wanted = line.at("is");
-  const bool is_there = std::any_of(
-      m_actions.begin(), m_actions.end(), [&wanted](const auto& action) {
-        return Matches(wanted, json::value_from(action));
-      });
-  if (!is_there) {
-    throw ExpectationError("no action " + json::serialize(wanted) + " among " +
-                           json::serialize(json::value_from(m_actions)));
-  }
+  CheckAmong("action", line, m_actions);
 }
 
 void Replayer::ExpectActions(const json::object& line) {
-  const auto wanted = line.at("count").to_number<size_t>();
-  if (wanted != m_actions.size()) {
-    throw ExpectationError("expected " + std::to_string(wanted) +
-                           " actions, there are " +
-                           json::serialize(json::value_from(m_actions)));
-  }
+  CheckCount("actions", line, m_actions);
+}
+
+void Replayer::ExpectTransition(const json::object& line) {
+  CheckAmong("transition", line, m_transitions);
+}
+
+void Replayer::ExpectTransitions(const json::object& line) {
+  CheckCount("transitions", line, m_transitions);
 }
 
 // A job that is refused at submission, with a part of the reason.
--- a/packages/report/tests/replay_test.cc
+++ b/packages/report/tests/replay_test.cc
@@ -4,9 +4,13 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 
+#include "fleet_copy_p.h"
 #include "laurelhall/placement/placer.h"
+#include "laurelhall/planning/controller.h"
+#include "laurelhall/report/trace_recorder.h"
 
 namespace laurelhall::report {
 namespace {
@@ -111,6 +115,133 @@
   }
 }
 
+// A leader's steps over a fleet that others change between them.
+struct RecorderFixture : ReplayFixture {
+  RecorderFixture() {
+    auto out = std::make_unique<std::ostringstream>();
+    m_out = out.get();
+    m_recorder = std::make_unique<TraceRecorder>(std::move(out), kMaxBytes);
+    m_fleet.pools["p"].name = "p";
+    for (int i = 0; i < 6; ++i) {
+      model::Host& host = m_fleet.hosts["h" + std::to_string(i)];
+      host.id = "h" + std::to_string(i);
+      host.pool = "p";
+      host.rack = "r" + std::to_string(i);
+      host.capacity = {8, 32, 0};
+      host.state = model::HostState::kInPool;
+    }
+    model::Wave& wave = m_fleet.waves["w"];
+    wave.id = "w";
+    wave.pools = {"p"};
+    wave.pending = {"h0", "h1", "h2"};
+  }
+
+  void Run(uint32_t seed, int steps) {
+    std::mt19937 random(seed);
+    for (int i = 0; i < steps; ++i) {
+      m_now += Millis(500);
+      Change(random);
+      const planning::StepInput input = InputNow();
+      const auto plan = m_controller.Step(m_fleet, input);
+      m_recorder->Planned(m_fleet, input, plan);
+      ApplyPlan(m_fleet, plan, m_now);
+      const auto actions = m_placer.Step(m_fleet, m_seen, m_now);
+      m_recorder->Placed(m_fleet, m_seen, actions, m_now);
+      m_decisions += plan.actions.size() + actions.size();
+      ApplyPlacement(m_fleet, actions, m_now);
+    }
+  }
+
+  void Change(std::mt19937& random) {
+    const std::string id = "j" + std::to_string(random() % 20);
+    if (const auto found = m_fleet.jobs.find(id); found == m_fleet.jobs.end()) {
+      model::Job& job = m_fleet.jobs[id];
+      job.id = id;
+      job.pool = "p";
+      job.team = "t" + std::to_string(random() % 2);
+      job.priority = static_cast<model::Priority>(random() % 3);
+      job.declared = {1.0 + random() % 6, 2.3, 0};
+      job.declared_run_time = std::chrono::minutes(5);
+      job.can_checkpoint = random() % 2 == 0;
+      job.submitted = m_now;
+    } else if (found->second.host.empty()) {
+      m_fleet.jobs.erase(found);
+    } else {
+      Report(found->second, random() % 3 == 0);
+    }
+    model::Host& host = m_fleet.hosts["h" + std::to_string(random() % 6)];
+    if (host.state == model::HostState::kRetired) {
+      host.state = model::HostState::kInPool;
+    }
+    const auto event = static_cast<model::HostEvent>(
+        random() % static_cast<uint32_t>(model::HostEvent::kCount));
+    const planning::Transition change{host.id, host.epoch, event, {},
+                                      "",      "",         "2.4"};
+    host = planning::ApplyTransition(host, change, m_now).value_or(host);
+  }
+
+  void Report(model::Job& job, bool is_failure) {
+    const placement::JobReport report{
+        job.id,
+        job.lease,
+        job.host,
+        is_failure ? placement::JobReportKind::kFailed
+                   : placement::JobReportKind::kSucceeded,
+        Millis(1'500),
+        {1.1, 2.1, 0},
+        "broken"};
+    m_placer.Learn(job, report, m_now);
+    m_recorder->Learned(job, report, m_now);
+    job = placement::AfterReport(job, report, m_now).value_or(job);
+  }
+
+  planning::StepInput InputNow() const {
+    planning::StepInput input;
+    input.now = m_now;
+    for (const auto& [id, host] : m_fleet.hosts) {
+      input.in_flight[id] = 0;
+    }
+    input.in_flight["h1"] = 2;
+    input.burn["s"].rates = {0.1, 2.5, 0, 0};
+    return input;
+  }
+
+  static constexpr std::streamoff kMaxBytes = 4 << 20;
+  std::ostringstream* m_out;
+  std::unique_ptr<TraceRecorder> m_recorder;
+  model::Fleet m_fleet;
+  placement::Observations m_seen;
+  placement::Placer m_placer;
+  planning::FleetController m_controller;
+  WallTime m_now{};
+  size_t m_decisions = 0;
+};
+
+TEST_CASE_FIXTURE(RecorderFixture,
+                  "TraceRecorder, fleet that others change, replays the same") {
+  Run(7, 400);
+  const std::string trace = m_out->str();
+  const ReplayResult result = ReplayText(trace);
+  CHECK(m_decisions > 100);
+  CHECK(static_cast<size_t>(result.expectations) > m_decisions);
+  for (const Finding& failure : result.failures) {
+    FAIL_CHECK(failure.place << ": " << failure.text);
+  }
+  Run(8, 1);
+  m_now -= Millis(60'000);
+  Run(9, 1);
+  CHECK(m_recorder->is_ended());
+}
+
+TEST_CASE_FIXTURE(RecorderFixture,
+                  "TraceRecorder, more than its limit, ends with a comment") {
+  Run(7, 20'000);
+  CHECK(m_recorder->is_ended());
+  CHECK(m_out->str().ends_with("# Ended: the trace is full.\n"));
+  CHECK(m_out->str().size() < kMaxBytes + 100'000);
+  CHECK(ReplayText(m_out->str()).failures.empty());
+}
+
 TEST_CASE_FIXTURE(ReplayFixture,
                   "Replay, wave over a host with a run, waits for it") {
   const ReplayResult result = ReplayText(
