Recorded traces: test with waves, host failures and forgotten jobs

The first test let two mutations live: a plan replayed without its recorded input, and a changed value laid over the old one.

--- a/packages/report/tests/replay_test.cc
+++ b/packages/report/tests/replay_test.cc
@@ -122,18 +122,15 @@
     m_out = out.get();
     m_recorder = std::make_unique<TraceRecorder>(std::move(out), kMaxBytes);
     m_fleet.pools["p"].name = "p";
-    for (int i = 0; i < 6; ++i) {
+    for (uint32_t i = 0; i < kHosts; ++i) {
       model::Host& host = m_fleet.hosts["h" + std::to_string(i)];
       host.id = "h" + std::to_string(i);
       host.pool = "p";
       host.rack = "r" + std::to_string(i);
+      host.availability_zone = "z" + std::to_string(i);
       host.capacity = {8, 32, 0};
       host.state = model::HostState::kInPool;
     }
-    model::Wave& wave = m_fleet.waves["w"];
-    wave.id = "w";
-    wave.pools = {"p"};
-    wave.pending = {"h0", "h1", "h2"};
   }
 
   void Run(uint32_t seed, int steps) {
@@ -145,6 +142,7 @@
       const auto plan = m_controller.Step(m_fleet, input);
       m_recorder->Planned(m_fleet, input, plan);
       ApplyPlan(m_fleet, plan, m_now);
+      m_transitions += plan.actions.size();
       const auto actions = m_placer.Step(m_fleet, m_seen, m_now);
       m_recorder->Placed(m_fleet, m_seen, actions, m_now);
       m_decisions += plan.actions.size() + actions.size();
@@ -169,17 +167,33 @@
     } else {
       Report(found->second, random() % 3 == 0);
     }
-    model::Host& host = m_fleet.hosts["h" + std::to_string(random() % 6)];
-    if (host.state == model::HostState::kRetired) {
-      host.state = model::HostState::kInPool;
+    if (random() % 8 == 0) {
+      RestartWave("h" + std::to_string(random() % kHosts));
     }
-    const auto event = static_cast<model::HostEvent>(
-        random() % static_cast<uint32_t>(model::HostEvent::kCount));
+    ChangeHost(random, m_fleet.hosts["h" + std::to_string(random() % kHosts)]);
+  }
+
+  void ChangeHost(std::mt19937& random, model::Host& host) {
+    const auto event = random() % 64 == 0 ? model::HostEvent::kFail
+                       : host.state == model::HostState::kReturning
+                           ? model::HostEvent::kWarm
+                           : model::HostEvent::kReturn;
     const planning::Transition change{host.id, host.epoch, event, {},
                                       "",      "",         "2.4"};
     host = planning::ApplyTransition(host, change, m_now).value_or(host);
   }
 
+  // Drains a host that had all its tries but one; other hosts' are forgotten.
+  void RestartWave(const std::string& host) {
+    model::Wave& wave = m_fleet.waves["w"];
+    wave = {};
+    wave.id = "w";
+    wave.pools = {"p"};
+    wave.started = m_now;
+    wave.pending = {"h1", host};
+    wave.tries = {{host, planning::PlanningPolicy().max_drain_tries - 1}};
+  }
+
   void Report(model::Job& job, bool is_failure) {
     const placement::JobReport report{
         job.id,
@@ -201,11 +215,13 @@
     for (const auto& [id, host] : m_fleet.hosts) {
       input.in_flight[id] = 0;
     }
-    input.in_flight["h1"] = 2;
+    const bool is_busy = m_now.time_since_epoch() / Millis(10'000) % 2 == 0;
+    input.in_flight["h1"] = is_busy ? 2 : 0;
     input.burn["s"].rates = {0.1, 2.5, 0, 0};
     return input;
   }
 
+  static constexpr uint32_t kHosts = 12;
   static constexpr std::streamoff kMaxBytes = 4 << 20;
   std::ostringstream* m_out;
   std::unique_ptr<TraceRecorder> m_recorder;
@@ -215,6 +231,7 @@
   planning::FleetController m_controller;
   WallTime m_now{};
   size_t m_decisions = 0;
+  size_t m_transitions = 0;
 };
 
 TEST_CASE_FIXTURE(RecorderFixture,
@@ -223,6 +240,7 @@
   const std::string trace = m_out->str();
   const ReplayResult result = ReplayText(trace);
   CHECK(m_decisions > 100);
+  CHECK(m_transitions > 30);
   CHECK(static_cast<size_t>(result.expectations) > m_decisions);
   for (const Finding& failure : result.failures) {
     FAIL_CHECK(failure.place << ": " << failure.text);
