--- a/packages/cli/src/table.cc
+++ b/packages/cli/src/table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <iomanip>
+#include <sstream>
 #include <string_view>
 
 #include "laurelhall/base/time.h"
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr size_t kMaxListed = 4;
+constexpr int kDigits = 6;
 constexpr std::string_view kBold = "\x1b[1m";
 constexpr std::string_view kPlain = "\x1b[0m";
 
@@ -38,6 +41,12 @@
   return words;
 }
 
+std::string NumberText(double number) {
+  std::ostringstream text;
+  text << std::setprecision(kDigits) << number;
+  return text.str();
+}
+
 std::string Cell(std::string_view name, const boost::json::value& value);
 
 std::string ListCell(const boost::json::array& array) {
@@ -62,6 +71,9 @@
   if (value.is_array()) {
     return ListCell(value.get_array());
   }
+  if (value.is_double()) {
+    return NumberText(value.get_double());
+  }
   const bool is_time = std::find(kTimeMembers.begin(), kTimeMembers.end(),
                                  name) != kTimeMembers.end();
   if (is_time && value.is_int64()) {
--- a/packages/cli/tests/cli_test.cc
+++ b/packages/cli/tests/cli_test.cc
@@ -103,7 +103,6 @@
                "--help"}) == ExitCode::kDone);
     CHECK(m_out.str().find(verb.example) != std::string::npos);
     CHECK(m_out.str().find("Exit codes: ") != std::string::npos);
-    CHECK(m_out.str().find('\033') == std::string::npos);
   }
   std::filesystem::remove(job);
 }
@@ -187,7 +186,12 @@
         "-        3\n"
         "w-22  annex  -                  r1    draining  -             -    "
         "-        12\n");
+  CHECK(m_out.str().find('\033') == std::string::npos);
+  m_environment.is_terminal = true;
+  CHECK(Run({"host", "list"}) == ExitCode::kDone);
+  CHECK(m_out.str().find('\033') != std::string::npos);
   CHECK(Run({"host", "list", "--output", "json"}) == ExitCode::kDone);
+  CHECK(m_out.str().find('\033') == std::string::npos);
   CHECK(boost::json::parse(m_out.str()).as_array().size() == 2);
 }
 
--- a/packages/report/include/laurelhall/report/replay.h
+++ b/packages/report/include/laurelhall/report/replay.h
@@ -13,7 +13,7 @@
 
 // Recorded traces of decisions, as JSON lines. A line has "at" (milliseconds)
 // and either "event", which changes the fleet or asks for a decision, or
-// "expect", which states its outcome. docs/design/placement.md lists them.
+// "expect", which states its outcome. docs/TRACES.md lists them.
 namespace laurelhall::report {
 
 /// What came of a replay.
--- a/packages/report/include/laurelhall/report/trace_recorder.h
+++ b/packages/report/include/laurelhall/report/trace_recorder.h
@@ -28,6 +28,9 @@
   explicit TraceRecorder(std::unique_ptr<std::ostream> out,
                          std::streamoff max_bytes = kMaxTraceBytes);
 
+  /// Records what the placer took over from an earlier leader.
+  void Loaded(const placement::PlacementMemory& memory, WallTime now);
+
   /// Records what the placer learned from a committed report.
   ///
   /// @param before The job as it was before the report.
--- a/packages/report/src/replay.cc
+++ b/packages/report/src/replay.cc
@@ -96,6 +96,7 @@
   void SetRollout(const json::object& line);
   void SetJob(const json::object& line);
   void SetWeights(const json::object& line);
+  void LoadMemory(const json::object& line);
   void Forget(const json::object& line);
   void Cancel(const json::object& line);
   void Report(const json::object& line);
@@ -135,9 +136,10 @@
     {"service", &Replayer::SetService}, {"quota", &Replayer::SetQuota},
     {"wave", &Replayer::SetWave},       {"rollout", &Replayer::SetRollout},
     {"job", &Replayer::SetJob},         {"weights", &Replayer::SetWeights},
-    {"forget", &Replayer::Forget},      {"cancel", &Replayer::Cancel},
-    {"report", &Replayer::Report},      {"usage", &Replayer::Usage},
-    {"place", &Replayer::Place},        {"plan", &Replayer::Plan},
+    {"memory", &Replayer::LoadMemory},  {"forget", &Replayer::Forget},
+    {"cancel", &Replayer::Cancel},      {"report", &Replayer::Report},
+    {"usage", &Replayer::Usage},        {"place", &Replayer::Place},
+    {"plan", &Replayer::Plan},
 };
 
 const std::map<std::string, Replayer::Handler> Replayer::kExpectations = {
@@ -203,6 +205,10 @@
   m_fleet.weights = json::value_to<model::MeasureWeights>(line.at("weights"));
 }
 
+void Replayer::LoadMemory(const json::object& line) {
+  m_placer.Load(json::value_to<placement::PlacementMemory>(line.at("memory")));
+}
+
 void Replayer::Forget(const json::object& line) {
   const std::string kind = TextOf(line, "kind");
   const std::string id = TextOf(line, "id");
--- a/packages/report/src/trace_recorder.cc
+++ b/packages/report/src/trace_recorder.cc
@@ -79,6 +79,13 @@
   return is_changed;
 }
 
+void TraceRecorder::Loaded(const placement::PlacementMemory& memory,
+                           WallTime now) {
+  if (Begin(now)) {
+    m_writer.Event(now, "memory", memory);
+  }
+}
+
 void TraceRecorder::Learned(const model::Job& before,
                             const placement::JobReport& report,
                             WallTime now) {
--- a/packages/report/tests/replay_test.cc
+++ b/packages/report/tests/replay_test.cc
@@ -236,7 +236,13 @@
 
 TEST_CASE_FIXTURE(RecorderFixture,
                   "TraceRecorder, fleet that others change, replays the same") {
-  Run(7, 400);
+  Run(7, 200);
+  // The next leader goes on with what the last one saved.
+  const placement::PlacementMemory memory = m_placer.Save();
+  m_placer = placement::Placer();
+  m_placer.Load(memory);
+  m_recorder->Loaded(memory, m_now);
+  Run(11, 200);
   const std::string trace = m_out->str();
   const ReplayResult result = ReplayText(trace);
   CHECK(m_decisions > 100);
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,18 +1,21 @@
 # Sourced by scripts that need a cluster of their own on loopback.
+# With trace_files set, each daemon records into FOLDER/trace-N.jsonl.
 # Sets cli, daemons, entries; call start_cluster BASE_PORT FOLDER, stop_cluster.
 build=${build:-build}
 daemons=()
 endpoints=()
 
 start_cluster() { # start_cluster BASE_PORT FOLDER
-  local base=$1 folder=$2 n
+  local base=$1 folder=$2 n trace=
   mkdir -p "$folder"
   entries=
   for n in 1 2 3 4 5 6 7; do
+    [ -z "${trace_files:-}" ] || trace=$folder/trace-$n.jsonl
     sed -e "s/127.0.0.1:71\(0[0-9]\)/127.0.0.1:$((base / 100))\1/" \
       -e "s/127.0.0.1:81\(0[0-9]\)/127.0.0.1:$((base / 100 + 1))\1/" \
       -e "s/127.0.0.1:91\(0[0-9]\)/127.0.0.1:$((base / 100 + 2))\1/" \
       -e "s#data/entry#$folder/data-entry#" -e 's/"level": "info"/"level": "warning"/' \
+      -e "s#\"trace_file\": \"\"#\"trace_file\": \"$trace\"#" \
       "examples/montevideo/entry-$n.json" > "$folder/entry-$n.json"
     "$build/packages/daemon/laurelhalld" --settings "$folder/entry-$n.json" 2> "$folder/entry-$n.log" &
     daemons+=($!)
--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts seven daemons and three stand-in endpoints on loopback, sends requests
 # through different entry hosts, shows the fleet and the burn, and stops all.
-# KEEP=1 (second argument) leaves everything up until Enter is pressed.
+# KEEP=1 (second argument) leaves everything up until Enter is pressed, and
+# names each process in build/demo/pids, for those who want to end one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -13,12 +14,24 @@
 daemons=()
 endpoints=()
 
+forget_daemon() { # forget_daemon PID: its exit code does not count
+  local kept=() pid
+  for pid in "${daemons[@]}"; do
+    [ "$pid" = "$1" ] || kept+=("$pid")
+  done
+  daemons=("${kept[@]}")
+  wait "$1" || true
+}
+
 stop_all() {
   # Endpoints first: they announce that they leave, then the daemons drain.
   for pid in "${endpoints[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${endpoints[@]}"; do wait "$pid" 2>/dev/null || true; done
   local code=0
-  for pid in "${daemons[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${daemons[@]}"; do
+    if kill -TERM "$pid" 2> /dev/null; then continue; fi
+    [ -n "$keep" ] && echo "process $pid was ended before" && forget_daemon "$pid"
+  done
   for pid in "${daemons[@]}"; do wait "$pid" || code=$?; done
   endpoints=()
   daemons=()
@@ -46,10 +59,13 @@
 for n in 1 2 3 4 5 6 7; do
   $daemon --settings "examples/montevideo/entry-$n.json" 2> "$logs/entry-$n.log" &
   daemons+=($!)
+  echo "entry-$n $!" >> "$logs/pids"
 done
 wait_for '"leader":"entry-' $cli status --output json
 $cli settings load examples/montevideo/settings.json
-$cli settings set pools.base.warm_up='"2s"' > /dev/null
+# Budgets that fit three hosts in place of thirty-four.
+$cli settings set pools.base.warm_up='"2s"' services.estimates.min_available=1 \
+  services.estimates.max_away_share=0.5 > /dev/null
 $cli settings wait 2
 
 step "Hosts, and three stand-in endpoints that announce themselves"
@@ -65,6 +81,7 @@
     --vendor $vendor --vendor-name $vendor-vendor "${words[@]}" --delay 20 \
     --journal "$logs/runs-$n.txt" > /dev/null 2> "$logs/endpoint-$n.log" &
   endpoints+=($!)
+  echo "runner-$n $!" >> "$logs/pids"
 done
 all_open() {
   $cli endpoint list --output json | grep -o '"is_host_away":false' | wc -l
@@ -93,14 +110,9 @@
   cat <<EOF
 
 All of it is up. Entry hosts: $entries
-Try, in another shell:
-  curl -X POST -H 'Laurelhall-Organisation: insurer-a' -d photo \\
-    http://127.0.0.1:8104/v1/services/estimates-a/requests/estimate
-  $cli host drain host-2
-  $cli explain host host-2
-  $cli settings set services.estimates-a.default_deadline='"20s"'
-Logs: $logs
-Enter stops all of it.
+Logs: $logs, one file for each process. Processes:
+$(sed 's/^/  /' "$logs/pids")
+README.md goes on from here, in another shell. Enter stops all of it.
 EOF
   read -r _ || true
 fi
