--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell n=$$(nproc); [ $$n -gt 8 ] && echo 8 || echo $$n)
 SEEDS ?= 200
 
-.PHONY: all build run test bench soak lint format install clean
+.PHONY: all build run test check-docs bench soak lint format install clean
 
 all: build
 
@@ -18,6 +18,9 @@
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+check-docs: build
+	@scripts/check_docs.sh $(BUILD)
+
 soak: build
 	@scripts/soak.sh $(BUILD) $(SEEDS)
 
