--- a/packages/operations/include/laurelhall/operations/operations.h
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "laurelhall/control/control_host.h"
@@ -17,8 +18,13 @@
 
 /// Makes both for one control host; they share what workers reported.
 ///
+/// @param trace_file Where the leader's decisions are recorded for replay, up
+///   to report::kMaxTraceBytes; the file of an earlier process is kept beside
+///   it, with `.1` after its name. Empty: nowhere.
 /// @param clock The wall clock of operators' requests; called on the thread
 ///   that handles them.
-Operations MakeOperations(std::function<WallTime()> clock = WallNow);
+/// @throws FindingsError when the file can't be written.
+Operations MakeOperations(const std::string& trace_file = "",
+                          std::function<WallTime()> clock = WallNow);
 
 }  // namespace laurelhall::operations
--- a/packages/operations/tests/leader_loop.cc
+++ b/packages/operations/tests/leader_loop.cc
@@ -132,7 +132,7 @@
 
 void LeaderLoop::ChangeLeader() {
   ++m_counts.leaders;
-  m_leader = MakeOperations([this] { return m_now; });
+  m_leader = MakeOperations("", [this] { return m_now; });
 }
 
 void LeaderLoop::Leader(int step) {
