Bench of what control costs a daemon

Cause: the capacity page needs slopes of bytes and processor time against endpoints, entry hosts, changes and claims.

--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -82,6 +82,29 @@
   return command;
 }
 
+JobCommand JobOf(size_t number) {
+  JobCommand command;
+  command.request = {"operator-1", LongId("q", number)};
+  command.job.id = LongId("j", number);
+  command.job.team = "team-07";
+  command.job.pool = "counter";
+  command.job.kind = "valuation";
+  command.job.submitted = kNow;
+  command.job.deadline = kNow + kRetention;
+  return command;
+}
+
+// Each change sets one field of one of the pools of the coming size.
+SettingsCommand SettingsOf(size_t number) {
+  constexpr size_t kPools = 68;
+  SettingsCommand command;
+  command.request = {"operator-1", LongId("s", number)};
+  command.expected_version = number + 1;  // After the pool's own change.
+  const std::string pool = "pools.pool-" + std::to_string(number % kPools);
+  command.changes = {{pool + ".target_hosts", std::to_string(number)}};
+  return command;
+}
+
 /// A machine and its next log index.
 struct Subject {
   Machine machine;
@@ -199,6 +222,8 @@
   MeasureSlope("claim", 50'000, [](size_t i) { return ClaimOf(i); });
   MeasureSlope("endpoint", 5'000, [](size_t i) { return EndpointOf(i); });
   MeasureSlope("host", 5'000, [](size_t i) { return HostOf(i); });
+  MeasureSlope("job", 5'000, [](size_t i) { return JobOf(i); });
+  MeasureSlope("settings change", 400, [](size_t i) { return SettingsOf(i); });
   for (const size_t claims : {10'000, 50'000, 100'000, 200'000}) {
     MeasureSnapshot(claims);
   }
