--- a/packages/control/src/rpc_channel_p.h
+++ b/packages/control/src/rpc_channel_p.h
@@ -45,6 +45,8 @@
   bool IsBackingOff() const;
   kj::Promise<kj::Own<Connection>> Connect();
   kj::Promise<void> Open();
+  kj::Promise<kj::Own<kj::AsyncIoStream>> Verify(
+      kj::Own<kj::AsyncIoStream> stream);
   void Drop();
 
   LoopContext m_loop;
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -3,7 +3,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -62,9 +61,9 @@
   std::string operator_name;
   std::string request_id;
   WallTime at{};
-  /// Of what the operator sent; 0: the command itself is compared. A leader
-  /// fills in what the operator left out, which differs at a resend.
-  uint64_t digest = 0;
+  /// Of what was asked, when the command depends on the state it was made on;
+  /// a resend is told by it in place of the command.
+  std::string digest{};
 };
 BOOST_DESCRIBE_STRUCT(OperatorRequest,
                       (),
@@ -89,6 +88,10 @@
 using model::HostEvent;
 
 /// One transition of one host, fenced by its epoch.
+///
+/// @remarks A drain is refused when, as of its entry, a service's availability
+///   budget forbids it, unless `force` says that the operator answers for it.
+///   A host that holds a job is neither confirmed empty, stopped nor moved.
 struct HostCommand {
   OperatorRequest request;
   std::string host;
@@ -98,11 +101,19 @@
   std::string move_to;
   std::string act;      ///< Wave, roll-out or move on whose behalf.
   std::string version;  ///< With kReturn: the version it came back with.
+  bool force = false;   ///< With kDrain: whatever the budgets say.
 };
-BOOST_DESCRIBE_STRUCT(
-    HostCommand,
-    (),
-    (request, host, expected_epoch, event, drain_reason, move_to, act, version))
+BOOST_DESCRIBE_STRUCT(HostCommand,
+                      (),
+                      (request,
+                       host,
+                       expected_epoch,
+                       event,
+                       drain_reason,
+                       move_to,
+                       act,
+                       version,
+                       force))
 
 /// Creates or replaces a wave; `expected_state` fences racing controllers.
 struct WaveCommand {
@@ -141,6 +152,30 @@
 };
 BOOST_DESCRIBE_STRUCT(ExpireCommand, (), (now))
 
+/// Whether an entry host's incarnation may act, as far as is committed.
+enum class SessionState { kOpen, kLost, kCount };
+BOOST_DESCRIBE_ENUM(SessionState, kOpen, kLost)
+
+/// Opens the session of an entry host's incarnation, or declares it lost:
+/// what it had claimed and not ended is then of unknown outcome.
+struct SessionCommand {
+  model::EntryIdentity entry;
+  SessionState state = SessionState::kOpen;
+  WallTime at{};
+  /// With kLost: false once no run under its slots can be going on.
+  bool may_hold_slots = true;
+};
+BOOST_DESCRIBE_STRUCT(SessionCommand, (), (entry, state, at, may_hold_slots))
+
+/// Keeps what a duty of the leader learned, under a name; an empty text
+/// removes it.
+struct NoteCommand {
+  std::string name;
+  std::string text;
+};
+BOOST_DESCRIBE_STRUCT(NoteCommand, (), (name, text))
+
+/// New kinds go to the end: a kind is written as its place.
 using Command = std::variant<ClaimCommand,
                              CompleteCommand,
                              ReleaseCommand,
@@ -153,7 +188,9 @@
                              RolloutCommand,
                              JobCommand,
                              BurnCommand,
-                             ExpireCommand>;
+                             ExpireCommand,
+                             SessionCommand,
+                             NoteCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
@@ -197,14 +234,13 @@
 struct ActResult {
   bool is_accepted = false;
   bool is_resend = false;  ///< Recognised; the first answer is repeated.
-  uint64_t version = 0;    ///< Settings version, host epoch or job lease now.
-  std::string error;       ///< Why not, with what stands there now.
+  /// Settings version, host epoch or job lease now. Of a session's command:
+  /// how many claims became of unknown outcome.
+  uint64_t version = 0;
+  std::string error;  ///< Why not, with what stands there now.
 };
 BOOST_DESCRIBE_STRUCT(ActResult, (), (is_accepted, is_resend, version, error))
 
 using Result = std::variant<ClaimResult, ActResult>;
 
-/// A hash of 64 bits, the same in every process. Thread-safe.
-uint64_t HashText(std::string_view text);
-
 }  // namespace laurelhall::state
--- a/packages/state/src/snapshot.cc
+++ b/packages/state/src/snapshot.cc
@@ -1,8 +1,9 @@
 #include "snapshot_p.h"
 
+#include <xxhash.h>
+
 #include <stdexcept>
 
-#include "laurelhall/state/command.h"
 #include "read_json_p.h"
 
 namespace laurelhall::state {
@@ -69,4 +70,8 @@
   }
 }
 
+uint64_t HashText(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
 }  // namespace laurelhall::state
