--- a/tools/standin_endpoint.cc
+++ b/tools/standin_endpoint.cc
@@ -126,7 +126,7 @@
     const std::lock_guard lock(m_mutex);
     std::uniform_real_distribution<double> share(0, 1);
     const bool is_swapped = m_last && share(m_random) < m_share;
-    const AnswerMark answer = is_swapped ? *m_last : own;
+    AnswerMark answer = is_swapped ? *m_last : own;
     m_last = own;
     return answer;
   }
