--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -243,4 +244,7 @@
 
 using Result = std::variant<ClaimResult, ActResult>;
 
+/// A hash of 64 bits, the same in every process. Thread-safe.
+uint64_t HashText(std::string_view text);
+
 }  // namespace laurelhall::state
