Routing: a take-over ends when all that may hold slots have reported

Cause: a new leader held back every slot that nobody reported until the longest run was over, 10 minutes to 2 hours: slots never lent were lost that long, and an endpoint that drains looked busy. The leader now names the entry hosts that earlier leaders may have lent to. Where each of them has reported under a grant of this leader, the reserve ends. Silent ones are waited for as before, counted from the leader's start. MayHoldSlots() says when an entry host is surely over.

The loss of a session is fenced by the last change that the leader knew of, so that one proposed before the entry host was back says nothing of what was lent since.

Model: sessions with a log of their own, leaders that change every second. Faults of the leader that it sees: silent sessions left out of the take-over, lost ones dropped early, sessions opened after the first grants.

--- a/packages/routing/include/laurelhall/routing/grants.h
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,15 @@
   SlotAllocator(const SlotAllocatorInit& init, SteadyTime now);
   ~SlotAllocator();
 
+  /// Names the entry hosts that may hold what earlier leaders lent; once.
+  ///
+  /// @remarks At an endpoint where each of them has reported under a grant of
+  ///   this leader, nothing is reserved for the take-over any longer. One that
+  ///   never reports is waited for as long as a run of it may go on.
+  /// @pre Whoever is not named was lent nothing before this leader, or all runs
+  ///   under it have surely ended.
+  void SetEarlierHolders(std::set<model::EntryIdentity> entries);
+
   /// Makes an endpoint known, or changes its slots.
   ///
   /// @param is_never_lent No earlier leader can have lent any of it: it was
@@ -83,6 +93,12 @@
   /// Takes back what is surely over.
   void Expire(SteadyTime now);
 
+  /// Whether a run of this entry host may be going on or may still start,
+  /// under slots of this leader or of an earlier one.
+  ///
+  /// @pre Expire() was called at this time; SetEarlierHolders() was called.
+  bool MayHoldSlots(const model::EntryIdentity& entry) const;
+
   int LentSlots(const std::string& endpoint) const;
   int QuarantinedSlots(const std::string& endpoint) const;
 
--- a/packages/routing/src/slot_allocator.cc
+++ b/packages/routing/src/slot_allocator.cc
@@ -22,6 +22,10 @@
   Impl(const SlotAllocatorInit& init, SteadyTime now)
       : m_init(init), m_started_at(now) {}
 
+  void SetEarlierHolders(std::set<model::EntryIdentity> entries) {
+    m_earlier_holders = std::move(entries);
+  }
+
   void SetEndpoint(const model::Endpoint& endpoint,
                    Millis max_run_time,
                    SteadyTime now,
@@ -30,9 +34,10 @@
     m_ordinals += is_new ? 1 : 0;
     EndpointSlots& slots = it->second;
     const Millis longest = WithDrift(max_run_time + m_init.write_margin);
-    if (is_new && !is_never_lent) {
-      slots.ReserveForTakeOver(endpoint.slots, m_started_at + Lease() + longest,
-                               now);
+    if (is_new && !is_never_lent && !m_settled.contains(endpoint.id)) {
+      const SteadyTime until = m_started_at + Lease() + longest;
+      m_take_over_end = std::max(m_take_over_end, until);
+      slots.ReserveForTakeOver(endpoint.slots, until, now);
     }
     slots.SetLimit(endpoint.slots, longest);
   }
@@ -63,9 +68,20 @@
   }
 
   void Expire(SteadyTime now) {
+    if (now >= m_take_over_end) {
+      m_settled.clear();
+    }
     for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
       it->second.Expire(now);
-      it = it->second.is_done() ? m_endpoints.erase(it) : std::next(it);
+      if (m_earlier_holders) {
+        it->second.EndTakeOverIfReported(*m_earlier_holders);
+      }
+      if (!it->second.is_done()) {
+        ++it;
+        continue;
+      }
+      m_settled.insert(it->first);
+      it = m_endpoints.erase(it);
     }
     std::erase_if(m_current, [&](const auto& named) {
       const model::EntryIdentity entry{named.first, named.second};
@@ -75,6 +91,17 @@
     });
   }
 
+  bool MayHoldSlots(const model::EntryIdentity& entry) const {
+    const bool is_earlier =
+        !m_earlier_holders || m_earlier_holders->contains(entry);
+    return std::ranges::any_of(m_endpoints, [&](const auto& item) {
+      const Loan* loan = item.second.Find(entry);
+      const bool is_charged =
+          loan != nullptr && (loan->charge > 0 || loan->slots > 0);
+      return is_charged || (is_earlier && item.second.IsAwaited(entry));
+    });
+  }
+
   int Lent(const std::string& endpoint) const {
     const auto it = m_endpoints.find(endpoint);
     return it == m_endpoints.end() ? 0 : it->second.Lent(m_current);
@@ -110,7 +137,7 @@
     if (loan == nullptr) {
       loan = Open(entry, demand, slots);
     } else if (is_confirmed) {
-      slots.Confirm(*loan, demand);
+      slots.Confirm(entry, *loan, demand);
     } else {
       loan->charge = std::max(loan->charge, demand.in_use);
     }
@@ -130,7 +157,8 @@
   Loan* Open(const model::EntryIdentity& entry,
              const SlotDemand& demand,
              EndpointSlots& slots) {
-    if (slots.is_closed() && demand.held == 0) {
+    const bool is_awaited = slots.is_taking_over();
+    if (slots.is_closed() && demand.held == 0 && !is_awaited) {
       return nullptr;
     }
     Loan& loan = slots.Add(entry);
@@ -176,6 +204,11 @@
   size_t m_ordinals = 0;
   std::map<std::string, EndpointSlots> m_endpoints;
   CurrentIncarnations m_current;
+  std::optional<std::set<model::EntryIdentity>> m_earlier_holders;
+  // Forgotten endpoints of which nothing was lent any longer: if they return
+  // before the end of the take-over, nothing is reserved again.
+  std::set<std::string> m_settled;
+  SteadyTime m_take_over_end{};
 };
 
 SlotAllocator::SlotAllocator(const SlotAllocatorInit& init, SteadyTime now)
@@ -183,6 +216,10 @@
 
 SlotAllocator::~SlotAllocator() = default;
 
+void SlotAllocator::SetEarlierHolders(std::set<model::EntryIdentity> entries) {
+  m_impl->SetEarlierHolders(std::move(entries));
+}
+
 void SlotAllocator::SetEndpoint(const model::Endpoint& endpoint,
                                 Millis max_run_time,
                                 SteadyTime now,
@@ -205,6 +242,10 @@
   m_impl->Expire(now);
 }
 
+bool SlotAllocator::MayHoldSlots(const model::EntryIdentity& entry) const {
+  return m_impl->MayHoldSlots(entry);
+}
+
 int SlotAllocator::LentSlots(const std::string& endpoint) const {
   return m_impl->Lent(endpoint);
 }
--- a/packages/routing/src/slot_table.cc
+++ b/packages/routing/src/slot_table.cc
@@ -103,7 +103,27 @@
   loan.expected = slots;
 }
 
-void EndpointSlots::Confirm(Loan& loan, const SlotDemand& demand) {
+void EndpointSlots::EndTakeOverIfReported(
+    const std::set<model::EntryIdentity>& earlier) {
+  if (m_is_taking_over && std::ranges::includes(m_reported, earlier)) {
+    EndTakeOver();
+  }
+}
+
+void EndpointSlots::EndTakeOver() {
+  m_is_taking_over = false;
+  m_reserve = 0;
+  m_reported.clear();
+}
+
+/// A report under a grant of ours is all that this entry host has here: it
+/// takes no grant of an earlier leader after one of ours.
+void EndpointSlots::Confirm(const model::EntryIdentity& entry,
+                            Loan& loan,
+                            const SlotDemand& demand) {
+  if (m_is_taking_over) {
+    m_reported.insert(entry);
+  }
   if (loan.is_confirmed) {
     // Under one grant `held` only falls, so late copies do no harm.
     loan.charge = std::min(loan.charge, UsedBy(demand));
@@ -146,8 +166,7 @@
     return is_returned || is_unused || now >= loan.runs_until;
   });
   if (m_is_taking_over && now >= m_take_over_until) {
-    m_is_taking_over = false;
-    m_reserve = 0;
+    EndTakeOver();
   }
 }
 
--- a/packages/routing/src/slot_table_p.h
+++ b/packages/routing/src/slot_table_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "laurelhall/base/time.h"
@@ -50,6 +51,15 @@
   void ReserveForTakeOver(int slots, SteadyTime until, SteadyTime now);
   bool is_taking_over() const { return m_is_taking_over; }
 
+  /// Ends the take-over once each of these has reported under a grant of ours:
+  /// nobody else can hold what earlier leaders lent.
+  void EndTakeOverIfReported(const std::set<model::EntryIdentity>& earlier);
+
+  /// Whether this entry host has not reported here under a grant of ours.
+  bool IsAwaited(const model::EntryIdentity& entry) const {
+    return m_is_taking_over && !m_reported.contains(entry);
+  }
+
   Loan* Find(const model::EntryIdentity& entry);
   const Loan* Find(const model::EntryIdentity& entry) const;
   Loan& Add(const model::EntryIdentity& entry);
@@ -61,7 +71,9 @@
   static void Lend(Loan& loan, int slots);
 
   /// Takes in a report under the grant in force.
-  void Confirm(Loan& loan, const SlotDemand& demand);
+  void Confirm(const model::EntryIdentity& entry,
+               Loan& loan,
+               const SlotDemand& demand);
 
   void Extend(Loan& loan, SteadyTime now, Millis lease);
   void Expire(SteadyTime now);
@@ -81,6 +93,7 @@
   }
 
  private:
+  void EndTakeOver();
   void ConfirmFirst(Loan& loan, const SlotDemand& demand);
   std::map<const model::EntryIdentity*, int> Targets(
       const CurrentIncarnations& current) const;
@@ -94,6 +107,7 @@
   /// zero when late copies of reports account for more than there is.
   int m_reserve = 0;
   SteadyTime m_take_over_until{};
+  std::set<model::EntryIdentity> m_reported;  ///< During the take-over.
   std::map<model::EntryIdentity, Loan> m_loans;
 };
 
--- a/packages/routing/tests/grants_test.cc
+++ b/packages/routing/tests/grants_test.cc
@@ -100,6 +100,62 @@
   CheckAllLent(model);
 }
 
+TEST_CASE_FIXTURE(SlotModelFixture,
+                  "Grants, leader changes all the time, never a ninth run") {
+  SlotModelInit init;
+  init.election = 0.02;
+  CHECK(MostRuns(init, Schedules()) <= SlotModel::kSlots);
+}
+
+TEST_CASE_FIXTURE(SlotModelFixture,
+                  "Grants, lost sessions left out or dropped early, or opened "
+                  "after the first grants, the model sees a ninth run") {
+  constexpr bool SlotModelInit::*kFaults[] = {
+      &SlotModelInit::is_silent_session_left_out,
+      &SlotModelInit::is_grant_before_session,
+      &SlotModelInit::is_lost_session_dropped_early};
+  for (const auto fault : kFaults) {
+    SlotModelInit init;
+    init.*fault = true;
+    init.election = 0.02;
+    CHECK(MostRuns(init, 40) > SlotModel::kSlots);
+  }
+}
+
+TEST_CASE_FIXTURE(SlotModelFixture,
+                  "Grants, new leader and closed endpoint, nothing is out as "
+                  "soon as all sessions have reported") {
+  SlotModelInit init;
+  init.has_faults = false;
+  SlotModel model(init);
+  model.RunUntil(kSettled);
+  model.Close(0);
+  model.RunUntil(model.now() + Millis{900});
+  const auto slots_out = [&model] {
+    model.leader().Expire(model.LeaderNow());
+    return model.leader().LentSlots("endpoint-0") +
+           model.leader().QuarantinedSlots("endpoint-0");
+  };
+  CHECK(slots_out() == 0);
+  model.Elect();
+  CHECK(slots_out() == SlotModel::kSlots);
+  model.RunUntil(model.now() + 4 * SlotModel::kSync);
+  CHECK(slots_out() == 0);
+  // Nothing was out, so a silent one has nothing there when it returns.
+  model.Kill(0);
+  model.Close(0);
+  CHECK(slots_out() == 0);
+  // It may still use what it was lent, as far as the next leader knows.
+  model.Elect();
+  model.RunUntil(model.now() + SlotModel::kLease + SlotModel::kMaxRun +
+                 SlotModel::kMargin);
+  CHECK(slots_out() == SlotModel::kSlots);
+  model.RunUntil(model.now() + SlotModel::kMaxRun);
+  CHECK(slots_out() == 0);
+  model.RunUntil(model.now() + 2 * SlotModel::kSessionTimeout);
+  CHECK(model.sessions() == 6);  // The lost one is dropped.
+}
+
 TEST_CASE_FIXTURE(SlotModelFixture,
                   "Grants, entry host dies, its slots wait for lease and "
                   "longest run") {
--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -21,9 +21,14 @@
   int endpoints = 3;
   Millis calm_at{std::chrono::seconds(40)};
   bool has_faults = true;
+  double election = 0.003;
   /// Faults of the code around the holder, to show that the model sees them.
   bool is_lease_from_arrival = false;
   bool is_check_before_write_left_out = false;
+  /// Faults of the leader around the allocator.
+  bool is_silent_session_left_out = false;
+  bool is_grant_before_session = false;
+  bool is_lost_session_dropped_early = false;
 };
 
 /// Entry hosts, leaders, the network and endpoints that count their runs, on
@@ -36,6 +41,7 @@
   static constexpr Millis kMaxRun{1500};
   static constexpr Millis kMargin{600};
   static constexpr double kDrift = 0.1;
+  static constexpr Millis kSessionTimeout{500};
 
   explicit SlotModel(const SlotModelInit& init)
       : m_init(init), m_random(init.seed) {
@@ -43,6 +49,7 @@
       m_endpoints.push_back({"endpoint-" + std::to_string(i)});
     }
     Elect();
+    WatchSessions();
     for (int i = 0; i < init.entries; ++i) {
       m_entries.push_back(nullptr);
       Boot(i);
@@ -60,9 +67,18 @@
   }
 
   void Elect() {
+    for (Proposal& proposal : std::exchange(m_proposals, {})) {
+      if (Any(0, 1) == 0) {  // It reached the next leader's log.
+        Commit(proposal);
+      }
+    }
     m_leader_clock = AnyClock();
     m_leader = std::make_unique<SlotAllocator>(
         SlotAllocatorInit{kLease, kDrift, ++m_epoch, kMargin}, LeaderNow());
+    m_leader->SetEarlierHolders(EarlierHolders());
+    m_heard.clear();
+    m_losing.clear();
+    m_led_since = m_now;
     for (const ModelEndpoint& endpoint : m_endpoints) {
       Announce(endpoint);
     }
@@ -81,6 +97,10 @@
     Work(m_entries[entry]);
   }
   void Stop(int entry) { m_entries[entry]->holder.ReturnAll(); }
+  void Close(int endpoint) {
+    m_endpoints[endpoint].is_closed = true;
+    Announce(m_endpoints[endpoint]);
+  }
 
   SlotAllocator& leader() { return *m_leader; }
   SteadyTime LeaderNow() const { return m_leader_clock.At(m_now); }
@@ -88,6 +108,7 @@
   int most_runs() const { return m_most_runs; }
   int runs_started() const { return m_runs_started; }
   int RunsAt(int endpoint) const { return m_endpoints[endpoint].runs; }
+  size_t sessions() const { return m_sessions.size(); }
 
  private:
   struct Event {
@@ -113,6 +134,21 @@
     std::string id;
     uint64_t incarnation = 1;
     int runs = 0;
+    bool is_closed = false;
+  };
+
+  struct Session {
+    bool is_open = false;
+    uint64_t changed = 0;
+  };
+
+  /// A change of a session on its way through the log.
+  struct Proposal {
+    enum class Kind { kOpen, kLose, kDrop };
+    model::EntryIdentity entry;
+    Kind kind = Kind::kOpen;
+    uint64_t expected = 0;
+    uint64_t order = 0;
   };
 
   struct Entry {
@@ -176,6 +212,86 @@
     announced.incarnation = endpoint.incarnation;
     announced.slots = kSlots;
     m_leader->SetEndpoint(announced, kMaxRun, LeaderNow());
+    if (endpoint.is_closed) {
+      m_leader->RemoveEndpoint(endpoint.id);
+    }
+  }
+
+  std::set<model::EntryIdentity> EarlierHolders() const {
+    std::set<model::EntryIdentity> holders;
+    for (const auto& [entry, session] : m_sessions) {
+      const auto heard = m_heard.find(entry);
+      const bool is_silent =
+          heard == m_heard.end() || m_now - heard->second > 3 * kSync;
+      if (!is_silent || !m_init.is_silent_session_left_out) {
+        holders.insert(entry);
+      }
+    }
+    return holders;
+  }
+
+  void Propose(Proposal proposal) {
+    proposal.order = ++m_order;
+    m_proposals.push_back(proposal);
+    After(Millis{Any(1, 60)}, [this, order = proposal.order] {
+      const auto it = std::ranges::find(m_proposals, order, &Proposal::order);
+      if (it != m_proposals.end()) {
+        // In the log's order: what was proposed before comes first.
+        for (auto first = m_proposals.begin(); first <= it; ++first) {
+          Commit(*first);
+        }
+        m_proposals.erase(m_proposals.begin(), it + 1);
+      }
+    });
+  }
+
+  void Commit(const Proposal& proposal) {
+    Session& session = m_sessions[proposal.entry];
+    if (proposal.kind == Proposal::Kind::kOpen) {
+      session.changed = session.is_open ? session.changed : ++m_order;
+      session.is_open = true;
+    } else if (session.changed != proposal.expected) {
+      return;
+    } else if (proposal.kind == Proposal::Kind::kLose) {
+      session = {false, ++m_order};
+    } else {
+      m_sessions.erase(proposal.entry);
+    }
+  }
+
+  /// What a leader does with sessions, besides opening them.
+  void WatchSessions() {
+    m_leader->Expire(LeaderNow());
+    for (const auto& [entry, session] : m_sessions) {
+      const auto heard = m_heard.find(entry);
+      const Millis last = heard == m_heard.end() ? m_led_since : heard->second;
+      const bool is_over = m_init.is_lost_session_dropped_early ||
+                           !m_leader->MayHoldSlots(entry);
+      if (session.is_open && m_now - last >= kSessionTimeout) {
+        m_losing[entry] = session.changed;
+        Propose({entry, Proposal::Kind::kLose, session.changed});
+      } else if (!session.is_open && is_over) {
+        Propose({entry, Proposal::Kind::kDrop, session.changed});
+      }
+    }
+    After(Millis{200}, [this] { WatchSessions(); });
+  }
+
+  /// Whether an entry host's session is committed; else it is to be.
+  bool Admit(const model::EntryIdentity& entry) {
+    m_heard[entry] = m_now;
+    const auto session = m_sessions.find(entry);
+    const auto losing = m_losing.find(entry);
+    if (session == m_sessions.end() || !session->second.is_open) {
+      // The fault: granted at once, and opened much later.
+      const bool is_late = m_init.is_grant_before_session;
+      After(Millis{is_late ? 3000 : 0}, [this, entry] {
+        Propose({entry, Proposal::Kind::kOpen});
+      });
+      return is_late;
+    }
+    return losing == m_losing.end() ||
+           losing->second != session->second.changed;
   }
 
   void Sync(const EntryPointer& entry) {
@@ -196,6 +312,9 @@
   void Answer(const EntryPointer& entry,
               const std::vector<SlotDemand>& demands,
               SteadyTime asked_at) {
+    if (!Admit(entry->identity)) {
+      return;
+    }
     const auto grants = m_leader->Renew(entry->identity, demands, LeaderNow());
     Send(entry, [this, entry, grants, asked_at] {
       On(entry, Millis{0}, [this, entry, grants, asked_at] {
@@ -259,7 +378,7 @@
     if (Chance(0.006)) {
       After(Millis{1}, [this, entry] { Restart(entry); });
     }
-    if (Chance(0.003)) {
+    if (Chance(m_init.election)) {
       After(Millis{1}, [this] { Elect(); });
     }
     if (Chance(0.002)) {
@@ -300,6 +419,11 @@
   uint64_t m_epoch = 0;
   Clock m_leader_clock;
   std::unique_ptr<SlotAllocator> m_leader;
+  std::map<model::EntryIdentity, Session> m_sessions;
+  std::vector<Proposal> m_proposals;
+  std::map<model::EntryIdentity, Millis> m_heard;     // By this leader.
+  std::map<model::EntryIdentity, uint64_t> m_losing;  // By this leader.
+  Millis m_led_since{0};
   int m_most_runs = 0;
   int m_runs_started = 0;
 };
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -145,10 +145,15 @@
   model::EntryIdentity entry;
   SessionState state = SessionState::kOpen;
   WallTime at{};
+  /// With kLost: the last change of the session that the leader knew of. After
+  /// a later one the command is refused.
+  uint64_t expected_index = 0;
   /// With kLost: false once no run under its slots can be going on.
   bool may_hold_slots = true;
 };
-BOOST_DESCRIBE_STRUCT(SessionCommand, (), (entry, state, at, may_hold_slots))
+BOOST_DESCRIBE_STRUCT(SessionCommand,
+                      (),
+                      (entry, state, at, expected_index, may_hold_slots))
 
 using Command = std::variant<ClaimCommand,
                              CompleteCommand,
--- a/packages/state/src/session_table.cc
+++ b/packages/state/src/session_table.cc
@@ -26,6 +26,10 @@
       change.result = Refused("no such session");
       return change;
     }
+    if (found->second.changed_at_index != command.expected_index) {
+      change.result = Refused("the session has changed since");
+      return change;
+    }
     Lose(found->second, index, command.at, &change.lost);
     found->second.may_hold_slots &= command.may_hold_slots;
   } else {
--- a/packages/state/tests/claim_table_test.cc
+++ b/packages/state/tests/claim_table_test.cc
@@ -48,8 +48,10 @@
                     uint64_t incarnation,
                     SessionState state,
                     bool may_hold_slots = true) {
-    return Act(
-        SessionCommand{{name, incarnation}, state, m_now, may_hold_slots});
+    const auto known = m_machine->FindSession({name, incarnation});
+    const uint64_t index = known ? known->changed_at_index : 0;
+    return Act(SessionCommand{
+        {name, incarnation}, state, m_now, index, may_hold_slots});
   }
 
   bool Abandon(const std::string& key, const std::string& request_id) {
@@ -142,9 +144,16 @@
   CHECK_FALSE(Release("open", "open"));
   CHECK(Complete("open", "open", "it ran"));
   CHECK(Claim(ClaimOf("open", "r3")).answer.body.data == "it ran");
+  const uint64_t lost_at_index =
+      m_machine->FindSession({"entry-1", 1})->changed_at_index;
   // Frozen and back: it may claim again, and what was unknown stays so.
   CHECK(Session("entry-1", 1, SessionState::kOpen).is_accepted);
   CHECK(Verdict("late", "late") == ClaimVerdict::kGranted);
+  // Proposed before it was back: it says nothing of what was lent since.
+  CHECK_FALSE(
+      Act(SessionCommand{
+              {"entry-1", 1}, SessionState::kLost, m_now, lost_at_index, false})
+          .is_accepted);
 }
 
 TEST_CASE_FIXTURE(ClaimTableFixture,
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -54,7 +54,7 @@
           JobCommand{request, 9, job},
           BurnCommand{{{"s", WallTime(Millis(60'000)), 1, 2, 3, 4}}},
           ExpireCommand{WallTime(Millis(8))},
-          SessionCommand{{"e", 3}, SessionState::kLost, {}, false}};
+          SessionCommand{{"e", 3}, SessionState::kLost, {}, 7, false}};
 }
 
 TEST_CASE("Commands, one of each kind, decode as they were") {
