--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -32,6 +32,9 @@
   uint64_t snapshot_every = 20'000;            ///< Entries between snapshots.
   storage::FileSystem* file_system = nullptr;  ///< Null: the real one.
   std::shared_ptr<ConnectionFilter> filter;    ///< Null: no cuts.
+  /// An entry host that did not sync for this long is lost: what it claimed
+  /// and did not end is of unknown outcome.
+  Millis session_timeout{std::chrono::seconds(15)};
   uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
   /// Told once when the store has failed and the host votes no more; called
   /// on the host's loop, must not block.
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -27,8 +27,9 @@
   m_led_term = m_status.term;
   m_leads_since = Now();
   m_next_leader_tick = Now();
-  m_leader_sync = std::make_unique<LeaderSync>(m_parts.machine, m_led_term,
-                                               m_status.last, m_leads_since);
+  m_leader_sync =
+      std::make_unique<LeaderSync>(m_parts.machine, m_led_term, m_status.last,
+                                   m_leads_since, m_parts.init.session_timeout);
   ++m_counters.elections;
 }
 
@@ -53,6 +54,7 @@
     }
     ++m_counters.syncs_answered;
     done(m_leader_sync->Answer(question, m_applier->applied(), Now()));
+    Propose(m_leader_sync->TakeOpenedSessions());
   });
 }
 
@@ -68,9 +70,13 @@
 }
 
 void HostLoop::CommitDue() {
-  std::vector<state::Command> due = m_leader_sync->TakeDue(Now(), WallNow());
-  if (!due.empty()) {
-    Submit(std::move(due), 0, [](const SubmitOutcome&) {});
+  Propose(m_leader_sync->TakeDue(Now(), WallNow()));
+}
+
+// What is lost on the way is proposed again when it is still due.
+void HostLoop::Propose(std::vector<state::Command> commands) {
+  if (!commands.empty()) {
+    Submit(std::move(commands), 0, [](const SubmitOutcome&) {});
   }
 }
 
--- a/packages/control/src/host_loop_p.h
+++ b/packages/control/src/host_loop_p.h
@@ -125,6 +125,7 @@
   bool IsLeading() const { return m_leader_sync != nullptr; }
   void TickLeader();
   void CommitDue();
+  void Propose(std::vector<state::Command> commands);
   void StepDuties();
   void RunDuties(uint64_t term);
   void DutiesRan(uint64_t term, std::vector<state::Command> commands);
--- a/packages/control/src/leader_sync.cc
+++ b/packages/control/src/leader_sync.cc
@@ -34,7 +34,8 @@
 LeaderSync::LeaderSync(const state::Machine& machine,
                        uint64_t term,
                        uint64_t first_index,
-                       SteadyTime now)
+                       SteadyTime now,
+                       Millis session_timeout)
     : m_machine(machine),
       m_first_index(first_index),
       m_allocator(
@@ -44,6 +45,7 @@
             return init;
           }(),
           now),
+      m_sessions(machine, session_timeout, now),
       m_leads_since(now),
       m_next_expiry(now + kExpiryPeriod) {}
 
@@ -51,20 +53,38 @@
                               uint64_t applied,
                               SteadyTime now) {
   FollowEndpoints(now);
+  TakeOverSessions();
   Remember(question, now);
   SyncAnswer answer;
   answer.applied_index = applied;
   answer.endpoints = m_machine.EndpointsSince(question.endpoints_index);
   FillSettings(question.settings_version, answer);
-  answer.grants = m_allocator.Renew(question.entry, question.demands, now);
+  if (m_sessions.Admit(question.entry, now)) {
+    answer.grants = m_allocator.Renew(question.entry, question.demands, now);
+  }
   return answer;
 }
 
+std::vector<state::Command> LeaderSync::TakeOpenedSessions() {
+  return m_sessions.TakeOpened();
+}
+
+// Sessions of earlier terms are all applied once a read was confirmed.
+void LeaderSync::TakeOverSessions() {
+  if (!m_has_taken_over) {
+    m_has_taken_over = true;
+    m_allocator.SetEarlierHolders(m_sessions.MayHoldSlots());
+  }
+}
+
 std::vector<state::Command> LeaderSync::TakeDue(SteadyTime now, WallTime wall) {
   std::vector<state::Command> due;
   FollowEndpoints(now);
   m_allocator.Expire(now);
   TakeSilentEndpoints(now, wall, due);
+  if (m_has_taken_over) {
+    m_sessions.TakeLost(m_allocator, now, due);
+  }
   TakeBurn(wall, due);
   if (now >= m_next_expiry) {
     m_next_expiry = now + kExpiryPeriod;
@@ -92,7 +112,7 @@
        m_machine.EndpointsSince(m_endpoints_index)) {
     m_endpoints_index = std::max(m_endpoints_index, endpoint.changed_at_index);
     if (endpoint.state == model::EndpointState::kGone) {
-      m_allocator.RemoveEndpoint(endpoint.id);
+      SetSlots(endpoint, config.get(), now);
       m_endpoints.erase(endpoint.id);
       m_signs.erase(endpoint.id);
       continue;
@@ -124,6 +144,7 @@
 
 std::map<std::string, int> LeaderSync::SlotsOutByHost(SteadyTime now) {
   FollowEndpoints(now);
+  TakeOverSessions();
   m_allocator.Expire(now);
   std::map<std::string, int> slots;
   for (const auto& [id, endpoint] : m_endpoints) {
--- a/packages/control/src/leader_sync_p.h
+++ b/packages/control/src/leader_sync_p.h
@@ -9,6 +9,7 @@
 #include "laurelhall/control/control_host.h"
 #include "laurelhall/routing/grants.h"
 #include "laurelhall/state/machine.h"
+#include "session_keeper_p.h"
 
 namespace laurelhall::control {
 
@@ -52,9 +53,12 @@
   LeaderSync(const state::Machine& machine,
              uint64_t term,
              uint64_t first_index,
-             SteadyTime now);
+             SteadyTime now,
+             Millis session_timeout = ControlHostInit().session_timeout);
 
   /// Slots of each host's endpoints under which a run may be going on.
+  ///
+  /// @pre A read was confirmed in this leader's term.
   std::map<std::string, int> SlotsOutByHost(SteadyTime now);
 
   /// Answers an entry host. Precondition: a read was confirmed after the
@@ -63,8 +67,12 @@
                     uint64_t applied,
                     SteadyTime now);
 
-  /// Takes what is to be committed now: endpoints that went silent, samples of
-  /// past minutes, the expiry of what is past its time.
+  /// Takes the sessions that Answer() is to open. To be committed at once: who
+  /// syncs without an open session is lent nothing.
+  std::vector<state::Command> TakeOpenedSessions();
+
+  /// Takes what is to be committed now: sessions and endpoints that went
+  /// silent, samples of past minutes, the expiry of what is past its time.
   std::vector<state::Command> TakeDue(SteadyTime now, WallTime wall);
 
   /// Entry hosts that synced with this leader, with what they have in force.
@@ -82,6 +90,7 @@
   };
 
   void FollowEndpoints(SteadyTime now);
+  void TakeOverSessions();
   void SetSlots(const model::Endpoint& endpoint,
                 const model::Config* config,
                 SteadyTime now);
@@ -95,6 +104,8 @@
   const state::Machine& m_machine;
   const uint64_t m_first_index;
   routing::SlotAllocator m_allocator;
+  SessionKeeper m_sessions;
+  bool m_has_taken_over = false;  // The allocator knows earlier holders.
   SteadyTime m_leads_since;
   SteadyTime m_last_sync{};
   SteadyTime m_next_expiry;
