--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -35,6 +35,7 @@
   /// An entry host that did not sync for this long is lost: what it claimed
   /// and did not end is of unknown outcome.
   Millis session_timeout{std::chrono::seconds(15)};
+  InnerTlsFiles tls;
   uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
   /// Told once when the store has failed and the host votes no more; called
   /// on the host's loop, must not block.
@@ -163,7 +164,8 @@
  public:
   /// Recovers the data folder and starts.
   /// @throws storage::CorruptionError, storage::StoreFailedError;
-  ///   std::runtime_error when it cannot listen.
+  ///   std::runtime_error when it cannot listen; FindingsError when the TLS
+  ///   files cannot be used.
   ControlHost(const ControlHostInit& init,
               std::vector<std::unique_ptr<LeaderDuty>> duties,
               std::unique_ptr<OperatorService> operators);
