--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -266,6 +266,44 @@
   }
 }
 
+TEST_CASE_FIXTURE(
+    ClusterFixture,
+    "Cluster, entry host dies with a claim, its key is of unknown "
+    "outcome to others within the timeout") {
+  for (size_t i = 0; i < m_cluster.size(); ++i) {
+    m_cluster.init(i).session_timeout = Seconds(1);
+  }
+  m_cluster.StartAll();
+  RecordingListener dying_views;
+  RecordingListener living_views;
+  auto dying = m_cluster.MakeLink("dying");
+  const auto living = m_cluster.MakeLink("living");
+  dying->Start(dying_views);
+  living->Start(living_views);
+  REQUIRE(Eventually([&] { return living_views.views() > 0; }));
+  state::ClaimCommand claim = MakeClaim("k");
+  claim.owner = {"dying", 1};
+  const auto granted = ClaimNow(*dying, claim);
+  REQUIRE(granted);
+  CHECK(granted->verdict == state::ClaimVerdict::kGranted);
+  dying.reset();
+  state::ClaimCommand resend = MakeClaim("k");
+  resend.owner = {"living", 1};
+  resend.request_id = "resend";
+  CHECK(Eventually([&] {
+    const auto heard = ClaimNow(*living, resend);
+    return heard && heard->verdict == state::ClaimVerdict::kOutcomeUnknown;
+  }));
+  // A copy of a claim of the dead one, late: it locks no key.
+  claim = MakeClaim("late");
+  claim.owner = {"dying", 1};
+  REQUIRE(ClaimNow(*living, claim));
+  resend.key = claim.key;
+  const auto first = ClaimNow(*living, resend);
+  REQUIRE(first);
+  CHECK(first->verdict == state::ClaimVerdict::kGranted);
+}
+
 // Answers with the settings version, and commits what it is told to.
 class EchoOperators : public OperatorService {
  public:
--- a/packages/control/tests/leader_sync_test.cc
+++ b/packages/control/tests/leader_sync_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "client_loop_p.h"
+#include "command_stamp_p.h"
 
 namespace laurelhall::control {
 namespace {
@@ -24,7 +25,8 @@
     return command;
   }
 
-  void Apply(const std::vector<state::Command>& commands) {
+  void Apply(std::vector<state::Command> commands) {
+    StampCommands(commands, m_machine.config().get(), m_wall);
     m_machine.Apply(++m_index, state::EncodeCommands(commands));
   }
 
@@ -97,6 +99,151 @@
   CHECK(m_sync->TakeDue(m_now, m_wall + Seconds(61)).empty());
 }
 
+// Entry hosts that hold slots, and leaders that follow each other.
+class SessionFixture : public LeaderSyncFixture {
+ protected:
+  // One sync; what it proposes is committed when `is_committed`.
+  void Sync(const std::string& name, bool is_committed = true) {
+    SyncQuestion question;
+    question.entry = {name, 1};
+    question.endpoints_index = m_index;
+    question.demands = m_holders[name].Report({{"e1", 1}, {"e2", 1}});
+    question.renewals = {{"e1", 1}, {"e2", 1}};
+    m_answer = m_sync->Answer(question, m_index, m_now);
+    m_holders[name].Update(m_answer.grants, m_now);
+    const auto opened = m_sync->TakeOpenedSessions();
+    if (is_committed && !opened.empty()) {
+      Apply(opened);
+    }
+  }
+
+  // Every half second all of these sync, and what is due is committed.
+  void SyncAll(Millis duration, const std::vector<std::string>& names) {
+    for (Millis passed{0}; passed < duration; passed += Millis(500)) {
+      m_now += Millis(500);
+      m_wall += Millis(500);
+      for (const std::string& name : names) {
+        Sync(name);
+      }
+      const auto due = m_sync->TakeDue(m_now, m_wall);
+      if (!due.empty()) {
+        Apply(due);
+      }
+    }
+  }
+
+  void ChangeLeader() {
+    m_sync =
+        std::make_unique<LeaderSync>(m_machine, ++m_term, m_index + 1, m_now);
+  }
+
+  void CloseEndpoints() {
+    for (const std::string id : {"e1", "e2"}) {
+      auto leaving = std::get<state::EndpointCommand>(Ready(id));
+      leaving.endpoint.state = model::EndpointState::kLeaving;
+      Apply({leaving});
+    }
+  }
+
+  int SlotsOut() { return m_sync->SlotsOutByHost(m_now)[""]; }
+
+  bool IsOpen(const std::string& name) {
+    const auto session = m_machine.FindSession({name, 1});
+    REQUIRE(session);
+    return session->state == state::SessionState::kOpen;
+  }
+
+  uint64_t m_term = 3;
+  std::map<std::string, routing::GrantHolder> m_holders;
+};
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Sessions, first sync, lends nothing before the session is "
+                  "committed") {
+  Sync("one", false);
+  CHECK(m_answer.grants.empty());
+  CHECK_FALSE(m_machine.FindSession({"one", 1}));
+  m_now += Seconds(2);
+  Sync("one");
+  CHECK(m_answer.grants.empty());
+  Sync("one");
+  CHECK(m_answer.grants.size() == 2);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Sessions, one falls silent, is lost after its time, then "
+                  "holds nothing, and opens again when it is back") {
+  SyncAll(Seconds(20), {"one", "two"});
+  SyncAll(Millis(14'000), {"one"});
+  CHECK(IsOpen("two"));
+  SyncAll(Seconds(2), {"one"});
+  CHECK_FALSE(IsOpen("two"));
+  CHECK(m_machine.FindSession({"two", 1})->may_hold_slots);
+  SyncAll(std::chrono::minutes(6), {"one"});
+  REQUIRE(m_machine.FindSession({"two", 1}));
+  CHECK_FALSE(m_machine.FindSession({"two", 1})->may_hold_slots);
+  Sync("two");
+  CHECK(m_answer.grants.empty());
+  SyncAll(Seconds(20), {"one", "two"});
+  CHECK(IsOpen("two"));
+  CHECK(m_machine.FindSession({"two", 1})->may_hold_slots);
+  CHECK(m_answer.grants.size() == 2);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Sessions, loss proposed and not yet committed, lends "
+                  "nothing to the one that is back") {
+  SyncAll(Seconds(20), {"one", "two"});
+  SyncAll(Seconds(14), {"one"});
+  m_now += Seconds(1);
+  Sync("one");
+  const auto due = m_sync->TakeDue(m_now, m_wall);
+  REQUIRE(due.size() == 1);
+  Sync("two");
+  CHECK(IsOpen("two"));
+  CHECK(m_answer.grants.empty());
+  Apply(due);
+  SyncAll(Seconds(3), {"one", "two"});
+  CHECK(IsOpen("two"));
+  CHECK(m_answer.grants.size() == 2);
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Sessions, all were cut off, the first one back loses no "
+                  "other") {
+  SyncAll(Seconds(20), {"one", "two"});
+  m_now += Seconds(30);
+  SyncAll(Seconds(10), {"one"});
+  CHECK(IsOpen("two"));
+  SyncAll(Seconds(10), {"one"});
+  CHECK_FALSE(IsOpen("two"));
+}
+
+TEST_CASE_FIXTURE(SessionFixture,
+                  "Sessions, leader changes while an endpoint drains, no slot "
+                  "is out once all have reported") {
+  SyncAll(Seconds(20), {"one", "two"});
+  CHECK(SlotsOut() == 16);
+  CloseEndpoints();
+  SyncAll(Seconds(3), {"one", "two"});
+  CHECK(SlotsOut() == 0);
+  ChangeLeader();
+  SyncAll(Seconds(3), {"one"});
+  CHECK(SlotsOut() == 16);  // Nobody knows what the other one runs.
+  SyncAll(Seconds(3), {"one", "two"});
+  CHECK(SlotsOut() == 0);
+  // One that died is waited for as long as a run of it may go on.
+  ChangeLeader();
+  SyncAll(std::chrono::minutes(5), {"one"});
+  CHECK(SlotsOut() == 16);
+  SyncAll(Seconds(30), {"one"});
+  CHECK(SlotsOut() == 0);
+  // That is committed: the next leader need not wait for it again.
+  ChangeLeader();
+  SyncAll(Seconds(3), {"one"});
+  CHECK(SlotsOut() == 0);
+}
+
 TEST_CASE_FIXTURE(LeaderSyncFixture,
                   "ViewKeeper, answers of a lagging host, never goes back") {
   state::SettingsCommand change;
