--- a/packages/state/src/claim_table.cc
+++ b/packages/state/src/claim_table.cc
@@ -239,10 +239,11 @@
     return 0;
   }
   const auto owned = found->second;  // A copy: each step takes from it.
-  for (const auto& [sequence, key] : owned) {
+  for (const auto& item : owned) {
+    const ClaimKey& key = *item.second;
     Entry* entry = m_entries.Write(
-        *key, [&](Entries& entries) { return &entries.at(*key); });
-    SetState(*key, *entry, ClaimState::kUnknown);
+        key, [&](Entries& entries) { return &entries.at(key); });
+    SetState(key, *entry, ClaimState::kUnknown);
   }
   return owned.size();
 }
--- a/packages/state/src/session_table.cc
+++ b/packages/state/src/session_table.cc
@@ -65,8 +65,9 @@
   if (HasNewer(entry) || is_full) {
     return nullptr;
   }
+  const auto end = m_sessions.lower_bound(entry);
   auto earlier = m_sessions.lower_bound({entry.name, 0});
-  for (; earlier != m_sessions.end() && earlier->first < entry; ++earlier) {
+  for (; earlier != end; ++earlier) {
     Lose(earlier->second, index, at, lost);
   }
   SessionRecord& record = m_sessions[entry];
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -1,5 +1,6 @@
 #include "tables_p.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "read_json_p.h"
@@ -200,8 +201,14 @@
 }
 
 void Tables::Expire(WallTime now) {
+  Millis longest_run{0};
+  for (const auto& [name, service] : settings.config()->services) {
+    longest_run = std::max(longest_run, service.requests.max_run_time);
+  }
   claims.Expire(now);
-  endpoints.Expire(now);
+  // One that returns must be known while a run at it may still go on: its slots
+  // were lent before.
+  endpoints.Expire(now - longest_run);
   fleet.Expire(now);
   requests.Expire(now);
   burn.Expire(now);
--- a/packages/state/tests/endpoint_table_test.cc
+++ b/packages/state/tests/endpoint_table_test.cc
@@ -105,6 +105,22 @@
   CHECK_FALSE(Find("e").has_value());
 }
 
+TEST_CASE_FIXTURE(EndpointTableFixture,
+                  "Endpoints, gone while a long run may go on, are known") {
+  CHECK(Change("ana", "a1", 0, "pools", R"({"annex": {}})").is_accepted);
+  CHECK(Change("ana", "a2", 1, "services",
+               R"({"s": {"pools": ["annex"], "max_run_time": "2h"}})")
+            .is_accepted);
+  CHECK(Announce("e", 5, EndpointState::kReady).is_accepted);
+  CHECK(Announce("e", 5, EndpointState::kGone).is_accepted);
+  m_now += m_limits.gone_endpoint_retention + std::chrono::hours(2) - Millis(1);
+  Expire();
+  CHECK(Find("e").has_value());
+  m_now += Millis(1);
+  Expire();
+  CHECK_FALSE(Find("e").has_value());
+}
+
 TEST_CASE("Endpoints, announcements crossed over seeds, never turn back") {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     CAPTURE(seed);
