--- a/packages/model/include/laurelhall/model/endpoint.h
+++ b/packages/model/include/laurelhall/model/endpoint.h
@@ -65,6 +65,7 @@
   std::string name;
   uint64_t incarnation = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   friend auto operator<=>(const EntryIdentity&, const EntryIdentity&) = default;
 };
 BOOST_DESCRIBE_STRUCT(EntryIdentity, (), (name, incarnation))
