Callers, endpoints and operators prove who they are

A request that named another organisation than its token's passed when the named one had no token; the token or client certificate now decides, and off loopback a mere name is not believed. Announcements take their vendor's token or certificate, and an endpoint stays with the vendor that announced it first. Tokens of operators have roles; drills ask for an operator's token and are off where operators come from off loopback. Refusals are logged with name, peer and target; acts are in the audit log as before.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -150,6 +150,7 @@
     init.balancer_delay = kBalancerDelay;
     init.drain_grace = m_settings.drain_grace;
     init.seed = m_identity.incarnation;
+    init.allows_unproven = !settings::IsOffLoopback(m_settings.caller_address);
     m_entry = std::make_unique<entry::EntryHost>(init, m_threads, *m_link);
     net::HttpServerInit server;
     server.address = m_settings.caller_address;
@@ -165,6 +166,8 @@
     init.timers = &m_threads.timers();
     init.tokens = &m_tokens;
     init.filter = m_filter;
+    init.allows_drills = m_settings.allows_drills ||
+                         !settings::IsOffLoopback(m_settings.operator_address);
     init.is_healthy = [this] {
       return m_entry == nullptr || m_entry->IsHealthy();
     };
--- a/packages/daemon/src/operator_api.cc
+++ b/packages/daemon/src/operator_api.cc
@@ -4,12 +4,14 @@
 
 #include <utility>
 
+#include "laurelhall/base/log.h"
+#include "laurelhall/net/bearer.h"
+
 namespace laurelhall::daemon {
 namespace {
 
 constexpr int64_t kMaxOperatorBody = 4 << 20;
 constexpr Millis kOperateTimeout = std::chrono::seconds(10);
-constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kVersionPrefix = "/v1/";
 
 net::HttpResponse Reply(int status, const char* type, std::string body) {
@@ -29,7 +31,7 @@
 
 /// Puts the token's owner in place of whatever the body names.
 std::string WithOperator(const std::string& body, const std::string& owner) {
-  if (body.empty()) {
+  if (body.empty() || owner.empty()) {
     return body;
   }
   boost::json::error_code error;
@@ -41,6 +43,19 @@
   return boost::json::serialize(value);
 }
 
+void Refuse(net::HttpExchange& exchange,
+            int status,
+            const char* slug,
+            const char* detail,
+            const std::string& name) {
+  const net::HttpRequest& request = exchange.request();
+  PartLog("operators")
+      ->warn("{} {} of {} from {} is refused with {}: {}.", request.method,
+             request.target, name.empty() ? "nobody known" : name, request.peer,
+             status, detail);
+  exchange.Respond(Problem(status, slug, detail));
+}
+
 }  // namespace
 
 const OperatorApi::LocalRoute OperatorApi::kLocalRoutes[] = {
@@ -88,6 +103,15 @@
 
 /// Cuts this daemon off from peers, for drills: {"peer": "*", "mode": "stall"}.
 void OperatorApi::Cuts(const std::shared_ptr<net::HttpExchange>& exchange) {
+  const std::optional<Operator> who = Admit(*exchange, false);
+  if (!who) {
+    return;
+  }
+  if (!m_init.allows_drills) {
+    Refuse(*exchange, 403, "forbidden", "drills are not allowed here",
+           who->name);
+    return;
+  }
   constexpr std::pair<const char*, control::CutMode> kModes[] = {
       {"none", control::CutMode::kNone},
       {"refuse", control::CutMode::kRefuse},
@@ -109,23 +133,37 @@
                             "expected peer and mode: none, refuse or stall"));
 }
 
+std::optional<Operator> OperatorApi::Identify(
+    const net::HttpRequest& request) const {
+  if (!request.client_name.empty()) {
+    return Operator{request.client_name, OperatorRole::kOperator};
+  }
+  if (!m_init.tokens->is_required()) {
+    return Operator{};
+  }
+  return m_init.tokens->OwnerOf(net::BearerHash(request));
+}
+
+std::optional<Operator> OperatorApi::Admit(net::HttpExchange& exchange,
+                                           bool is_read_only) const {
+  std::optional<Operator> who = Identify(exchange.request());
+  if (!who) {
+    Refuse(exchange, 401, "unauthorised",
+           "expected an operator's token or client certificate", "");
+  } else if (who->role == OperatorRole::kViewer && !is_read_only) {
+    Refuse(exchange, 403, "forbidden", "a viewer only reads", who->name);
+    who.reset();
+  }
+  return who;
+}
+
 void OperatorApi::Forward(const std::shared_ptr<net::HttpExchange>& exchange) {
   const net::HttpRequest& request = exchange->request();
-  std::string body = request.body;
-  if (m_init.tokens->is_required()) {
-    const std::string_view field = request.headers.Get("Authorization");
-    const bool is_bearer = field.starts_with(kBearer);
-    const auto owner =
-        is_bearer
-            ? m_init.tokens->OwnerOf(std::string(field.substr(kBearer.size())))
-            : std::nullopt;
-    if (!owner) {
-      exchange->Respond(
-          Problem(401, "unauthorised", "expected an operator's token"));
-      return;
-    }
-    body = WithOperator(body, *owner);
+  const std::optional<Operator> who = Admit(*exchange, request.method == "GET");
+  if (!who) {
+    return;
   }
+  std::string body = WithOperator(request.body, who->name);
   m_init.link->Operate(
       request.method, request.target, std::move(body),
       m_init.timers->Now() + kOperateTimeout,
--- a/packages/daemon/src/operator_api_p.h
+++ b/packages/daemon/src/operator_api_p.h
@@ -14,9 +14,23 @@
 
 namespace laurelhall::daemon {
 
+/// What an operator may do.
+enum class OperatorRole {
+  kViewer,    ///< Reads only.
+  kOperator,  ///< All.
+  kCount,
+};
+
+/// Who asks, as far as it is proven.
+struct Operator {
+  std::string name;  ///< Empty: nobody has to prove it; the body's name holds.
+  OperatorRole role = OperatorRole::kOperator;
+};
+
 /// Bearer tokens of operators, from a file that is read again when it changes.
 ///
-/// @remarks Lines of "NAME SHA256-OF-TOKEN". Thread-safe.
+/// @remarks Lines of "NAME SHA256-OF-TOKEN [viewer|operator]". A changed file
+///   that cannot be read whole changes nothing. Thread-safe.
 class OperatorTokens {
  public:
   /// @param file Empty: no tokens, everybody on loopback is an operator.
@@ -25,8 +39,8 @@
 
   bool is_required() const { return !m_file.empty(); }
 
-  /// Returns whose token it is; none when it is nobody's.
-  std::optional<std::string> OwnerOf(const std::string& token);
+  /// Returns whose token has this SHA-256; none when it is nobody's.
+  std::optional<Operator> OwnerOf(const std::string& hash);
 
  private:
   void ReloadIfChanged();
@@ -34,7 +48,7 @@
   const std::string m_file;
   std::mutex m_mutex;  // Guards all below.
   std::filesystem::file_time_type m_read_at;
-  std::map<std::string, std::string> m_owner_by_hash;
+  std::map<std::string, Operator> m_owner_by_hash;
 };
 
 /// What the operators' address of a daemon is set up with.
@@ -43,6 +57,7 @@
   TimerService* timers = nullptr;
   OperatorTokens* tokens = nullptr;
   std::shared_ptr<control::ConnectionFilter> filter;
+  bool allows_drills = false;
   std::function<bool()> is_healthy;
   std::function<std::string()> metrics;
   std::function<std::string()> local_status;  ///< JSON of this daemon alone.
@@ -71,6 +86,10 @@
   void Metrics(const std::shared_ptr<net::HttpExchange>& exchange);
   void LocalStatus(const std::shared_ptr<net::HttpExchange>& exchange);
   void Cuts(const std::shared_ptr<net::HttpExchange>& exchange);
+  // None when the request was refused, answered and logged.
+  std::optional<Operator> Admit(net::HttpExchange& exchange,
+                                bool is_read_only) const;
+  std::optional<Operator> Identify(const net::HttpRequest& request) const;
   void Forward(const std::shared_ptr<net::HttpExchange>& exchange);
 
   const OperatorApiInit m_init;
--- a/packages/daemon/src/operator_tokens.cc
+++ b/packages/daemon/src/operator_tokens.cc
@@ -1,6 +1,3 @@
-#include <openssl/sha.h>
-
-#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -11,28 +8,22 @@
 namespace laurelhall::daemon {
 namespace {
 
-constexpr size_t kHashTextLength = 2 * SHA256_DIGEST_LENGTH;
+constexpr size_t kHashTextLength = 64;  // SHA-256 in hexadecimal.
 
-std::string HashText(const std::string& token) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(token.data()), token.size(),
-         digest.data());
-  constexpr char kDigits[] = "0123456789abcdef";
-  std::string text;
-  for (const unsigned char byte : digest) {
-    text += kDigits[byte >> 4];
-    text += kDigits[byte & 15];
+std::optional<OperatorRole> ReadRole(const std::string& word) {
+  if (word.empty() || word == "operator") {
+    return OperatorRole::kOperator;
   }
-  return text;
+  return word == "viewer" ? std::optional(OperatorRole::kViewer) : std::nullopt;
 }
 
-std::map<std::string, std::string> ReadTokens(const std::string& file) {
+std::map<std::string, Operator> ReadTokens(const std::string& file) {
   std::ifstream stream(file);
   FindingList findings;
   if (!stream) {
     findings.Add(file, "cannot be read");
   }
-  std::map<std::string, std::string> owner_by_hash;
+  std::map<std::string, Operator> owner_by_hash;
   std::string line;
   for (int number = 1; std::getline(stream, line); ++number) {
     if (line.empty() || line.front() == '#') {
@@ -41,12 +32,20 @@
     std::istringstream words(line);
     std::string name;
     std::string hash;
-    words >> name >> hash;
-    if (hash.size() != kHashTextLength) {
+    std::string word;
+    std::string rest;
+    words >> name >> hash >> word >> rest;
+    const std::optional<OperatorRole> role = ReadRole(word);
+    const bool is_hash =
+        hash.size() == kHashTextLength &&
+        hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (!is_hash || !role || !rest.empty()) {
       findings.Add(file + ":" + std::to_string(number),
-                   "expected a name and a SHA-256 in hexadecimal");
+                   "expected a name, a SHA-256 in lower-case hexadecimal and "
+                   "at most \"viewer\" or \"operator\"");
+      continue;
     }
-    owner_by_hash[hash] = name;
+    owner_by_hash[hash] = {name, *role};
   }
   findings.ThrowIfAny();
   return owner_by_hash;
@@ -56,15 +55,16 @@
 
 OperatorTokens::OperatorTokens(std::string file) : m_file(std::move(file)) {
   if (is_required()) {
+    std::error_code ignored;  // Reading tells of a file that is missing.
+    m_read_at = std::filesystem::last_write_time(m_file, ignored);
     m_owner_by_hash = ReadTokens(m_file);
-    m_read_at = std::filesystem::last_write_time(m_file);
   }
 }
 
-std::optional<std::string> OperatorTokens::OwnerOf(const std::string& token) {
+std::optional<Operator> OperatorTokens::OwnerOf(const std::string& hash) {
   const std::lock_guard lock(m_mutex);
   ReloadIfChanged();
-  const auto found = m_owner_by_hash.find(HashText(token));
+  const auto found = m_owner_by_hash.find(hash);
   if (found == m_owner_by_hash.end()) {
     return std::nullopt;
   }
--- a/packages/entry/include/laurelhall/entry/entry_host.h
+++ b/packages/entry/include/laurelhall/entry/entry_host.h
@@ -28,6 +28,9 @@
       std::chrono::seconds(2)};  ///< Drain: goes on accepting for so long.
   Millis drain_grace{std::chrono::seconds(30)};  ///< Then in flight may finish.
   int64_t max_announcement_bytes = 16 << 10;
+  /// Whether callers and endpoints are believed without a token or client
+  /// certificate where none is set; meant for loopback.
+  bool allows_unproven = true;
   uint64_t seed = 1;
 };
 
--- a/packages/entry/src/announcer.cc
+++ b/packages/entry/src/announcer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "laurelhall/base/log.h"
+#include "laurelhall/net/bearer.h"
 #include "vendor_form_p.h"
 
 namespace laurelhall::entry {
@@ -67,6 +68,15 @@
   Accept(exchange, said.state, HoldsFrom(context, said.state));
 }
 
+// Whether the announcement comes from the vendor that it names.
+bool IsProven(const net::HttpRequest& request,
+              const model::Vendor& vendor,
+              bool allows_unproven) {
+  return request.client_name == vendor.name ||
+         net::IsSameSecret(vendor.token_hash, net::BearerHash(request)) ||
+         (vendor.token_hash.empty() && allows_unproven);
+}
+
 }  // namespace
 
 void HandleAnnouncement(const std::shared_ptr<EntryContext>& context,
@@ -81,6 +91,15 @@
     exchange->Respond(MakeProblem(ProblemKind::kBadRequest, error.what()));
     return;
   }
+  if (!IsProven(exchange->request(), config.vendors.at(said.vendor),
+                context->init.allows_unproven)) {
+    PartLog("entry")->warn("an announcement for vendor {} from {} is refused.",
+                           said.vendor, exchange->request().peer);
+    exchange->Respond(MakeProblem(ProblemKind::kUnauthorised,
+                                  "expected the vendor's bearer token or "
+                                  "client certificate"));
+    return;
+  }
   if (!config.services.contains(said.service)) {
     exchange->Respond(MakeProblem(ProblemKind::kUnknownService,
                                   "no service of this name is set up"));
--- a/packages/entry/src/caller_request.cc
+++ b/packages/entry/src/caller_request.cc
@@ -1,7 +1,5 @@
 #include "caller_request_p.h"
 
-#include <openssl/crypto.h>
-#include <openssl/sha.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -10,13 +8,14 @@
 #include <charconv>
 #include <set>
 
+#include "laurelhall/net/bearer.h"
+
 namespace laurelhall::entry {
 namespace {
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::string_view kRequestsPart = "/requests";
 constexpr std::string_view kOwnPrefix = "laurelhall-";
-constexpr std::string_view kBearer = "Bearer ";
 constexpr size_t kMaxNameBytes = 100;
 constexpr size_t kMaxKeyBytes = 200;
 constexpr Millis kMaxTimeout{std::chrono::hours(24)};
@@ -47,60 +46,47 @@
          });
 }
 
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-         digest.data());
-  constexpr std::string_view kDigits = "0123456789abcdef";  // NOLINT
-  std::string hex;
-  for (const unsigned char byte : digest) {
-    hex += kDigits[byte >> 4];
-    hex += kDigits[byte & 15];
-  }
-  return hex;
-}
-
-bool IsSameSecret(const std::string& a, const std::string& b) {
-  return a.size() == b.size() &&
-         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
-}
-
-std::string BearerHash(const net::HttpRequest& request) {
-  const std::string_view given = request.headers.Get("Authorization");
-  return given.starts_with(kBearer) ? Sha256Hex(given.substr(kBearer.size()))
-                                    : std::string();
+const model::Organisation* Find(const model::Config& config,
+                                const std::string& name) {
+  const auto found = config.organisations.find(name);
+  return found == config.organisations.end() ? nullptr : &found->second;
 }
 
 const model::Organisation* FindByToken(const model::Config& config,
                                        const std::string& hash) {
   const model::Organisation* found = nullptr;
   for (const auto& [name, organisation] : config.organisations) {
-    if (!hash.empty() && IsSameSecret(ToLower(organisation.token_hash), hash)) {
+    if (net::IsSameSecret(organisation.token_hash, hash)) {
       found = &organisation;
     }
   }
   return found;
 }
 
-// An organisation with a token must show it; the header alone is enough for
-// one without.
+// Whom the client's certificate or else its token speaks for.
+const model::Organisation* FindProven(const net::HttpRequest& request,
+                                      const model::Config& config) {
+  const model::Organisation* certified = Find(config, request.client_name);
+  return certified != nullptr ? certified
+                              : FindByToken(config, net::BearerHash(request));
+}
+
+// What is proven goes before what is said; saying alone is enough for an
+// organisation without a token, where that is allowed.
 const model::Organisation& Identify(const net::HttpRequest& request,
-                                    const model::Config& config) {
+                                    const model::Config& config,
+                                    bool allows_unproven) {
   const std::string name(request.headers.Get("Laurelhall-Organisation"));
-  const std::string hash = BearerHash(request);
-  const model::Organisation* found = nullptr;
-  if (name.empty()) {
-    found = FindByToken(config, hash);
-  } else if (const auto named = config.organisations.find(name);
-             named != config.organisations.end()) {
-    const std::string expected = ToLower(named->second.token_hash);
-    found = expected.empty() || IsSameSecret(expected, hash) ? &named->second
-                                                             : nullptr;
+  const model::Organisation* found = FindProven(request, config);
+  if (found == nullptr && allows_unproven) {
+    const model::Organisation* named = Find(config, name);
+    found = named != nullptr && named->token_hash.empty() ? named : nullptr;
   }
-  if (found == nullptr) {
+  if (found == nullptr || (!name.empty() && name != found->name)) {
     throw RefusedRequest(ProblemKind::kUnauthorised,
                          "expected Laurelhall-Organisation to name an "
-                         "organisation, with its bearer token if it has one");
+                         "organisation, with its own bearer token or client "
+                         "certificate if it has one");
   }
   return *found;
 }
@@ -227,9 +213,11 @@
 
 CallerRequest ParseCallerRequest(const CallerPath& path,
                                  const net::HttpRequest& request,
-                                 const model::Config& config) {
+                                 const model::Config& config,
+                                 bool allows_unproven) {
   const auto service = config.services.find(path.service);
-  const model::Organisation& organisation = Identify(request, config);
+  const model::Organisation& organisation =
+      Identify(request, config, allows_unproven);
   if (service == config.services.end()) {
     throw RefusedRequest(ProblemKind::kUnknownService,
                          "no service of this name is set up");
--- a/packages/entry/src/caller_request_p.h
+++ b/packages/entry/src/caller_request_p.h
@@ -47,9 +47,12 @@
 /// Understands a request under the settings in force.
 ///
 /// @param path Of ParseCallerPath().
+/// @param allows_unproven Whether its word is enough for an organisation
+///   without a token.
 /// @throws RefusedRequest
 CallerRequest ParseCallerRequest(const CallerPath& path,
                                  const net::HttpRequest& request,
-                                 const model::Config& config);
+                                 const model::Config& config,
+                                 bool allows_unproven);
 
 }  // namespace laurelhall::entry
--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -241,8 +241,8 @@
                        const std::shared_ptr<net::HttpExchange>& exchange) {
     ++m_context->counters.requests;
     try {
-      CallerRequest request =
-          ParseCallerRequest(path, exchange->request(), config);
+      CallerRequest request = ParseCallerRequest(
+          path, exchange->request(), config, m_context->init.allows_unproven);
       if (IsRefusing()) {
         Refuse(*exchange,
                request.is_keyed() ? ProblemKind::kNotAccepted
--- a/packages/model/include/laurelhall/model/config.h
+++ b/packages/model/include/laurelhall/model/config.h
@@ -56,8 +56,9 @@
   std::string name;
   std::string form;  ///< "flat" or "nested": where the words stand.
   std::map<std::string, std::string> state_words;  ///< Theirs to ours.
+  std::string token_hash;  ///< SHA-256 of its endpoints' token, or empty.
 };
-BOOST_DESCRIBE_STRUCT(Vendor, (), (name, form, state_words))
+BOOST_DESCRIBE_STRUCT(Vendor, (), (name, form, state_words, token_hash))
 
 struct Config {
   uint64_t version = 0;
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -53,6 +53,9 @@
   std::string trace_file;         ///< Records decisions for replay when set.
 };
 
+/// Whether a checked "ip:port" can be reached from other machines.
+bool IsOffLoopback(const std::string& address);
+
 /// Reads and checks a daemon's settings file.
 ///
 /// @throws FindingsError with every finding and its place: unknown keys, bad
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -333,11 +333,6 @@
     }
   }
 
-  static bool IsOffLoopback(const std::string& address) {
-    const auto parsed = ParseAddress(address);
-    return parsed && !parsed->is_loopback;
-  }
-
   bool IsInnerOpen() const {
     bool is_open = IsOffLoopback(m_settings.inner_address);
     for (const ControlPeer& peer : m_settings.control_peers) {
@@ -401,6 +396,11 @@
 
 }  // namespace
 
+bool IsOffLoopback(const std::string& address) {
+  const auto parsed = ParseAddress(address);
+  return parsed && !parsed->is_loopback;
+}
+
 DaemonSettings ParseDaemonSettings(const std::string& text,
                                    const std::string& place) {
   FindingList findings;
--- a/packages/settings/src/schema.cc
+++ b/packages/settings/src/schema.cc
@@ -205,7 +205,8 @@
                                  "Share of a contended service."),
       Row<&Organisation::token_hash>(
           "organisations", "token_hash", {},
-          "SHA-256 of its callers' bearer token; empty admits any caller.",
+          "SHA-256 of its callers' bearer token; empty admits any caller on "
+          "loopback, and none elsewhere but by client certificate.",
           &CheckTokenHash),
       Row<&Quota::guaranteed, &Resources::processors>(
           "quotas", "processors", {0, 10'000'000}, "Guaranteed processors."),
@@ -222,6 +223,12 @@
       Row<&Vendor::state_words>("vendors", "state_words", {},
                                 "The vendor's words for ready, leaving and "
                                 "gone."),
+      Row<&Vendor::token_hash>(
+          "vendors", "token_hash", {},
+          "SHA-256 of the bearer token of its endpoints' announcements; empty "
+          "admits any endpoint on loopback, and none elsewhere but by client "
+          "certificate.",
+          &CheckTokenHash),
       Row<&MeasureWeights::buffer>("weights", "buffer", {0, 1000},
                                    "Weight of buffer capacity."),
       Row<&MeasureWeights::rollout_time>("weights", "rollout_time", {0, 1000},
--- a/packages/state/src/endpoint_table.cc
+++ b/packages/state/src/endpoint_table.cc
@@ -80,6 +80,11 @@
                        std::to_string(announced.incarnation) + " is older",
                    known.incarnation);
   }
+  // Each vendor proves itself for its own endpoints only.
+  if (announced.vendor != known.vendor) {
+    return Refused("endpoint " + known.id + " is of another vendor",
+                   known.incarnation);
+  }
   const bool is_fresh = announced.incarnation > known.incarnation;
   const bool has_left = before.has_left && !is_fresh;
   if (has_left && announced.state == EndpointState::kReady) {
