--- a/packages/daemon/src/operator_api.cc
+++ b/packages/daemon/src/operator_api.cc
@@ -135,11 +135,11 @@
 
 std::optional<Operator> OperatorApi::Identify(
     const net::HttpRequest& request) const {
-  if (!request.client_name.empty()) {
+  if (!m_init.tokens->is_required()) {
     return Operator{request.client_name, OperatorRole::kOperator};
   }
-  if (!m_init.tokens->is_required()) {
-    return Operator{};
+  if (!request.client_name.empty()) {
+    return m_init.tokens->Named(request.client_name);
   }
   return m_init.tokens->OwnerOf(net::BearerHash(request));
 }
--- a/packages/daemon/src/operator_api_p.h
+++ b/packages/daemon/src/operator_api_p.h
@@ -27,10 +27,18 @@
   OperatorRole role = OperatorRole::kOperator;
 };
 
-/// Bearer tokens of operators, from a file that is read again when it changes.
+/// The operators of one file.
+struct OperatorTable {
+  std::map<std::string, Operator> by_hash;  ///< Of the token.
+  std::map<std::string, Operator> by_name;
+};
+
+/// Operators and their bearer tokens, from a file that is read again when it
+/// changes.
 ///
-/// @remarks Lines of "NAME SHA256-OF-TOKEN [viewer|operator]". A changed file
-///   that cannot be read whole changes nothing. Thread-safe.
+/// @remarks Lines of "NAME SHA256-OF-TOKEN [viewer|operator]"; "-" in place of
+///   the hash for one who has a client certificate only. A changed file that
+///   cannot be read whole changes nothing. Thread-safe.
 class OperatorTokens {
  public:
   /// @param file Empty: no tokens, everybody on loopback is an operator.
@@ -42,13 +50,19 @@
   /// Returns whose token has this SHA-256; none when it is nobody's.
   std::optional<Operator> OwnerOf(const std::string& hash);
 
+  /// Returns the operator whom a client certificate names; none if not listed.
+  std::optional<Operator> Named(const std::string& name);
+
  private:
+  std::optional<Operator> Find(
+      std::map<std::string, Operator> OperatorTable::*index,
+      const std::string& key);
   void ReloadIfChanged();
 
   const std::string m_file;
   std::mutex m_mutex;  // Guards all below.
   std::filesystem::file_time_type m_read_at;
-  std::map<std::string, Operator> m_owner_by_hash;
+  OperatorTable m_table;
 };
 
 /// What the operators' address of a daemon is set up with.
--- a/packages/daemon/src/operator_tokens.cc
+++ b/packages/daemon/src/operator_tokens.cc
@@ -8,6 +8,7 @@
 namespace laurelhall::daemon {
 namespace {
 
+constexpr std::string_view kNoToken = "-";
 constexpr size_t kHashTextLength = 64;  // SHA-256 in hexadecimal.
 
 std::optional<OperatorRole> ReadRole(const std::string& word) {
@@ -17,13 +18,13 @@
   return word == "viewer" ? std::optional(OperatorRole::kViewer) : std::nullopt;
 }
 
-std::map<std::string, Operator> ReadTokens(const std::string& file) {
+OperatorTable ReadTokens(const std::string& file) {
   std::ifstream stream(file);
   FindingList findings;
   if (!stream) {
     findings.Add(file, "cannot be read");
   }
-  std::map<std::string, Operator> owner_by_hash;
+  OperatorTable table;
   std::string line;
   for (int number = 1; std::getline(stream, line); ++number) {
     if (line.empty() || line.front() == '#') {
@@ -37,18 +38,22 @@
     words >> name >> hash >> word >> rest;
     const std::optional<OperatorRole> role = ReadRole(word);
     const bool is_hash =
-        hash.size() == kHashTextLength &&
-        hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+        hash == kNoToken ||
+        (hash.size() == kHashTextLength &&
+         hash.find_first_not_of("0123456789abcdef") == std::string::npos);
     if (!is_hash || !role || !rest.empty()) {
       findings.Add(file + ":" + std::to_string(number),
-                   "expected a name, a SHA-256 in lower-case hexadecimal and "
-                   "at most \"viewer\" or \"operator\"");
+                   "expected a name, a SHA-256 in lower-case hexadecimal or "
+                   "-, and at most \"viewer\" or \"operator\"");
       continue;
     }
-    owner_by_hash[hash] = {name, *role};
+    table.by_name[name] = {name, *role};
+    if (hash != kNoToken) {
+      table.by_hash[hash] = {name, *role};
+    }
   }
   findings.ThrowIfAny();
-  return owner_by_hash;
+  return table;
 }
 
 }  // namespace
@@ -57,18 +62,26 @@
   if (is_required()) {
     std::error_code ignored;  // Reading tells of a file that is missing.
     m_read_at = std::filesystem::last_write_time(m_file, ignored);
-    m_owner_by_hash = ReadTokens(m_file);
+    m_table = ReadTokens(m_file);
   }
 }
 
 std::optional<Operator> OperatorTokens::OwnerOf(const std::string& hash) {
+  return Find(&OperatorTable::by_hash, hash);
+}
+
+std::optional<Operator> OperatorTokens::Named(const std::string& name) {
+  return Find(&OperatorTable::by_name, name);
+}
+
+std::optional<Operator> OperatorTokens::Find(
+    std::map<std::string, Operator> OperatorTable::*index,
+    const std::string& key) {
   const std::lock_guard lock(m_mutex);
   ReloadIfChanged();
-  const auto found = m_owner_by_hash.find(hash);
-  if (found == m_owner_by_hash.end()) {
-    return std::nullopt;
-  }
-  return found->second;
+  const auto found = (m_table.*index).find(key);
+  return found == (m_table.*index).end() ? std::nullopt
+                                         : std::optional(found->second);
 }
 
 void OperatorTokens::ReloadIfChanged() {
@@ -79,7 +92,7 @@
   }
   m_read_at = changed_at;
   try {
-    m_owner_by_hash = ReadTokens(m_file);
+    m_table = ReadTokens(m_file);
     PartLog("operators")->info("tokens were read again from {}.", m_file);
   } catch (const FindingsError& findings) {
     // The keys in force go on; a half-written file must lock nobody out.
--- a/packages/daemon/tests/operator_api_test.cc
+++ b/packages/daemon/tests/operator_api_test.cc
@@ -117,8 +117,13 @@
   m_tokens.emplace(file());
   CHECK(Send("POST", "/v1/waves", "ana-token") == 200);
   CHECK(LastName() == "ana");
+  Write(Line("ana", "ana-token", "") + "eva - operator\nluis - viewer\n");
   CHECK(Send("POST", "/v1/waves", "", "eva") == 200);
   CHECK(LastName() == "eva");
+  CHECK(Send("POST", "/v1/waves", "", "luis") == 403);
+  // A certificate of the same authority that names no operator.
+  CHECK(Send("POST", "/v1/waves", "ana-token", "insurer-a") == 401);
+  CHECK(Send("POST", "/v1/waves", "-") == 401);
   m_tokens.emplace("");
   CHECK(Send("POST", "/v1/waves", "") == 200);
   CHECK(LastName() == "mallory");
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -534,6 +534,9 @@
     if (error || open >= most + kRefusingConnections) {
       return;
     }
+    if (m_tls != nullptr) {
+      m_tls = m_tls->Renewed();
+    }
     auto connection = std::make_shared<ServerConnection>(
         m_shared, MakeStream(std::move(socket), strand, m_tls, {}),
         FormatAddress(peer));
@@ -544,9 +547,9 @@
 
   asio::io_context& m_context;
   Strand m_strand;
-  tcp::acceptor m_acceptor;    // On the strand alone.
-  asio::steady_timer m_retry;  // On the strand alone.
-  std::shared_ptr<TlsContext> m_tls;
+  tcp::acceptor m_acceptor;           // On the strand alone.
+  asio::steady_timer m_retry;         // On the strand alone.
+  std::shared_ptr<TlsContext> m_tls;  // On the strand alone.
   std::shared_ptr<ServerShared> m_shared;
   std::string m_address;
 };
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -9,8 +9,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <filesystem>
 #include <utility>
 
+#include "laurelhall/base/log.h"
+
 namespace laurelhall::net {
 
 namespace asio = boost::asio;
@@ -22,7 +25,21 @@
 constexpr size_t kReadBytes = 16 << 10;
 constexpr std::chrono::seconds kLingerTime{1};
 
-class SslContext : public TlsContext {
+using FileTimes = std::array<std::filesystem::file_time_type, 4>;
+
+FileTimes ReadTimes(const TlsInit& init) {
+  const std::string* files[] = {&init.certificate_file, &init.key_file,
+                                &init.client_ca_file, &init.ca_file};
+  FileTimes times;
+  for (size_t i = 0; i < times.size(); ++i) {
+    std::error_code ignored;  // A missing file has a time of its own.
+    times[i] = std::filesystem::last_write_time(*files[i], ignored);
+  }
+  return times;
+}
+
+class SslContext : public TlsContext,
+                   public std::enable_shared_from_this<SslContext> {
  public:
   explicit SslContext(Side side)
       : m_side(side),
@@ -33,7 +50,28 @@
                           ssl::context::no_tlsv1 | ssl::context::no_tlsv1_1);
   }
 
+  std::shared_ptr<TlsContext> Renewed() override {
+    const FileTimes times = ReadTimes(m_init);
+    if (times == m_tried) {
+      return shared_from_this();
+    }
+    m_tried = times;
+    try {
+      auto renewed = std::make_shared<SslContext>(m_side);
+      renewed->Load(m_init);
+      PartLog("net")->info("Keys were read again from {}.",
+                           m_init.certificate_file);
+      return renewed;
+    } catch (const boost::system::system_error& error) {
+      PartLog("net")->error("Keys of {} stay as they were: {}.",
+                            m_init.certificate_file, error.what());
+      return shared_from_this();
+    }
+  }
+
   void Load(const TlsInit& init) {
+    m_init = init;
+    m_tried = ReadTimes(init);
     if (!init.certificate_file.empty()) {
       m_context.use_certificate_chain_file(init.certificate_file);
       m_context.use_private_key_file(init.key_file, ssl::context::pem);
@@ -52,6 +90,8 @@
  private:
   Side m_side;
   ssl::context m_context;
+  TlsInit m_init;
+  FileTimes m_tried{};  // Of the files when they were last read.
 };
 
 // The one body of both kinds of stream; `Layer` is the socket or TLS over it.
--- a/packages/net/src/stream_p.h
+++ b/packages/net/src/stream_p.h
@@ -54,6 +54,10 @@
 
   /// @returns Null when TLS is off.
   /// @throws std::system_error when a file cannot be used.
+  /// The context made of the files as they are now, for new connections;
+  /// while they cannot be used, the one made last. One thread at a time.
+  virtual std::shared_ptr<TlsContext> Renewed() = 0;
+
   static std::shared_ptr<TlsContext> Make(const TlsInit& init, Side side);
   virtual ~TlsContext() = default;
 };
--- a/packages/net/tests/http_tls_test.cc
+++ b/packages/net/tests/http_tls_test.cc
@@ -106,5 +106,31 @@
   CHECK_THROWS_AS(Ask({}), std::runtime_error);
 }
 
+TEST_CASE_FIXTURE(TlsFixture,
+                  "HttpServer, keys replaced, uses them for new connections") {
+  const CertificateFiles made("entry-host");
+  int seconds = 0;
+  const auto replace = [&](const std::string& file, const std::string& by) {
+    std::filesystem::copy_file(
+        by, file, std::filesystem::copy_options::overwrite_existing);
+    // Two writes within a tick of the file system's clock look like one.
+    std::filesystem::last_write_time(
+        file, std::filesystem::file_time_type::clock::now() +
+                  std::chrono::seconds(++seconds));
+  };
+  TlsInit old_trust;
+  old_trust.ca_file = made.certificate_file() + ".old";
+  std::filesystem::copy_file(m_server_files.certificate_file(),
+                             old_trust.ca_file);
+  CHECK(Ask(old_trust) == "name=");
+  replace(m_server_files.certificate_file(), made.certificate_file());
+  CHECK(Ask(old_trust) == "name=");  // The key does not fit yet.
+  replace(m_server_files.key_file(), made.key_file());
+  TlsInit new_trust;
+  new_trust.ca_file = made.certificate_file();
+  CHECK(Ask(new_trust) == "name=");
+  CHECK_THROWS_AS(Ask(old_trust), std::runtime_error);
+}
+
 }  // namespace
 }  // namespace laurelhall::net
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -61,6 +61,16 @@
   CHECK(settings.log_level == "info");
 }
 
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ReadDaemonSettings, the trusted example, has no findings") {
+  const DaemonSettings settings =
+      ReadDaemonSettings(LAURELHALL_SOURCE_DIR "/examples/trusted/daemon.json");
+  CHECK(IsOffLoopback(settings.inner_address));
+  CHECK_FALSE(settings.inner_tls.ca_file.empty());
+  CHECK_FALSE(settings.is_caller_tls_at_balancer);
+  CHECK_FALSE(settings.allows_drills);
+}
+
 TEST_CASE_FIXTURE(DaemonSettingsFixture,
                   "ReadDaemonSettings, no such file, says which") {
   CHECK_THROWS_WITH_AS(ReadDaemonSettings("/nowhere/d.json"),
