Acts on the control hosts are in the audit log before they are done

Repair, transfer and remove changed the membership without a command, so the audit log had no word of them. The test of malformed commands names the first kind that does not exist, which is now 14.

--- a/packages/operations/src/control_routes.cc
+++ b/packages/operations/src/control_routes.cc
@@ -16,14 +16,23 @@
   throw RequestError(404, "control host " + name + ": not a member");
 }
 
+// The act is in the audit log before it is done.
 Outcome ActionOutcome(
+    const Request& request,
+    const std::string& act,
     std::function<void(ControlActions&, ControlActions::Done)> action) {
-  return {200, {}, {}, {}, std::move(action)};
+  const auto name = BodyValue<std::string>(request.body, "name");
+  return {200,
+          {},
+          {state::ControlCommand{request.Operator(), act + " " + name}},
+          {},
+          std::move(action)};
 }
 
 Outcome Repair(const Request& request) {
   const auto name = BodyValue<std::string>(request.body, "name");
   return ActionOutcome(
+      request, "repair",
       [name](ControlActions& actions, ControlActions::Done done) {
         actions.Repair(name, std::move(done));
       });
@@ -32,6 +41,7 @@
 Outcome Transfer(const Request& request) {
   const consensus::NodeId node = FindMember(request);
   return ActionOutcome(
+      request, "transfer",
       [node](ControlActions& actions, ControlActions::Done done) {
         actions.Transfer(node, std::move(done));
       });
@@ -40,6 +50,7 @@
 Outcome Remove(const Request& request) {
   const consensus::NodeId node = FindMember(request);
   return ActionOutcome(
+      request, "remove",
       [node](ControlActions& actions, ControlActions::Done done) {
         actions.Remove(node, std::move(done));
       });
--- a/packages/operations/src/operations_p.h
+++ b/packages/operations/src/operations_p.h
@@ -52,7 +52,7 @@
   boost::json::value body;
   std::vector<state::Command> commands;
   std::function<void()> on_accepted;  ///< Once all commands are accepted.
-  /// A change of membership in place of commands.
+  /// A change of membership, made once the commands are accepted.
   std::function<void(control::ControlActions&, control::ControlActions::Done)>
       action;
 };
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -147,7 +147,7 @@
       return;
     }
     if (outcome.action) {
-      Act(outcome, std::move(done));
+      CommitAct(std::move(outcome), commit, std::move(done));
     } else if (outcome.commands.empty()) {
       done({outcome.status, TextOf(outcome.body)});
     } else {
@@ -179,14 +179,26 @@
            });
   }
 
-  void Act(const Outcome& outcome,
-           std::function<void(control::OperatorReply)> done) const {
-    outcome.action(*m_actions, [done = std::move(done)](
-                                   const control::ActionOutcome& result) {
-      done(result.is_accepted
-               ? control::OperatorReply{kOk, R"({"is_accepted":true})"}
-               : Problem(409, result.error));
-    });
+  // A resend does it once more: the first may have got no further than the
+  // commit, and each act asks for an end state.
+  void CommitAct(Outcome outcome,
+                 const Commit& commit,
+                 std::function<void(control::OperatorReply)> done) const {
+    commit(std::move(outcome.commands),
+           [actions = m_actions, action = std::move(outcome.action),
+            done = std::move(done)](
+               const std::optional<std::vector<state::Result>>& results) {
+             const control::OperatorReply reply = ReplyOf(results);
+             if (reply.status != kOk) {
+               done(reply);
+               return;
+             }
+             action(*actions, [done](const control::ActionOutcome& result) {
+               done(result.is_accepted
+                        ? control::OperatorReply{kOk, R"({"is_accepted":true})"}
+                        : Problem(409, result.error));
+             });
+           });
   }
 
   std::vector<Route> m_routes;
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -121,6 +121,14 @@
 };
 BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
 
+/// Records that an operator asked for an act on the control hosts, which is
+/// done outside of the replicated state once this is committed.
+struct ControlCommand {
+  OperatorRequest request;
+  std::string act;  ///< Such as "repair entry-4".
+};
+BOOST_DESCRIBE_STRUCT(ControlCommand, (), (request, act))
+
 using model::BurnSample;
 
 /// Adds service-level samples to the recorded history.
@@ -147,7 +155,8 @@
                              RolloutCommand,
                              JobCommand,
                              BurnCommand,
-                             ExpireCommand>;
+                             ExpireCommand,
+                             ControlCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
--- a/packages/state/src/audit_log.cc
+++ b/packages/state/src/audit_log.cc
@@ -83,6 +83,10 @@
   return "job." + Word(command.job.state) + " " + command.job.id;
 }
 
+std::string ActText(const ControlCommand& command) {
+  return "control." + command.act;
+}
+
 std::string OutcomeText(const ActResult& result) {
   const std::string text =
       result.is_accepted ? "accepted" : "refused: " + result.error;
--- a/packages/state/src/audit_log_p.h
+++ b/packages/state/src/audit_log_p.h
@@ -37,6 +37,7 @@
 std::string ActText(const WaveCommand& command);
 std::string ActText(const RolloutCommand& command);
 std::string ActText(const JobCommand& command);
+std::string ActText(const ControlCommand& command);
 
 /// How a result reads in the audit log.
 std::string OutcomeText(const ActResult& result);
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -133,6 +133,11 @@
   return settings.Apply(command, fleet.CountHosts());
 }
 
+// It has no effect here; RunOnce() records it.
+ActResult Tables::Run(const ControlCommand&) {
+  return Accepted();
+}
+
 ActResult Tables::Run(const BurnCommand& command) {
   return burn.Apply(command, *settings.config());
 }
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -49,6 +49,7 @@
   ActResult Run(const EndpointCommand& command);
   ActResult Run(const SettingsCommand& command);
   ActResult Run(const BurnCommand& command);
+  ActResult Run(const ControlCommand& command);
   ActResult Run(const ExpireCommand& command);
   ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -53,7 +53,8 @@
           RolloutCommand{request, std::nullopt, RolloutOf("s")},
           JobCommand{request, 9, job},
           BurnCommand{{{"s", WallTime(Millis(60'000)), 1, 2, 3, 4}}},
-          ExpireCommand{WallTime(Millis(8))}};
+          ExpireCommand{WallTime(Millis(8))},
+          ControlCommand{request, "repair h"}};
 }
 
 TEST_CASE("Commands, one of each kind, decode as they were") {
@@ -78,7 +79,7 @@
 
 TEST_CASE("Commands, text that is none, throws") {
   for (const char* text :
-       {"", "{}", "[1]", "[{}]", R"([{"kind":13,"value":{}}])",
+       {"", "{}", "[1]", "[{}]", R"([{"kind":14,"value":{}}])",
         R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
         R"([{"kind":12,"value":{"now":"soon"}}])"}) {
