--- a/packages/operations/src/control_routes.cc
+++ b/packages/operations/src/control_routes.cc
@@ -22,11 +22,11 @@
     const std::string& act,
     std::function<void(ControlActions&, ControlActions::Done)> action) {
   const auto name = BodyValue<std::string>(request.body, "name");
-  return {200,
-          {},
-          {state::ControlCommand{request.Operator(), act + " " + name}},
-          {},
-          std::move(action)};
+  Outcome outcome;
+  outcome.commands = {
+      state::ControlCommand{request.Operator(), act + " " + name}};
+  outcome.action = std::move(action);
+  return outcome;
 }
 
 Outcome Repair(const Request& request) {
--- a/packages/planning/src/act_progress_p.h
+++ b/packages/planning/src/act_progress_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,12 +12,15 @@
 // fleet at each step, so that no step depends on the one before.
 namespace laurelhall::planning {
 
-/// A host that a wave or roll-out can't wait for.
-inline bool IsOutOfReach(const model::Host& host) {
+/// Whether a wave or roll-out can't wait for the host: an operator holds it,
+/// or it has failed for longer than hosts take to come back.
+inline bool IsOutOfReach(const PlanContext& context, const model::Host& host) {
   const bool is_operators =
       IsLeaving(host) && !IsPlannedReason(host.drain_reason);
-  return host.state == model::HostState::kFailed ||
-         host.state == model::HostState::kAnnounced || is_operators;
+  const bool is_lost =
+      host.state == model::HostState::kFailed &&
+      context.now() - host.state_since >= context.policy().return_timeout;
+  return is_lost || is_operators || host.state == model::HostState::kAnnounced;
 }
 
 /// Whether the host drains past its bound, which costs it one try.
@@ -40,6 +44,12 @@
         m_postponed(m_before.postponed.begin(), m_before.postponed.end()),
         m_given_up(m_before.given_up.begin(), m_before.given_up.end()) {}
 
+  /// Drops hosts from the lists that are neither among these nor held by the
+  /// act: they moved to where it doesn't apply.
+  void KeepOnly(const std::vector<std::string>& members) {
+    m_members.emplace(members.begin(), members.end());
+  }
+
   /// @param members Hosts that belong to the act besides those in its lists.
   void Read(const std::vector<std::string>& members) {
     for (auto* list : {&m_act.pending, &m_act.active, &m_act.done,
@@ -64,12 +74,16 @@
     const model::Host* host = m_context.view().FindHost(id);
     const bool is_gone =
         host == nullptr || host->state == model::HostState::kRetired;
-    if (is_gone || !m_placed.insert(host->id).second) {
+    if (is_gone || HasLeft(*host) || !m_placed.insert(host->id).second) {
       return;
     }
     ListFor(*host).push_back(host->id);
   }
 
+  bool HasLeft(const model::Host& host) const {
+    return m_members && !m_members->count(host.id) && host.act != m_act.id;
+  }
+
   std::vector<std::string>& ListFor(const model::Host& host) {
     if (host.act == m_act.id) {
       return ListForActive(host);
@@ -106,6 +120,7 @@
   std::set<std::string_view> m_postponed;
   std::set<std::string_view> m_given_up;
   std::set<std::string_view> m_placed;
+  std::optional<std::set<std::string>> m_members;
 };
 
 /// Whether a postponed host has rested for long enough to be tried again.
@@ -139,7 +154,7 @@
 bool IsFinished(const PlanContext& context, const Act& act) {
   const auto is_out_of_reach = [&](const std::string& id) {
     const model::Host* host = context.view().FindHost(id);
-    return host == nullptr || IsOutOfReach(*host);
+    return host == nullptr || IsOutOfReach(context, *host);
   };
   return act.active.empty() &&
          std::all_of(act.pending.begin(), act.pending.end(), is_out_of_reach) &&
--- a/packages/planning/src/rollout.cc
+++ b/packages/planning/src/rollout.cc
@@ -131,20 +131,18 @@
       ReadProgress();
       return;
     }
-    if (IsFinished(m_context, m_rollout)) {
-      m_rollout.state = ActState::kDone;
-      m_rollout.reason = LeftOut(m_rollout);
-      return;
-    }
     PauseOrGoOn();
   }
 
  private:
   void ReadProgress() {
     const std::string target = TargetVersion(m_rollout);
-    ProgressReader<Rollout>(m_context, m_rollout, [&](const Host& host) {
+    const std::vector<std::string> members = Ids(m_hosts);
+    ProgressReader<Rollout> reader(m_context, m_rollout, [&](const Host& host) {
       return host.version == target;
-    }).Read(Ids(m_hosts));
+    });
+    reader.KeepOnly(members);
+    reader.Read(members);
   }
 
   bool HaltIfOverdue() {
@@ -238,9 +236,15 @@
     m_rollout.reason = PauseReason(m_context, found->second.pools);
     m_rollout.state =
         m_rollout.reason.empty() ? ActState::kRunning : ActState::kPaused;
-    if (m_rollout.state == ActState::kRunning) {
-      WidenStage();
+    if (m_rollout.state != ActState::kRunning) {
+      return;
+    }
+    if (IsFinished(m_context, m_rollout)) {
+      m_rollout.state = ActState::kDone;
+      m_rollout.reason = LeftOut(m_rollout);
+      return;
     }
+    WidenStage();
   }
 
   WallTime LastDoneAt() const {
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -75,11 +75,16 @@
        tables.audit.Add(ReadAs<AuditRecord>(value));
      }},
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
+    {"session", &LoadInto<&Tables::sessions, SessionRecord>},
+    {"note", &LoadInto<&Tables::notes, NoteCommand>},
 };
 
 // The time of a resend differs from the first one's; all else is the same.
 template <typename OperatorCommand>
 uint64_t DigestOf(OperatorCommand command) {
+  if (!command.request.digest.empty()) {
+    return HashText(command.request.digest);
+  }
   command.request.at = {};
   return HashText(EncodeCommands({std::move(command)}));
 }
@@ -93,7 +98,9 @@
       fleet(limits),
       requests(limits),
       audit(limits),
-      burn(limits) {}
+      burn(limits),
+      sessions(limits),
+      notes(limits) {}
 
 Result Tables::Apply(uint64_t index, const Command& command) {
   m_index = index;
@@ -109,7 +116,10 @@
 }
 
 ClaimResult Tables::Run(const ClaimCommand& command) {
-  return claims.Claim(command);
+  std::vector<model::EntryIdentity> lost;
+  const bool may_grant = sessions.Admit(m_index, command, &lost);
+  EndClaims(lost);
+  return claims.Claim(command, may_grant);
 }
 
 ActResult Tables::Run(const CompleteCommand& command) {
@@ -147,6 +157,16 @@
   return Accepted();
 }
 
+ActResult Tables::Run(const SessionCommand& command) {
+  SessionTable::Change change = sessions.Apply(m_index, command);
+  change.result.version = EndClaims(change.lost);
+  return change.result;
+}
+
+ActResult Tables::Run(const NoteCommand& command) {
+  return notes.Apply(command);
+}
+
 ActResult Tables::Run(const HostCommand& command) {
   ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
@@ -167,14 +187,13 @@
   const OperatorRequest& request = command.request;
   const uint64_t digest = DigestOf(command);
   ActResult result;
-  const RememberedRequest* first =
-      request.request_id.empty() ? nullptr : requests.Find(request);
-  if (first == nullptr) {
+  const std::optional<RememberedRequest> first =
+      request.request_id.empty() ? std::nullopt : requests.Find(request);
+  if (!first) {
     result = Run(command);
     requests.Remember({request, digest, result});
   } else if (first->digest != digest) {
-    result = Refused("request id " + request.request_id +
-                     " was used with another command");
+    result = Refused(OtherRequestText(request));
   } else {
     result = first->answer;
     result.is_resend = true;
@@ -185,12 +204,21 @@
   return result;
 }
 
+uint64_t Tables::EndClaims(const std::vector<model::EntryIdentity>& lost) {
+  uint64_t ended = 0;
+  for (const model::EntryIdentity& owner : lost) {
+    ended += claims.AbandonAllOf(owner);
+  }
+  return ended;
+}
+
 void Tables::Expire(WallTime now) {
   claims.Expire(now);
   endpoints.Expire(now);
   fleet.Expire(now);
   requests.Expire(now);
   burn.Expire(now);
+  sessions.Expire(now);
 }
 
 std::string Tables::Save() const {
@@ -203,6 +231,8 @@
   requests.Save(writer);
   audit.Save(writer);
   burn.Save(writer);
+  sessions.Save(writer);
+  notes.Save(writer);
   return writer.Finish();
 }
 
