--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -22,7 +22,7 @@
 };
 
 /// Options that some verbs take; a verb's row says which.
-constexpr std::array<OptionHelp, 16> kVerbOptions = {{
+constexpr std::array<OptionHelp, 17> kVerbOptions = {{
     {"expect", "version or epoch that must still be in force"},
     {"to", "pool that the host joins"},
     {"pool", "a pool"},
@@ -35,6 +35,7 @@
     {"accelerators", "accelerators of the host"},
     {"version", "software version"},
     {"previous", "version that a roll-back returns to"},
+    {"bake", "how long each early stage of a roll-out is watched"},
     {"html", "file that the report is written to"},
     {"for", "how long to wait, for example 30s"},
     {"interval", "time between looks, for example 1s"},
--- a/packages/cli/src/table.cc
+++ b/packages/cli/src/table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <sstream>
 #include <string_view>
 
 #include "laurelhall/base/time.h"
@@ -19,6 +20,17 @@
     "at",       "started",   "finish_by",  "state_since",    "submitted",
     "deadline", "last_seen", "not_before", "last_maintained"};
 
+/// Members that hold a duration in milliseconds.
+constexpr std::array<std::string_view, 8> kDurationMembers = {
+    "rollout_time", "declared_run_time",  "work_done",        "drain_timeout",
+    "warm_up",      "maintenance_period", "objective_window", "bake"};
+
+template <size_t kCount>
+bool IsAmong(const std::array<std::string_view, kCount>& names,
+             std::string_view name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 /// "kInPool" as "in-pool"; other text as it is.
 std::string EnumText(std::string_view text) {
   const bool is_enumerator =
@@ -40,6 +52,14 @@
 
 std::string Cell(std::string_view name, const boost::json::value& value);
 
+/// With four digits, as people read it.
+std::string ShortNumber(double number) {
+  std::ostringstream text;
+  text.precision(4);
+  text << number;
+  return text.str();
+}
+
 std::string ListCell(const boost::json::array& array) {
   if (array.size() > kMaxListed) {
     return std::to_string(array.size()) + " items";
@@ -62,12 +82,18 @@
   if (value.is_array()) {
     return ListCell(value.get_array());
   }
-  const bool is_time = std::find(kTimeMembers.begin(), kTimeMembers.end(),
-                                 name) != kTimeMembers.end();
-  if (is_time && value.is_int64()) {
+  if (value.is_double()) {
+    return ShortNumber(value.get_double());
+  }
+  if (value.is_int64() && IsAmong(kTimeMembers, name)) {
     const int64_t millis = value.get_int64();
     return millis == 0 ? "-" : FormatWallTime(WallTime(Millis(millis)));
   }
+  if (value.is_int64() && IsAmong(kDurationMembers, name)) {
+    const int64_t millis = value.get_int64();
+    return millis == Millis::max().count() ? "never"
+                                           : FormatDuration(Millis(millis));
+  }
   return boost::json::serialize(value);
 }
 
@@ -76,6 +102,12 @@
          value.get_array().front().is_object();
 }
 
+bool IsLines(const boost::json::value& value) {
+  return value.is_array() && !value.get_array().empty() &&
+         std::all_of(value.get_array().begin(), value.get_array().end(),
+                     [](const auto& item) { return item.is_string(); });
+}
+
 using Rows = std::vector<std::vector<std::string>>;
 
 std::string Align(const Rows& rows, bool is_first_bold) {
@@ -152,6 +184,13 @@
   if (value.is_object()) {
     return RenderObject(value.get_object(), is_coloured);
   }
+  if (IsLines(value)) {
+    std::string text;
+    for (const boost::json::value& line : value.get_array()) {
+      text += std::string(line.get_string()) + '\n';
+    }
+    return text;
+  }
   if (value.is_array() && value.get_array().empty()) {
     return "none\n";
   }
--- a/packages/model/include/laurelhall/model/fleet.h
+++ b/packages/model/include/laurelhall/model/fleet.h
@@ -323,6 +323,7 @@
   std::string reason;
   int stage = 0;  ///< 0 is the canary; each stage widens.
   WallTime stage_started{};
+  Millis bake{0};  ///< How long an early stage is watched; 0: the default.
   std::vector<std::string> pending;
   std::vector<std::string> active;
   std::vector<std::string> done;
@@ -344,6 +345,7 @@
                        reason,
                        stage,
                        stage_started,
+                       bake,
                        pending,
                        active,
                        done,
--- a/packages/operations/src/act_routes.cc
+++ b/packages/operations/src/act_routes.cc
@@ -55,10 +55,6 @@
   return Proposal(command);
 }
 
-boost::json::object CostJson(const planning::PlanCost& cost) {
-  return boost::json::value_from(cost).as_object();
-}
-
 void CheckPools(const Fleet& fleet, const std::vector<std::string>& pools) {
   for (const std::string& pool : pools) {
     FindOr404(fleet.pools, "pool", pool);
@@ -75,20 +71,25 @@
       FindOr404(fleet.waves, "wave", request.Segment(1))));
 }
 
-Outcome DryRunWave(const Request& request,
-                   const Fleet& fleet,
-                   const Wave& wave) {
-  const Millis time_per_host(
+Millis TimePerHost(const Request& request) {
+  return Millis(
       BodyValueOr<int64_t>(request.body, "time_per_host_ms",
                            planning::BufferPolicy{}.maintenance_time.count()));
-  const Millis bound =
-      planning::WaveLowerBound(fleet, wave.pools, time_per_host);
-  return Answer(boost::json::object{
-      {"dry_run", true},
-      {"hosts", wave.pending.size()},
-      {"order", boost::json::value_from(wave.pending)},
-      {"lower_bound", FormatDuration(bound)},
-      {"cost", CostJson(planning::CostOf(fleet, 0, bound, 0))}});
+}
+
+/// What a wave or roll-out would do, and its cost in the three measures.
+Outcome DryRun(const Request& request,
+               const Fleet& fleet,
+               const planning::StepResult& step,
+               boost::json::object plan) {
+  const planning::PlanCost cost =
+      planning::CostOfStep(fleet, step, TimePerHost(request));
+  plan["dry_run"] = true;
+  plan["least_time"] = cost.rollout_time == Millis::max()
+                           ? "never: no host may go"
+                           : FormatDuration(cost.rollout_time);
+  plan["cost"] = boost::json::array{boost::json::value_from(cost)};
+  return Answer(std::move(plan));
 }
 
 Outcome StartWave(const Request& request) {
@@ -100,7 +101,11 @@
   CheckPools(fleet, pools);
   command.wave = planning::PlanWave(fleet, id, pools, command.request.at);
   if (request.is_dry_run()) {
-    return DryRunWave(request, fleet, command.wave);
+    planning::StepResult step;
+    step.waves = {command.wave};
+    return DryRun(request, fleet, step,
+                  {{"hosts", command.wave.pending.size()},
+                   {"order", boost::json::value_from(command.wave.pending)}});
   }
   return Proposal(command);
 }
@@ -132,12 +137,16 @@
       BodyValue<std::string>(request.body, "version"),
       BodyValueOr<std::string>(request.body, "previous_version", ""),
       command.request.at);
+  command.rollout.bake =
+      Millis(BodyValueOr<int64_t>(request.body, "bake_ms", 0));
   if (request.is_dry_run()) {
-    return Answer(boost::json::object{
-        {"dry_run", true},
-        {"hosts", command.rollout.pending.size()},
-        {"stages", boost::json::value_from(
-                       planning::RolloutStages(fleet, command.rollout))}});
+    planning::StepResult step;
+    step.rollouts = {command.rollout};
+    return DryRun(request, fleet, step,
+                  {{"hosts", command.rollout.pending.size()},
+                   {"order", boost::json::value_from(command.rollout.pending)},
+                   {"stages", boost::json::value_from(planning::RolloutStages(
+                                  fleet, command.rollout))}});
   }
   return Proposal(command);
 }
--- a/packages/operations/src/fleet_duty.cc
+++ b/packages/operations/src/fleet_duty.cc
@@ -51,10 +51,14 @@
 
 class FleetDuty : public control::LeaderDuty {
  public:
+  explicit FleetDuty(std::shared_ptr<InFlightBoard> in_flight)
+      : m_in_flight(std::move(in_flight)) {}
+
   std::vector<state::Command> Step(const state::Machine& machine,
                                    const control::LeaderView& view) override {
     const model::Fleet fleet = machine.fleet();
     const planning::StepInput input = InputOf(machine, fleet, view);
+    m_in_flight->Set(input.in_flight);
     planning::StepResult step = m_controller.Step(fleet, input);
     std::vector<state::Command> commands;
     for (model::Wave& wave : step.waves) {
@@ -94,13 +98,15 @@
     return input;
   }
 
+  const std::shared_ptr<InFlightBoard> m_in_flight;
   planning::FleetController m_controller;
 };
 
 }  // namespace
 
-std::unique_ptr<control::LeaderDuty> MakeFleetDuty() {
-  return std::make_unique<FleetDuty>();
+std::unique_ptr<control::LeaderDuty> MakeFleetDuty(
+    std::shared_ptr<InFlightBoard> in_flight) {
+  return std::make_unique<FleetDuty>(std::move(in_flight));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/host_routes.cc
+++ b/packages/operations/src/host_routes.cc
@@ -1,6 +1,9 @@
 #include <algorithm>
 #include <array>
 
+#include "laurelhall/budget/budget.h"
+#include "laurelhall/planning/lifecycle.h"
+#include "laurelhall/planning/plan_cost.h"
 #include "operations_p.h"
 
 namespace laurelhall::operations {
@@ -43,9 +46,13 @@
 Outcome ListHosts(const Request& request) {
   const Fleet fleet = request.machine.fleet();
   const std::string pool = request.Query("pool");
+  const std::set<std::string> states = SplitCommas(request.Query("state"));
   boost::json::array hosts;
   for (const auto& [id, host] : fleet.hosts) {
-    if (pool.empty() || host.pool == pool) {
+    const char* state = boost::describe::enum_to_string(host.state, "");
+    const bool is_asked = (pool.empty() || host.pool == pool) &&
+                          (states.empty() || states.contains(state));
+    if (is_asked) {
       hosts.push_back(boost::json::value_from(host));
     }
   }
@@ -53,9 +60,9 @@
 }
 
 Outcome ShowHost(const Request& request) {
-  const Fleet fleet = request.machine.fleet();
+  const std::string& id = request.Segment(1);
   return Answer(boost::json::value_from(
-      FindOr404(fleet.hosts, "host", request.Segment(1))));
+      ValueOr404(request.machine.FindHost(id), "host", id)));
 }
 
 Outcome AddHost(const Request& request) {
@@ -97,19 +104,43 @@
   return command;
 }
 
-Outcome HostAct(const Request& request) {
+/// Whether a drain would be accepted now, and what it would cost.
+void AddDrainPlan(const Request& request,
+                  const state::HostCommand& command,
+                  boost::json::object& plan) {
   const Fleet fleet = request.machine.fleet();
-  const Host& host = FindOr404(fleet.hosts, "host", request.Segment(1));
+  const budget::Verdict verdict = budget::MayDrain(fleet, command.host);
+  plan["budget"] = verdict.is_allowed() ? "allows it" : verdict.Text();
+  planning::StepResult step;
+  step.actions.push_back(
+      {{command.host, command.expected_epoch, command.event,
+        command.drain_reason, command.move_to, command.act, ""},
+       ""});
+  planning::PlanCost cost = planning::CostOfStep(fleet, step, Millis(0));
+  plan["cost"] = boost::json::array{boost::json::value_from(cost)};
+}
+
+Outcome HostAct(const Request& request) {
+  const Host host = ValueOr404(request.machine.FindHost(request.Segment(1)),
+                               "host", request.Segment(1));
   const state::HostCommand command = MakeHostCommand(request, host);
   if (!request.is_dry_run()) {
     return Proposal(command);
   }
-  return Answer(
-      boost::json::object{{"dry_run", true},
-                          {"host", host.id},
-                          {"state", boost::json::value_from(host.state)},
-                          {"event", boost::json::value_from(command.event)},
-                          {"epoch", host.epoch}});
+  const auto next = planning::NextState(host.state, command.event,
+                                        command.event == HostEvent::kDrain
+                                            ? command.drain_reason
+                                            : host.drain_reason);
+  boost::json::object plan{{"dry_run", true},
+                           {"host", host.id},
+                           {"state", boost::json::value_from(host.state)},
+                           {"epoch", host.epoch}};
+  plan["next"] = next ? boost::json::value_from(*next)
+                      : boost::json::value("not allowed in this state");
+  if (command.event == HostEvent::kDrain) {
+    AddDrainPlan(request, command, plan);
+  }
+  return Answer(std::move(plan));
 }
 
 int CountIn(const Fleet& fleet,
--- a/packages/operations/src/job_routes.cc
+++ b/packages/operations/src/job_routes.cc
@@ -21,10 +21,13 @@
   return Answer(jobs);
 }
 
+Job FindJob(const Request& request) {
+  const std::string& id = request.Segment(1);
+  return ValueOr404(request.machine.FindJob(id), "job", id);
+}
+
 Outcome ShowJob(const Request& request) {
-  const Fleet fleet = request.machine.fleet();
-  return Answer(boost::json::value_from(
-      FindOr404(fleet.jobs, "job", request.Segment(1))));
+  return Answer(boost::json::value_from(FindJob(request)));
 }
 
 Job ReadJob(const Request& request, WallTime now) {
@@ -63,8 +66,7 @@
 }
 
 Outcome CancelJob(const Request& request) {
-  const Fleet fleet = request.machine.fleet();
-  const Job& job = FindOr404(fleet.jobs, "job", request.Segment(1));
+  const Job job = FindJob(request);
   state::JobCommand command;
   command.request = request.Operator();
   command.expected_lease = job.lease;
@@ -73,16 +75,39 @@
   return Proposal(command);
 }
 
-/// What a worker has to do: its jobs with their leases, as committed.
-Outcome WorkerTasks(const Request& request) {
-  const Fleet fleet = request.machine.fleet();
+/// What a worker needs to know of a run that it holds.
+boost::json::object TaskOf(const Job& job) {
+  return {{"id", job.id},
+          {"host", job.host},
+          {"lease", job.lease},
+          {"state", boost::json::value_from(job.state)},
+          {"is_stopping", job.is_stopping},
+          {"throttle", job.throttle},
+          {"reserved", boost::json::value_from(job.reserved)},
+          {"kind", job.kind},
+          {"can_checkpoint", job.can_checkpoint},
+          {"declared", boost::json::value_from(job.declared)},
+          {"declared_run_time", boost::json::value_from(job.declared_run_time)},
+          {"work_done", boost::json::value_from(job.work_done)}};
+}
+
+boost::json::array TasksOn(const Request& request,
+                           const std::set<std::string>& hosts) {
   boost::json::array tasks;
-  for (const auto& [id, job] : fleet.jobs) {
-    if (job.host == request.Segment(1)) {
-      tasks.push_back(boost::json::value_from(job));
-    }
+  for (const Job& job : request.machine.JobsOnHosts(hosts)) {
+    tasks.push_back(TaskOf(job));
   }
-  return Answer(tasks);
+  return tasks;
+}
+
+/// What one worker has to do: its jobs with their leases, as committed.
+Outcome WorkerTasks(const Request& request) {
+  return Answer(TasksOn(request, {request.Segment(1)}));
+}
+
+/// The same for many workers in one answer; for all when none is named.
+Outcome AllTasks(const Request& request) {
+  return Answer(TasksOn(request, SplitCommas(request.Query("hosts"))));
 }
 
 Outcome ExplainJob(const Request& request) {
@@ -96,8 +121,7 @@
 /// A worker's word on one of its runs: usage, or how it ended.
 Outcome ReportJob(const Request& request,
                   const std::shared_ptr<JobBoard>& board) {
-  const Fleet fleet = request.machine.fleet();
-  const Job& job = FindOr404(fleet.jobs, "job", request.Segment(1));
+  const Job job = FindJob(request);
   if (request.body.contains("usage")) {
     board->NoteUsage(job.id,
                      BodyValue<placement::JobUsage>(request.body, "usage"));
@@ -130,6 +154,7 @@
       {"POST", "jobs/*/cancel", CancelJob},
       {"POST", "jobs/*/report",
        [board](const Request& request) { return ReportJob(request, board); }},
+      {"GET", "workers/tasks", AllTasks},
       {"GET", "workers/*/tasks", WorkerTasks},
       {"GET", "explain/job/*", ExplainJob}};
 }
--- a/packages/operations/src/operations.cc
+++ b/packages/operations/src/operations.cc
@@ -8,9 +8,10 @@
 
 Operations MakeOperations(std::function<WallTime()> clock) {
   const auto board = std::make_shared<JobBoard>();
+  const auto in_flight = std::make_shared<InFlightBoard>();
   Operations made;
-  made.service = MakeOperatorService(board, std::move(clock));
-  made.duties.push_back(MakeFleetDuty());
+  made.service = MakeOperatorService(board, in_flight, std::move(clock));
+  made.duties.push_back(MakeFleetDuty(in_flight));
   made.duties.push_back(MakeJobDuty(board));
   return made;
 }
--- a/packages/operations/src/operations_p.h
+++ b/packages/operations/src/operations_p.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,7 @@
 
 namespace laurelhall::operations {
 
+class InFlightBoard;
 class JobBoard;
 
 /// A refusal of an operator's request, with its HTTP status.
@@ -89,7 +91,8 @@
 std::vector<Route> ActRoutes();
 std::vector<Route> JobRoutes(const std::shared_ptr<JobBoard>& board);
 std::vector<Route> ControlRoutes();
-std::vector<Route> ReportRoutes();
+std::vector<Route> ReportRoutes(
+    const std::shared_ptr<InFlightBoard>& in_flight);
 
 /// Reads a described value out of the body's member, or throws RequestError
 /// 400 naming the member.
@@ -124,6 +127,20 @@
   return array;
 }
 
+/// What a lookup found; throws RequestError 404 naming what it did not.
+template <typename T>
+T ValueOr404(std::optional<T> found,
+             const std::string& kind,
+             const std::string& id) {
+  if (!found) {
+    throw RequestError(404, kind + " " + id + ": not known");
+  }
+  return std::move(*found);
+}
+
+/// The parts of a text with commas between them.
+std::set<std::string> SplitCommas(const std::string& text);
+
 /// Finds by id or throws RequestError 404 naming it.
 template <typename Map>
 const typename Map::mapped_type& FindOr404(const Map& map,
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -170,12 +170,13 @@
 
 class RoutedService : public control::OperatorService {
  public:
-  RoutedService(const std::shared_ptr<JobBoard>& board,
+  RoutedService(const std::shared_ptr<JobBoard>& jobs,
+                const std::shared_ptr<InFlightBoard>& in_flight,
                 std::function<WallTime()> clock)
       : m_clock(std::move(clock)) {
     for (const auto& rows :
          {StatusRoutes(), ControlRoutes(), SettingsRoutes(), HostRoutes(),
-          ActRoutes(), JobRoutes(board), ReportRoutes()}) {
+          ActRoutes(), JobRoutes(jobs), ReportRoutes(in_flight)}) {
       std::ranges::copy(rows, std::back_inserter(m_routes));
     }
   }
@@ -269,9 +270,10 @@
 }  // namespace
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board,
+    const std::shared_ptr<JobBoard>& jobs,
+    const std::shared_ptr<InFlightBoard>& in_flight,
     std::function<WallTime()> clock) {
-  return std::make_unique<RoutedService>(board, std::move(clock));
+  return std::make_unique<RoutedService>(jobs, in_flight, std::move(clock));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/request.cc
+++ b/packages/operations/src/request.cc
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include "operations_p.h"
 
 namespace laurelhall::operations {
@@ -15,6 +17,15 @@
   return found == query.end() ? fallback : found->second;
 }
 
+std::set<std::string> SplitCommas(const std::string& text) {
+  std::set<std::string> parts;
+  std::istringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.insert(part);
+  }
+  return parts;
+}
+
 state::OperatorRequest Request::Operator() const {
   state::OperatorRequest request;
   request.operator_name = BodyValue<std::string>(body, "operator");
--- a/packages/planning/src/rollout.cc
+++ b/packages/planning/src/rollout.cc
@@ -255,6 +255,11 @@
     return last;
   }
 
+  Millis Bake() const {
+    return m_rollout.bake > Millis(0) ? m_rollout.bake
+                                      : m_context.policy().stage_bake;
+  }
+
   void WidenStage() {
     const std::vector<int> targets = StageTargets(m_hosts);
     const int last_stage = static_cast<int>(targets.size()) - 1;
@@ -263,9 +268,8 @@
         done < targets[static_cast<size_t>(m_rollout.stage)]) {
       return;
     }
-    const bool is_baked =
-        m_rollout.stage >= kBakedStages ||
-        m_context.now() - LastDoneAt() >= m_context.policy().stage_bake;
+    const bool is_baked = m_rollout.stage >= kBakedStages ||
+                          m_context.now() - LastDoneAt() >= Bake();
     if (!is_baked) {
       return;
     }
--- a/packages/planning/src/wave.cc
+++ b/packages/planning/src/wave.cc
@@ -34,15 +34,32 @@
   return wave;
 }
 
+namespace {
+
+std::vector<std::string> HostsOf(const PlanContext& context,
+                                 const std::vector<std::string>& pools) {
+  std::vector<std::string> ids;
+  for (const std::string& pool : pools) {
+    for (const Host* host : context.view().PoolHosts(pool)) {
+      ids.push_back(host->id);
+    }
+  }
+  return ids;
+}
+
+}  // namespace
+
 void JudgeWave(PlanContext& context, Wave& wave) {
   const bool is_open =
       wave.state == ActState::kRunning || wave.state == ActState::kPaused;
   if (!is_open) {
     return;
   }
-  ProgressReader<Wave>(context, wave, [&wave](const Host& host) {
+  ProgressReader<Wave> reader(context, wave, [&wave](const Host& host) {
     return host.last_maintained >= wave.started;
-  }).Read({});
+  });
+  reader.KeepOnly(HostsOf(context, wave.pools));
+  reader.Read({});
   if (wave.is_held) {
     wave.state = ActState::kPaused;
     return;
--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -102,6 +103,13 @@
   /// Hosts, waves, roll-outs and jobs with the pools and services in force.
   model::Fleet fleet() const;
 
+  /// One host or job, without a copy of all others.
+  std::optional<model::Host> FindHost(const std::string& id) const;
+  std::optional<model::Job> FindJob(const std::string& id) const;
+
+  /// Jobs that some hosts hold; those of all hosts when none is named.
+  std::vector<model::Job> JobsOnHosts(const std::set<std::string>& hosts) const;
+
   std::vector<AuditRecord> Audit(size_t most) const;
   std::vector<BurnSample> Burn(const std::string& service,
                                WallTime since) const;
--- a/packages/state/src/fenced_table_p.h
+++ b/packages/state/src/fenced_table_p.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "laurelhall/base/time.h"
 #include "results_p.h"
@@ -69,6 +70,20 @@
     return id;
   }
 
+  /// Copies of the records that fit.
+  template <typename Fits>
+  std::vector<T> Those(Fits fits) const {
+    std::vector<T> those;
+    m_records.ReadAtOnce([&](const Map& map) {
+      for (const auto& [id, record] : map) {
+        if (fits(record.value)) {
+          those.push_back(record.value);
+        }
+      }
+    });
+    return those;
+  }
+
   std::map<std::string, T> All() const {
     std::map<std::string, T> all;
     m_records.ReadAtOnce([&](const Map& map) {
--- a/packages/state/src/fleet_table.cc
+++ b/packages/state/src/fleet_table.cc
@@ -300,6 +300,13 @@
   return result;
 }
 
+std::vector<model::Job> FleetTable::JobsOnHosts(
+    const std::set<std::string>& hosts) const {
+  return m_jobs.Those([&](const model::Job& job) {
+    return !job.host.empty() && (hosts.empty() || hosts.contains(job.host));
+  });
+}
+
 void FleetTable::Expire(WallTime now) {
   const WallTime before = now - m_limits.finished_retention;
   m_waves.Expire(before);
--- a/packages/state/src/fleet_table_p.h
+++ b/packages/state/src/fleet_table_p.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "fenced_table_p.h"
@@ -34,6 +35,14 @@
   /// Fills in hosts, waves, roll-outs and jobs.
   void Read(model::Fleet& fleet) const;
 
+  std::optional<model::Host> FindHost(const std::string& id) const {
+    return m_hosts.Find(id);
+  }
+  std::optional<model::Job> FindJob(const std::string& id) const {
+    return m_jobs.Find(id);
+  }
+  std::vector<model::Job> JobsOnHosts(const std::set<std::string>& hosts) const;
+
   /// Whether a host is known and does not serve its pool just now. Hosts that
   /// nobody made known are not away: their endpoints announce themselves.
   bool IsHostAway(const std::string& host) const;
--- a/packages/state/src/machine.cc
+++ b/packages/state/src/machine.cc
@@ -119,6 +119,19 @@
   return fleet;
 }
 
+std::optional<model::Host> Machine::FindHost(const std::string& id) const {
+  return m_impl->Current()->fleet.FindHost(id);
+}
+
+std::optional<model::Job> Machine::FindJob(const std::string& id) const {
+  return m_impl->Current()->fleet.FindJob(id);
+}
+
+std::vector<model::Job> Machine::JobsOnHosts(
+    const std::set<std::string>& hosts) const {
+  return m_impl->Current()->fleet.JobsOnHosts(hosts);
+}
+
 std::vector<AuditRecord> Machine::Audit(size_t most) const {
   return m_impl->Current()->audit.Latest(most);
 }
