--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -25,8 +25,8 @@
 }
 
 int DigitOf(char c) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const size_t digit = kDigits.find(
+  constexpr std::string_view digits = "0123456789abcdef";
+  const size_t digit = digits.find(
       static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
   return digit == std::string_view::npos ? -1 : static_cast<int>(digit);
 }
--- a/tools/standin_platform.cc
+++ b/tools/standin_platform.cc
@@ -88,7 +88,7 @@
     for (int resends = 0; resends < kMaxResends; ++resends) {
       try {
         const std::string& server = m_servers[m_at % m_servers.size()];
-        const auto answer = net::Fetch(server, request, kCallTimeout);
+        auto answer = net::Fetch(server, request, kCallTimeout);
         if (answer.status < 500) {
           return answer;
         }
