--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -75,6 +75,7 @@
        tables.audit.Add(ReadAs<AuditRecord>(value));
      }},
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
+    {"session", &LoadInto<&Tables::sessions, SessionRecord>},
     {"note", &LoadInto<&Tables::notes, NoteCommand>},
 };
 
@@ -98,6 +99,7 @@
       requests(limits),
       audit(limits),
       burn(limits),
+      sessions(limits),
       notes(limits) {}
 
 Result Tables::Apply(uint64_t index, const Command& command) {
@@ -114,7 +116,10 @@
 }
 
 ClaimResult Tables::Run(const ClaimCommand& command) {
-  return claims.Claim(command);
+  std::vector<model::EntryIdentity> lost;
+  const bool may_grant = sessions.Admit(m_index, command, &lost);
+  EndClaims(lost);
+  return claims.Claim(command, may_grant);
 }
 
 ActResult Tables::Run(const CompleteCommand& command) {
@@ -147,6 +152,12 @@
   return Accepted();
 }
 
+ActResult Tables::Run(const SessionCommand& command) {
+  SessionTable::Change change = sessions.Apply(m_index, command);
+  change.result.version = EndClaims(change.lost);
+  return change.result;
+}
+
 ActResult Tables::Run(const NoteCommand& command) {
   return notes.Apply(command);
 }
@@ -188,12 +199,21 @@
   return result;
 }
 
+uint64_t Tables::EndClaims(const std::vector<model::EntryIdentity>& lost) {
+  uint64_t ended = 0;
+  for (const model::EntryIdentity& owner : lost) {
+    ended += claims.AbandonAllOf(owner);
+  }
+  return ended;
+}
+
 void Tables::Expire(WallTime now) {
   claims.Expire(now);
   endpoints.Expire(now);
   fleet.Expire(now);
   requests.Expire(now);
   burn.Expire(now);
+  sessions.Expire(now);
 }
 
 std::string Tables::Save() const {
@@ -206,6 +226,7 @@
   requests.Save(writer);
   audit.Save(writer);
   burn.Save(writer);
+  sessions.Save(writer);
   notes.Save(writer);
   return writer.Finish();
 }
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -54,6 +54,7 @@
           JobCommand{request, 9, job},
           BurnCommand{{{"s", WallTime(Millis(60'000)), 1, 2, 3, 4}}},
           ExpireCommand{WallTime(Millis(8))},
+          SessionCommand{{"e", 3}, SessionState::kLost, {}, false},
           NoteCommand{"n", "t"}};
 }
 
@@ -82,7 +83,8 @@
        {"", "{}", "[1]", "[{}]", R"([{"kind":14,"value":{}}])",
         R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
-        R"([{"kind":12,"value":{"now":"soon"}}])"}) {
+        R"([{"kind":12,"value":{"now":"soon"}}])",
+        R"([{"kind":13,"value":{"state":"kAsleep"}}])"}) {
     CAPTURE(text);
     CHECK_THROWS_AS(DecodeCommands(text), std::exception);
   }
