--- a/packages/cli/tests/cli_test.cc
+++ b/packages/cli/tests/cli_test.cc
@@ -189,5 +189,18 @@
   CHECK(m_err.str() == "laurelhall: refused: ended: budget\n");
 }
 
+TEST_CASE_FIXTURE(CliFixture, "Cli, host drain forced, says so in the body") {
+  Answer(200, R"({"is_accepted":true})");
+  CHECK(Run({"host", "drain", "w-1", "--force"}) == ExitCode::kDone);
+  CHECK(Body().at("force") == true);
+  CHECK(Run({"host", "fail", "w-1", "--force"}) == ExitCode::kUsage);
+}
+
+TEST_CASE_FIXTURE(CliFixture, "Cli, explanation of many lines, shows each") {
+  Answer(200, R"(["a","b","c","d","e","f"])");
+  CHECK(Run({"explain", "host", "w-1"}) == ExitCode::kDone);
+  CHECK(m_out.str() == "a\nb\nc\nd\ne\nf\n");
+}
+
 }  // namespace
 }  // namespace laurelhall::cli
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -151,7 +151,7 @@
     return Problem(504, "outcome not known; resend with the same request_id");
   }
   for (const state::Result& result : *results) {
-    const control::OperatorReply reply = ReplyOf(result);
+    control::OperatorReply reply = ReplyOf(result);
     if (reply.status != kOk) {
       return reply;
     }
--- a/packages/planning/tests/planning_test.cc
+++ b/packages/planning/tests/planning_test.cc
@@ -661,6 +661,43 @@
   CHECK(plan.total == 5);
 }
 
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Acts, host moved out of their pools, go on without it") {
+  StartWave();
+  m_fleet.waves["wave"].pools = {"a"};
+  StartRollout();
+  m_fleet.hosts.at("h100").pool = "c";
+  const StepResult step = Step();
+  const auto names = [](const std::vector<std::string>& list) {
+    return std::count(list.begin(), list.end(), "h100");
+  };
+  REQUIRE(step.waves.size() == 1);
+  CHECK(names(step.waves[0].pending) == 0);
+  REQUIRE(step.rollouts.size() == 1);
+  CHECK(names(step.rollouts[0].pending) == 0);
+  // One that is under way for the act stays in it.
+  Put("h103", HostState::kDrained, DrainReason::kMaintenance, 1);
+  m_fleet.hosts.at("h103").pool = "c";
+  CHECK(Step().waves.at(0).active == std::vector<std::string>{"h103"});
+}
+
+TEST_CASE_FIXTURE(PlanningFixture,
+                  "Moves, asked for by an operator, are never unneeded") {
+  for (const char* id : {"h100", "h103"}) {
+    Put(id, HostState::kDraining, DrainReason::kMove, 1);
+    m_fleet.hosts.at(id).move_to = "c";
+    m_input.in_flight[id] = 1;
+  }
+  m_fleet.pools.at("c").target_hosts = 0;
+  m_fleet.hosts.at("h103").act = "move-h103-1";  // The leader's own.
+  std::map<std::string, HostEvent> events;
+  for (const Action& action : Step().actions) {
+    events[action.transition.host] = action.transition.event;
+  }
+  CHECK_FALSE(events.contains("h100"));
+  CHECK(events.at("h103") == HostEvent::kCancelDrain);
+}
+
 TEST_CASE_FIXTURE(PlanningFixture, "WaveLowerBound, slowest service, sets it") {
   // Of c's twelve, three may go at once by share, one as a rack holds two.
   const Millis hour = hours(1);
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -80,7 +80,7 @@
 
 TEST_CASE("Commands, text that is none, throws") {
   for (const char* text :
-       {"", "{}", "[1]", "[{}]", R"([{"kind":14,"value":{}}])",
+       {"", "{}", "[1]", "[{}]", R"([{"kind":15,"value":{}}])",
         R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
         R"([{"kind":12,"value":{"now":"soon"}}])",
