--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -256,6 +256,7 @@
     const boost::json::value act = m_client.CallJson("GET", Target());
     if (act != shown) {
       Print(boost::json::array{act});
+      m_environment.out.flush();
       shown = act;
     }
     const std::string state = TextOf(act, "state");
--- a/scripts/run_wave.sh
+++ b/scripts/run_wave.sh
@@ -32,6 +32,7 @@
       $cli "$kind" show "$id" >&2
       return 1
     fi
+    kill -0 "$platform" || return 1
     round=$((round + 1))
     "$build/tools/load" --targets "$entries" --organisations insurer-a \
       --service estimates-a --rate 40 --count 200 --keyed 0.2 --resend 0.5 \
--- a/tools/standin_platform.cc
+++ b/tools/standin_platform.cc
@@ -121,6 +121,9 @@
     size_t lines = 0;
     int running = 0;
     for (std::string line; std::getline(stream, line); ++lines) {
+      if (stream.eof()) {
+        break;  // A line that is being written; the next look has it.
+      }
       running = std::stoi(line.substr(line.rfind(' ') + 1));
     }
     return {lines, running};
