--- a/packages/control/src/leader_sync.cc
+++ b/packages/control/src/leader_sync.cc
@@ -59,24 +59,6 @@
   answer.applied_index = applied;
   answer.endpoints = m_machine.EndpointsSince(question.endpoints_index);
   FillSettings(question.settings_version, answer);
-<<<<<<< HEAD
-  if (m_sessions.Admit(question.entry, now)) {
-    answer.grants = m_allocator.Renew(question.entry, question.demands, now);
-  }
-  return answer;
-}
-
-std::vector<state::Command> LeaderSync::TakeOpenedSessions() {
-  return m_sessions.TakeOpened();
-}
-
-// Sessions of earlier terms are all applied once a read was confirmed.
-void LeaderSync::TakeOverSessions() {
-  if (!m_has_taken_over) {
-    m_has_taken_over = true;
-    m_allocator.SetEarlierHolders(m_sessions.MayHoldSlots());
-  }
-=======
   RenewLeases(question, now, answer);
   return answer;
 }
@@ -84,6 +66,11 @@
 void LeaderSync::RenewLeases(const SyncQuestion& question,
                              SteadyTime now,
                              SyncAnswer& answer) {
+  if (!m_sessions.Admit(question.entry, now)) {
+    // Anything else would renew what it holds.
+    answer.leases.is_full_wanted = true;
+    return;
+  }
   routing::RenewalReceiver& receiver = m_receivers[question.entry];
   const auto demands = receiver.Read(question.leases);
   if (!demands) {
@@ -92,7 +79,18 @@
   }
   answer.leases = receiver.Answer(
       question.leases, m_allocator.Renew(question.entry, *demands, now));
->>>>>>> main
+}
+
+std::vector<state::Command> LeaderSync::TakeOpenedSessions() {
+  return m_sessions.TakeOpened();
+}
+
+// Sessions of earlier terms are all applied once a read was confirmed.
+void LeaderSync::TakeOverSessions() {
+  if (!m_has_taken_over) {
+    m_has_taken_over = true;
+    m_allocator.SetEarlierHolders(m_sessions.MayHoldSlots());
+  }
 }
 
 std::vector<state::Command> LeaderSync::TakeDue(SteadyTime now, WallTime wall) {
--- a/packages/operations/src/duties_p.h
+++ b/packages/operations/src/duties_p.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "in_flight_board_p.h"
 #include "job_board_p.h"
 #include "laurelhall/control/control_host.h"
 #include "laurelhall/report/trace_recorder.h"
@@ -13,6 +14,7 @@
 
 /// Drains, stops and returns hosts for waves, roll-outs and moves.
 std::unique_ptr<control::LeaderDuty> MakeFleetDuty(
+    std::shared_ptr<InFlightBoard> in_flight,
     std::shared_ptr<report::TraceRecorder> recorder = nullptr);
 
 /// Places jobs on workers.
@@ -21,7 +23,8 @@
     std::shared_ptr<report::TraceRecorder> recorder = nullptr);
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board,
+    const std::shared_ptr<JobBoard>& jobs,
+    const std::shared_ptr<InFlightBoard>& in_flight,
     std::function<WallTime()> clock);
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -25,8 +25,8 @@
 }
 
 int DigitOf(char c) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const size_t digit = kDigits.find(
+  constexpr std::string_view digits = "0123456789abcdef";
+  const size_t digit = digits.find(
       static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
   return digit == std::string_view::npos ? -1 : static_cast<int>(digit);
 }
@@ -151,7 +151,7 @@
     return Problem(504, "outcome not known; resend with the same request_id");
   }
   for (const state::Result& result : *results) {
-    const control::OperatorReply reply = ReplyOf(result);
+    control::OperatorReply reply = ReplyOf(result);
     if (reply.status != kOk) {
       return reply;
     }
@@ -170,12 +170,13 @@
 
 class RoutedService : public control::OperatorService {
  public:
-  RoutedService(const std::shared_ptr<JobBoard>& board,
+  RoutedService(const std::shared_ptr<JobBoard>& jobs,
+                const std::shared_ptr<InFlightBoard>& in_flight,
                 std::function<WallTime()> clock)
       : m_clock(std::move(clock)) {
     for (const auto& rows :
          {StatusRoutes(), ControlRoutes(), SettingsRoutes(), HostRoutes(),
-          ActRoutes(), JobRoutes(board), ReportRoutes()}) {
+          ActRoutes(), JobRoutes(jobs), ReportRoutes(in_flight)}) {
       std::ranges::copy(rows, std::back_inserter(m_routes));
     }
   }
@@ -281,9 +282,10 @@
 }  // namespace
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board,
+    const std::shared_ptr<JobBoard>& jobs,
+    const std::shared_ptr<InFlightBoard>& in_flight,
     std::function<WallTime()> clock) {
-  return std::make_unique<RoutedService>(board, std::move(clock));
+  return std::make_unique<RoutedService>(jobs, in_flight, std::move(clock));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -25,16 +25,13 @@
   /// Faults of the code around the holder, to show that the model sees them.
   bool is_lease_from_arrival = false;
   bool is_check_before_write_left_out = false;
-<<<<<<< HEAD
   /// Faults of the leader around the allocator.
   bool is_silent_session_left_out = false;
   bool is_grant_before_session = false;
   bool is_lost_session_dropped_early = false;
-=======
   bool has_deltas = false;  ///< Renewals carry changes only.
   /// The leader takes changes and digests for fitting whatever it knows.
   bool is_base_forged = false;
->>>>>>> main
 };
 
 /// Entry hosts, leaders, the network and endpoints that count their runs, on
@@ -81,14 +78,11 @@
     m_leader_clock = AnyClock();
     m_leader = std::make_unique<SlotAllocator>(
         SlotAllocatorInit{kLease, kDrift, ++m_epoch, kMargin}, LeaderNow());
-<<<<<<< HEAD
     m_leader->SetEarlierHolders(EarlierHolders());
     m_heard.clear();
     m_losing.clear();
     m_led_since = m_now;
-=======
     m_receivers.clear();
->>>>>>> main
     for (const ModelEndpoint& endpoint : m_endpoints) {
       Announce(endpoint);
     }
@@ -363,6 +357,9 @@
   LeaseAnswer AnswerDelta(const EntryPointer& entry,
                           LeaseRenewal renewal,
                           const std::vector<SlotDemand>& demands) {
+    if (!Admit(entry->identity)) {
+      return {true, {}};
+    }
     RenewalReceiver& receiver = m_receivers[entry->identity];
     if (m_init.is_base_forged && renewal.demands.base != kNoBase) {
       Forge(receiver, renewal);
