--- a/packages/operations/src/control_routes.cc
+++ b/packages/operations/src/control_routes.cc
@@ -16,9 +16,15 @@
   throw RequestError(404, "control host " + name + ": not a member");
 }
 
+// The act is in the audit log before it is done.
 Outcome ActionOutcome(
+    const Request& request,
+    const std::string& act,
     std::function<void(ControlActions&, ControlActions::Done)> action) {
+  const auto name = BodyValue<std::string>(request.body, "name");
   Outcome outcome;
+  outcome.commands = {
+      state::ControlCommand{request.Operator(), act + " " + name}};
   outcome.action = std::move(action);
   return outcome;
 }
@@ -26,6 +32,7 @@
 Outcome Repair(const Request& request) {
   const auto name = BodyValue<std::string>(request.body, "name");
   return ActionOutcome(
+      request, "repair",
       [name](ControlActions& actions, ControlActions::Done done) {
         actions.Repair(name, std::move(done));
       });
@@ -34,6 +41,7 @@
 Outcome Transfer(const Request& request) {
   const consensus::NodeId node = FindMember(request);
   return ActionOutcome(
+      request, "transfer",
       [node](ControlActions& actions, ControlActions::Done done) {
         actions.Transfer(node, std::move(done));
       });
@@ -42,6 +50,7 @@
 Outcome Remove(const Request& request) {
   const consensus::NodeId node = FindMember(request);
   return ActionOutcome(
+      request, "remove",
       [node](ControlActions& actions, ControlActions::Done done) {
         actions.Remove(node, std::move(done));
       });
--- a/packages/operations/src/operations.cc
+++ b/packages/operations/src/operations.cc
@@ -29,10 +29,11 @@
 Operations MakeOperations(const std::string& trace_file,
                           std::function<WallTime()> clock) {
   const auto board = std::make_shared<JobBoard>();
+  const auto in_flight = std::make_shared<InFlightBoard>();
   const auto recorder = MakeRecorder(trace_file);
   Operations made;
-  made.service = MakeOperatorService(board, std::move(clock));
-  made.duties.push_back(MakeFleetDuty(recorder));
+  made.service = MakeOperatorService(board, in_flight, std::move(clock));
+  made.duties.push_back(MakeFleetDuty(in_flight, recorder));
   made.duties.push_back(MakeJobDuty(board, recorder));
   return made;
 }
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -138,6 +138,14 @@
 };
 BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
 
+/// Records that an operator asked for an act on the control hosts, which is
+/// done outside of the replicated state once this is committed.
+struct ControlCommand {
+  OperatorRequest request;
+  std::string act;  ///< Such as "repair entry-4".
+};
+BOOST_DESCRIBE_STRUCT(ControlCommand, (), (request, act))
+
 using model::BurnSample;
 
 /// Adds service-level samples to the recorded history.
@@ -162,10 +170,15 @@
   model::EntryIdentity entry;
   SessionState state = SessionState::kOpen;
   WallTime at{};
+  /// With kLost: the last change of the session that the leader knew of. After
+  /// a later one the command is refused.
+  uint64_t expected_index = 0;
   /// With kLost: false once no run under its slots can be going on.
   bool may_hold_slots = true;
 };
-BOOST_DESCRIBE_STRUCT(SessionCommand, (), (entry, state, at, may_hold_slots))
+BOOST_DESCRIBE_STRUCT(SessionCommand,
+                      (),
+                      (entry, state, at, expected_index, may_hold_slots))
 
 /// Keeps what a duty of the leader learned, under a name; an empty text
 /// removes it.
@@ -190,7 +203,8 @@
                              BurnCommand,
                              ExpireCommand,
                              SessionCommand,
-                             NoteCommand>;
+                             NoteCommand,
+                             ControlCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
