--- a/packages/control/tests/leader_sync_test.cc
+++ b/packages/control/tests/leader_sync_test.cc
@@ -75,6 +75,32 @@
   CHECK(m_answer.endpoints.empty());
 }
 
+TEST_CASE_FIXTURE(LeaderSyncFixture,
+                  "LeaderSync, grants renewed without a change, answers "
+                  "nothing; the next leader wants all in full") {
+  state::SessionCommand open;
+  open.entry = {"entry", 1};
+  Apply({open});
+  routing::RenewalSender sender;
+  const auto renew = [&] {
+    SyncQuestion question;
+    question.entry = {"entry", 1};
+    question.leases = sender.Next({{"e1", 0, 0, 0, 1}});
+    m_answer = m_sync->Answer(question, m_index, m_now);
+    return sender.Take(m_answer.leases);
+  };
+  REQUIRE(renew());
+  CHECK(m_answer.leases.grants.changed.size() == 2);
+  const auto renewed = renew();
+  REQUIRE(renewed);
+  CHECK(renewed->size() == 2);
+  CHECK(m_answer.leases.grants.changed.empty());
+  m_sync = std::make_unique<LeaderSync>(m_machine, 4, m_index + 1, m_now);
+  CHECK(!renew());
+  CHECK(m_answer.leases.is_full_wanted);
+  CHECK(renew()->size() == 2);
+}
+
 TEST_CASE_FIXTURE(LeaderSyncFixture,
                   "LeaderSync, entry hosts silent, declares no endpoint gone") {
   SyncFor(std::chrono::seconds(9), {"e1", "e2"});
@@ -107,10 +133,14 @@
     SyncQuestion question;
     question.entry = {name, 1};
     question.endpoints_index = m_index;
-    question.demands = m_holders[name].Report({{"e1", 1}, {"e2", 1}});
+    question.leases =
+        m_senders[name].Next(m_holders[name].Report({{"e1", 1}, {"e2", 1}}));
     question.renewals = {{"e1", 1}, {"e2", 1}};
     m_answer = m_sync->Answer(question, m_index, m_now);
-    m_holders[name].Update(m_answer.grants, m_now);
+    m_grants = m_senders[name].Take(m_answer.leases);
+    if (m_grants) {
+      m_holders[name].Update(*m_grants, m_now);
+    }
     const auto opened = m_sync->TakeOpenedSessions();
     if (is_committed && !opened.empty()) {
       Apply(opened);
@@ -155,19 +185,21 @@
 
   uint64_t m_term = 3;
   std::map<std::string, routing::GrantHolder> m_holders;
+  std::map<std::string, routing::RenewalSender> m_senders;
+  std::optional<std::vector<routing::SlotGrant>> m_grants;  // As answered last.
 };
 
 TEST_CASE_FIXTURE(SessionFixture,
                   "Sessions, first sync, lends nothing before the session is "
                   "committed") {
   Sync("one", false);
-  CHECK(m_answer.grants.empty());
+  CHECK_FALSE(m_grants);
   CHECK_FALSE(m_machine.FindSession({"one", 1}));
   m_now += Seconds(2);
   Sync("one");
-  CHECK(m_answer.grants.empty());
+  CHECK_FALSE(m_grants);
   Sync("one");
-  CHECK(m_answer.grants.size() == 2);
+  CHECK((m_grants && m_grants->size() == 2));
 }
 
 TEST_CASE_FIXTURE(SessionFixture,
@@ -183,11 +215,11 @@
   REQUIRE(m_machine.FindSession({"two", 1}));
   CHECK_FALSE(m_machine.FindSession({"two", 1})->may_hold_slots);
   Sync("two");
-  CHECK(m_answer.grants.empty());
+  CHECK_FALSE(m_grants);
   SyncAll(Seconds(20), {"one", "two"});
   CHECK(IsOpen("two"));
   CHECK(m_machine.FindSession({"two", 1})->may_hold_slots);
-  CHECK(m_answer.grants.size() == 2);
+  CHECK((m_grants && m_grants->size() == 2));
 }
 
 TEST_CASE_FIXTURE(SessionFixture,
@@ -201,11 +233,11 @@
   REQUIRE(due.size() == 1);
   Sync("two");
   CHECK(IsOpen("two"));
-  CHECK(m_answer.grants.empty());
+  CHECK_FALSE(m_grants);
   Apply(due);
   SyncAll(Seconds(3), {"one", "two"});
   CHECK(IsOpen("two"));
-  CHECK(m_answer.grants.size() == 2);
+  CHECK((m_grants && m_grants->size() == 2));
 }
 
 TEST_CASE_FIXTURE(SessionFixture,
