Slot leases last 12 s, so that two leader changes do not end them

Ruled out: the sessions (they were all known) and the endpoints (all ready). Reviving run-out leases was weighed: it needs proof that no leader lent the slots again. Work is still stopped by the 3 s bound of the view, so a longer lease only delays the return of a dead host's idle slots by 8 s. Conclusion: a cut longer than 12 s together with a lost entry host still costs the lost host's longest run.

--- a/packages/routing/include/laurelhall/routing/grants.h
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -45,7 +45,7 @@
 };
 
 struct SlotAllocatorInit {
-  Millis lease{std::chrono::seconds(4)};
+  Millis lease{std::chrono::seconds(12)};
   double clock_drift = 0.01;  ///< The slower clock may be this much slower.
   uint64_t epoch = 0;         ///< Of the leader; makes its grant ids its own.
   /// Longest time from IsValid() to the endpoint seeing the run. Endpoints
