--- a/tools/standin_platform.cc
+++ b/tools/standin_platform.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -124,7 +125,12 @@
       if (stream.eof()) {
         break;  // A line that is being written; the next look has it.
       }
-      running = std::stoi(line.substr(line.rfind(' ') + 1));
+      std::istringstream fields(line);
+      std::string event;
+      std::string request;
+      std::string key;
+      std::string digest;
+      fields >> event >> request >> key >> digest >> running;
     }
     return {lines, running};
   }
