--- a/packages/operations/include/laurelhall/operations/operations.h
+++ b/packages/operations/include/laurelhall/operations/operations.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <memory>
-#include <string>
 #include <vector>
 
 #include "laurelhall/control/control_host.h"
+#include "laurelhall/report/trace_recorder.h"
 
 namespace laurelhall::operations {
 
@@ -17,10 +18,11 @@
 
 /// Makes both for one control host; they share what workers reported.
 ///
-/// @param trace_file Where the leader's decisions are recorded for replay, up
-///   to report::kMaxTraceBytes; the file of an earlier process is kept beside
-///   it, with `.1` after its name. Empty: nowhere.
-/// @throws FindingsError when the file can't be written.
-Operations MakeOperations(const std::string& trace_file = "");
+/// @param clock The wall clock of operators' requests; called on the thread
+///   that handles them.
+/// @param recorder Gets what the leader's duties saw and decided; null: none.
+Operations MakeOperations(
+    std::function<WallTime()> clock = WallNow,
+    const std::shared_ptr<report::TraceRecorder>& recorder = nullptr);
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/duties_p.h
+++ b/packages/operations/src/duties_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "job_board_p.h"
@@ -20,6 +21,7 @@
     std::shared_ptr<report::TraceRecorder> recorder = nullptr);
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board);
+    const std::shared_ptr<JobBoard>& board,
+    std::function<WallTime()> clock);
 
 }  // namespace laurelhall::operations
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -10,6 +10,7 @@
 #include "claim_table_p.h"
 #include "endpoint_table_p.h"
 #include "fleet_table_p.h"
+#include "note_table_p.h"
 #include "request_memory_p.h"
 #include "session_table_p.h"
 #include "settings_history_p.h"
@@ -41,6 +42,7 @@
   AuditLog audit;
   BurnHistory burn;
   SessionTable sessions;
+  NoteTable notes;
   std::atomic<uint64_t> applied_index{0};
 
  private:
@@ -53,6 +55,7 @@
   ActResult Run(const BurnCommand& command);
   ActResult Run(const ExpireCommand& command);
   ActResult Run(const SessionCommand& command);
+  ActResult Run(const NoteCommand& command);
   ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
   ActResult Run(const FleetCommand& command);
