--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -342,11 +342,22 @@
   body["changes"] = changes;
 }
 
+namespace {
+
+/// The tree in a file: alone, or as `settings get --output json` prints it.
+boost::json::object ReadTreeFile(const std::string& file) {
+  boost::json::object read = ReadObjectFile(file);
+  const boost::json::value* tree = read.if_contains("tree");
+  return tree != nullptr && tree->is_object() ? tree->get_object() : read;
+}
+
+}  // namespace
+
 /// Each named node of the file becomes one change, so that nodes which the
 /// file does not name stay as they are.
 void Session::AddTreeFile(boost::json::object& body) const {
   boost::json::object changes;
-  for (const auto& [section, nodes] : ReadObjectFile(m_arguments.front())) {
+  for (const auto& [section, nodes] : ReadTreeFile(m_arguments.front())) {
     if (!nodes.is_object()) {
       throw UsageError(std::string(section) + ": expected an object");
     }
