--- a/packages/control/src/leader_sync.cc
+++ b/packages/control/src/leader_sync.cc
@@ -34,7 +34,8 @@
 LeaderSync::LeaderSync(const state::Machine& machine,
                        uint64_t term,
                        uint64_t first_index,
-                       SteadyTime now)
+                       SteadyTime now,
+                       Millis session_timeout)
     : m_machine(machine),
       m_first_index(first_index),
       m_allocator(
@@ -44,6 +45,7 @@
             return init;
           }(),
           now),
+      m_sessions(machine, session_timeout, now),
       m_leads_since(now),
       m_next_expiry(now + kExpiryPeriod) {}
 
@@ -51,6 +53,7 @@
                               uint64_t applied,
                               SteadyTime now) {
   FollowEndpoints(now);
+  TakeOverSessions();
   Remember(question, now);
   SyncAnswer answer;
   answer.applied_index = applied;
@@ -63,6 +66,11 @@
 void LeaderSync::RenewLeases(const SyncQuestion& question,
                              SteadyTime now,
                              SyncAnswer& answer) {
+  if (!m_sessions.Admit(question.entry, now)) {
+    // Anything else would renew what it holds.
+    answer.leases.is_full_wanted = true;
+    return;
+  }
   routing::RenewalReceiver& receiver = m_receivers[question.entry];
   const auto demands = receiver.Read(question.leases);
   if (!demands) {
@@ -73,11 +81,26 @@
       question.leases, m_allocator.Renew(question.entry, *demands, now));
 }
 
+std::vector<state::Command> LeaderSync::TakeOpenedSessions() {
+  return m_sessions.TakeOpened();
+}
+
+// Sessions of earlier terms are all applied once a read was confirmed.
+void LeaderSync::TakeOverSessions() {
+  if (!m_has_taken_over) {
+    m_has_taken_over = true;
+    m_allocator.SetEarlierHolders(m_sessions.MayHoldSlots());
+  }
+}
+
 std::vector<state::Command> LeaderSync::TakeDue(SteadyTime now, WallTime wall) {
   std::vector<state::Command> due;
   FollowEndpoints(now);
   m_allocator.Expire(now);
   TakeSilentEndpoints(now, wall, due);
+  if (m_has_taken_over) {
+    m_sessions.TakeLost(m_allocator, now, due);
+  }
   TakeBurn(wall, due);
   if (now >= m_next_expiry) {
     m_next_expiry = now + kExpiryPeriod;
@@ -115,7 +138,7 @@
        m_machine.EndpointsSince(m_endpoints_index)) {
     m_endpoints_index = std::max(m_endpoints_index, endpoint.changed_at_index);
     if (endpoint.state == model::EndpointState::kGone) {
-      m_allocator.RemoveEndpoint(endpoint.id);
+      SetSlots(endpoint, config.get(), now);
       m_endpoints.erase(endpoint.id);
       m_signs.erase(endpoint.id);
       continue;
@@ -147,6 +170,7 @@
 
 std::map<std::string, int> LeaderSync::SlotsOutByHost(SteadyTime now) {
   FollowEndpoints(now);
+  TakeOverSessions();
   m_allocator.Expire(now);
   std::map<std::string, int> slots;
   for (const auto& [id, endpoint] : m_endpoints) {
--- a/packages/operations/src/fleet_duty.cc
+++ b/packages/operations/src/fleet_duty.cc
@@ -51,13 +51,15 @@
 
 class FleetDuty : public control::LeaderDuty {
  public:
-  explicit FleetDuty(std::shared_ptr<report::TraceRecorder> recorder)
-      : m_recorder(std::move(recorder)) {}
+  FleetDuty(std::shared_ptr<InFlightBoard> in_flight,
+            std::shared_ptr<report::TraceRecorder> recorder)
+      : m_in_flight(std::move(in_flight)), m_recorder(std::move(recorder)) {}
 
   std::vector<state::Command> Step(const state::Machine& machine,
                                    const control::LeaderView& view) override {
     const model::Fleet fleet = machine.fleet();
     const planning::StepInput input = InputOf(machine, fleet, view);
+    m_in_flight->Set(input.in_flight);
     planning::StepResult step = m_controller.Step(fleet, input);
     if (m_recorder != nullptr) {
       m_recorder->Planned(fleet, input, step);
@@ -100,6 +102,7 @@
     return input;
   }
 
+  const std::shared_ptr<InFlightBoard> m_in_flight;
   const std::shared_ptr<report::TraceRecorder> m_recorder;  // Null: none.
   planning::FleetController m_controller;
 };
@@ -107,8 +110,9 @@
 }  // namespace
 
 std::unique_ptr<control::LeaderDuty> MakeFleetDuty(
+    std::shared_ptr<InFlightBoard> in_flight,
     std::shared_ptr<report::TraceRecorder> recorder) {
-  return std::make_unique<FleetDuty>(std::move(recorder));
+  return std::make_unique<FleetDuty>(std::move(in_flight), std::move(recorder));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/operations/src/operator_service.cc
+++ b/packages/operations/src/operator_service.cc
@@ -25,8 +25,8 @@
 }
 
 int DigitOf(char c) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const size_t digit = kDigits.find(
+  constexpr std::string_view digits = "0123456789abcdef";
+  const size_t digit = digits.find(
       static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
   return digit == std::string_view::npos ? -1 : static_cast<int>(digit);
 }
@@ -151,7 +151,7 @@
     return Problem(504, "outcome not known; resend with the same request_id");
   }
   for (const state::Result& result : *results) {
-    const control::OperatorReply reply = ReplyOf(result);
+    control::OperatorReply reply = ReplyOf(result);
     if (reply.status != kOk) {
       return reply;
     }
@@ -170,12 +170,13 @@
 
 class RoutedService : public control::OperatorService {
  public:
-  RoutedService(const std::shared_ptr<JobBoard>& board,
+  RoutedService(const std::shared_ptr<JobBoard>& jobs,
+                const std::shared_ptr<InFlightBoard>& in_flight,
                 std::function<WallTime()> clock)
       : m_clock(std::move(clock)) {
     for (const auto& rows :
          {StatusRoutes(), ControlRoutes(), SettingsRoutes(), HostRoutes(),
-          ActRoutes(), JobRoutes(board), ReportRoutes()}) {
+          ActRoutes(), JobRoutes(jobs), ReportRoutes(in_flight)}) {
       std::ranges::copy(rows, std::back_inserter(m_routes));
     }
   }
@@ -208,7 +209,7 @@
       return;
     }
     if (outcome.action) {
-      Act(outcome, std::move(done));
+      CommitAct(std::move(outcome), commit, std::move(done));
     } else if (outcome.commands.empty()) {
       done({outcome.status, TextOf(outcome.body)});
     } else {
@@ -251,14 +252,26 @@
            });
   }
 
-  void Act(const Outcome& outcome,
-           std::function<void(control::OperatorReply)> done) const {
-    outcome.action(*m_actions, [done = std::move(done)](
-                                   const control::ActionOutcome& result) {
-      done(result.is_accepted
-               ? control::OperatorReply{kOk, R"({"is_accepted":true})"}
-               : Problem(409, result.error));
-    });
+  // A resend does it once more: the first may have got no further than the
+  // commit, and each act asks for an end state.
+  void CommitAct(Outcome outcome,
+                 const Commit& commit,
+                 std::function<void(control::OperatorReply)> done) const {
+    commit(std::move(outcome.commands),
+           [actions = m_actions, action = std::move(outcome.action),
+            done = std::move(done)](
+               const std::optional<std::vector<state::Result>>& results) {
+             const control::OperatorReply reply = ReplyOf(results);
+             if (reply.status != kOk) {
+               done(reply);
+               return;
+             }
+             action(*actions, [done](const control::ActionOutcome& result) {
+               done(result.is_accepted
+                        ? control::OperatorReply{kOk, R"({"is_accepted":true})"}
+                        : Problem(409, result.error));
+             });
+           });
   }
 
   const std::function<WallTime()> m_clock;
@@ -269,9 +282,10 @@
 }  // namespace
 
 std::unique_ptr<control::OperatorService> MakeOperatorService(
-    const std::shared_ptr<JobBoard>& board,
+    const std::shared_ptr<JobBoard>& jobs,
+    const std::shared_ptr<InFlightBoard>& in_flight,
     std::function<WallTime()> clock) {
-  return std::make_unique<RoutedService>(board, std::move(clock));
+  return std::make_unique<RoutedService>(jobs, in_flight, std::move(clock));
 }
 
 }  // namespace laurelhall::operations
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -138,6 +139,14 @@
 };
 BOOST_DESCRIBE_STRUCT(JobCommand, (), (request, expected_lease, job))
 
+/// Records that an operator asked for an act on the control hosts, which is
+/// done outside of the replicated state once this is committed.
+struct ControlCommand {
+  OperatorRequest request;
+  std::string act;  ///< Such as "repair entry-4".
+};
+BOOST_DESCRIBE_STRUCT(ControlCommand, (), (request, act))
+
 using model::BurnSample;
 
 /// Adds service-level samples to the recorded history.
@@ -162,10 +171,15 @@
   model::EntryIdentity entry;
   SessionState state = SessionState::kOpen;
   WallTime at{};
+  /// With kLost: the last change of the session that the leader knew of. After
+  /// a later one the command is refused.
+  uint64_t expected_index = 0;
   /// With kLost: false once no run under its slots can be going on.
   bool may_hold_slots = true;
 };
-BOOST_DESCRIBE_STRUCT(SessionCommand, (), (entry, state, at, may_hold_slots))
+BOOST_DESCRIBE_STRUCT(SessionCommand,
+                      (),
+                      (entry, state, at, expected_index, may_hold_slots))
 
 /// Keeps what a duty of the leader learned, under a name; an empty text
 /// removes it.
@@ -190,7 +204,8 @@
                              BurnCommand,
                              ExpireCommand,
                              SessionCommand,
-                             NoteCommand>;
+                             NoteCommand,
+                             ControlCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
@@ -243,4 +258,7 @@
 
 using Result = std::variant<ClaimResult, ActResult>;
 
+/// A hash of 64 bits, the same in every process. Thread-safe.
+uint64_t HashText(std::string_view text);
+
 }  // namespace laurelhall::state
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -54,8 +54,9 @@
           JobCommand{request, 9, job},
           BurnCommand{{{"s", WallTime(Millis(60'000)), 1, 2, 3, 4}}},
           ExpireCommand{WallTime(Millis(8))},
-          SessionCommand{{"e", 3}, SessionState::kLost, {}, false},
-          NoteCommand{"n", "t"}};
+          SessionCommand{{"e", 3}, SessionState::kLost, {}, 7, false},
+          NoteCommand{"n", "t"},
+          ControlCommand{request, "repair h"}};
 }
 
 TEST_CASE("Commands, one of each kind, decode as they were") {
@@ -80,7 +81,7 @@
 
 TEST_CASE("Commands, text that is none, throws") {
   for (const char* text :
-       {"", "{}", "[1]", "[{}]", R"([{"kind":15,"value":{}}])",
+       {"", "{}", "[1]", "[{}]", R"([{"kind":16,"value":{}}])",
         R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
         R"([{"kind":12,"value":{"now":"soon"}}])",
