--- a/packages/cli/tests/cli_test.cc
+++ b/packages/cli/tests/cli_test.cc
@@ -73,6 +73,18 @@
   CHECK(m_out.str() == "is_accepted  true\nversion      42\n");
 }
 
+TEST_CASE_FIXTURE(CliFixture, "Cli, settings load, takes what get printed") {
+  Answer(200, R"({"version":7,"tree":{"pools":{"annex":{"target_hosts":3}}}})");
+  REQUIRE(Run({"settings", "get", "--output", "json"}) == ExitCode::kDone);
+  const std::string file =
+      (std::filesystem::temp_directory_path() / "cli_test_tree.json").string();
+  std::ofstream(file) << m_out.str();
+  CHECK(Run({"settings", "load", file}) == ExitCode::kDone);
+  std::filesystem::remove(file);
+  CHECK(Body().at("changes") ==
+        boost::json::parse(R"({"pools.annex":{"target_hosts":3}})"));
+}
+
 TEST_CASE_FIXTURE(CliFixture, "Cli, two values not JSON, names both") {
   CHECK(Run({"settings", "set", "a=x", "b=y"}) == ExitCode::kUsage);
   CHECK(m_requests.empty());
--- a/packages/operations/src/job_duty.cc
+++ b/packages/operations/src/job_duty.cc
@@ -37,7 +37,7 @@
   std::vector<state::Command> Step(const state::Machine& machine,
                                    const control::LeaderView& view) override {
     const model::Fleet fleet = machine.fleet();
-    Resume(machine);
+    Resume(machine, view.now);
     Learn(view.now);
     m_board->Retain(fleet.jobs);
     std::vector<state::Command> commands;
@@ -60,14 +60,18 @@
 
  private:
   /// Takes over what another leader learned since this one last looked.
-  void Resume(const state::Machine& machine) {
+  void Resume(const state::Machine& machine, WallTime now) {
     const std::string note = machine.Note(kNoteName).value_or("");
     if (note == m_seen) {
       return;
     }
     m_seen = note;
     if (note != m_proposed && !note.empty()) {
-      m_placer.Load(model::FromJsonText<placement::PlacementMemory>(note));
+      const auto memory = model::FromJsonText<placement::PlacementMemory>(note);
+      m_placer.Load(memory);
+      if (m_recorder != nullptr) {
+        m_recorder->Loaded(memory, now);
+      }
     }
   }
 
--- a/packages/operations/tests/leader_loop.cc
+++ b/packages/operations/tests/leader_loop.cc
@@ -38,7 +38,8 @@
   return *this;
 }
 
-LeaderLoop::LeaderLoop(uint64_t seed) : m_random(seed) {
+LeaderLoop::LeaderLoop(uint64_t seed, bool is_recorded)
+    : m_random(seed), m_is_recorded(is_recorded) {
   ChangeLeader();
   AddFleet();
 }
@@ -132,7 +133,22 @@
 
 void LeaderLoop::ChangeLeader() {
   ++m_counts.leaders;
-  m_leader = MakeOperations("", [this] { return m_now; });
+  std::shared_ptr<report::TraceRecorder> recorder;
+  if (m_is_recorded) {
+    auto trace = std::make_unique<std::ostringstream>();
+    m_traces.push_back(trace.get());
+    recorder = std::make_shared<report::TraceRecorder>(std::move(trace));
+    m_recorders.push_back(recorder);
+  }
+  m_leader = MakeOperations([this] { return m_now; }, recorder);
+}
+
+std::vector<std::string> LeaderLoop::Traces() const {
+  std::vector<std::string> traces;
+  for (const std::ostringstream* trace : m_traces) {
+    traces.push_back(trace->str());
+  }
+  return traces;
 }
 
 void LeaderLoop::Leader(int step) {
--- a/packages/operations/tests/leader_loop.h
+++ b/packages/operations/tests/leader_loop.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -32,7 +33,7 @@
 /// platform under a virtual clock: no sockets, all from one seed.
 class LeaderLoop {
  public:
-  explicit LeaderLoop(uint64_t seed);
+  explicit LeaderLoop(uint64_t seed, bool is_recorded = false);
 
   /// One step of time: hosts come back, requests end, workers report.
   void Platform();
@@ -58,6 +59,8 @@
     return m_machine.Note(name);
   }
   const LoopCounts& counts() const { return m_counts; }
+  /// What each leader so far recorded, as traces.
+  std::vector<std::string> Traces() const;
 
  private:
   struct Run {
@@ -86,6 +89,9 @@
   WallTime m_now{std::chrono::hours(500'000)};
   state::Machine m_machine;
   uint64_t m_index = 0;
+  const bool m_is_recorded;
+  std::vector<std::shared_ptr<report::TraceRecorder>> m_recorders;
+  std::vector<std::ostringstream*> m_traces;  // Of the recorders.
   Operations m_leader;
   std::vector<std::pair<int, state::Command>> m_late;  // By step when due.
   std::map<std::string, WallTime> m_busy_until;        // Requests, by host.
--- a/packages/operations/tests/leader_loop_test.cc
+++ b/packages/operations/tests/leader_loop_test.cc
@@ -84,6 +84,30 @@
   CHECK(total.job_runs > 50);
 }
 
+TEST_CASE("Leaders' traces, recorded in chaos, replay to the same decisions") {
+  int steps = 0;
+  int expectations = 0;
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    CAPTURE(seed);
+    LeaderLoop loop(seed, true);
+    for (int i = 0; i < 12; ++i) {
+      loop.FailAllOn("h" + std::to_string(i));
+    }
+    RunChaos(loop);
+    for (const std::string& trace : loop.Traces()) {
+      std::istringstream lines(trace);
+      const report::ReplayResult result = report::Replay(lines, "trace");
+      for (const Finding& failure : result.failures) {
+        FAIL_CHECK(failure.place << ": " << failure.text);
+      }
+      steps += result.steps;
+      expectations += result.expectations;
+    }
+  }
+  CHECK(steps > 500);
+  CHECK(expectations > 2 * steps);
+}
+
 TEST_CASE("Placement memory, next leader, goes on with what was learned") {
   LeaderLoop loop(7);
   for (int i = 0; i < 12; ++i) {
--- a/packages/report/include/laurelhall/report/trace_recorder.h
+++ b/packages/report/include/laurelhall/report/trace_recorder.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <ostream>
+#include <string>
 #include <vector>
 
 #include "laurelhall/model/fleet.h"
@@ -64,4 +65,11 @@
   bool m_is_ended = false;
 };
 
+/// Makes a recorder that writes to a file; null without a name.
+///
+/// @remarks A file of an earlier process is kept beside it, with `.1` after
+///   its name.
+/// @throws FindingsError when the file can't be written.
+std::shared_ptr<TraceRecorder> OpenTraceFile(const std::string& file);
+
 }  // namespace laurelhall::report
--- a/packages/report/src/trace_recorder.cc
+++ b/packages/report/src/trace_recorder.cc
@@ -1,9 +1,13 @@
 #include "laurelhall/report/trace_recorder.h"
 
-#include <string>
+#include <filesystem>
+#include <fstream>
+#include <system_error>
+#include <type_traits>
 #include <utility>
 
 #include "fleet_copy_p.h"
+#include "laurelhall/base/finding.h"
 
 namespace laurelhall::report {
 namespace {
@@ -131,4 +135,17 @@
   }
 }
 
+std::shared_ptr<TraceRecorder> OpenTraceFile(const std::string& file) {
+  if (file.empty()) {
+    return nullptr;
+  }
+  std::error_code no_earlier_file;
+  std::filesystem::rename(file, file + ".1", no_earlier_file);
+  auto stream = std::make_unique<std::ofstream>(file);
+  if (!*stream) {
+    throw FindingsError({{"trace_file", file + ": cannot be written"}});
+  }
+  return std::make_shared<TraceRecorder>(std::move(stream));
+}
+
 }  // namespace laurelhall::report
