--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -11,8 +11,10 @@
 
 constexpr Millis kTick{20};
 constexpr Millis kHelloPeriod{250};
-// Also how long syncs wait for one another: their round is the heartbeat.
 constexpr Millis kHeartbeat{200};
+// How long syncs wait for one another. Less than a heartbeat, so that their
+// round comes in place of it.
+constexpr Millis kSyncRound{160};
 constexpr Millis kPublishPeriod{50};
 // How long commands wait for others while a sync is under way.
 constexpr Millis kSubmitAge{2};
@@ -314,7 +316,7 @@
   if (m_sync_reads.empty() || (IsLeading() && Now() < m_next_sync_round)) {
     return;
   }
-  m_next_sync_round = Now() + kHeartbeat;
+  m_next_sync_round = Now() + kSyncRound;
   for (ReadRounds::Done& done : std::exchange(m_sync_reads, {})) {
     Read(std::move(done));
   }
