Half of the slots follow demand, however many entry hosts there are

Cause: each entry host keeps one slot of every second endpoint; with 16 of them that is all 8 slots of a runner, and an entry host with all the demand got none.

--- a/packages/routing/tests/grants_test.cc
+++ b/packages/routing/tests/grants_test.cc
@@ -213,6 +213,20 @@
   CHECK(m_two.FreeSlots("b", now) == 1);
 }
 
+TEST_CASE_FIXTURE(GrantsFixture,
+                  "SlotAllocator, twice as many entry hosts as slots, half of "
+                  "the slots still follow demand") {
+  std::vector<GrantHolder> idle(15);
+  SteadyTime now = kStart;
+  for (int i = 0; i < 40; ++i, now += Millis{500}) {
+    for (size_t j = 0; j < idle.size(); ++j) {
+      Renew(m_leader, "idle-" + std::to_string(j), idle[j], 0, now);
+    }
+    Renew(m_leader, "one", m_one, 20, now);
+  }
+  CHECK(m_one.FreeSlots("a", now) >= 4);
+}
+
 TEST_CASE_FIXTURE(GrantsFixture,
                   "SlotAllocator, equal demand, slots stay where they are") {
   SteadyTime now = kStart;
