--- a/packages/state/src/session_table.cc
+++ b/packages/state/src/session_table.cc
@@ -26,6 +26,10 @@
       change.result = Refused("no such session");
       return change;
     }
+    if (found->second.changed_at_index != command.expected_index) {
+      change.result = Refused("the session has changed since");
+      return change;
+    }
     Lose(found->second, index, command.at, &change.lost);
     found->second.may_hold_slots &= command.may_hold_slots;
   } else {
@@ -61,8 +65,9 @@
   if (HasNewer(entry) || is_full) {
     return nullptr;
   }
+  const auto end = m_sessions.lower_bound(entry);
   auto earlier = m_sessions.lower_bound({entry.name, 0});
-  for (; earlier != m_sessions.end() && earlier->first < entry; ++earlier) {
+  for (; earlier != end; ++earlier) {
     Lose(earlier->second, index, at, lost);
   }
   SessionRecord& record = m_sessions[entry];
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -1,5 +1,6 @@
 #include "tables_p.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "read_json_p.h"
@@ -143,6 +144,11 @@
   return settings.Apply(command, fleet.CountHosts());
 }
 
+// It has no effect here; RunOnce() records it.
+ActResult Tables::Run(const ControlCommand&) {
+  return Accepted();
+}
+
 ActResult Tables::Run(const BurnCommand& command) {
   return burn.Apply(command, *settings.config());
 }
@@ -208,8 +214,14 @@
 }
 
 void Tables::Expire(WallTime now) {
+  Millis longest_run{0};
+  for (const auto& [name, service] : settings.config()->services) {
+    longest_run = std::max(longest_run, service.requests.max_run_time);
+  }
   claims.Expire(now);
-  endpoints.Expire(now);
+  // One that returns must be known while a run at it may still go on: its slots
+  // were lent before.
+  endpoints.Expire(now - longest_run);
   fleet.Expire(now);
   requests.Expire(now);
   burn.Expire(now);
