--- a/packages/daemon/src/operator_api_p.h
+++ b/packages/daemon/src/operator_api_p.h
@@ -14,9 +14,31 @@
 
 namespace laurelhall::daemon {
 
-/// Bearer tokens of operators, from a file that is read again when it changes.
+/// What an operator may do.
+enum class OperatorRole {
+  kViewer,    ///< Reads only.
+  kOperator,  ///< All.
+  kCount,
+};
+
+/// Who asks, as far as it is proven.
+struct Operator {
+  std::string name;  ///< Empty: nobody has to prove it; the body's name holds.
+  OperatorRole role = OperatorRole::kOperator;
+};
+
+/// The operators of one file.
+struct OperatorTable {
+  std::map<std::string, Operator> by_hash;  ///< Of the token.
+  std::map<std::string, Operator> by_name;
+};
+
+/// Operators and their bearer tokens, from a file that is read again when it
+/// changes.
 ///
-/// @remarks Lines of "NAME SHA256-OF-TOKEN". Thread-safe.
+/// @remarks Lines of "NAME SHA256-OF-TOKEN [viewer|operator]"; "-" in place of
+///   the hash for one who has a client certificate only. A changed file that
+///   cannot be read whole changes nothing. Thread-safe.
 class OperatorTokens {
  public:
   /// @param file Empty: no tokens, everybody on loopback is an operator.
@@ -25,16 +47,22 @@
 
   bool is_required() const { return !m_file.empty(); }
 
-  /// Returns whose token it is; none when it is nobody's.
-  std::optional<std::string> OwnerOf(const std::string& token);
+  /// Returns whose token has this SHA-256; none when it is nobody's.
+  std::optional<Operator> OwnerOf(const std::string& hash);
+
+  /// Returns the operator whom a client certificate names; none if not listed.
+  std::optional<Operator> Named(const std::string& name);
 
  private:
+  std::optional<Operator> Find(
+      std::map<std::string, Operator> OperatorTable::*index,
+      const std::string& key);
   void ReloadIfChanged();
 
   const std::string m_file;
   std::mutex m_mutex;  // Guards all below.
   std::filesystem::file_time_type m_read_at;
-  std::map<std::string, std::string> m_owner_by_hash;
+  OperatorTable m_table;
 };
 
 /// What the operators' address of a daemon is set up with.
@@ -43,6 +71,7 @@
   TimerService* timers = nullptr;
   OperatorTokens* tokens = nullptr;
   std::shared_ptr<control::ConnectionFilter> filter;
+  bool allows_drills = false;
   std::function<bool()> is_healthy;
   std::function<std::string()> metrics;
   std::function<std::string()> local_status;  ///< JSON of this daemon alone.
@@ -71,6 +100,10 @@
   void Metrics(const std::shared_ptr<net::HttpExchange>& exchange);
   void LocalStatus(const std::shared_ptr<net::HttpExchange>& exchange);
   void Cuts(const std::shared_ptr<net::HttpExchange>& exchange);
+  // None when the request was refused, answered and logged.
+  std::optional<Operator> Admit(net::HttpExchange& exchange,
+                                bool is_read_only) const;
+  std::optional<Operator> Identify(const net::HttpRequest& request) const;
   void Forward(const std::shared_ptr<net::HttpExchange>& exchange);
 
   const OperatorApiInit m_init;
