--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -398,7 +398,8 @@
       FormatDuration(Quantile(result.urgent_waits, 0.99)),
       FormatDuration(Quantile(result.urgent_waits, 1)),
       result.urgent_waits.size(), result.work_lost.count() / 1'000,
-      100 * result.useful / result.capacity, sum / result.step_ms.size(),
+      100 * result.useful / result.capacity,
+      sum / static_cast<double>(result.step_ms.size()),
       Quantile(result.step_ms, 0.99), Quantile(result.step_ms, 1),
       result.most_jobs);
   std::fflush(stdout);
@@ -451,11 +452,11 @@
     return took.count();
   };
   double steady = 0;
-  constexpr int kWarm = 2'400;
-  constexpr int kMeasured = 100;
-  for (int i = 0; i < kWarm + kMeasured; ++i) {
+  constexpr int warm = 2'400;
+  constexpr int measured = 100;
+  for (int i = 0; i < warm + measured; ++i) {
     load.Arrive(workers, now);
-    steady += i >= kWarm ? step() : (step(), 0.0);
+    steady += i >= warm ? step() : (step(), 0.0);
     std::erase_if(workers.fleet.jobs, [](const auto& entry) {
       return entry.second.state == JobState::kSucceeded;
     });
@@ -483,7 +484,7 @@
       "grow         {:5} hosts {:3} pools {:6} jobs ({:6} running): steady "
       "step {:.2f} ms; {} more queued {:.2f} ms, at most {} KiB; {} cancelled "
       "{:.2f} ms\n",
-      hosts, pools, jobs, running, steady / kMeasured,
+      hosts, pools, jobs, running, steady / measured,
       workers.fleet.jobs.size() - jobs, queued, step_bytes / 1'024,
       cancelled.size(), after);
   std::fflush(stdout);
--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -96,11 +96,11 @@
 
 // Each change sets one field of one of the pools of the coming size.
 SettingsCommand SettingsOf(size_t number) {
-  constexpr size_t kPools = 68;
+  constexpr size_t pool_count = 68;
   SettingsCommand command;
   command.request = {"operator-1", LongId("s", number)};
   command.expected_version = number + 1;  // After the pool's own change.
-  const std::string pool = "pools.pool-" + std::to_string(number % kPools);
+  const std::string pool = "pools.pool-" + std::to_string(number % pool_count);
   command.changes = {{pool + ".target_hosts", std::to_string(number)}};
   return command;
 }
--- a/packages/base/include/laurelhall/base/handle.h
+++ b/packages/base/include/laurelhall/base/handle.h
@@ -16,6 +16,7 @@
 
   constexpr bool is_valid() const { return index != kInvalidIndex; }
   friend constexpr bool operator==(Handle, Handle) = default;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   friend constexpr auto operator<=>(Handle, Handle) = default;
 };
 
--- a/packages/daemon/src/operator_api.cc
+++ b/packages/daemon/src/operator_api.cc
@@ -56,6 +56,12 @@
   exchange.Respond(Problem(status, slug, detail));
 }
 
+/// Words for how the inner protocol treats a peer.
+constexpr std::pair<const char*, control::CutMode> kCutModes[] = {
+    {"none", control::CutMode::kNone},
+    {"refuse", control::CutMode::kRefuse},
+    {"stall", control::CutMode::kStall}};
+
 }  // namespace
 
 const OperatorApi::LocalRoute OperatorApi::kLocalRoutes[] = {
@@ -112,16 +118,12 @@
            who->name);
     return;
   }
-  constexpr std::pair<const char*, control::CutMode> kModes[] = {
-      {"none", control::CutMode::kNone},
-      {"refuse", control::CutMode::kRefuse},
-      {"stall", control::CutMode::kStall}};
   boost::json::error_code error;
   const boost::json::value body =
       boost::json::parse(exchange->request().body, error);
   if (!error && body.is_object() && body.as_object().contains("peer") &&
       body.as_object().contains("mode")) {
-    for (const auto& [name, mode] : kModes) {
+    for (const auto& [name, mode] : kCutModes) {
       if (body.at("mode") == name && body.at("peer").is_string()) {
         m_init.filter->Set(std::string(body.at("peer").as_string()), mode);
         exchange->Respond(Reply(200, "application/json", "{}"));
@@ -167,7 +169,7 @@
   m_init.link->Operate(
       request.method, request.target, std::move(body),
       m_init.timers->Now() + kOperateTimeout,
-      [exchange](control::OperatorReply reply) {
+      [exchange](const control::OperatorReply& reply) {
         exchange->Respond(Reply(reply.status, "application/json", reply.body));
       });
 }
