--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -498,22 +498,25 @@
   using laurelhall::bench::Scale;
   using std::chrono::hours;
   using std::chrono::minutes;
-  // The coming size takes minutes; it can be left out or run alone.
+  // Growth or the coming size alone, or all but the coming size, which takes
+  // minutes.
   const std::string only = argc > 1 ? argv[1] : "";
-  if (only != "--coming") {
+  if (only != "--coming" && only != "--growth") {
     const Scale montevideo{"montevideo", 50,   1,    5,       4, 4, 0,
                            {32, 128, 0}, true, 0.85, hours(6)};
     const Scale marmara{"marmara", 50,          1,    5,    4,       3,
                         0,         {16, 64, 0}, true, 0.85, hours(6)};
     Compare(montevideo, {1, 2}, true);
     Compare(marmara, {1, 2}, true);
+  }
+  if (only != "--coming") {
     Grow(100, 4);
     Grow(475, 17);
     Grow(950, 34);
     Grow(1'900, 68);
     Grow(1'900, 1);
   }
-  if (only != "--quick") {
+  if (only != "--quick" && only != "--growth") {
     const Scale coming{"coming", 1'900,        68,   41,   4,          19,
                        2'900,    {32, 128, 0}, true, 0.85, minutes(40)};
     Compare(coming, {1}, false);
--- a/packages/placement/src/ledger.cc
+++ b/packages/placement/src/ledger.cc
@@ -97,8 +97,8 @@
   }
   int allowed = slot.score > 0 ? 1 : m_init.max_starts_per_host;
   for (const int index : slot.runs) {
-    const Job& job = *runs[static_cast<size_t>(index)].job;
-    allowed += now - job.started >= kFreshAge ? 1 : -1;
+    const WallTime started = runs[static_cast<size_t>(index)].started;
+    allowed += now - started >= kFreshAge ? 1 : -1;
   }
   slot.max_starts = std::clamp(allowed, 0, m_init.max_starts_per_host);
 }
@@ -196,6 +196,10 @@
   run.team = FindTeam(job.team);
   run.hold = HoldOf(job, usage);
   run.throttle = job.throttle;
+  run.started = job.started;
+  run.committed_throttle = job.throttle;
+  run.is_checkpointing =
+      job.state == model::JobState::kCheckpointing && !job.is_stopping;
   run.is_releasing = !IsRunning(job) || IsReleasing(job);
   const int index = static_cast<int>(runs.size());
   slot.free = slot.free - run.hold;
@@ -216,8 +220,11 @@
 }
 
 void Ledger::CountStarved(const Job& job, const Run& run) {
+  if (job.started - job.submitted <= m_init.starvation_age) {
+    return;
+  }
   const int pool = FindPool(job.pool);
-  if (pool >= 0 && job.started - job.submitted > m_init.starvation_age) {
+  if (pool >= 0) {
     PoolUse& use = pools[static_cast<size_t>(pool)];
     use.starved_runs = use.starved_runs + run.hold;
   }
--- a/packages/placement/src/ledger_p.h
+++ b/packages/placement/src/ledger_p.h
@@ -29,6 +29,10 @@
   int team = 0;
   model::Resources hold;  // What it takes of its host.
   double throttle = 1;
+  // Copied from the job, so that a pass over all runs stays off the jobs.
+  WallTime started{};
+  double committed_throttle = 1;
+  bool is_checkpointing = false;  // As committed.
   bool is_releasing = false;
   bool is_borrowed = false;  // Beyond its team's guarantee.
 };
--- a/packages/placement/src/pressure.cc
+++ b/packages/placement/src/pressure.cc
@@ -70,10 +70,11 @@
 void LiftThrottles(StepContext& context) {
   for (size_t i = 0; i < context.ledger.runs.size(); ++i) {
     const Run& run = context.ledger.runs[i];
-    const model::Job& job = *run.job;
-    if (job.throttle >= 1 || run.throttle < job.throttle || run.is_releasing) {
+    if (run.committed_throttle >= 1 || run.throttle < run.committed_throttle ||
+        run.is_releasing) {
       continue;
     }
+    const model::Job& job = *run.job;
     const HostSlot& slot = context.ledger.hosts[run.host];
     const double wanted = job.throttle >= kBurstThrottle
                               ? job.reserved.processors
--- a/packages/placement/src/release.cc
+++ b/packages/placement/src/release.cc
@@ -120,7 +120,8 @@
   }
   for (size_t i = 0; i < context.ledger.runs.size(); ++i) {
     const Run& run = context.ledger.runs[i];
-    if (!IsRunning(*run.job)) {
+    const HostState state = context.ledger.hosts[run.host].host->state;
+    if ((!run.is_releasing && RunsWork(state)) || !IsRunning(*run.job)) {
       continue;
     }
     std::string reason = LostReason(context, run);
@@ -167,12 +168,11 @@
 void StopSlowCheckpoints(StepContext& context) {
   for (size_t i = 0; i < context.ledger.runs.size(); ++i) {
     const Run& run = context.ledger.runs[i];
-    const Job& job = *run.job;
     const HostSlot& slot = context.ledger.hosts[run.host];
-    if (job.state != model::JobState::kCheckpointing || job.is_stopping ||
-        !RunsWork(slot.host->state)) {
+    if (!run.is_checkpointing || !RunsWork(slot.host->state)) {
       continue;
     }
+    const Job& job = *run.job;
     const bool is_urgent = slot.is_urgent_claim;
     const Millis timeout = is_urgent ? context.init.urgent_checkpoint_timeout
                                      : context.init.checkpoint_timeout;
