--- a/scripts/run_demo.sh
+++ b/scripts/run_demo.sh
@@ -11,8 +11,7 @@
 cli="$build/packages/cli/laurelhall --operator demo"
 logs=$build/demo
 entries=127.0.0.1:8101,127.0.0.1:8102,127.0.0.1:8103,127.0.0.1:8104,127.0.0.1:8105,127.0.0.1:8106,127.0.0.1:8107
-daemons=()
-endpoints=()
+source scripts/cluster.sh
 
 forget_daemon() { # forget_daemon PID: its exit code does not count
   local kept=() pid
@@ -39,17 +38,6 @@
 }
 trap 'stop_all || true' EXIT
 
-wait_for() { # wait_for TEXT COMMAND...: until the command's output has the text
-  local text=$1
-  shift
-  for _ in $(seq 300); do
-    if "$@" 2>/dev/null | grep -q -- "$text"; then return 0; fi
-    sleep 0.1
-  done
-  echo "no $text from: $*" >&2
-  return 1
-}
-
 step() { printf '\n== %s\n' "$*"; }
 
 rm -rf data "$logs"
