Channel between control hosts: a failed look-up is tried again

Two cases of the cluster's tests were flaky: "three empty hosts" (no leader within the cap, nothing logged) and "disk lost twice in a row" (the learner never promoted).

Of the same kind, and still there: an attempt that failed otherwise than by a lost connection (a name not found, no free port of its own) was kept as the attempt under way, and all later calls got its old failure for ever. Now it counts as unreachable and is tried again.

Ruled out by reading, not by a run: no vote by equal jitter (it comes from the identity); a foreign process that answers (the host's own listen fails first); a host connected to itself (such a port would make its listen fail, too).

--- a/packages/control/src/rpc_channel.cc
+++ b/packages/control/src/rpc_channel.cc
@@ -94,6 +94,11 @@
       .then([this](kj::Own<kj::AsyncIoStream>&& stream) {
         m_connection = kj::refcounted<Connection>(kj::mv(stream));
         m_backoff = Millis(0);
+      })
+      // Whatever the cause, tried again: a failure of another type would pass
+      // for the peer's answer, and this one be kept for ever.
+      .catch_([](kj::Exception&& error) -> kj::Promise<void> {
+        return Unreachable(error.getDescription().cStr());
       });
 }
 
--- a/packages/control/tests/cluster_fixture.h
+++ b/packages/control/tests/cluster_fixture.h
@@ -38,36 +38,55 @@
   return condition();
 }
 
-/// Ports that the kernel picked and that are free again.
-inline std::vector<int> PickPorts(size_t count) {
-  std::vector<int> sockets;
-  std::vector<int> ports;
-  for (size_t i = 0; i < count; ++i) {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+/// Ports that the kernel picked and that nobody else is given while this lives.
+///
+/// @remarks Each is bound and never listens, so that a host, which listens with
+///   SO_REUSEADDR, may still take it, and take it again after a restart.
+class HeldPorts {
+ public:
+  explicit HeldPorts(size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM, 0);
+      m_sockets.push_back(fd);
+      m_ports.push_back(Bind(fd));
+    }
+  }
+  ~HeldPorts() {
+    for (const int fd : m_sockets) {
+      close(fd);
+    }
+  }
+  HeldPorts(const HeldPorts&) = delete;
+  HeldPorts& operator=(const HeldPorts&) = delete;
+
+  const std::vector<int>& ports() const { return m_ports; }
+
+ private:
+  static int Bind(int fd) {
+    const int is_shared = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &is_shared, sizeof(is_shared));
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
     bind(fd, reinterpret_cast<sockaddr*>(&address), size);
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-    sockets.push_back(fd);
-    ports.push_back(ntohs(address.sin_port));
-  }
-  for (const int fd : sockets) {
-    close(fd);
+    return ntohs(address.sin_port);
   }
-  return ports;
-}
+
+  std::vector<int> m_sockets;
+  std::vector<int> m_ports;
+};
 
 /// Control hosts in one process, on real sockets and temporary folders.
 class Cluster {
  public:
-  explicit Cluster(size_t size) {
+  explicit Cluster(size_t size) : m_ports(size) {
     static std::atomic<int> s_count{0};
     m_folder = std::filesystem::temp_directory_path() /
                ("laurelhall_control_" + std::to_string(getpid()) + "_" +
                 std::to_string(s_count++));
-    for (const int port : PickPorts(size)) {
+    for (const int port : m_ports.ports()) {
       const std::string index = std::to_string(m_inits.size());
       ControlHostInit init;
       init.cluster = "test";
@@ -136,8 +155,13 @@
   }
 
   size_t AwaitLeader(size_t except = SIZE_MAX) const {
-    Eventually([&] { return Leader(except) < size(); });
-    return Leader(except);
+    // Read once: who leads may have changed by a second look.
+    size_t leader = size();
+    Eventually([&] {
+      leader = Leader(except);
+      return leader < size();
+    });
+    return leader;
   }
 
   std::unique_ptr<ControlLink> MakeLink(const std::string& name) const {
@@ -170,6 +194,7 @@
     return MakeControlClient(init);
   }
 
+  HeldPorts m_ports;
   std::filesystem::path m_folder;
   std::vector<ControlHostInit> m_inits;
   std::vector<std::unique_ptr<ControlHost>> m_hosts;
--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -54,6 +54,17 @@
   CHECK(status.zones_at_risk.empty());
 }
 
+TEST_CASE_FIXTURE(ClusterFixture,
+                  "Cluster, first member starts late, the others find it") {
+  m_cluster.Start(0);
+  m_cluster.Start(1);
+  // Until the pauses between attempts to reach it are the longest.
+  std::this_thread::sleep_for(Seconds(3));
+  m_cluster.Start(2);
+  REQUIRE(m_cluster.AwaitLeader() < m_cluster.size());
+  CHECK(Eventually([&] { return AllApplied(m_cluster); }));
+}
+
 TEST_CASE_FIXTURE(ClusterFixture,
                   "Cluster, settings change, reaches a syncing entry host") {
   m_cluster.StartAll();
@@ -215,15 +226,19 @@
   }
   REQUIRE(ClaimMany(*link, "a", 100) == 100);
   const size_t first = m_cluster.AwaitLeader();
+  REQUIRE(first < m_cluster.size());
   for (const size_t lost : {(first + 1) % 3, (first + 2) % 3}) {
     const consensus::NodeId old = m_cluster.host(lost).status().consensus.self;
     m_cluster.Stop(lost);
     m_cluster.LoseDisk(lost);
     m_cluster.Start(lost);
     REQUIRE(Eventually([&] {
-      const auto members = m_cluster.host(m_cluster.AwaitLeader())
-                               .status()
-                               .consensus.membership.members;
+      const size_t leader = m_cluster.Leader();
+      if (leader == m_cluster.size()) {
+        return false;
+      }
+      const auto members =
+          m_cluster.host(leader).status().consensus.membership.members;
       return members.size() == 3 && !members.contains(old) &&
              std::all_of(members.begin(), members.end(),
                          [](const auto& item) { return item.second.is_voter; });
