--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -73,6 +73,26 @@
                        SteadyTime deadline,
                        std::function<void(OperatorReply)> done) = 0;
 
+  /// Asks the leader's scheduling; tried again at every control host until the
+  /// deadline, so the request must be idempotent.
+  ///
+  /// @param done Called with none when nobody answered in time; then whether
+  ///   the request was sent at all.
+  using ScheduleDone =
+      std::function<void(std::optional<std::string>, bool may_have_run)>;
+  virtual void AskSchedule(std::string request,
+                           SteadyTime deadline,
+                           ScheduleDone done) {
+    (void)request;
+    (void)deadline;
+    done(std::nullopt, false);
+  }
+
+  /// Control hosts that may be asked from now on, besides those of the start.
+  virtual void LearnControlHosts(std::vector<std::string> addresses) {
+    (void)addresses;
+  }
+
   /// Starts syncing for a listener, which must outlive the link.
   virtual void Start(ViewListener& listener) = 0;
 };
@@ -95,6 +115,8 @@
   std::vector<std::string> control_addresses;
   Millis sync_period{std::chrono::milliseconds(500)};
   Millis call_timeout{std::chrono::seconds(2)};
+  /// Asks for the members' addresses now and then: those given may be replaced.
+  bool learns_members = false;
   std::shared_ptr<ConnectionFilter> filter;  ///< Null: no cuts.
   InnerTlsFiles tls;
 };
--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -11,6 +11,7 @@
 #include "laurelhall/consensus/message.h"
 #include "laurelhall/control/connection_filter.h"
 #include "laurelhall/control/control_client.h"
+#include "laurelhall/scheduling/log_service.h"
 #include "laurelhall/state/machine.h"
 
 namespace laurelhall::storage {
@@ -37,6 +38,13 @@
   Millis session_timeout{std::chrono::seconds(15)};
   InnerTlsFiles tls;
   uint64_t seed = 0;  ///< Of the election jitter; 0: from the identity.
+  /// Lets hosts in that were never a member, and in place of a voter that is
+  /// silent. For networks that only the operator's own hosts are on.
+  bool admits_newcomers = false;
+  /// Refuses members that would let the loss of a zone lose the quorum.
+  bool guards_zones = true;
+  /// Runs beside the log; null: none. Outlives the host.
+  scheduling::LogService* schedule = nullptr;
   /// Told once when the store has failed and the host votes no more; called
   /// on the host's loop, must not block.
   std::function<void(const std::string&)> on_store_failed;
@@ -70,6 +78,7 @@
   uint64_t disk_bytes = 0;
   bool is_store_failed = false;
   std::string leader_name;
+  std::string leader_address;
   bool is_waiting = false;  ///< Not a member of any membership known to it.
   std::string waits_for;    ///< Why it still waits, when it does.
   std::vector<EntryReport> entries;        ///< Leader only.
@@ -174,6 +183,13 @@
   ControlStatus status() const;
   const state::Machine& machine() const;
   std::string inner_address() const;  ///< With the port that was picked.
+
+  /// The leader's inner address as this host knows it; empty when unknown.
+  std::string leader_address() const;
+
+  /// Hands leadership over, when this host leads, to a voter that keeps up.
+  void StepDown();
+
   ControlActions& actions();
 
  private:
--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -1,6 +1,7 @@
 #include "client_loop_p.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "laurelhall/base/log.h"
 
@@ -16,6 +17,11 @@
 constexpr size_t kMaxWaiting = 20'000;
 constexpr size_t kMaxUnsentBurn = 10'000;
 constexpr Millis kSyncRetry{100};
+// A control host that leads answers after a sync of the disks, some tens of
+// milliseconds; one that is silent for so long is not waited for.
+constexpr Millis kScheduleTimeout{600};
+// Members are replaced seconds apart at the most.
+constexpr Millis kMembersPeriod{2'000};
 // Counted for a command besides an answer that it carries.
 constexpr size_t kCommandBytes = 256;
 
@@ -76,6 +82,10 @@
     Finish(*pending, std::nullopt);
   }
   SendGroups();
+  if (m_init.learns_members && now >= m_next_members) {
+    m_next_members = now + kMembersPeriod;
+    LearnMembers();
+  }
   if (m_listener != nullptr && now >= m_next_sync &&
       now >= m_finder.ready_at()) {
     Sync();
@@ -289,6 +299,83 @@
   }
 }
 
+// --- Scheduling ------------------------------------------------------------
+
+void ClientLoop::AskSchedule(Asked asked) {
+  const SteadyTime now = Now();
+  if (asked.deadline <= now) {
+    asked.done(std::nullopt, asked.may_have_run);
+    return;
+  }
+  const std::string address = m_finder.current();
+  auto shared = std::make_shared<Asked>(std::move(asked));
+  auto call = [this, address,
+               shared](proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.operateRequest();
+    m_envelope.Fill(request.initEnvelope());
+    request.setMethod("POST");
+    request.setPath(kSchedulePath);
+    request.setBody(shared->request);
+    const bool may_have_run_before =
+        std::exchange(shared->may_have_run, true);
+    return request.send().then([this, address, shared,
+                                may_have_run_before](auto&& response) {
+      const auto reply = response.getReply();
+      if (!reply.getIsLeader()) {
+        shared->may_have_run = may_have_run_before;
+        m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
+                             Now());
+        AskAgain(std::move(*shared));
+        return;
+      }
+      m_finder.Led(address);
+      shared->done(ToString(reply.getBody()), true);
+    });
+  };
+  const auto left = std::chrono::ceil<Millis>(shared->deadline - now);
+  m_tasks.add(ChannelTo(address)
+                  .Run(std::min(left, kScheduleTimeout), kj::mv(call))
+                  .catch_([this, address, shared](kj::Exception&&) {
+                    m_finder.Failed(address, Now());
+                    AskAgain(std::move(*shared));
+                  }));
+}
+
+void ClientLoop::AskAgain(Asked asked) {
+  const SteadyTime ready = std::max(m_finder.ready_at(), Now());
+  const auto delay = std::chrono::ceil<Millis>(ready - Now());
+  auto shared = std::make_shared<Asked>(std::move(asked));
+  m_tasks.add(
+      m_loop.timer.afterDelay(ToKj(delay)).then([this, shared] {
+        AskSchedule(std::move(*shared));
+      }));
+}
+
+// The addresses of the start may all be replaced in time.
+void ClientLoop::LearnMembers() {
+  const std::string address = m_finder.current();
+  auto call =
+      [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
+    auto request = client.operateRequest();
+    m_envelope.Fill(request.initEnvelope());
+    request.setMethod("GET");
+    request.setPath(kMembersPath);
+    return request.send().then([this](auto&& response) {
+      std::istringstream lines(ToString(response.getReply().getBody()));
+      std::vector<std::string> addresses;
+      for (std::string line; std::getline(lines, line);) {
+        addresses.push_back(line);
+      }
+      m_finder.Learn(addresses);
+    });
+  };
+  m_tasks.add(ChannelTo(address)
+                  .Run(kScheduleTimeout, kj::mv(call))
+                  .catch_([](kj::Exception&&) {
+                    // Asked again in a while; the known ones do until then.
+                  }));
+}
+
 // --- Operators -------------------------------------------------------------
 
 void ClientLoop::Operate(const std::string& method,
--- a/packages/control/src/client_loop_p.h
+++ b/packages/control/src/client_loop_p.h
@@ -72,6 +72,18 @@
                const std::function<void(OperatorReply)>& done);
   void Start(ViewListener& listener);
 
+  /// A request to the scheduling under way.
+  struct Asked {
+    std::string request;
+    SteadyTime deadline;
+    ControlLink::ScheduleDone done;
+    bool may_have_run = false;
+  };
+  void AskSchedule(Asked asked);
+  void LearnControlHosts(const std::vector<std::string>& addresses) {
+    m_finder.Learn(addresses);
+  }
+
  private:
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
@@ -99,6 +111,10 @@
   void Requeue(const Group& group);
   void Finish(Pending& pending, std::optional<state::Result> result);
 
+  // Scheduling.
+  void AskAgain(Asked asked);
+  void LearnMembers();
+
   // Sync.
   void Sync();
   void OnSyncReply(const std::string& address,
@@ -126,6 +142,7 @@
   ViewKeeper m_view;
   routing::RenewalSender m_leases;
   std::vector<state::BurnSample> m_unsent_burn;
+  SteadyTime m_next_members{};
   bool m_is_sync_under_way = false;
   SteadyTime m_next_sync{};
 
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -50,6 +50,21 @@
     });
   }
 
+  void AskSchedule(std::string request,
+                   SteadyTime deadline,
+                   ScheduleDone done) override {
+    m_thread.mailbox().Post([this, request = std::move(request), deadline,
+                             done = std::move(done)] {
+      m_loop->AskSchedule({request, deadline, done, false});
+    });
+  }
+
+  void LearnControlHosts(std::vector<std::string> addresses) override {
+    m_thread.mailbox().Post([this, addresses = std::move(addresses)] {
+      m_loop->LearnControlHosts(addresses);
+    });
+  }
+
   void Start(ViewListener& listener) override {
     m_thread.mailbox().Post([this, &listener] { m_loop->Start(listener); });
   }
--- a/packages/control/src/control_host.cc
+++ b/packages/control/src/control_host.cc
@@ -7,6 +7,7 @@
 #include "host_loop_p.h"
 #include "inner_tls_p.h"
 #include "rpc_server_p.h"
+#include "schedule_log_p.h"
 
 namespace laurelhall::control {
 
@@ -66,6 +67,10 @@
         [this, node, done = std::move(done)] { m_host->Transfer(node, done); });
   }
 
+  void StepDown() {
+    m_thread->mailbox().Post([this] { m_host->StepDown(); });
+  }
+
   void Repair(const std::string& name, Done done) override {
     m_thread->mailbox().Post(
         [this, name, done = std::move(done)] { m_host->Repair(name, done); });
@@ -97,6 +102,11 @@
                                         m_parts.store.TakeRecovered(), address);
       listener = std::make_unique<RpcListener>(loop, *host, kj::mv(receiver));
       m_host = host.get();
+      if (m_parts.init.schedule != nullptr) {
+        m_schedule_log = std::make_unique<ScheduleLog>(
+            loop.mailbox, *host, m_parts.machine);
+        m_parts.init.schedule->Attach(*m_schedule_log);
+      }
       listening.set_value(address);
     } catch (const kj::Exception& error) {
       listening.set_exception(std::make_exception_ptr(
@@ -113,6 +123,7 @@
   InnerTls m_tls;  // On the loop's thread only, once made.
   std::string m_address;
   HostLoop* m_host = nullptr;  // On the loop's thread only.
+  std::unique_ptr<ScheduleLog> m_schedule_log;
   std::unique_ptr<LoopThread> m_thread;
 };
 
@@ -137,6 +148,14 @@
   return m_impl->address();
 }
 
+std::string ControlHost::leader_address() const {
+  return m_impl->status().leader_address;
+}
+
+void ControlHost::StepDown() {
+  m_impl->StepDown();
+}
+
 ControlActions& ControlHost::actions() {
   return *m_impl;
 }
--- a/packages/control/src/host_join.cc
+++ b/packages/control/src/host_join.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "host_loop_p.h"
@@ -11,6 +12,8 @@
 
 constexpr Millis kHelloTimeout = std::chrono::seconds(1);
 constexpr size_t kMaxWaiting = 100;
+// Ten heartbeats and an election without a word of a leader.
+constexpr Millis kForgotten = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -36,10 +39,19 @@
          !m_status.membership.members.contains(m_self);
 }
 
+// A member that heard of no leader for long may have been removed meanwhile.
+bool HostLoop::IsForgotten(SteadyTime now) const {
+  return m_parts.init.admits_newcomers && m_node != nullptr && !IsLeading() &&
+         now - std::max(m_status.leader_contact, m_started_at) > kForgotten;
+}
+
 HostHello HostLoop::Hello(const HostHello& hello) {
   m_bootstrap.Heard(hello);
   const auto known = m_waiting.find(hello.name);
-  if (!hello.is_member &&
+  const bool is_removed = m_parts.init.admits_newcomers && IsLeading() &&
+                          m_status.is_leader_confirmed &&
+                          !m_status.membership.members.contains(hello.node);
+  if ((!hello.is_member || is_removed) &&
       (known != m_waiting.end() || m_waiting.size() < kMaxWaiting)) {
     m_waiting[hello.name] = {
         hello.node,
@@ -53,23 +65,37 @@
 }
 
 void HostLoop::SayHello() {
+  std::set<std::string> addresses;
   for (const consensus::Member& member : m_parts.init.first_members) {
-    if (member.name != m_parts.init.name) {
-      SayHelloTo(member.address);
-    }
+    addresses.insert(member.address);
+  }
+  for (const auto& [id, member] : m_status.membership.members) {
+    addresses.insert(member.address);
+  }
+  addresses.erase(m_address);
+  for (const std::string& address : addresses) {
+    SayHelloTo(address, true);
   }
   TryToJoin();
 }
 
-void HostLoop::SayHelloTo(const std::string& address) {
-  auto call = [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
+// The leader, which alone can let this host in, may be none of those known.
+void HostLoop::SayHelloTo(const std::string& address, bool follows_leader) {
+  auto call = [this, address, follows_leader](proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.helloRequest();
     m_peers.envelope().Fill(request.initEnvelope());
     WriteHello(SelfHello(), request.initHello());
     const uint64_t epoch = m_bootstrap.epoch();
-    return request.send().then([this, epoch](auto&& response) {
-      m_bootstrap.Answered(ReadHello(response.getHello()), epoch);
+    return request.send().then([this, epoch, address,
+                                follows_leader](auto&& response) {
+      const HostHello hello = ReadHello(response.getHello());
+      m_bootstrap.Answered(hello, epoch);
       TryToJoin();
+      if (follows_leader && !hello.leader_address.empty() &&
+          hello.leader_address != address &&
+          hello.leader_address != m_address) {
+        SayHelloTo(hello.leader_address, false);
+      }
     });
   };
   m_tasks.add(m_peers.ChannelTo(address)
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "host_loop_p.h"
+#include "wire_p.h"
 #include "laurelhall/base/log.h"
 
 namespace laurelhall::control {
@@ -38,6 +39,10 @@
                            m_led_term);
   m_leader_sync.reset();
   m_is_duty_running = false;
+  m_is_schedule_asked = false;
+  if (std::exchange(m_is_schedule_told, false)) {
+    m_parts.init.schedule->EndToLead();
+  }
   m_approved.clear();
   m_repair_notes.clear();
   m_submits.LostLeadership();
@@ -59,8 +64,11 @@
 }
 
 void HostLoop::TickLeader() {
-  if (!IsLeading() || !m_status.is_leader_confirmed ||
-      Now() < m_next_leader_tick) {
+  if (!IsLeading() || !m_status.is_leader_confirmed) {
+    return;
+  }
+  TellSchedule();
+  if (Now() < m_next_leader_tick) {
     return;
   }
   m_next_leader_tick = Now() + kLeaderPeriod;
@@ -69,6 +77,49 @@
   StepRepair();
 }
 
+// The scheduling begins once all that earlier leaders committed is applied.
+void HostLoop::TellSchedule() {
+  if (m_parts.init.schedule == nullptr || m_is_schedule_told ||
+      m_is_schedule_asked) {
+    return;
+  }
+  m_is_schedule_asked = true;
+  Read([this, term = m_led_term](bool is_confirmed) {
+    if (!IsLeading() || term != m_led_term) {
+      return;
+    }
+    m_is_schedule_asked = false;
+    if (is_confirmed) {
+      m_is_schedule_told = true;
+      m_parts.init.schedule->BeginToLead(term);
+    }
+  });
+}
+
+void HostLoop::AskSchedule(
+    std::string request,
+    std::function<void(std::optional<OperatorReply>)> done) {
+  if (!m_is_schedule_told) {
+    done(std::nullopt);
+    return;
+  }
+  m_parts.init.schedule->Handle(
+      std::move(request), [mailbox = m_loop.mailbox,
+                           done = std::move(done)](std::string reply) {
+        mailbox->Post([done, reply = std::move(reply)] {
+          done(OperatorReply{200, reply});
+        });
+      });
+}
+
+std::string HostLoop::MemberAddresses() const {
+  std::string addresses;
+  for (const auto& [id, member] : m_status.membership.members) {
+    addresses += member.address + '\n';
+  }
+  return addresses;
+}
+
 void HostLoop::CommitDue() {
   Propose(m_leader_sync->TakeDue(Now(), WallNow()));
 }
@@ -151,6 +202,14 @@
                        std::string path,
                        std::string body,
                        std::function<void(std::optional<OperatorReply>)> done) {
+  if (path == kSchedulePath) {
+    AskSchedule(std::move(body), std::move(done));
+    return;
+  }
+  if (path == kMembersPath) {
+    done(OperatorReply{200, MemberAddresses()});
+    return;
+  }
   Read([this, method = std::move(method), path = std::move(path),
         body = std::move(body), done = std::move(done)](bool is_confirmed) {
     if (!is_confirmed || !m_parts.operators) {
@@ -189,8 +248,9 @@
     return is_addition ? "already a member" : "not a member";
   }
   std::string refusal =
-      CheckZonePlacement(m_status.membership, change,
-                         SilentMembers(m_status, m_leads_since, Now()));
+      CheckPlacement(m_status.membership, change,
+                     SilentMembers(m_status, m_leads_since, Now()),
+                     m_parts.init.guards_zones);
   if (!refusal.empty()) {
     return refusal;
   }
@@ -219,6 +279,26 @@
   done({true, {}});
 }
 
+void HostLoop::StepDown() {
+  if (!IsLeading()) {
+    return;
+  }
+  consensus::NodeId best;
+  consensus::Index best_match = 0;
+  for (const auto& [id, member] : m_status.membership.members) {
+    const auto peer = m_status.peers.find(id);
+    if (id != m_self && member.is_voter && peer != m_status.peers.end() &&
+        peer->second.match > best_match) {
+      best = id;
+      best_match = peer->second.match;
+    }
+  }
+  if (best.is_valid()) {
+    m_node->TransferLeadership(best, Now());
+    Advance();
+  }
+}
+
 void HostLoop::Repair(const std::string& name,
                       const ControlActions::Done& done) {
   if (!IsLeading()) {
@@ -236,6 +316,8 @@
     input.waiting.push_back(host);
   }
   input.approved = m_approved;
+  input.admits_newcomers = m_parts.init.admits_newcomers;
+  input.guards_zones = m_parts.init.guards_zones;
   input.leads_since = m_leads_since;
   input.now = Now();
   RepairPlan plan = PlanRepair(input);
--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -149,7 +149,7 @@
     m_node->Tick(now);
     Advance();
   }
-  if (IsWaiting() && now >= m_next_hello) {
+  if ((IsWaiting() || IsForgotten(now)) && now >= m_next_hello) {
     m_next_hello = now + kHelloPeriod;
     SayHello();
   }
@@ -362,6 +362,7 @@
   const auto leader = m_status.membership.members.find(m_status.leader);
   if (leader != m_status.membership.members.end()) {
     status.leader_name = leader->second.name;
+    status.leader_address = leader->second.address;
   }
   status.is_waiting = IsWaiting();
   status.waits_for = status.is_waiting ? m_join.waits_for : std::string();
--- a/packages/control/src/host_loop_p.h
+++ b/packages/control/src/host_loop_p.h
@@ -99,6 +99,7 @@
               const ControlActions::Done& done);
   void Transfer(consensus::NodeId node, const ControlActions::Done& done);
   void Repair(const std::string& name, const ControlActions::Done& done);
+  void StepDown();
 
   std::string LeaderAddress() const;
   bool IsPeerAddress(const std::string& sender) const;
@@ -138,11 +139,18 @@
   void StepRepair();
   OperatorService::Commit MakeCommit();
 
+  // The scheduling beside the log.
+  void TellSchedule();
+  void AskSchedule(std::string request,
+                   std::function<void(std::optional<OperatorReply>)> done);
+  std::string MemberAddresses() const;
+
   // host_join.cc: not yet a member.
+  bool IsForgotten(SteadyTime now) const;
   HostHello SelfHello() const;
   bool IsWaiting() const;
   void SayHello();
-  void SayHelloTo(const std::string& address);
+  void SayHelloTo(const std::string& address, bool follows_leader);
   void TryToJoin();
   void AdoptFirst(const consensus::Membership& first);
   consensus::HardState EmptyHardState() const;
@@ -176,6 +184,7 @@
   bool m_is_read_scheduled = false;
   SteadyTime m_next_hello{};
   SteadyTime m_next_publish{};
+  const SteadyTime m_started_at = Now();
 
   // Leader only.
   std::unique_ptr<LeaderSync> m_leader_sync;
@@ -183,6 +192,8 @@
   SteadyTime m_leads_since{};
   SteadyTime m_next_leader_tick{};
   bool m_is_duty_running = false;
+  bool m_is_schedule_asked = false;  // Whether its term may begin.
+  bool m_is_schedule_told = false;
   std::set<std::string> m_approved;
   std::vector<std::string> m_repair_notes;
   ControlCounters m_counters;
--- a/packages/control/src/leader_finder.cc
+++ b/packages/control/src/leader_finder.cc
@@ -53,6 +53,15 @@
   }
 }
 
+void LeaderFinder::Learn(const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
+    if (std::find(m_addresses.begin(), m_addresses.end(), address) ==
+        m_addresses.end()) {
+      m_addresses.push_back(address);
+    }
+  }
+}
+
 void LeaderFinder::Rotate(SteadyTime now) {
   m_current = m_addresses[m_next++ % m_addresses.size()];
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kLongestBackoff);
--- a/packages/control/src/leader_finder_p.h
+++ b/packages/control/src/leader_finder_p.h
@@ -16,6 +16,9 @@
   /// @param addresses At least one.
   explicit LeaderFinder(std::vector<std::string> addresses);
 
+  /// Control hosts that are known besides; those of the start stay.
+  void Learn(const std::vector<std::string>& addresses);
+
   /// The host to ask now.
   const std::string& current() const { return m_current; }
 
--- a/packages/control/src/repair.cc
+++ b/packages/control/src/repair.cc
@@ -46,7 +46,8 @@
                const Member& member,
                const std::string& text) {
     const std::string refusal =
-        CheckZonePlacement(m_input.status.membership, change, m_silent);
+        CheckPlacement(m_input.status.membership, change, m_silent,
+                       m_input.guards_zones);
     if (!refusal.empty()) {
       Note(member, text + " waits: " + refusal);
       return;
@@ -93,8 +94,7 @@
       return;
     }
     if (!old) {
-      Propose({MembershipChangeKind::kPromote, id, member}, member,
-              "promotion");
+      PlanNewcomer(id, member);
       return;
     }
     if (!MayReplace(*old, member.name)) {
@@ -105,13 +105,29 @@
             "removal of the old identity");
   }
 
+  // A silent voter goes first: as long as it counts, each newcomer would only
+  // raise the quorum.
+  void PlanNewcomer(NodeId id, const Member& member) {
+    if (m_input.admits_newcomers) {
+      for (const auto& [other, lost] : m_members) {
+        if (lost.is_voter && m_silent.contains(other)) {
+          Propose({MembershipChangeKind::kRemove, other, lost}, member,
+                  "removal of a silent voter");
+          return;
+        }
+      }
+    }
+    Propose({MembershipChangeKind::kPromote, id, member}, member, "promotion");
+  }
+
   void PlanWaiting(const WaitingHost& host) {
     const bool is_stale = m_input.now - host.seen_at > kWaitingIsFresh;
     if (is_stale || m_members.contains(host.node)) {
       return;
     }
     const auto old = Namesake(host.node, host.member.name);
-    if (!old && !m_input.approved.contains(host.member.name)) {
+    if (!old && !m_input.admits_newcomers &&
+        !m_input.approved.contains(host.member.name)) {
       Note(host.member, "waits: no former member; an operator must let it in");
       return;
     }
--- a/packages/control/src/repair_p.h
+++ b/packages/control/src/repair_p.h
@@ -23,6 +23,8 @@
   consensus::Status status;
   std::vector<WaitingHost> waiting;
   std::set<std::string> approved;  ///< Names that an operator let in.
+  bool admits_newcomers = false;  ///< Without an operator's word.
+  bool guards_zones = true;
   SteadyTime leads_since{};
   SteadyTime now{};
 };
@@ -43,6 +45,8 @@
 ///
 /// @remarks A lost member is replaced by a new identity of the same name:
 ///   added as learner, caught up, the old one removed, the new one promoted.
+///   Where newcomers are admitted, one of another name takes the place of a
+///   silent voter that no namesake stands by for.
 RepairPlan PlanRepair(const RepairInput& input);
 
 }  // namespace laurelhall::control
--- a/packages/control/src/rpc_server.cc
+++ b/packages/control/src/rpc_server.cc
@@ -91,6 +91,9 @@
     }
     const std::string sender = ToString(params.getEnvelope().getSender());
     const bool is_forwarded = m_host.IsPeerAddress(sender);
+    // The caller goes to the leader itself from then on: no second hop each.
+    const bool may_forward =
+        !is_forwarded && ToString(params.getPath()) != kSchedulePath;
     if (is_forwarded) {
       RequireControlHost();
     } else {
@@ -101,9 +104,9 @@
                    ToString(params.getBody()),
                    MakeFulfiller(kj::mv(pair.fulfiller)));
     return pair.promise.then(
-        [this, context, is_forwarded](
+        [this, context, may_forward](
             std::optional<OperatorReply>&& reply) mutable -> kj::Promise<void> {
-          if (!reply && !is_forwarded && !m_host.LeaderAddress().empty()) {
+          if (!reply && may_forward && !m_host.LeaderAddress().empty()) {
             return Forward(context);
           }
           WriteReply(reply, context.getResults().initReply());
--- a/packages/control/src/wire_p.h
+++ b/packages/control/src/wire_p.h
@@ -9,6 +9,12 @@
 
 namespace laurelhall::control {
 
+/// Paths of `operate` that no operator's request has: the scheduling's requests
+/// in its own encoding, and the members' addresses, a line each, as any control
+/// host knows them.
+inline constexpr const char* kSchedulePath = "schedule";
+inline constexpr const char* kMembersPath = "members";
+
 /// Turns a text of the protocol into a string.
 inline std::string ToString(capnp::Text::Reader text) {
   return {text.cStr(), text.size()};
--- a/packages/control/src/zone_placement.cc
+++ b/packages/control/src/zone_placement.cc
@@ -67,6 +67,13 @@
 std::string CheckZonePlacement(const consensus::Membership& membership,
                                const consensus::MembershipChange& change,
                                const LostVoters& lost) {
+  return CheckPlacement(membership, change, lost, true);
+}
+
+std::string CheckPlacement(const consensus::Membership& membership,
+                           const consensus::MembershipChange& change,
+                           const LostVoters& lost,
+                           bool guards_zones) {
   const consensus::Membership changed = WithChange(membership, change);
   const VoterCount count = CountVoters(changed, lost);
   if (count.live < count.quorum()) {
@@ -74,6 +81,9 @@
            std::to_string(count.live) + " of " + std::to_string(count.all) +
            ")";
   }
+  if (!guards_zones) {
+    return {};
+  }
   const auto before = ZonesAtRisk(membership, lost);
   for (const std::string& zone : ZonesAtRisk(changed, lost)) {
     const bool was_at_risk =
--- a/packages/control/src/zone_placement_p.h
+++ b/packages/control/src/zone_placement_p.h
@@ -27,4 +27,10 @@
                                const consensus::MembershipChange& change,
                                const LostVoters& lost);
 
+/// As CheckZonePlacement(), but zones count only when `guards_zones`.
+std::string CheckPlacement(const consensus::Membership& membership,
+                           const consensus::MembershipChange& change,
+                           const LostVoters& lost,
+                           bool guards_zones);
+
 }  // namespace laurelhall::control
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -15,6 +15,7 @@
 #include "laurelhall/operations/operations.h"
 #include "metrics_p.h"
 #include "operator_api_p.h"
+#include "schedule_part_p.h"
 
 namespace laurelhall::daemon {
 namespace {
@@ -64,10 +65,15 @@
     if (m_settings.is_control) {
       StartControl();
     }
-    StartLink();
-    if (m_settings.is_entry) {
+    if (m_settings.is_entry || !m_settings.operator_address.empty()) {
+      StartLink();
+    }
+    if (!m_settings.caller_address.empty()) {
       StartEntry();
     }
+    if (!m_settings.jobs_address.empty()) {
+      m_entry_schedule = std::make_unique<EntrySchedule>(m_settings, *m_link);
+    }
     if (!m_settings.operator_address.empty()) {
       StartOperators();
     }
@@ -81,13 +87,43 @@
     if (m_entry != nullptr) {
       m_entry->CloseLink();
     }
+    m_entry_schedule.reset();
     m_link.reset();
     m_operator_api.reset();
     m_entry.reset();
+    if (m_control_schedule != nullptr) {
+      m_control_schedule->Stop();
+    }
     m_control.reset();
+    m_control_schedule.reset();
+  }
+
+  void Reload(const std::string& file) {
+    try {
+      const settings::DaemonSettings changed =
+          settings::ReadDaemonSettings(file);
+      std::vector<std::string> addresses;
+      for (const settings::ControlPeer& peer : changed.control_peers) {
+        addresses.push_back(peer.address);
+      }
+      if (m_link != nullptr) {
+        m_link->LearnControlHosts(addresses);
+      }
+      PartLog("daemon")->info("{} knows {} control hosts by its settings.",
+                              m_settings.name, addresses.size());
+    } catch (const FindingsError& error) {
+      PartLog("daemon")->error("The changed settings are not taken: {}",
+                               error.what());
+    }
   }
 
   bool Drain() {
+    if (m_control_schedule != nullptr) {
+      m_control_schedule->Drain();
+    }
+    if (m_entry_schedule != nullptr && !m_entry_schedule->Drain()) {
+      return false;
+    }
     if (m_entry == nullptr) {
       return true;
     }
@@ -125,10 +161,19 @@
       PartLog("daemon")->critical(
           "The store failed, this host votes no more: {}.", text);
     };
+    init.admits_newcomers = m_settings.admits_newcomers;
+    init.guards_zones = m_settings.guards_zones;
+    if (!m_settings.scheduling_address.empty()) {
+      m_control_schedule = std::make_unique<ControlSchedule>(m_settings);
+      init.schedule = &m_control_schedule->service();
+    }
     operations::Operations operations = operations::MakeOperations(
         WallNow, report::OpenTraceFile(m_settings.trace_file));
     m_control = std::make_unique<control::ControlHost>(
         init, std::move(operations.duties), std::move(operations.service));
+    if (m_control_schedule != nullptr) {
+      m_control_schedule->Start(*m_control);
+    }
   }
 
   void StartLink() {
@@ -141,6 +186,7 @@
     for (const settings::ControlPeer& peer : m_settings.control_peers) {
       init.control_addresses.push_back(peer.address);
     }
+    init.learns_members = !m_settings.seeds.empty();
     m_link = control::MakeControlClient(init);
   }
 
@@ -216,6 +262,8 @@
       std::make_shared<control::ConnectionFilter>();
   OperatorTokens m_tokens;
   net::IoThreads m_threads;
+  std::unique_ptr<ControlSchedule> m_control_schedule;
+  std::unique_ptr<EntrySchedule> m_entry_schedule;
   std::unique_ptr<control::ControlHost> m_control;
   std::unique_ptr<control::ControlLink> m_link;
   std::unique_ptr<entry::EntryHost> m_entry;
@@ -229,6 +277,10 @@
 
 Daemon::~Daemon() = default;
 
+void Daemon::Reload(const std::string& file) {
+  m_impl->Reload(file);
+}
+
 bool Daemon::Drain() {
   return m_impl->Drain();
 }
--- a/packages/daemon/src/daemon_p.h
+++ b/packages/daemon/src/daemon_p.h
@@ -15,6 +15,10 @@
   explicit Daemon(const settings::DaemonSettings& settings);
   ~Daemon();
 
+  /// Reads the settings file again; what may change at run time, the control
+  /// hosts, is taken over. A file with findings changes nothing.
+  void Reload(const std::string& file);
+
   /// Leaves the balancer, finishes what is in flight, returns when done or
   /// when the grace of the settings has run out.
   ///
--- a/packages/daemon/src/main.cc
+++ b/packages/daemon/src/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "daemon_p.h"
+#include "laurelhall/base/decision_log.h"
 #include "laurelhall/base/log.h"
 
 namespace laurelhall::daemon {
@@ -21,18 +22,26 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
-int RunUntilSignal(const settings::DaemonSettings& settings) {
+int RunUntilSignal(const settings::DaemonSettings& settings,
+                   const std::string& file) {
   const auto log = PartLog("daemon");
   const sigset_t signals = BlockStopSignals();
   Daemon daemon(settings);
   log->info("{} runs.", settings.name);
+  DecisionLog::Get().Write(
+      DecisionLine("daemon", "start").With("name", settings.name));
   int signal_number = 0;
-  sigwait(&signals, &signal_number);
+  while (sigwait(&signals, &signal_number) != 0 || signal_number == SIGHUP) {
+    DecisionLog::Get().Write(
+        DecisionLine("daemon", "reload").With("name", settings.name));
+    daemon.Reload(file);
+  }
   log->info("{} stops gracefully.", settings.name);
   const bool is_finished = daemon.Drain();
   if (!is_finished) {
@@ -55,7 +64,7 @@
     return kExitOk;
   }
   try {
-    return RunUntilSignal(settings);
+    return RunUntilSignal(settings, file);
   } catch (const std::exception& error) {
     std::cerr << settings.name << ": cannot start: " << error.what() << '\n';
     return kExitCannotStart;
--- /dev/null
+++ b/packages/daemon/src/schedule_part.cc
@@ -0,0 +1,145 @@
+#include "schedule_part_p.h"
+
+#include <future>
+#include <thread>
+
+#include "laurelhall/base/decision_log.h"
+#include "laurelhall/base/log.h"
+
+namespace laurelhall::daemon {
+
+namespace {
+
+// The balancer asks once a second and goes elsewhere after two misses.
+constexpr Millis kBalancerSees{2'500};
+// Kept of the grace for the process's own end.
+constexpr Millis kEndTime{600};
+constexpr Millis kDrainStep{50};
+// An election that a hand-over starts takes some tens of milliseconds.
+constexpr Millis kHandOver{1'500};
+
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':'));
+}
+
+}  // namespace
+
+// --- Control host -----------------------------------------------------------
+
+ControlSchedule::ControlSchedule(const settings::DaemonSettings& settings)
+    : m_settings(settings), m_hosts(m_threads, settings.hosts_address) {
+  dispatch::DispatcherInit init;
+  init.name = settings.name;
+  init.bounds = settings.dispatch_bounds;
+  init.timers = &m_threads.timers();
+  init.workers = &m_workers;
+  init.hosts = &m_hosts;
+  init.post = [this](std::function<void()> task) {
+    m_threads.Post(std::move(task));
+  };
+  m_dispatcher = std::make_unique<dispatch::Dispatcher>(init);
+}
+
+ControlSchedule::~ControlSchedule() {
+  Stop();
+}
+
+// The API's port is the same on all control hosts.
+std::string ControlSchedule::LeaderAddress() const {
+  const std::string inner = m_host->leader_address();
+  return inner.empty() ? ""
+                       : IpOf(inner) + PortOf(m_settings.scheduling_address);
+}
+
+void ControlSchedule::Start(control::ControlHost& host) {
+  m_host = &host;
+  platform::ControlApiInit init;
+  init.ask = [this](dispatch::Request request, dispatch::ReplyDone done) {
+    m_dispatcher->Ask(std::move(request), std::move(done));
+  };
+  init.is_leading = [this] { return m_dispatcher->is_leading(); };
+  init.leader = [this] { return LeaderAddress(); };
+  init.own_address = m_settings.scheduling_address;
+  m_api = std::make_unique<platform::ControlApi>(std::move(init));
+  net::HttpServerInit server;
+  server.address = m_settings.scheduling_address;
+  m_server = std::make_unique<net::HttpServer>(m_threads, server, *m_api);
+}
+
+void ControlSchedule::Stop() {
+  m_server.reset();
+  m_dispatcher->EndToLead();
+  std::promise<void> ended;
+  m_threads.Post([&ended] { ended.set_value(); });
+  ended.get_future().wait();
+}
+
+void ControlSchedule::Drain() {
+  m_host->StepDown();
+  const SteadyTime until = std::chrono::steady_clock::now() + kHandOver;
+  while (m_dispatcher->is_leading() &&
+         std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  DecisionLog::Get().Write(
+      DecisionLine("daemon", "stop")
+          .With("name", m_settings.name)
+          .With("still_leads", m_dispatcher->is_leading() ? "yes" : "no"));
+  DecisionLog::Get().Flush();
+}
+
+// --- Entry host -------------------------------------------------------------
+
+EntrySchedule::EntrySchedule(const settings::DaemonSettings& settings,
+                             control::ControlLink& link)
+    : m_settings(settings), m_link(link) {
+  dispatch::RemoteInit init;
+  init.timers = &m_threads.timers();
+  init.post = [this](std::function<void()> task) {
+    m_threads.Post(std::move(task));
+  };
+  init.ask = [this](std::string request, SteadyTime deadline,
+                    control::ControlLink::ScheduleDone done) {
+    m_link.AskSchedule(std::move(request), deadline, std::move(done));
+  };
+  m_remote = std::make_unique<dispatch::RemoteScheduler>(init);
+  m_api = std::make_unique<platform::CallerApi>(
+      [this](dispatch::Request request, Millis left, dispatch::ReplyDone done) {
+        m_remote->Ask(std::move(request), left, std::move(done));
+      });
+  m_readiness = std::make_unique<platform::ReadinessApi>(
+      [this] { return !m_is_draining && m_remote->is_connected(); });
+  net::HttpServerInit server;
+  server.address = m_settings.jobs_address;
+  m_server = std::make_unique<net::HttpServer>(m_threads, server, *m_api);
+  server.address = m_settings.readiness_address;
+  m_readiness_server =
+      std::make_unique<net::HttpServer>(m_threads, server, *m_readiness);
+}
+
+EntrySchedule::~EntrySchedule() = default;
+
+bool EntrySchedule::Drain() {
+  using Clock = std::chrono::steady_clock;
+  m_is_draining = true;
+  m_server->CloseAfterAnswers();
+  const SteadyTime begun = Clock::now();
+  const SteadyTime end = begun + m_settings.drain_grace - kEndTime;
+  std::this_thread::sleep_until(std::min(begun + kBalancerSees, end));
+  m_server->Drain();
+  while (m_server->connection_count() > 0 && Clock::now() < end) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  const int left = m_server->connection_count();
+  DecisionLog::Get().Write(DecisionLine("daemon", "stop")
+                               .With("name", m_settings.name)
+                               .With("connections_left", left));
+  DecisionLog::Get().Flush();
+  return left == 0;
+}
+
+}  // namespace laurelhall::daemon
--- /dev/null
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "laurelhall/base/timer_service.h"
+#include "laurelhall/dispatch/ports.h"
+#include "laurelhall/dispatch/request.h"
+#include "laurelhall/scheduling/log_service.h"
+
+namespace laurelhall::dispatch {
+
+/// Bounds that the deployment states.
+struct DispatchBounds {
+  Millis longest_lease{6'000};  ///< What workers grant at most.
+  Millis stop_time{400};        ///< A stop takes at most this.
+  Millis notice{4'500};  ///< A task not at work for so long counts as away.
+  Millis harm{4'000};    ///< A target may be missed for less than this.
+  Millis maintenance{2'000};  ///< How long a host is down for it.
+  Millis job_memory{150'000};  ///< An ended job is known for so long.
+};
+
+/// Counts since the process started.
+struct DispatchCounters {
+  uint64_t starts = 0;
+  uint64_t ends = 0;
+  uint64_t stops = 0;
+  uint64_t holds = 0;
+  uint64_t jobs = 0;
+  uint64_t lapses = 0;
+  uint64_t unknown_calls = 0;
+};
+
+struct DispatcherInit {
+  std::string name;  ///< Of this daemon, as the holder of hosts.
+  DispatchBounds bounds;
+  TimerService* timers = nullptr;  ///< Its callbacks come on the one thread.
+  WorkerPort* workers = nullptr;
+  HostPort* hosts = nullptr;
+  /// Runs a function on the one thread, soon. Thread-safe.
+  std::function<void(std::function<void()>)> post;
+  std::function<WallTime()> wall_now = WallNow;
+};
+
+/// The scheduling on one control host: answers requests, and while this host
+/// leads, starts, watches and stops tasks.
+///
+/// @remarks All work is done on one thread, that of the timers; LogService's
+///   calls and Handle() may come from any. Every start, end and cancel is
+///   committed before it is acted on or told, with the leader's term as fence;
+///   so the next leader knows all that may run.
+class Dispatcher final : public scheduling::LogService {
+ public:
+  explicit Dispatcher(const DispatcherInit& init);
+  ~Dispatcher() override;
+
+  void Attach(scheduling::ReplicatedLog& log) override;
+  void BeginToLead(uint64_t term) override;
+  void EndToLead() override;
+  void Handle(std::string request,
+              std::function<void(std::string)> done) override;
+
+  /// Answers a request that came to this daemon; thread-safe. `done` comes
+  /// once, on the one thread.
+  void Ask(Request request, ReplyDone done);
+
+  bool is_leading() const;
+
+  /// Thread-safe; a moment old.
+  DispatchCounters counters() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "laurelhall/scheduling/graph.h"
+#include "laurelhall/scheduling/worker_clock.h"
+
+// What the scheduling asks of the world. The calls are made elsewhere.
+namespace laurelhall::dispatch {
+
+/// What is known of a call after it.
+enum class CallOutcome {
+  kDone,
+  kFenced,      ///< A newer leader has given orders there: nothing was done.
+  kOldRun,      ///< That run, or a later one, was stopped or ended there.
+  kLate,        ///< The lease asked for is over: nothing was done.
+  kNoRoom,      ///< Nothing was done.
+  kNoTicket,    ///< The worker may not run it: nothing was done.
+  kOtherLife,   ///< Another life answers at the address: this one is over.
+  kRefused,     ///< Malformed, or the worker is unhealthy: nothing was done.
+  kNotReached,  ///< No connection: nothing was sent.
+  kUnknown,     ///< Sent, not answered; may be carried out later, too.
+  kCount,
+};
+
+/// A lower-case word for logs. Thread-safe.
+const char* CallOutcomeName(CallOutcome outcome);
+
+/// Which worker is meant.
+struct WorkerAddress {
+  std::string id;
+  std::string address;
+};
+
+struct StartOrder {
+  WorkerAddress worker;
+  scheduling::TaskId task;
+  uint32_t run = 0;
+  std::string payload;
+  std::string checkpoint;
+  scheduling::WorkerTime lease_end{0};
+  uint64_t fence = 0;
+};
+
+struct StopOrder {
+  WorkerAddress worker;
+  scheduling::TaskId task;
+  uint32_t run = 0;
+  uint64_t fence = 0;
+};
+
+struct PaceOrder {
+  WorkerAddress worker;
+  scheduling::TaskId task;
+  uint32_t run = 0;
+  uint32_t percent = 100;
+  uint64_t fence = 0;
+};
+
+struct HoldOrder {
+  WorkerAddress worker;
+  std::optional<scheduling::WorkerTime> lease_end;  ///< None: just look.
+  uint64_t fence = 0;
+  uint64_t ends_seen = 0;  ///< Ends up to here are committed.
+  Millis wait{0};          ///< For an end to come.
+};
+
+struct CallReply {
+  CallOutcome outcome = CallOutcome::kUnknown;
+  std::optional<scheduling::WorkerTime> clock;
+};
+
+/// A run as its worker lists it.
+struct RunningRun {
+  scheduling::TaskId task;
+  uint32_t run = 0;
+  std::string checkpoint;
+  uint32_t percent = 0;  ///< Of a persistent task: 100 is at work.
+  /// Tail in milliseconds of a task that serves, else processors in use.
+  int64_t figure = 0;
+};
+
+struct EndedRun {
+  uint64_t number = 0;  ///< In the order of the worker's life.
+  scheduling::TaskId task;
+  uint32_t run = 0;
+  scheduling::RunEnd end = scheduling::RunEnd::kCount;
+  std::string checkpoint;
+};
+
+struct HoldReply {
+  CallOutcome outcome = CallOutcome::kUnknown;
+  std::optional<scheduling::WorkerTime> clock;
+  std::vector<RunningRun> running;
+  std::vector<EndedRun> ended;
+};
+
+/// Calls to workers.
+///
+/// @remarks Used on one thread; each callback comes once, later, on it. Calls
+///   of one kind to one worker are made in order.
+class WorkerPort {
+ public:
+  virtual ~WorkerPort() = default;
+
+  virtual void Start(StartOrder order, std::function<void(CallReply)> done) = 0;
+  virtual void Stop(StopOrder order, std::function<void(CallReply)> done) = 0;
+  virtual void Pace(PaceOrder order, std::function<void(CallReply)> done) = 0;
+  virtual void Hold(HoldOrder order, std::function<void(HoldReply)> done) = 0;
+
+  /// Closes the connections to a worker that is gone.
+  virtual void Forget(const WorkerAddress& worker) = 0;
+};
+
+/// What came of an act on a host.
+enum class HostActOutcome {
+  kDone,      ///< Also when it was done before.
+  kBusy,      ///< Not up now.
+  kRefused,   ///< Never possible: no such host, or not part of it.
+  kFenced,
+  kUnknown,   ///< May have been done.
+  kLimited,   ///< Too many acts; nothing was done.
+  kCount,
+};
+
+struct HostAct {
+  std::string host;
+  uint64_t wave = 0;       ///< Of a maintenance.
+  std::string pool;        ///< Of a move.
+  std::string holder;      ///< Who acts.
+  uint64_t fence = 0;
+};
+
+/// Acts on hosts. As with WorkerPort.
+class HostPort {
+ public:
+  virtual ~HostPort() = default;
+
+  virtual void Maintain(HostAct act,
+                        std::function<void(HostActOutcome)> done) = 0;
+  virtual void Move(HostAct act,
+                    std::function<void(HostActOutcome)> done) = 0;
+};
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "laurelhall/scheduling/record.h"
+
+// What callers, workers and operators ask of the scheduling, and what they are
+// answered; also the form in which daemons pass it on to the leader.
+namespace laurelhall::dispatch {
+
+/// Hands a job in; the same id again is the same job.
+struct SubmitJob {
+  std::string host;
+  std::string path;  ///< The queue's prefix and the id.
+  std::string id;
+  scheduling::JobSpec spec;
+};
+
+struct GetJob {
+  std::string host;
+  std::string path;
+  std::string id;
+};
+
+struct CancelJob {
+  std::string host;
+  std::string path;
+  std::string id;
+};
+
+/// How many jobs of a queue wait for their first start.
+struct CountWaiting {
+  std::string host;
+  std::string path;
+};
+
+struct PutConfiguration {
+  scheduling::Configuration configuration;
+};
+
+struct GetConfiguration {};
+
+/// A worker says that it lives, or that it is about to leave.
+struct AnnounceWorker {
+  scheduling::WorkerInfo info;
+};
+
+/// A worker says that its life ends now.
+struct WorkerLeaves {
+  std::string id;
+};
+
+struct OpenWave {
+  uint64_t wave = 0;
+  std::vector<std::string> hosts;
+  Millis duration{0};
+  uint32_t most_at_once = 1;
+};
+
+struct GetWave {
+  uint64_t wave = 0;
+};
+
+/// New kinds go to the end: a kind is written as its place.
+using Request = std::variant<SubmitJob,
+                             GetJob,
+                             CancelJob,
+                             CountWaiting,
+                             PutConfiguration,
+                             GetConfiguration,
+                             AnnounceWorker,
+                             WorkerLeaves,
+                             OpenWave,
+                             GetWave>;
+
+/// What became of a request.
+enum class Outcome : uint8_t {
+  kOk,
+  kNoQueue,      ///< No queue takes this host and path.
+  kNoJob,        ///< Not known, or forgotten.
+  kNotFound,     ///< No such wave.
+  kUnavailable,  ///< Surely not done; may be asked again later.
+  kUnknown,      ///< May or may not have been done; asking again is safe.
+  kCount,
+};
+
+struct Reply {
+  Outcome outcome = Outcome::kUnavailable;
+  scheduling::JobState job_state = scheduling::JobState::kCount;
+  uint64_t waiting = 0;
+  std::string document;  ///< Of a configuration, as it was sent.
+  bool is_wave_done = false;
+  /// With kUnavailable: when to come back. Zero: as the caller likes.
+  Millis retry_after{0};
+};
+
+using ReplyDone = std::function<void(Reply)>;
+
+template <typename Archive>
+void Visit(Archive& archive, SubmitJob& value) {
+  archive(value.host, value.path, value.id, value.spec);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, GetJob& value) {
+  archive(value.host, value.path, value.id);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, CancelJob& value) {
+  archive(value.host, value.path, value.id);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, CountWaiting& value) {
+  archive(value.host, value.path);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, PutConfiguration& value) {
+  archive(value.configuration);
+}
+
+template <typename Archive>
+void Visit(Archive&, GetConfiguration&) {}
+
+template <typename Archive>
+void Visit(Archive& archive, AnnounceWorker& value) {
+  archive(value.info);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerLeaves& value) {
+  archive(value.id);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, OpenWave& value) {
+  archive(value.wave, value.hosts, value.duration, value.most_at_once);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, GetWave& value) {
+  archive(value.wave);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, Reply& value) {
+  archive(value.outcome, value.job_state, value.waiting, value.document,
+          value.is_wave_done, value.retry_after);
+}
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.cc
@@ -0,0 +1,475 @@
+#include "laurelhall/dispatch/dispatcher.h"
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+#include "laurelhall/base/decision_log.h"
+#include "leadership_p.h"
+
+namespace laurelhall::dispatch {
+
+using scheduling::CommitOutcome;
+using scheduling::Ledger;
+
+namespace {
+
+// How often what no event announces is looked for: silent workers, retries.
+constexpr Millis kTick{50};
+constexpr Millis kLogFlush{100};
+// When a caller that could not be served may come back: about an election.
+constexpr Millis kComeBack{700};
+
+Reply Unavailable() {
+  Reply reply;
+  reply.outcome = Outcome::kUnavailable;
+  reply.retry_after = kComeBack;
+  return reply;
+}
+
+Reply Done(Outcome outcome) {
+  Reply reply;
+  reply.outcome = outcome;
+  return reply;
+}
+
+Reply AfterCommit(CommitOutcome outcome) {
+  switch (outcome) {
+    case CommitOutcome::kCommitted:
+      return Done(Outcome::kOk);
+    case CommitOutcome::kRefused:
+      return Unavailable();
+    default:
+      return Done(Outcome::kUnknown);
+  }
+}
+
+}  // namespace
+
+class Dispatcher::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(const DispatcherInit& init) : m_init(init) {}
+
+  void Start() {
+    m_tick = m_init.timers->SubscribeEvery(
+        kTick, [weak = weak_from_this()](SteadyTime) {
+          const auto self = weak.lock();
+          if (self != nullptr) {
+            self->Tick();
+          }
+        });
+    m_flush = m_init.timers->SubscribeEvery(
+        kLogFlush, [](SteadyTime) { DecisionLog::Get().Flush(); });
+  }
+
+  void Stop() {
+    m_init.timers->Cancel(m_tick);
+    m_init.timers->Cancel(m_flush);
+  }
+
+  void Attach(scheduling::ReplicatedLog& log) { m_log = &log; }
+
+  void Post(std::function<void(Impl&)> task) {
+    m_init.post([weak = weak_from_this(), task = std::move(task)] {
+      if (const auto self = weak.lock()) {
+        task(*self);
+      }
+    });
+  }
+
+  void BeginToLead(uint64_t term) {
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "leads").With("term", term));
+    m_leadership =
+        std::make_shared<Leadership>(m_init, *m_log, term, m_counters);
+    m_is_leading = true;
+    m_leadership->Pump();
+    PublishCounters();
+  }
+
+  void EndToLead() {
+    if (m_leadership != nullptr) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "leads-no-more")
+                                   .With("term", m_leadership->term()));
+    }
+    m_leadership.reset();
+    m_is_leading = false;
+  }
+
+  void Ask(Request request, const ReplyDone& done) {
+    if (m_leadership == nullptr) {
+      done(Unavailable());
+      return;
+    }
+    std::visit([&](auto& known) { Run(known, done); }, request);
+  }
+
+  bool is_leading() const { return m_is_leading; }
+
+  DispatchCounters counters() const {
+    const std::lock_guard lock(m_counters_mutex);
+    return m_published;
+  }
+
+ private:
+  void Tick() {
+    if (m_leadership != nullptr) {
+      // Kept over the call: leadership may end within it.
+      const auto leadership = m_leadership;
+      leadership->Pump();
+      PublishCounters();
+    }
+  }
+
+  void PublishCounters() {
+    const std::lock_guard lock(m_counters_mutex);
+    m_published = m_counters;
+  }
+
+  void PumpSoon() {
+    if (m_leadership != nullptr) {
+      m_leadership->PumpSoon();
+    }
+  }
+
+  void Commit(scheduling::Record record, const ReplyDone& done) {
+    std::vector<scheduling::Record> records;
+    records.push_back(std::move(record));
+    m_log->Commit(std::move(records), [weak = weak_from_this(),
+                                       post = m_init.post,
+                                       done](CommitOutcome outcome) {
+      post([weak, done, outcome] {
+        done(AfterCommit(outcome));
+        if (const auto self = weak.lock()) {
+          self->PumpSoon();
+        }
+      });
+    });
+  }
+
+  // Reads once it is sure that nothing newer is committed elsewhere. Callers
+  // that come while a confirmation is under way share the next one.
+  void ReadConfirmed(std::function<Reply(const Ledger&)> read,
+                     const ReplyDone& done) {
+    m_to_confirm.push_back([this, read = std::move(read), done](bool is_sure) {
+      if (!is_sure) {
+        done(Unavailable());
+        return;
+      }
+      Reply reply;
+      m_log->Read([&](const Ledger& ledger) { reply = read(ledger); });
+      done(reply);
+    });
+    if (!m_is_confirming) {
+      Confirm();
+    }
+  }
+
+  void Confirm() {
+    m_is_confirming = true;
+    auto waiting = std::make_shared<std::vector<std::function<void(bool)>>>(
+        std::exchange(m_to_confirm, {}));
+    m_log->Confirm([weak = weak_from_this(), post = m_init.post,
+                    waiting](bool is_sure) {
+      post([weak, waiting, is_sure] {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          return;
+        }
+        self->m_is_confirming = false;
+        for (const auto& reader : *waiting) {
+          reader(is_sure);
+        }
+        if (!self->m_to_confirm.empty() && !self->m_is_confirming) {
+          self->Confirm();
+        }
+      });
+    });
+  }
+
+  static bool HasQueue(const Ledger& ledger,
+                       const std::string& host,
+                       const std::string& path) {
+    return FindQueue(ledger.configuration(), host, path) != nullptr;
+  }
+
+  static Reply JobReply(const Ledger& ledger, const GetJob& request) {
+    if (ledger.configuration().version == 0) {
+      return Unavailable();
+    }
+    if (!HasQueue(ledger, request.host, request.path)) {
+      return Done(Outcome::kNoQueue);
+    }
+    const scheduling::Job* job = ledger.FindJob(request.id);
+    Reply reply = Done(job == nullptr ? Outcome::kNoJob : Outcome::kOk);
+    if (job != nullptr) {
+      reply.job_state = job->state;
+    }
+    return reply;
+  }
+
+  void Run(SubmitJob& request, const ReplyDone& done) {
+    scheduling::JobAccepted accepted;
+    bool is_known = false;
+    m_log->Read([&](const Ledger& ledger) {
+      is_known = ledger.FindJob(request.id) != nullptr;
+      const auto* queue =
+          FindQueue(ledger.configuration(), request.host, request.path);
+      if (queue != nullptr) {
+        accepted.queue = queue->name;
+        accepted.service = queue->service;
+      }
+    });
+    if (is_known) {
+      done(Done(Outcome::kOk));
+      return;
+    }
+    if (accepted.queue.empty()) {
+      ReadConfirmed(
+          [request](const Ledger& ledger) {
+            // A queue that a newer configuration added: as if asked again.
+            const bool is_there = ledger.configuration().version == 0 ||
+                                  HasQueue(ledger, request.host, request.path);
+            return is_there ? Unavailable() : Done(Outcome::kNoQueue);
+          },
+          done);
+      return;
+    }
+    accepted.id = request.id;
+    accepted.at = m_init.wall_now();
+    accepted.spec = std::move(request.spec);
+    ++m_counters.jobs;
+    DecisionLog::Get().Write(DecisionLine("dispatch", "accept")
+                                 .With("job", accepted.id)
+                                 .With("queue", accepted.queue)
+                                 .With("service", accepted.service)
+                                 .With("term", m_leadership->term()));
+    Commit(std::move(accepted), done);
+  }
+
+  void Run(GetJob& request, const ReplyDone& done) {
+    // What is over stays as it is: no newer state is to be feared.
+    Reply known;
+    m_log->Read(
+        [&](const Ledger& ledger) { known = JobReply(ledger, request); });
+    if (known.outcome == Outcome::kOk &&
+        known.job_state >= scheduling::JobState::kSucceeded) {
+      done(known);
+      return;
+    }
+    ReadConfirmed(
+        [request](const Ledger& ledger) { return JobReply(ledger, request); },
+        done);
+  }
+
+  void Run(CancelJob& request, const ReplyDone& done) {
+    bool is_known = false;
+    bool is_over = false;
+    m_log->Read([&](const Ledger& ledger) {
+      const scheduling::Job* job = ledger.FindJob(request.id);
+      is_known = job != nullptr;
+      is_over = is_known && job->is_over();
+    });
+    if (is_over) {
+      done(Done(Outcome::kOk));
+    } else if (is_known) {
+      DecisionLog::Get().Write(
+          DecisionLine("dispatch", "cancel").With("job", request.id));
+      Commit(scheduling::JobCancelled{request.id}, done);
+    } else {
+      ReadConfirmed(
+          [request](const Ledger& ledger) {
+            return JobReply(ledger, {request.host, request.path, request.id});
+          },
+          done);
+    }
+  }
+
+  void Run(CountWaiting& request, const ReplyDone& done) {
+    ReadConfirmed(
+        [request](const Ledger& ledger) {
+          const auto* queue =
+              FindQueue(ledger.configuration(), request.host, request.path);
+          if (ledger.configuration().version == 0) {
+            return Unavailable();
+          }
+          if (queue == nullptr) {
+            return Done(Outcome::kNoQueue);
+          }
+          Reply reply = Done(Outcome::kOk);
+          for (const std::string& id : ledger.open_jobs()) {
+            const scheduling::Job* job = ledger.FindJob(id);
+            const bool waits = job->state == scheduling::JobState::kQueued &&
+                               job->queue == queue->name;
+            reply.waiting += waits ? 1 : 0;
+          }
+          return reply;
+        },
+        done);
+  }
+
+  void Run(PutConfiguration& request, const ReplyDone& done) {
+    uint64_t version = 0;
+    m_log->Read([&](const Ledger& ledger) {
+      version = ledger.configuration().version;
+    });
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "configuration")
+            .With("version", request.configuration.version)
+            .With("held", version)
+            .With("outcome", request.configuration.version > version
+                                 ? "proposed"
+                                 : "nothing-new"));
+    if (request.configuration.version <= version) {
+      done(Done(Outcome::kOk));
+      return;
+    }
+    Commit(scheduling::ConfigurationSet{std::move(request.configuration)},
+           done);
+  }
+
+  void Run(GetConfiguration&, const ReplyDone& done) {
+    ReadConfirmed(
+        [](const Ledger& ledger) {
+          Reply reply = Done(Outcome::kOk);
+          reply.document = ledger.configuration().document;
+          return reply.document.empty() ? Unavailable() : reply;
+        },
+        done);
+  }
+
+  void Run(AnnounceWorker& request, const ReplyDone& done) {
+    scheduling::WorkerInfo& info = request.info;
+    bool is_known = false;
+    m_log->Read([&](const Ledger& ledger) {
+      const scheduling::Worker* worker = ledger.FindWorker(info.id);
+      // A life that drains never comes back from it: an older word was late.
+      info.is_draining =
+          info.is_draining || (worker != nullptr && worker->info.is_draining);
+      is_known = ledger.IsGone(info.id) ||
+                 (worker != nullptr && worker->info == info);
+    });
+    m_leadership->Announced(info.id);
+    if (is_known) {
+      done(Done(Outcome::kOk));
+      return;
+    }
+    DecisionLog::Get().Write(DecisionLine("dispatch", "worker")
+                                 .With("worker", info.id)
+                                 .With("address", info.address)
+                                 .With("service", info.service)
+                                 .With("host", info.host)
+                                 .With("state", info.is_draining ? "draining"
+                                                                 : "ready"));
+    Commit(scheduling::WorkerSeen{std::move(info)}, done);
+  }
+
+  void Run(WorkerLeaves& request, const ReplyDone& done) {
+    DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
+                                 .With("worker", request.id)
+                                 .With("why", "it said so"));
+    Commit(scheduling::WorkerGone{request.id}, done);
+  }
+
+  void Run(OpenWave& request, const ReplyDone& done) {
+    bool is_known = false;
+    m_log->Read([&](const Ledger& ledger) {
+      is_known = ledger.waves().contains(request.wave);
+    });
+    if (is_known) {
+      done(Done(Outcome::kOk));
+      return;
+    }
+    DecisionLog::Get().Write(
+        DecisionLine("wave", "open")
+            .With("wave", request.wave)
+            .With("hosts", static_cast<int64_t>(request.hosts.size()))
+            .With("most_at_once", request.most_at_once)
+            .With("duration_ms", request.duration));
+    Commit(scheduling::WaveOpened{request.wave, std::move(request.hosts),
+                                  request.duration, request.most_at_once,
+                                  m_init.wall_now()},
+           done);
+  }
+
+  void Run(GetWave& request, const ReplyDone& done) {
+    ReadConfirmed(
+        [request](const Ledger& ledger) {
+          const auto wave = ledger.waves().find(request.wave);
+          if (wave == ledger.waves().end()) {
+            return Done(Outcome::kNotFound);
+          }
+          Reply reply = Done(Outcome::kOk);
+          reply.is_wave_done = wave->second.is_done();
+          return reply;
+        },
+        done);
+  }
+
+  const DispatcherInit m_init;
+  scheduling::ReplicatedLog* m_log = nullptr;
+  TimerHandle m_tick;
+  TimerHandle m_flush;
+
+  // On the one thread only.
+  std::shared_ptr<Leadership> m_leadership;
+  std::vector<std::function<void(bool)>> m_to_confirm;
+  bool m_is_confirming = false;
+  DispatchCounters m_counters;
+
+  std::atomic<bool> m_is_leading{false};
+  mutable std::mutex m_counters_mutex;  // Guards m_published.
+  DispatchCounters m_published;
+};
+
+Dispatcher::Dispatcher(const DispatcherInit& init)
+    : m_impl(std::make_shared<Impl>(init)) {
+  m_impl->Start();
+}
+
+Dispatcher::~Dispatcher() {
+  m_impl->Stop();
+}
+
+void Dispatcher::Attach(scheduling::ReplicatedLog& log) {
+  m_impl->Attach(log);
+}
+
+void Dispatcher::BeginToLead(uint64_t term) {
+  m_impl->Post([term](Impl& impl) { impl.BeginToLead(term); });
+}
+
+void Dispatcher::EndToLead() {
+  m_impl->Post([](Impl& impl) { impl.EndToLead(); });
+}
+
+void Dispatcher::Handle(std::string request,
+                        std::function<void(std::string)> done) {
+  auto answer = [done = std::move(done)](Reply reply) {
+    done(scheduling::Encode(std::move(reply)));
+  };
+  try {
+    Ask(scheduling::Decode<Request>(request), std::move(answer));
+  } catch (const scheduling::CodecError& error) {
+    DecisionLog::Get().Write(DecisionLine("dispatch", "bad-request")
+                                 .With("error", error.what()));
+    answer(Reply());
+  }
+}
+
+void Dispatcher::Ask(Request request, ReplyDone done) {
+  auto shared = std::make_shared<Request>(std::move(request));
+  m_impl->Post([shared, done = std::move(done)](Impl& impl) {
+    impl.Ask(std::move(*shared), done);
+  });
+}
+
+bool Dispatcher::is_leading() const {
+  return m_impl->is_leading();
+}
+
+DispatchCounters Dispatcher::counters() const {
+  return m_impl->counters();
+}
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/leadership_p.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "laurelhall/dispatch/dispatcher.h"
+#include "laurelhall/scheduling/planner.h"
+#include "laurelhall/scheduling/worker_clock.h"
+#include "pacing_p.h"
+
+namespace laurelhall::dispatch {
+
+/// One start of one task.
+struct RunKey {
+  scheduling::TaskId task;
+  uint32_t run = 0;
+
+  friend auto operator<=>(const RunKey&, const RunKey&) = default;
+};
+
+/// How far the order to start a run is.
+enum class StartStage {
+  kUncertain,  ///< An earlier leader's; its worker has not told yet.
+  kSending,
+  kRetry,      ///< Goes out again when its time comes.
+  kSettled,    ///< The worker has taken it, or will never.
+  kBarring,    ///< Is stopped before anything else is done about it.
+};
+
+/// What this leader knows of an active run beyond what is committed.
+struct RunTrack {
+  std::string worker;
+  StartStage start = StartStage::kUncertain;
+  bool may_be_on_its_way = false;  ///< A start of it was never answered.
+  SteadyTime next_try{};
+  SteadyTime begun_at{};
+  SteadyTime settled_at{};  ///< A look after this must list it.
+  bool is_stop_wanted = false;
+  bool is_stop_under_way = false;
+  bool is_stop_taken = false;
+  uint32_t percent = 0;
+  SteadyTime percent_since{};
+  bool is_listed = false;
+};
+
+/// What this leader knows of a worker beyond what is committed.
+struct WorkerLink {
+  WorkerLink(Millis longest_lease, SteadyTime now)
+      : clock(longest_lease, now) {}
+
+  WorkerAddress address;
+  scheduling::WorkerClock clock;
+  bool is_reached = false;
+  bool is_lapse_under_way = false;
+  bool is_lapsed = false;
+  bool is_gone_under_way = false;
+  bool is_hold_under_way = false;
+  SteadyTime next_hold{};
+  SteadyTime last_contact{};
+  SteadyTime first_contact{};
+  SteadyTime last_announced{};
+  SteadyTime suspect_until{};
+  uint64_t ends_seen = 0;
+  std::set<std::string> failed_jobs;  ///< Since the last task done here.
+  SteadyTime doubtful_until{};
+  Pacer pacer;
+};
+
+/// A host on its way through maintenance, as this leader sees it.
+struct HostTrack {
+  uint64_t wave = 0;
+  SteadyTime chosen_at{};
+  bool is_act_under_way = false;
+  SteadyTime next_try{};
+  std::string worker_before;  ///< The life that the maintenance ends.
+  SteadyTime down_since{};    ///< Zero: not ordered yet.
+};
+
+/// The scheduling of one term of one leader.
+///
+/// @remarks On the dispatcher's one thread only. Ended by dropping it: what
+///   then comes back from calls and commits is passed over.
+class Leadership : public std::enable_shared_from_this<Leadership> {
+ public:
+  Leadership(const DispatcherInit& init,
+             scheduling::ReplicatedLog& log,
+             uint64_t term,
+             DispatchCounters& counters);
+
+  /// Does all that is due.
+  void Pump();
+
+  /// Lets Pump() run soon; calls that come together share one.
+  void PumpSoon();
+
+  /// A worker announced itself.
+  void Announced(const std::string& worker);
+
+  uint64_t term() const { return m_term; }
+
+ private:
+  using Records = std::vector<scheduling::Record>;
+  using Ledger = scheduling::Ledger;
+
+  SteadyTime Now() const { return m_init.timers->Now(); }
+  void Commit(Records records,
+              std::function<void(scheduling::CommitOutcome)> done);
+
+  // leadership.cc: workers and runs.
+  void FollowWorkers(const Ledger& ledger);
+  void FollowRuns(const Ledger& ledger);
+  void WantStops(const Ledger& ledger);
+  void StopStalled(const Ledger& ledger);
+  void Lapse(const Ledger& ledger, Records& records);
+  void DropSilent(const Ledger& ledger, Records& records);
+  void ForgetJobs(const Ledger& ledger, Records& records);
+  void Plan(const Ledger& ledger, std::vector<scheduling::RunStarted>& starts);
+  void CommitStarts(const std::vector<scheduling::RunStarted>& starts);
+  bool IsUsable(const scheduling::Worker& worker, const WorkerLink& link) const;
+
+  // orders.cc: calls to workers.
+  void SendOrders(const Ledger& ledger);
+  void SendStart(const Ledger& ledger, const RunKey& key, RunTrack& track);
+  void OnStarted(const RunKey& key, const CallReply& reply);
+  void OnStartRefused(const RunKey& key, RunTrack& track);
+  void SendStop(const RunKey& key, RunTrack& track);
+  void OnStopped(const RunKey& key, const CallReply& reply);
+  void SendHolds(const Ledger& ledger);
+  void SendHold(const std::string& worker, WorkerLink& link, Millis wait);
+  void OnHeld(const std::string& worker,
+              SteadyTime asked_at,
+              const HoldReply& reply);
+  void TakeLists(const std::string& worker,
+                 SteadyTime asked_at,
+                 const HoldReply& reply);
+  void TakeEnds(const Ledger& ledger,
+                const std::string& worker,
+                const HoldReply& reply,
+                Records& records);
+  void TakeRunning(const Ledger& ledger,
+                   const std::string& worker,
+                   const HoldReply& reply);
+  void FindMissing(const Ledger& ledger,
+                   const std::string& worker,
+                   SteadyTime asked_at,
+                   const HoldReply& reply,
+                   Records& records);
+  void Pace(const Ledger& ledger, WorkerLink& link, const HoldReply& reply);
+  void Weigh(const Ledger& ledger,
+             WorkerLink& link,
+             const EndedRun& ended,
+             const RunTrack* track);
+  void CommitEnds(const std::string& worker, uint64_t seen, Records records);
+  void EndLife(const std::string& worker, const char* why);
+  void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
+
+  // waves.cc: maintenance.
+  void StepWaves(const Ledger& ledger, Records& records);
+  void ChooseHosts(const Ledger& ledger, const scheduling::WaveState& wave);
+  void StepHost(const Ledger& ledger,
+                const scheduling::WaveState& wave,
+                const std::string& host,
+                HostTrack& track,
+                Records& records);
+  void Maintain(uint64_t wave, const std::string& host);
+  void OnMaintained(uint64_t wave,
+                    const std::string& host,
+                    HostActOutcome outcome);
+  bool MayTakeAway(const Ledger& ledger, const scheduling::TaskId& task) const;
+  const scheduling::Worker* WorkerOn(const Ledger& ledger,
+                                     const std::string& host) const;
+  bool IsEvacuated(const std::string& host) const {
+    return m_hosts.contains(host);
+  }
+
+  DispatcherInit m_init;
+  scheduling::ReplicatedLog& m_log;
+  const uint64_t m_term;
+  const SteadyTime m_begun_at;
+  DispatchCounters& m_counters;
+  scheduling::Planner m_planner;
+  std::map<std::string, WorkerLink> m_links;  // By worker.
+  std::map<RunKey, RunTrack> m_runs;
+  std::map<std::string, SteadyTime> m_seen_at;  // By open job.
+  std::map<std::string, SteadyTime> m_over_at;  // By ended job.
+  std::map<std::string, HostTrack> m_hosts;     // Under maintenance.
+  SteadyTime m_next_forget{};
+  bool m_is_pump_due = false;
+};
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/orders.cc
@@ -0,0 +1,536 @@
+#include <algorithm>
+
+#include "laurelhall/base/decision_log.h"
+#include "leadership_p.h"
+
+namespace laurelhall::dispatch {
+
+using scheduling::CommitOutcome;
+using scheduling::Job;
+using scheduling::RunEnd;
+using scheduling::Task;
+using scheduling::Worker;
+
+namespace {
+
+// How long a look waits for an end. The longest that workers grant, so that an
+// idle worker costs half a look a second.
+constexpr Millis kIdleWait{2'000};
+constexpr Millis kBusyWait{1'000};
+// Where filling tasks run beside serving ones, a change is seen in time for
+// the pacing; what a figure covers.
+constexpr Millis kPacingWait{500};
+// Between two looks at one worker: ends that come together share one.
+constexpr Millis kHoldGap{15};
+constexpr Millis kHoldRetry{200};
+constexpr Millis kOrderRetry{100};
+// After an order was not answered, the worker gets no new work for so long.
+constexpr Millis kSuspect{800};
+// Failures of so many different jobs, with none done between, put the blame on
+// the worker.
+constexpr size_t kDoubtfulFailures = 3;
+constexpr Millis kDoubtful{6'000};
+
+const Task* FindTask(const scheduling::Ledger& ledger,
+                     const scheduling::TaskId& id,
+                     const Job** job) {
+  *job = ledger.FindJob(id.job);
+  if (*job == nullptr || !(*job)->Holds(id)) {
+    return nullptr;
+  }
+  return &(*job)->tasks[(*job)->IndexOf(id)];
+}
+
+bool IsActive(const Task& task, uint32_t run, const std::string& worker) {
+  return std::any_of(task.active.begin(), task.active.end(),
+                     [&](const scheduling::ActiveRun& active) {
+                       return active.run == run && active.worker == worker;
+                     });
+}
+
+}  // namespace
+
+void Leadership::SendOrders(const Ledger& ledger) {
+  const SteadyTime now = Now();
+  for (auto& [key, track] : m_runs) {
+    if (now < track.next_try) {
+      continue;
+    }
+    if (track.is_stop_wanted && !track.is_stop_taken &&
+        !track.is_stop_under_way) {
+      SendStop(key, track);
+    } else if (track.start == StartStage::kRetry && !track.is_stop_wanted) {
+      SendStart(ledger, key, track);
+    }
+  }
+}
+
+// --- Starts -----------------------------------------------------------------
+
+void Leadership::SendStart(const Ledger& ledger,
+                           const RunKey& key,
+                           RunTrack& track) {
+  const auto link = m_links.find(track.worker);
+  const Job* job = ledger.FindJob(key.task.job);
+  if (link == m_links.end() || job == nullptr ||
+      !link->second.clock.is_known()) {
+    track.start = StartStage::kRetry;
+    track.next_try = Now() + kOrderRetry;
+    return;
+  }
+  track.start = StartStage::kSending;
+  StartOrder order;
+  order.worker = link->second.address;
+  order.task = key.task;
+  order.run = key.run;
+  order.payload = job->spec.payload;
+  order.checkpoint = job->tasks[job->IndexOf(key.task)].checkpoint;
+  order.lease_end = link->second.clock.Extend(Now());
+  order.fence = m_term;
+  ++m_counters.starts;
+  m_init.workers->Start(
+      std::move(order), [weak = weak_from_this(), key](const CallReply& reply) {
+        if (const auto self = weak.lock()) {
+          self->OnStarted(key, reply);
+        }
+      });
+}
+
+void Leadership::OnStarted(const RunKey& key, const CallReply& reply) {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) {
+    return;
+  }
+  RunTrack& track = found->second;
+  const auto link = m_links.find(track.worker);
+  DecisionLog::Get().Write(DecisionLine("dispatch", "start")
+                               .With("task", FormatTaskId(key.task))
+                               .With("run", key.run)
+                               .With("worker", track.worker)
+                               .With("term", m_term)
+                               .With("outcome", CallOutcomeName(reply.outcome)));
+  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherLife) {
+    Contact(link->second, reply.clock);
+  }
+  switch (reply.outcome) {
+    case CallOutcome::kDone:
+    case CallOutcome::kOldRun:
+      track.start = StartStage::kSettled;
+      track.settled_at = Now();
+      track.percent_since = Now();
+      break;
+    case CallOutcome::kOtherLife:
+      EndLife(track.worker, "another life answers");
+      break;
+    case CallOutcome::kFenced:
+      break;  // A later leader goes on from what is committed.
+    case CallOutcome::kUnknown:
+      ++m_counters.unknown_calls;
+      track.may_be_on_its_way = true;
+      track.start = StartStage::kRetry;
+      track.next_try = Now() + kOrderRetry;
+      if (link != m_links.end()) {
+        link->second.suspect_until = Now() + kSuspect;
+      }
+      break;
+    case CallOutcome::kNotReached:
+      if (link != m_links.end()) {
+        link->second.suspect_until = Now() + kSuspect;
+      }
+      OnStartRefused(key, track);
+      break;
+    default:
+      OnStartRefused(key, track);
+      break;
+  }
+}
+
+// This order was surely not carried out. An earlier one of the same run that
+// was not answered still may be, until the worker has taken a stop for it.
+void Leadership::OnStartRefused(const RunKey& key, RunTrack& track) {
+  if (track.may_be_on_its_way) {
+    track.start = StartStage::kBarring;
+    track.is_stop_wanted = true;
+    PumpSoon();
+    return;
+  }
+  track.start = StartStage::kSettled;
+  Commit({scheduling::RunEnded{key.task, key.run, track.worker,
+                               RunEnd::kLapsed,
+                               {}}},
+         [this](CommitOutcome) { PumpSoon(); });
+}
+
+// --- Stops ------------------------------------------------------------------
+
+void Leadership::SendStop(const RunKey& key, RunTrack& track) {
+  const auto link = m_links.find(track.worker);
+  if (link == m_links.end()) {
+    return;
+  }
+  track.is_stop_under_way = true;
+  ++m_counters.stops;
+  m_init.workers->Stop(
+      {link->second.address, key.task, key.run, m_term},
+      [weak = weak_from_this(), key](const CallReply& reply) {
+        if (const auto self = weak.lock()) {
+          self->OnStopped(key, reply);
+        }
+      });
+}
+
+void Leadership::OnStopped(const RunKey& key, const CallReply& reply) {
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end()) {
+    return;
+  }
+  RunTrack& track = found->second;
+  track.is_stop_under_way = false;
+  const auto link = m_links.find(track.worker);
+  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherLife) {
+    Contact(link->second, reply.clock);
+  }
+  if (reply.outcome == CallOutcome::kDone ||
+      reply.outcome == CallOutcome::kOldRun) {
+    track.is_stop_taken = true;
+    // From here on the worker lists it as ended, or never had it.
+    track.start = StartStage::kSettled;
+    track.settled_at = Now();
+  } else if (reply.outcome == CallOutcome::kOtherLife) {
+    EndLife(track.worker, "another life answers");
+  } else {
+    track.next_try = Now() + kOrderRetry;
+  }
+}
+
+// --- Looks ------------------------------------------------------------------
+
+void Leadership::SendHolds(const Ledger& ledger) {
+  const SteadyTime now = Now();
+  for (auto& [id, link] : m_links) {
+    const Worker* worker = ledger.FindWorker(id);
+    if (worker == nullptr || link.is_hold_under_way || now < link.next_hold) {
+      continue;
+    }
+    Millis wait = worker->active.empty() ? kIdleWait : kBusyWait;
+    if (!link.pacer.told.empty()) {
+      wait = kPacingWait;
+    }
+    SendHold(id, link, link.is_reached ? wait : Millis(0));
+  }
+}
+
+void Leadership::SendHold(const std::string& worker,
+                          WorkerLink& link,
+                          Millis wait) {
+  link.is_hold_under_way = true;
+  HoldOrder order;
+  order.worker = link.address;
+  if (link.clock.is_known()) {
+    order.lease_end = link.clock.Extend(Now());
+  }
+  order.fence = m_term;
+  order.ends_seen = link.ends_seen;
+  order.wait = wait;
+  ++m_counters.holds;
+  m_init.workers->Hold(std::move(order), [weak = weak_from_this(), worker,
+                                          asked_at =
+                                              Now()](const HoldReply& reply) {
+    if (const auto self = weak.lock()) {
+      self->OnHeld(worker, asked_at, reply);
+    }
+  });
+}
+
+void Leadership::Contact(WorkerLink& link,
+                         std::optional<scheduling::WorkerTime> clock) {
+  link.last_contact = Now();
+  if (clock) {
+    link.clock.Observe(*clock, Now());
+  }
+}
+
+void Leadership::OnHeld(const std::string& worker,
+                        SteadyTime asked_at,
+                        const HoldReply& reply) {
+  const auto found = m_links.find(worker);
+  if (found == m_links.end()) {
+    return;
+  }
+  WorkerLink& link = found->second;
+  link.is_hold_under_way = false;
+  if (reply.outcome == CallOutcome::kOtherLife) {
+    EndLife(worker, "another life answers");
+    return;
+  }
+  if (reply.outcome != CallOutcome::kDone) {
+    link.next_hold = Now() + kHoldRetry;
+    return;
+  }
+  Contact(link, reply.clock);
+  link.is_lapsed = false;
+  if (!link.is_reached) {
+    link.is_reached = true;
+    link.first_contact = Now();
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "worker-reached")
+            .With("worker", worker)
+            .With("address", link.address.address)
+            .With("running", static_cast<int64_t>(reply.running.size()))
+            .With("ended", static_cast<int64_t>(reply.ended.size())));
+  }
+  link.next_hold = Now() + kHoldGap;
+  TakeLists(worker, asked_at, reply);
+  PumpSoon();
+}
+
+void Leadership::TakeLists(const std::string& worker,
+                           SteadyTime asked_at,
+                           const HoldReply& reply) {
+  Records records;
+  m_log.Read([&](const Ledger& ledger) {
+    FollowRuns(ledger);
+    TakeEnds(ledger, worker, reply, records);
+    TakeRunning(ledger, worker, reply);
+    FindMissing(ledger, worker, asked_at, reply, records);
+    Pace(ledger, m_links.at(worker), reply);
+    // A host has one life at a time: those that are silent are over.
+    const Worker* self = ledger.FindWorker(worker);
+    for (const auto& [id, other] : ledger.workers()) {
+      if (self == nullptr || id == worker || self->info.host.empty() ||
+          other.info.host != self->info.host) {
+        continue;
+      }
+      WorkerLink& link = m_links.at(id);
+      if (link.last_contact < m_links.at(worker).first_contact &&
+          !link.is_gone_under_way) {
+        link.is_gone_under_way = true;
+        records.emplace_back(scheduling::WorkerGone{id});
+        DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
+                                     .With("worker", id)
+                                     .With("why", "its host has a new life")
+                                     .With("new_life", worker));
+      }
+    }
+  });
+  uint64_t seen = m_links.at(worker).ends_seen;
+  for (const EndedRun& ended : reply.ended) {
+    seen = std::max(seen, ended.number);
+  }
+  CommitEnds(worker, seen, std::move(records));
+}
+
+void Leadership::TakeEnds(const Ledger& ledger,
+                          const std::string& worker,
+                          const HoldReply& reply,
+                          Records& records) {
+  for (const EndedRun& ended : reply.ended) {
+    const Job* job = nullptr;
+    const Task* task = FindTask(ledger, ended.task, &job);
+    if (task == nullptr || !IsActive(*task, ended.run, worker)) {
+      continue;
+    }
+    const auto track = m_runs.find({ended.task, ended.run});
+    Weigh(ledger, m_links.at(worker), ended,
+          track == m_runs.end() ? nullptr : &track->second);
+    ++m_counters.ends;
+    records.emplace_back(scheduling::RunEnded{ended.task, ended.run, worker,
+                                              ended.end, ended.checkpoint});
+    DecisionLog::Get().Write(DecisionLine("dispatch", "end")
+                                 .With("task", FormatTaskId(ended.task))
+                                 .With("run", ended.run)
+                                 .With("worker", worker)
+                                 .With("how", RunEndName(ended.end))
+                                 .With("number", ended.number));
+  }
+}
+
+// What an end tells of its worker and of its queue's run times.
+void Leadership::Weigh(const Ledger& ledger,
+                       WorkerLink& link,
+                       const EndedRun& ended,
+                       const RunTrack* track) {
+  const Job* job = nullptr;
+  FindTask(ledger, ended.task, &job);
+  if (ended.end == RunEnd::kDone) {
+    link.failed_jobs.clear();
+    if (track != nullptr && track->begun_at != SteadyTime() &&
+        ended.checkpoint.empty()) {
+      m_planner.Learn(job->queue, job->spec.steps[ended.task.step].estimate,
+                      std::chrono::floor<Millis>(Now() - track->begun_at));
+    }
+  } else if (ended.end == RunEnd::kFailed) {
+    link.failed_jobs.insert(ended.task.job);
+    if (link.failed_jobs.size() >= kDoubtfulFailures) {
+      link.doubtful_until = Now() + kDoubtful;
+    }
+  }
+}
+
+void Leadership::TakeRunning(const Ledger& ledger,
+                             const std::string& worker,
+                             const HoldReply& reply) {
+  const SteadyTime now = Now();
+  for (const RunningRun& running : reply.running) {
+    const Job* job = nullptr;
+    const Task* task = FindTask(ledger, running.task, &job);
+    if (task == nullptr || !IsActive(*task, running.run, worker)) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
+                                   .With("task", FormatTaskId(running.task))
+                                   .With("run", running.run)
+                                   .With("worker", worker)
+                                   .With("why", "not-known"));
+      m_init.workers->Stop({m_links.at(worker).address, running.task,
+                            running.run, m_term},
+                           [](const CallReply&) {});
+      continue;
+    }
+    RunTrack& track = m_runs[{running.task, running.run}];
+    track.worker = worker;
+    track.start = StartStage::kSettled;
+    if (!track.is_listed || track.percent != running.percent) {
+      track.percent = running.percent;
+      track.percent_since = now;
+    }
+    track.is_listed = true;
+  }
+}
+
+// A run that was taken, or barred, and that a later look does not list, is not
+// there. An earlier leader's that is not listed may never have been sent.
+void Leadership::FindMissing(const Ledger& ledger,
+                             const std::string& worker,
+                             SteadyTime asked_at,
+                             const HoldReply& reply,
+                             Records& records) {
+  std::set<RunKey> listed;
+  for (const RunningRun& running : reply.running) {
+    listed.insert({running.task, running.run});
+  }
+  for (const EndedRun& ended : reply.ended) {
+    listed.insert({ended.task, ended.run});
+  }
+  const Worker* known = ledger.FindWorker(worker);
+  if (known == nullptr) {
+    return;
+  }
+  for (const scheduling::TaskId& id : known->active) {
+    const Job& job = *ledger.FindJob(id.job);
+    for (const auto& active : job.tasks[job.IndexOf(id)].active) {
+      const RunKey key{id, active.run};
+      if (active.worker != worker || listed.contains(key)) {
+        continue;
+      }
+      RunTrack& track = m_runs[key];
+      if (track.start == StartStage::kUncertain) {
+        track.worker = worker;
+        track.may_be_on_its_way = true;
+        track.start = StartStage::kRetry;
+      } else if (track.start == StartStage::kSettled &&
+                 asked_at > track.settled_at) {
+        records.emplace_back(scheduling::RunEnded{id, active.run, worker,
+                                                  RunEnd::kLapsed,
+                                                  {}});
+        DecisionLog::Get().Write(DecisionLine("dispatch", "end")
+                                     .With("task", FormatTaskId(id))
+                                     .With("run", active.run)
+                                     .With("worker", worker)
+                                     .With("how", "not-listed"));
+      }
+    }
+  }
+}
+
+void Leadership::Pace(const Ledger& ledger,
+                      WorkerLink& link,
+                      const HoldReply& reply) {
+  double worst = 0;
+  std::vector<const RunningRun*> filling;
+  for (const RunningRun& running : reply.running) {
+    const Job* job = nullptr;
+    if (FindTask(ledger, running.task, &job) == nullptr) {
+      continue;
+    }
+    const scheduling::StepSpec& step = job->spec.steps[running.task.step];
+    if (step.target_tail > Millis(0)) {
+      worst = std::max(worst, static_cast<double>(running.figure) /
+                                  static_cast<double>(step.target_tail.count()));
+    }
+    if (step.is_filling) {
+      filling.push_back(&running);
+    }
+  }
+  if (filling.empty()) {
+    link.pacer.told.clear();
+    return;
+  }
+  link.pacer.Observe(worst, Now());
+  for (const RunningRun* running : filling) {
+    uint32_t& told =
+        link.pacer.told.try_emplace({running->task, running->run}, 100)
+            .first->second;
+    if (told == link.pacer.percent()) {
+      continue;
+    }
+    const uint32_t percent = link.pacer.percent();
+    told = percent;
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "pace")
+            .With("task", FormatTaskId(running->task))
+            .With("worker", link.address.id)
+            .With("percent", percent)
+            .With("worst_tail_percent", static_cast<int64_t>(worst * 100)));
+    m_init.workers->Pace(
+        {link.address, running->task, running->run, percent, m_term},
+        [weak = weak_from_this(), worker = link.address.id,
+         key = std::pair(running->task, running->run)](const CallReply& reply) {
+          const auto self = weak.lock();
+          if (self == nullptr || reply.outcome == CallOutcome::kDone) {
+            return;
+          }
+          // Told again with the next look.
+          const auto link = self->m_links.find(worker);
+          if (link != self->m_links.end() &&
+              link->second.pacer.told.contains(key)) {
+            link->second.pacer.told[key] = UINT32_MAX;
+          }
+        });
+  }
+}
+
+// An end counts as seen by its worker only once it is committed: else the next
+// leader would start again what is done.
+void Leadership::CommitEnds(const std::string& worker,
+                            uint64_t seen,
+                            Records records) {
+  if (records.empty()) {
+    m_links.at(worker).ends_seen = seen;
+    return;
+  }
+  WorkerLink& link = m_links.at(worker);
+  link.is_hold_under_way = true;  // No look until then: it would tell the same.
+  Commit(std::move(records), [this, worker, seen](CommitOutcome outcome) {
+    const auto found = m_links.find(worker);
+    if (found != m_links.end()) {
+      found->second.is_hold_under_way = false;
+      if (outcome == CommitOutcome::kCommitted) {
+        found->second.ends_seen = std::max(found->second.ends_seen, seen);
+      }
+    }
+    Pump();
+  });
+}
+
+void Leadership::EndLife(const std::string& worker, const char* why) {
+  WorkerLink& link = m_links.at(worker);
+  if (link.is_gone_under_way) {
+    return;
+  }
+  link.is_gone_under_way = true;
+  DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
+                               .With("worker", worker)
+                               .With("why", why));
+  Commit({scheduling::WorkerGone{worker}}, [this](CommitOutcome) { Pump(); });
+}
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/remote.cc
@@ -0,0 +1,157 @@
+#include "laurelhall/dispatch/remote.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "laurelhall/base/decision_log.h"
+
+namespace laurelhall::dispatch {
+
+namespace {
+
+// For the answer's way back to the caller.
+constexpr Millis kAnswerTime{100};
+constexpr Millis kRetry{50};
+constexpr Millis kComeBack{700};
+// Asked without need, so that a lost leader is noticed before callers do.
+constexpr Millis kProbe{1'000};
+constexpr Millis kProbeTime{900};
+// Two probes and a half without an answer.
+constexpr Millis kDisconnected{2'500};
+constexpr Millis kLogFlush{100};
+
+}  // namespace
+
+class RemoteScheduler::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(const RemoteInit& init)
+      : m_init(init), m_answered_at(init.timers->Now()) {}
+
+  void Start() {
+    m_probe = m_init.timers->SubscribeEvery(
+        kProbe, [weak = weak_from_this()](SteadyTime) {
+          if (const auto self = weak.lock()) {
+            self->Probe();
+          }
+        });
+    m_flush = m_init.timers->SubscribeEvery(
+        kLogFlush, [](SteadyTime) { DecisionLog::Get().Flush(); });
+  }
+
+  void Stop() {
+    m_init.timers->Cancel(m_probe);
+    m_init.timers->Cancel(m_flush);
+  }
+
+  void Ask(Request request, Millis left, ReplyDone done) {
+    const SteadyTime now = m_init.timers->Now();
+    auto asked = std::make_shared<Asked>();
+    asked->request = scheduling::Encode(std::move(request));
+    asked->patient_until = now + std::min(m_init.patience, left - kAnswerTime);
+    asked->deadline = now + left - kAnswerTime;
+    asked->done = std::move(done);
+    Send(asked);
+  }
+
+  bool is_connected() const {
+    return m_init.timers->Now() - m_answered_at < kDisconnected;
+  }
+
+ private:
+  struct Asked {
+    std::string request;
+    SteadyTime patient_until;
+    SteadyTime deadline;
+    ReplyDone done;
+    bool may_have_run = false;
+  };
+
+  void Probe() {
+    // A wave that nobody opens: the leader confirms that it leads.
+    Ask(GetWave{}, kProbeTime, [](const Reply&) {});
+  }
+
+  void Send(const std::shared_ptr<Asked>& asked) {
+    // What may have run is asked for as long as the caller waits: only an
+    // answer tells it more than "unknown".
+    const SteadyTime until =
+        asked->may_have_run ? asked->deadline : asked->patient_until;
+    m_init.ask(asked->request, until,
+               [weak = weak_from_this(), post = m_init.post, asked](
+                   std::optional<std::string> reply, bool may_have_run) {
+                 post([weak, asked, reply = std::move(reply), may_have_run] {
+                   if (const auto self = weak.lock()) {
+                     self->Answered(asked, reply, may_have_run);
+                   }
+                 });
+               });
+  }
+
+  void Answered(const std::shared_ptr<Asked>& asked,
+                const std::optional<std::string>& text,
+                bool may_have_run) {
+    Reply reply;
+    if (text) {
+      m_answered_at = m_init.timers->Now();
+      try {
+        reply = scheduling::Decode<Reply>(*text);
+      } catch (const scheduling::CodecError& error) {
+        DecisionLog::Get().Write(DecisionLine("entry", "bad-reply")
+                                     .With("error", error.what()));
+        reply.outcome = Outcome::kUnknown;
+      }
+    } else {
+      asked->may_have_run = asked->may_have_run || may_have_run;
+      reply.outcome =
+          asked->may_have_run ? Outcome::kUnknown : Outcome::kUnavailable;
+    }
+    asked->may_have_run =
+        asked->may_have_run || reply.outcome == Outcome::kUnknown;
+    const bool is_final = reply.outcome != Outcome::kUnknown &&
+                          reply.outcome != Outcome::kUnavailable;
+    const SteadyTime now = m_init.timers->Now();
+    const SteadyTime until =
+        asked->may_have_run ? asked->deadline : asked->patient_until;
+    if (!is_final && now + kRetry < until) {
+      m_init.timers->SubscribeOnce(
+          kRetry, [weak = weak_from_this(), asked](SteadyTime) {
+            if (const auto self = weak.lock()) {
+              self->Send(asked);
+            }
+          });
+      return;
+    }
+    // An earlier try may have been carried out, whatever the last one says.
+    if (reply.outcome == Outcome::kUnavailable && asked->may_have_run) {
+      reply.outcome = Outcome::kUnknown;
+    }
+    if (reply.outcome == Outcome::kUnavailable) {
+      reply.retry_after = std::max(reply.retry_after, kComeBack);
+    }
+    asked->done(reply);
+  }
+
+  const RemoteInit m_init;
+  SteadyTime m_answered_at;
+  TimerHandle m_probe;
+  TimerHandle m_flush;
+};
+
+RemoteScheduler::RemoteScheduler(const RemoteInit& init)
+    : m_impl(std::make_shared<Impl>(init)) {
+  m_impl->Start();
+}
+
+RemoteScheduler::~RemoteScheduler() {
+  m_impl->Stop();
+}
+
+void RemoteScheduler::Ask(Request request, Millis left, ReplyDone done) {
+  m_impl->Ask(std::move(request), left, std::move(done));
+}
+
+bool RemoteScheduler::is_connected() const {
+  return m_impl->is_connected();
+}
+
+}  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/waves.cc
@@ -0,0 +1,228 @@
+#include <algorithm>
+
+#include "laurelhall/base/decision_log.h"
+#include "leadership_p.h"
+
+namespace laurelhall::dispatch {
+
+using scheduling::Job;
+using scheduling::TaskId;
+using scheduling::WaveStage;
+using scheduling::Worker;
+
+namespace {
+
+constexpr Millis kActRetry{300};
+// A host that did not come back for so many times the usual counts as back, or
+// one lost host would stop its wave for good.
+constexpr int kLostAfterTimes = 3;
+// How long short tasks may take to end before a host is taken down all the
+// same: the longest usual ones last about four seconds.
+constexpr Millis kLongestDrain{5'000};
+// Hosts being emptied beside those that are down, so that the next is ready
+// when one comes back.
+constexpr size_t kPreparedAhead = 1;
+
+}  // namespace
+
+const Worker* Leadership::WorkerOn(const Ledger& ledger,
+                                   const std::string& host) const {
+  for (const auto& [id, worker] : ledger.workers()) {
+    if (worker.info.host == host) {
+      return &worker;
+    }
+  }
+  return nullptr;
+}
+
+void Leadership::StepWaves(const Ledger& ledger, Records& records) {
+  for (const auto& [number, wave] : ledger.waves()) {
+    if (wave.is_done()) {
+      continue;
+    }
+    ChooseHosts(ledger, wave);
+    for (const auto& [host, stage] : wave.hosts) {
+      const auto track = m_hosts.find(host);
+      if (track != m_hosts.end() && track->second.wave == number) {
+        StepHost(ledger, wave, host, track->second, records);
+      }
+    }
+  }
+  for (auto track = m_hosts.begin(); track != m_hosts.end();) {
+    const auto wave = ledger.waves().find(track->second.wave);
+    const bool is_over = wave == ledger.waves().end() ||
+                         wave->second.hosts.at(track->first) == WaveStage::kDone;
+    track = is_over ? m_hosts.erase(track) : std::next(track);
+  }
+}
+
+// Emptier hosts first: they are ready sooner and lose least.
+void Leadership::ChooseHosts(const Ledger& ledger,
+                             const scheduling::WaveState& wave) {
+  const uint64_t number = wave.opened.wave;
+  size_t chosen = 0;
+  std::vector<std::pair<size_t, std::string>> waiting;
+  for (const auto& [host, stage] : wave.hosts) {
+    const auto track = m_hosts.find(host);
+    if (track != m_hosts.end()) {
+      chosen += track->second.wave == number ? 1 : 0;
+    } else if (stage == WaveStage::kOrdered) {
+      // An earlier leader's: whether it was carried out is not known.
+      m_hosts[host] = {number, Now(), false, Now(), {}, {}};
+      ++chosen;
+    } else if (stage == WaveStage::kWaiting) {
+      const Worker* worker = WorkerOn(ledger, host);
+      waiting.emplace_back(worker == nullptr ? 0 : worker->active.size(), host);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [runs, host] : waiting) {
+    if (chosen >= wave.opened.most_at_once + kPreparedAhead) {
+      return;
+    }
+    m_hosts[host] = {number, Now(), false, Now(), {}, {}};
+    ++chosen;
+    DecisionLog::Get().Write(DecisionLine("wave", "host-chosen")
+                                 .With("wave", number)
+                                 .With("host", host)
+                                 .With("runs", static_cast<int64_t>(runs)));
+  }
+}
+
+// Whether a persistent task may be stopped: of its step, fewer than may miss
+// are away, counting all that are not seen at work.
+bool Leadership::MayTakeAway(const Ledger& ledger, const TaskId& task) const {
+  const Job& job = *ledger.FindJob(task.job);
+  const scheduling::StepSpec& step = job.spec.steps[task.step];
+  if (step.may_miss == 0) {
+    return true;
+  }
+  uint32_t away = 0;
+  for (uint32_t index = 0; index < step.count; ++index) {
+    if (index == task.index) {
+      continue;
+    }
+    const TaskId other{task.job, task.occurrence, task.step, index};
+    bool is_at_work = false;
+    for (const auto& active : job.tasks[job.IndexOf(other)].active) {
+      const auto track = m_runs.find({other, active.run});
+      is_at_work = track != m_runs.end() && track->second.is_listed &&
+                   track->second.percent >= 100 &&
+                   !track->second.is_stop_wanted;
+    }
+    away += is_at_work ? 0 : 1;
+  }
+  return away < step.may_miss;
+}
+
+void Leadership::StepHost(const Ledger& ledger,
+                          const scheduling::WaveState& wave,
+                          const std::string& host,
+                          HostTrack& track,
+                          Records& records) {
+  const SteadyTime now = Now();
+  const Worker* worker = WorkerOn(ledger, host);
+  if (track.down_since != SteadyTime()) {
+    const bool is_back =
+        worker != nullptr && worker->info.id != track.worker_before;
+    const bool is_lost =
+        now - track.down_since > kLostAfterTimes * m_init.bounds.maintenance;
+    if (is_back || is_lost) {
+      records.emplace_back(
+          scheduling::WaveHostSet{wave.opened.wave, host, WaveStage::kDone});
+    }
+    return;
+  }
+  if (track.is_act_under_way || now < track.next_try) {
+    return;
+  }
+  bool is_empty = true;
+  bool is_short_work_left = false;
+  if (worker != nullptr) {
+    for (const TaskId& id : worker->active) {
+      const Job& job = *ledger.FindJob(id.job);
+      const scheduling::StepSpec& step = job.spec.steps[id.step];
+      is_empty = false;
+      for (const auto& active : job.tasks[job.IndexOf(id)].active) {
+        const auto run = m_runs.find({id, active.run});
+        if (active.worker != worker->info.id || run == m_runs.end() ||
+            run->second.is_stop_wanted) {
+          continue;
+        }
+        if (!step.is_persistent) {
+          is_short_work_left = true;
+        } else if (MayTakeAway(ledger, id)) {
+          run->second.is_stop_wanted = true;
+        }
+      }
+    }
+  }
+  const bool is_persistent_left = !is_empty && !is_short_work_left;
+  const bool may_cut =
+      now - track.chosen_at > kLongestDrain && !is_persistent_left;
+  size_t down = 0;
+  for (const auto& [other, state] : m_hosts) {
+    const bool is_down =
+        state.down_since != SteadyTime() || state.is_act_under_way;
+    down += state.wave == wave.opened.wave && is_down ? 1 : 0;
+  }
+  if ((!is_empty && !may_cut) || down >= wave.opened.most_at_once) {
+    return;
+  }
+  track.worker_before = worker == nullptr ? "" : worker->info.id;
+  track.is_act_under_way = true;
+  if (wave.hosts.at(host) == WaveStage::kOrdered) {
+    Maintain(wave.opened.wave, host);
+    return;
+  }
+  // Committed first, so that the next leader counts it as down.
+  Commit({scheduling::WaveHostSet{wave.opened.wave, host, WaveStage::kOrdered}},
+         [this, number = wave.opened.wave,
+          host](scheduling::CommitOutcome outcome) {
+           if (outcome == scheduling::CommitOutcome::kCommitted) {
+             Maintain(number, host);
+           } else if (m_hosts.contains(host)) {
+             m_hosts[host].is_act_under_way = false;
+           }
+         });
+}
+
+void Leadership::Maintain(uint64_t wave, const std::string& host) {
+  HostAct act;
+  act.host = host;
+  act.wave = wave;
+  act.holder = m_init.name;
+  act.fence = m_term;
+  m_init.hosts->Maintain(std::move(act), [weak = weak_from_this(), wave,
+                                          host](HostActOutcome outcome) {
+    if (const auto self = weak.lock()) {
+      self->OnMaintained(wave, host, outcome);
+    }
+  });
+}
+
+void Leadership::OnMaintained(uint64_t wave,
+                              const std::string& host,
+                              HostActOutcome outcome) {
+  DecisionLog::Get().Write(DecisionLine("wave", "maintain")
+                               .With("wave", wave)
+                               .With("host", host)
+                               .With("fence", m_term)
+                               .With("outcome", static_cast<int>(outcome)));
+  const auto found = m_hosts.find(host);
+  if (found == m_hosts.end()) {
+    return;
+  }
+  HostTrack& track = found->second;
+  track.is_act_under_way = false;
+  track.next_try = Now() + kActRetry;
+  if (outcome == HostActOutcome::kDone) {
+    track.down_since = Now();
+  } else if (outcome == HostActOutcome::kRefused) {
+    // No such host any more: nothing is left to maintain.
+    Commit({scheduling::WaveHostSet{wave, host, WaveStage::kDone}},
+           [this](scheduling::CommitOutcome) { PumpSoon(); });
+  }
+}
+
+}  // namespace laurelhall::dispatch
--- a/packages/net/include/laurelhall/net/http.h
+++ b/packages/net/include/laurelhall/net/http.h
@@ -104,6 +104,10 @@
   std::string address() const;
   int connection_count() const;
 
+  /// Goes on as before, but ends each connection with its next answer, so that
+  /// callers go elsewhere.
+  void CloseAfterAnswers();
+
   /// Takes no new connections; idle ones close; running exchanges finish.
   void Drain();
 
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -83,6 +83,7 @@
   CallGate gate;
   ConnectionSet connections;
   std::atomic<bool> is_draining{false};
+  std::atomic<bool> is_closing_after_answers{false};
   std::atomic<int> connection_count{0};
 };
 
@@ -124,7 +125,8 @@
       return;
     }
     const bool keep_alive =
-        m_decoder->keep_alive() && !m_is_eof && !m_shared->is_draining;
+        m_decoder->keep_alive() && !m_is_eof && !m_shared->is_draining &&
+                            !m_shared->is_closing_after_answers;
     WriteResponse(std::move(response), keep_alive);
   }
 
@@ -463,6 +465,8 @@
   const std::string& address() const { return m_address; }
   int connection_count() const { return m_shared->connection_count; }
 
+  void CloseAfterAnswers() { m_shared->is_closing_after_answers = true; }
+
   void Drain() {
     m_shared->is_draining = true;
     StopListening();
@@ -573,6 +577,10 @@
   return m_impl->connection_count();
 }
 
+void HttpServer::CloseAfterAnswers() {
+  m_impl->CloseAfterAnswers();
+}
+
 void HttpServer::Drain() {
   m_impl->Drain();
 }
--- /dev/null
+++ b/packages/scheduling/include/laurelhall/scheduling/codec.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <variant>
+#include <utility>
+#include <vector>
+
+#include "laurelhall/base/time.h"
+
+// A compact text form of records: whole numbers and a space, texts behind their
+// length. A struct takes part by a Visit(archive, value) beside it, which
+// serves both ways. Boost.JSON costs about ten times the processor time for a
+// task's start, which each control host pays.
+namespace laurelhall::scheduling {
+
+/// A text that the encoder did not make.
+class CodecError : public std::invalid_argument {
+  using std::invalid_argument::invalid_argument;
+};
+
+/// Writes values one after the other. Not thread-safe.
+class Encoder {
+ public:
+  template <typename... Values>
+  void operator()(Values&... values) {
+    (Write(values), ...);
+  }
+
+  std::string Take() { return std::move(m_text); }
+
+ private:
+  template <typename T>
+  void Write(T& value) {
+    if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
+      WriteNumber(static_cast<int64_t>(value));
+    } else if constexpr (std::is_floating_point_v<T>) {
+      // Thousandths are as fine as a stretch or a share is stated.
+      WriteNumber(static_cast<int64_t>(value * 1000 + (value < 0 ? -0.5 : 0.5)));
+    } else {
+      Visit(*this, value);
+    }
+  }
+
+  template <typename Rep, typename Period>
+  void Write(std::chrono::duration<Rep, Period>& value) {
+    WriteNumber(static_cast<int64_t>(value.count()));
+  }
+
+  void Write(WallTime& value) { WriteNumber(value.time_since_epoch().count()); }
+
+  void Write(std::string& value) {
+    m_text += std::to_string(value.size());
+    m_text += ':';
+    m_text += value;
+  }
+
+  template <typename T>
+  void Write(std::vector<T>& values) {
+    WriteNumber(static_cast<int64_t>(values.size()));
+    for (T& value : values) {
+      Write(value);
+    }
+  }
+
+  template <typename... Kinds>
+  void Write(std::variant<Kinds...>& value) {
+    WriteNumber(static_cast<int64_t>(value.index()));
+    std::visit([this](auto& known) { Write(known); }, value);
+  }
+
+  void WriteNumber(int64_t number) {
+    char digits[24];
+    const auto end = std::to_chars(digits, digits + sizeof(digits), number).ptr;
+    m_text.append(digits, end);
+    m_text += ' ';
+  }
+
+  std::string m_text;
+};
+
+/// Reads what an Encoder wrote, in the same order. Not thread-safe.
+///
+/// @throws CodecError on a text that is cut or of another form.
+class Decoder {
+ public:
+  explicit Decoder(std::string_view text) : m_text(text) {}
+
+  template <typename... Values>
+  void operator()(Values&... values) {
+    (Read(values), ...);
+  }
+
+  bool is_at_end() const { return m_text.empty(); }
+
+ private:
+  template <typename T>
+  void Read(T& value) {
+    if constexpr (std::is_enum_v<T> || std::is_integral_v<T>) {
+      value = static_cast<T>(ReadNumber(' '));
+    } else if constexpr (std::is_floating_point_v<T>) {
+      value = static_cast<T>(ReadNumber(' ')) / 1000;
+    } else {
+      Visit(*this, value);
+    }
+  }
+
+  template <typename Rep, typename Period>
+  void Read(std::chrono::duration<Rep, Period>& value) {
+    value = std::chrono::duration<Rep, Period>(ReadNumber(' '));
+  }
+
+  void Read(WallTime& value) { value = WallTime(Millis(ReadNumber(' '))); }
+
+  void Read(std::string& value) {
+    const auto size = static_cast<uint64_t>(ReadNumber(':'));
+    if (size > m_text.size()) {
+      throw CodecError("a text is cut");
+    }
+    value.assign(m_text.substr(0, size));
+    m_text.remove_prefix(size);
+  }
+
+  template <typename T>
+  void Read(std::vector<T>& values) {
+    const auto size = static_cast<uint64_t>(ReadNumber(' '));
+    if (size > m_text.size()) {
+      throw CodecError("a list is cut");
+    }
+    values.resize(size);
+    for (T& value : values) {
+      Read(value);
+    }
+  }
+
+  template <typename... Kinds>
+  void Read(std::variant<Kinds...>& value) {
+    const auto kind = static_cast<uint64_t>(ReadNumber(' '));
+    if (!ReadKind(kind, value, std::index_sequence_for<Kinds...>())) {
+      throw CodecError("unknown kind of record " + std::to_string(kind));
+    }
+  }
+
+  template <typename Variant, size_t... kKinds>
+  bool ReadKind(uint64_t kind, Variant& value, std::index_sequence<kKinds...>) {
+    return ((kind == kKinds && (Read(value.template emplace<kKinds>()), true)) ||
+            ...);
+  }
+
+  int64_t ReadNumber(char terminator) {
+    int64_t number = 0;
+    const char* const end = m_text.data() + m_text.size();
+    const auto [next, error] = std::from_chars(m_text.data(), end, number);
+    if (error != std::errc() || next == end || *next != terminator) {
+      throw CodecError("expected a number");
+    }
+    m_text.remove_prefix(static_cast<size_t>(next - m_text.data()) + 1);
+    return number;
+  }
+
+  std::string_view m_text;
+};
+
+/// Encodes one value. Thread-safe.
+template <typename T>
+std::string Encode(T value) {
+  Encoder encoder;
+  encoder(value);
+  return encoder.Take();
+}
+
+/// Decodes a whole text as one value; throws CodecError. Thread-safe.
+template <typename T>
+T Decode(std::string_view text) {
+  T value{};
+  Decoder decoder(text);
+  decoder(value);
+  if (!decoder.is_at_end()) {
+    throw CodecError("more follows a record");
+  }
+  return value;
+}
+
+}  // namespace laurelhall::scheduling
--- /dev/null
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "laurelhall/scheduling/record.h"
+
+namespace laurelhall::scheduling {
+
+/// A run that was started and whose end is not known.
+struct ActiveRun {
+  uint32_t run = 0;
+  std::string worker;
+};
+
+/// One task of one occurrence.
+struct Task {
+  bool is_done = false;
+  bool is_hot = false;  ///< Started at least once.
+  uint32_t last_run = 0;
+  uint32_t failures = 0;      ///< Ends by its own fault or a worker's.
+  std::string failed_on;      ///< The worker of the last failure.
+  std::string checkpoint;     ///< Where the next run goes on; may be empty.
+  std::vector<ActiveRun> active;
+};
+
+/// A job and all of its tasks.
+struct Job {
+  std::string id;
+  std::string queue;
+  std::string service;
+  WallTime accepted_at{};
+  JobSpec spec;
+  JobState state = JobState::kQueued;
+  std::vector<Task> tasks;  ///< By occurrence, step and index.
+
+  uint32_t tasks_left = 0;            ///< Not done.
+  uint32_t active_runs = 0;
+  std::vector<uint32_t> step_left;    ///< Not done, by occurrence and step.
+  std::vector<uint32_t> step_offset;  ///< Of each step in an occurrence.
+  uint32_t occurrence_size = 0;
+
+  bool is_over() const { return state >= JobState::kSucceeded; }
+  size_t IndexOf(const TaskId& task) const;
+  TaskId IdOf(size_t index) const;
+  const StepSpec& StepOf(size_t index) const;
+  /// Whether all that a step waits for in its occurrence is done.
+  bool IsStepOpen(uint32_t occurrence, uint32_t step) const;
+  /// Whether an id names a task of this job.
+  bool Holds(const TaskId& task) const;
+};
+
+/// A worker and what runs on it as far as is committed.
+struct Worker {
+  WorkerInfo info;
+  Resources used;  ///< By active runs; filling tasks count no processors.
+  std::set<TaskId> active;
+};
+
+/// A wave and how far each of its hosts is.
+struct WaveState {
+  WaveOpened opened;
+  std::map<std::string, WaveStage> hosts;
+
+  bool is_done() const;
+};
+
+/// All that is committed about jobs, workers and waves.
+///
+/// @remarks Not thread-safe. The same records in the same order make the same
+///   ledger on each control host; applying one reads no clock.
+class Ledger {
+ public:
+  /// Applies a record. One that does not fit what is there (a job known
+  /// already, an end of a run that is not active) has no effect.
+  void Apply(const Record& record);
+
+  const Configuration& configuration() const { return m_configuration; }
+  const std::map<std::string, Job>& jobs() const { return m_jobs; }
+  const std::map<std::string, Worker>& workers() const { return m_workers; }
+  const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
+
+  /// Ids of jobs that are not over, or of which a run is active.
+  const std::set<std::string>& open_jobs() const { return m_open; }
+
+  const Job* FindJob(const std::string& id) const;
+  const Worker* FindWorker(const std::string& id) const;
+  const QueueSpec* FindQueueByName(const std::string& name) const;
+
+  /// Whether a worker's life is known to have ended.
+  bool IsGone(const std::string& worker) const;
+
+  /// The service whose workers run a job's tasks now.
+  const std::string& ServiceOf(const Job& job) const;
+
+  /// Writes all of it; Load() of an empty ledger makes the same one.
+  std::string Save() const;
+
+  /// @throws CodecError on a text that Save() did not make.
+  void Load(std::string_view text);
+
+ private:
+  void Run(const ConfigurationSet& record);
+  void Run(const JobAccepted& record);
+  void Run(const JobCancelled& record);
+  void Run(const JobsForgotten& record);
+  void Run(const RunStarted& record);
+  void Run(const RunEnded& record);
+  void Run(const WorkerSeen& record);
+  void Run(const WorkerLapsed& record);
+  void Run(const WorkerGone& record);
+  void Run(const WaveOpened& record);
+  void Run(const WaveHostSet& record);
+
+  void EndRun(Job& job, size_t index, const RunEnded& record);
+  void FinishTask(Job& job, size_t index);
+  void CountFailure(Job& job, size_t index, const std::string& worker);
+  void SetState(Job& job, JobState state);
+  void FollowOpen(const Job& job);
+
+  Configuration m_configuration;
+  std::map<std::string, Job> m_jobs;
+  std::set<std::string> m_open;
+  std::map<std::string, Worker> m_workers;
+  std::map<uint64_t, WaveState> m_waves;
+  std::set<std::string> m_gone;
+  std::deque<std::string> m_gone_order;  // Oldest first, bounds m_gone.
+};
+
+/// What a run of the step takes of a worker's room.
+Resources RoomOf(const StepSpec& step);
+
+}  // namespace laurelhall::scheduling
--- /dev/null
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "laurelhall/scheduling/codec.h"
+#include "laurelhall/scheduling/graph.h"
+
+// What the leader commits about jobs, workers and hosts before it acts on it or
+// says so.
+namespace laurelhall::scheduling {
+
+/// A configuration; takes effect when its version is the highest so far.
+struct ConfigurationSet {
+  Configuration configuration;
+};
+
+/// A job is accepted; has no effect when its id is known.
+struct JobAccepted {
+  std::string id;
+  std::string queue;
+  std::string service;  ///< Of the queue, as the leader saw it.
+  WallTime at{};
+  JobSpec spec;
+};
+
+struct JobCancelled {
+  std::string id;
+};
+
+/// Jobs that ended so long ago that nobody asks for them any more.
+struct JobsForgotten {
+  std::vector<std::string> ids;
+};
+
+/// A task is about to be started; `run` is its next one.
+struct RunStarted {
+  TaskId task;
+  uint32_t run = 0;
+  std::string worker;
+};
+
+/// A run ended, as its worker said; has no effect when it is not active.
+struct RunEnded {
+  TaskId task;
+  uint32_t run = 0;
+  std::string worker;
+  RunEnd end = RunEnd::kCount;
+  std::string checkpoint;  ///< The newest that the run made; may be empty.
+};
+
+/// A worker is known, or its facts changed.
+struct WorkerSeen {
+  WorkerInfo info;
+};
+
+/// Nothing that was started on a worker so far runs any more, for its lease
+/// has surely run out. It may come back.
+struct WorkerLapsed {
+  std::string worker;
+};
+
+/// A worker's life has ended; it never comes back under this id.
+struct WorkerGone {
+  std::string worker;
+};
+
+/// Hosts that must each be maintained once until `due`, few at once.
+struct WaveOpened {
+  uint64_t wave = 0;
+  std::vector<std::string> hosts;
+  Millis duration{0};
+  uint32_t most_at_once = 1;
+  WallTime at{};
+};
+
+/// How far a wave is with one host.
+enum class WaveStage : uint8_t { kWaiting, kOrdered, kDone, kCount };
+
+struct WaveHostSet {
+  uint64_t wave = 0;
+  std::string host;
+  WaveStage stage = WaveStage::kWaiting;
+};
+
+/// New kinds go to the end: a kind is written as its place.
+using Record = std::variant<ConfigurationSet,
+                            JobAccepted,
+                            JobCancelled,
+                            JobsForgotten,
+                            RunStarted,
+                            RunEnded,
+                            WorkerSeen,
+                            WorkerLapsed,
+                            WorkerGone,
+                            WaveOpened,
+                            WaveHostSet>;
+
+/// Encodes a batch of records for the log. Thread-safe.
+std::string EncodeRecords(std::vector<Record> records);
+
+/// Reads EncodeRecords()'s text; throws CodecError. Thread-safe.
+std::vector<Record> DecodeRecords(std::string_view text);
+
+template <typename Archive>
+void Visit(Archive& archive, Resources& value) {
+  archive(value.millicores, value.memory_mb, value.accelerators);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, StepSpec& value) {
+  archive(value.count, value.need, value.estimate, value.depends_on,
+          value.is_gang, value.is_same_rack, value.is_checkpointing,
+          value.is_speculative, value.is_persistent, value.is_filling,
+          value.required_label, value.data_rack, value.spread_limit,
+          value.image, value.target_tail, value.may_miss);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobSpec& value) {
+  archive(value.payload, value.steps, value.occurrences, value.is_timed,
+          value.first_due, value.interval);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, QueueSpec& value) {
+  archive(value.name, value.host, value.prefix, value.service, value.priority,
+          value.max_attempts, value.stretch, value.target_latency,
+          value.needs_advice, value.advice_base, value.advice_each);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, ServiceSpec& value) {
+  archive(value.name, value.is_guarded, value.is_spare);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, Configuration& value) {
+  archive(value.version, value.document, value.queues, value.services);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerInfo& value) {
+  archive(value.id, value.address, value.service, value.availability_zone,
+          value.host, value.rack, value.labels, value.capacity,
+          value.is_draining);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, TaskId& value) {
+  archive(value.job, value.occurrence, value.step, value.index);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, ConfigurationSet& value) {
+  archive(value.configuration);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobAccepted& value) {
+  archive(value.id, value.queue, value.service, value.at, value.spec);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobCancelled& value) {
+  archive(value.id);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobsForgotten& value) {
+  archive(value.ids);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, RunStarted& value) {
+  archive(value.task, value.run, value.worker);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, RunEnded& value) {
+  archive(value.task, value.run, value.worker, value.end, value.checkpoint);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerSeen& value) {
+  archive(value.info);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerLapsed& value) {
+  archive(value.worker);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerGone& value) {
+  archive(value.worker);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WaveOpened& value) {
+  archive(value.wave, value.hosts, value.duration, value.most_at_once,
+          value.at);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WaveHostSet& value) {
+  archive(value.wave, value.host, value.stage);
+}
+
+}  // namespace laurelhall::scheduling
--- /dev/null
+++ b/packages/scheduling/src/graph.cc
@@ -0,0 +1,88 @@
+#include "laurelhall/scheduling/graph.h"
+
+#include <array>
+#include <charconv>
+
+namespace laurelhall::scheduling {
+
+namespace {
+
+constexpr size_t kTaskIdParts = 4;
+
+// Splits at dots; false unless there are just four parts.
+bool SplitTaskId(const std::string& text,
+                 std::array<std::string, kTaskIdParts>& parts) {
+  size_t part = 0;
+  for (const char letter : text) {
+    if (letter != '.') {
+      parts[part] += letter;
+    } else if (++part == kTaskIdParts) {
+      return false;
+    }
+  }
+  return part + 1 == kTaskIdParts;
+}
+
+bool ReadNumber(const std::string& text, uint32_t& number) {
+  const char* const end = text.data() + text.size();
+  const auto [next, error] = std::from_chars(text.data(), end, number);
+  return error == std::errc() && next == end;
+}
+
+}  // namespace
+
+bool Fits(const Resources& need, const Resources& room) {
+  return need.millicores <= room.millicores &&
+         need.memory_mb <= room.memory_mb &&
+         need.accelerators <= room.accelerators;
+}
+
+void Add(Resources& sum, const Resources& part) {
+  sum.millicores += part.millicores;
+  sum.memory_mb += part.memory_mb;
+  sum.accelerators += part.accelerators;
+}
+
+void Subtract(Resources& sum, const Resources& part) {
+  sum.millicores -= part.millicores;
+  sum.memory_mb -= part.memory_mb;
+  sum.accelerators -= part.accelerators;
+}
+
+const QueueSpec* FindQueue(const Configuration& configuration,
+                           const std::string& host,
+                           const std::string& path) {
+  const QueueSpec* best = nullptr;
+  for (const QueueSpec& queue : configuration.queues) {
+    const bool matches = queue.host == host && path.starts_with(queue.prefix);
+    if (matches &&
+        (best == nullptr || queue.prefix.size() > best->prefix.size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+std::string FormatTaskId(const TaskId& task) {
+  return task.job + '.' + std::to_string(task.occurrence) + '.' +
+         std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
+std::optional<TaskId> ParseTaskId(const std::string& text) {
+  std::array<std::string, kTaskIdParts> parts;
+  TaskId task;
+  if (!SplitTaskId(text, parts) || !ReadNumber(parts[1], task.occurrence) ||
+      !ReadNumber(parts[2], task.step) || !ReadNumber(parts[3], task.index)) {
+    return std::nullopt;
+  }
+  task.job = std::move(parts[0]);
+  return task;
+}
+
+const char* RunEndName(RunEnd end) {
+  constexpr std::array<const char*, static_cast<size_t>(RunEnd::kCount)> kNames{
+      "done", "failed", "stopped", "lapsed", "broken", "alone"};
+  return kNames.at(static_cast<size_t>(end));
+}
+
+}  // namespace laurelhall::scheduling
--- /dev/null
+++ b/packages/scheduling/src/ledger.cc
@@ -0,0 +1,427 @@
+#include "laurelhall/scheduling/ledger.h"
+
+#include <algorithm>
+
+namespace laurelhall::scheduling {
+
+namespace {
+
+// Ids of ended lives that are remembered, so that a late announcement does not
+// bring one back: the lives of some days at the coming size (477 a day).
+constexpr size_t kMaxGone = 2'000;
+
+// Fills what follows from a job's steps.
+void DeriveLayout(Job& job) {
+  job.step_offset.clear();
+  job.occurrence_size = 0;
+  for (const StepSpec& step : job.spec.steps) {
+    job.step_offset.push_back(job.occurrence_size);
+    job.occurrence_size += step.count;
+  }
+}
+
+}  // namespace
+
+Resources RoomOf(const StepSpec& step) {
+  Resources room = step.need;
+  if (step.is_filling) {
+    room.millicores = 0;
+  }
+  return room;
+}
+
+size_t Job::IndexOf(const TaskId& task) const {
+  return static_cast<size_t>(task.occurrence) * occurrence_size +
+         step_offset[task.step] + task.index;
+}
+
+TaskId Job::IdOf(size_t index) const {
+  TaskId task{id, static_cast<uint32_t>(index / occurrence_size), 0, 0};
+  const auto in_occurrence = static_cast<uint32_t>(index % occurrence_size);
+  const auto next = std::upper_bound(step_offset.begin(), step_offset.end(),
+                                     in_occurrence);
+  task.step = static_cast<uint32_t>(next - step_offset.begin()) - 1;
+  task.index = in_occurrence - step_offset[task.step];
+  return task;
+}
+
+const StepSpec& Job::StepOf(size_t index) const {
+  return spec.steps[IdOf(index).step];
+}
+
+bool Job::IsStepOpen(uint32_t occurrence, uint32_t step) const {
+  const size_t base = static_cast<size_t>(occurrence) * spec.steps.size();
+  const auto& needed = spec.steps[step].depends_on;
+  return std::all_of(needed.begin(), needed.end(), [&](uint32_t earlier) {
+    return step_left[base + earlier] == 0;
+  });
+}
+
+bool Job::Holds(const TaskId& task) const {
+  return task.job == id && task.occurrence < spec.occurrences &&
+         task.step < spec.steps.size() &&
+         task.index < spec.steps[task.step].count;
+}
+
+bool WaveState::is_done() const {
+  return std::all_of(hosts.begin(), hosts.end(), [](const auto& host) {
+    return host.second == WaveStage::kDone;
+  });
+}
+
+void Ledger::Apply(const Record& record) {
+  std::visit([this](const auto& known) { Run(known); }, record);
+}
+
+const Job* Ledger::FindJob(const std::string& id) const {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const Worker* Ledger::FindWorker(const std::string& id) const {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const QueueSpec* Ledger::FindQueueByName(const std::string& name) const {
+  for (const QueueSpec& queue : m_configuration.queues) {
+    if (queue.name == name) {
+      return &queue;
+    }
+  }
+  return nullptr;
+}
+
+bool Ledger::IsGone(const std::string& worker) const {
+  return m_gone.contains(worker);
+}
+
+const std::string& Ledger::ServiceOf(const Job& job) const {
+  const QueueSpec* queue = FindQueueByName(job.queue);
+  return queue == nullptr ? job.service : queue->service;
+}
+
+void Ledger::Run(const ConfigurationSet& record) {
+  if (record.configuration.version > m_configuration.version) {
+    m_configuration = record.configuration;
+  }
+}
+
+void Ledger::Run(const JobAccepted& record) {
+  const auto [found, is_new] = m_jobs.try_emplace(record.id);
+  if (!is_new) {
+    return;
+  }
+  Job& job = found->second;
+  job.id = record.id;
+  job.queue = record.queue;
+  job.service = record.service;
+  job.accepted_at = record.at;
+  job.spec = record.spec;
+  DeriveLayout(job);
+  job.tasks_left = job.occurrence_size * job.spec.occurrences;
+  job.tasks.resize(job.tasks_left);
+  for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
+       ++occurrence) {
+    for (const StepSpec& step : job.spec.steps) {
+      job.step_left.push_back(step.count);
+    }
+  }
+  if (job.tasks_left == 0) {
+    job.state = JobState::kSucceeded;
+  }
+  FollowOpen(job);
+}
+
+void Ledger::Run(const JobCancelled& record) {
+  const auto found = m_jobs.find(record.id);
+  if (found != m_jobs.end() && !found->second.is_over()) {
+    SetState(found->second, JobState::kCancelled);
+  }
+}
+
+void Ledger::Run(const JobsForgotten& record) {
+  for (const std::string& id : record.ids) {
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end() && found->second.is_over() &&
+        found->second.active_runs == 0) {
+      m_open.erase(id);
+      m_jobs.erase(found);
+    }
+  }
+}
+
+void Ledger::Run(const RunStarted& record) {
+  const auto found = m_jobs.find(record.task.job);
+  const auto worker = m_workers.find(record.worker);
+  if (found == m_jobs.end() || worker == m_workers.end() ||
+      !found->second.Holds(record.task)) {
+    return;
+  }
+  Job& job = found->second;
+  const size_t index = job.IndexOf(record.task);
+  Task& task = job.tasks[index];
+  // A step that runs apart from the plan it was made on would run twice.
+  const bool is_free = task.active.empty() || job.StepOf(index).is_speculative;
+  if (job.is_over() || task.is_done || !is_free ||
+      record.run <= task.last_run || worker->second.active.contains(record.task)) {
+    return;
+  }
+  task.last_run = record.run;
+  task.is_hot = true;
+  task.active.push_back({record.run, record.worker});
+  ++job.active_runs;
+  worker->second.active.insert(record.task);
+  Add(worker->second.used, RoomOf(job.StepOf(index)));
+  if (job.state == JobState::kQueued) {
+    job.state = JobState::kRunning;
+  }
+}
+
+void Ledger::Run(const RunEnded& record) {
+  const auto found = m_jobs.find(record.task.job);
+  if (found == m_jobs.end() || !found->second.Holds(record.task)) {
+    return;
+  }
+  EndRun(found->second, found->second.IndexOf(record.task), record);
+}
+
+void Ledger::EndRun(Job& job, size_t index, const RunEnded& record) {
+  Task& task = job.tasks[index];
+  const auto run = std::find_if(
+      task.active.begin(), task.active.end(), [&](const ActiveRun& active) {
+        return active.run == record.run && active.worker == record.worker;
+      });
+  if (run == task.active.end()) {
+    return;
+  }
+  task.active.erase(run);
+  --job.active_runs;
+  const auto worker = m_workers.find(record.worker);
+  if (worker != m_workers.end()) {
+    worker->second.active.erase(record.task);
+    Subtract(worker->second.used, RoomOf(job.StepOf(index)));
+  }
+  if (!record.checkpoint.empty()) {
+    task.checkpoint = record.checkpoint;
+  }
+  if (record.end == RunEnd::kDone) {
+    FinishTask(job, index);
+  } else if (record.end == RunEnd::kFailed) {
+    CountFailure(job, index, record.worker);
+  }
+  FollowOpen(job);
+}
+
+void Ledger::FinishTask(Job& job, size_t index) {
+  const TaskId id = job.IdOf(index);
+  const StepSpec& step = job.spec.steps[id.step];
+  if (step.is_persistent || job.is_over()) {
+    return;
+  }
+  const size_t first = step.is_gang ? index - id.index : index;
+  const size_t count = step.is_gang ? step.count : 1;
+  for (size_t member = first; member < first + count; ++member) {
+    if (!job.tasks[member].is_done) {
+      job.tasks[member].is_done = true;
+      --job.tasks_left;
+      --job.step_left[id.occurrence * job.spec.steps.size() + id.step];
+    }
+  }
+  if (job.tasks_left == 0) {
+    SetState(job, JobState::kSucceeded);
+  }
+}
+
+void Ledger::CountFailure(Job& job, size_t index, const std::string& worker) {
+  const TaskId id = job.IdOf(index);
+  const StepSpec& step = job.spec.steps[id.step];
+  // A gang fails as one: its first task counts for all.
+  Task& counted = job.tasks[step.is_gang ? index - id.index : index];
+  ++counted.failures;
+  job.tasks[index].failed_on = worker;
+  const QueueSpec* queue = FindQueueByName(job.queue);
+  const uint32_t most = queue == nullptr ? UINT32_MAX : queue->max_attempts;
+  const bool is_final = !step.is_persistent && !counted.is_done &&
+                        !job.is_over() && counted.failures >= most;
+  if (is_final && job.tasks[index].active.empty()) {
+    SetState(job, JobState::kFailed);
+  }
+}
+
+void Ledger::SetState(Job& job, JobState state) {
+  job.state = state;
+  FollowOpen(job);
+}
+
+void Ledger::FollowOpen(const Job& job) {
+  if (job.is_over() && job.active_runs == 0) {
+    m_open.erase(job.id);
+  } else {
+    m_open.insert(job.id);
+  }
+}
+
+void Ledger::Run(const WorkerSeen& record) {
+  if (IsGone(record.info.id)) {
+    return;
+  }
+  // A life never comes back from draining: an older word may have been late.
+  WorkerInfo& info = m_workers[record.info.id].info;
+  const bool was_draining = info.is_draining;
+  info = record.info;
+  info.is_draining = info.is_draining || was_draining;
+}
+
+void Ledger::Run(const WorkerLapsed& record) {
+  const auto found = m_workers.find(record.worker);
+  if (found == m_workers.end()) {
+    return;
+  }
+  const std::set<TaskId> active = found->second.active;
+  for (const TaskId& id : active) {
+    Job& job = m_jobs.at(id.job);
+    const size_t index = job.IndexOf(id);
+    const std::vector<ActiveRun> runs = job.tasks[index].active;
+    for (const ActiveRun& run : runs) {
+      if (run.worker == record.worker) {
+        EndRun(job, index, {id, run.run, run.worker, RunEnd::kLapsed, {}});
+      }
+    }
+  }
+}
+
+void Ledger::Run(const WorkerGone& record) {
+  Run(WorkerLapsed{record.worker});
+  m_workers.erase(record.worker);
+  if (!m_gone.insert(record.worker).second) {
+    return;
+  }
+  m_gone_order.push_back(record.worker);
+  if (m_gone_order.size() > kMaxGone) {
+    m_gone.erase(m_gone_order.front());
+    m_gone_order.pop_front();
+  }
+}
+
+void Ledger::Run(const WaveOpened& record) {
+  const auto [found, is_new] = m_waves.try_emplace(record.wave);
+  if (!is_new) {
+    return;
+  }
+  found->second.opened = record;
+  for (const std::string& host : record.hosts) {
+    found->second.hosts[host] = WaveStage::kWaiting;
+  }
+}
+
+void Ledger::Run(const WaveHostSet& record) {
+  const auto found = m_waves.find(record.wave);
+  if (found == m_waves.end() || !found->second.hosts.contains(record.host)) {
+    return;
+  }
+  WaveStage& stage = found->second.hosts[record.host];
+  stage = std::max(stage, record.stage);
+}
+
+// --- Snapshots --------------------------------------------------------------
+
+template <typename Archive>
+void Visit(Archive& archive, ActiveRun& value) {
+  archive(value.run, value.worker);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, Task& value) {
+  archive(value.is_done, value.is_hot, value.last_run, value.failures,
+          value.failed_on, value.checkpoint, value.active);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, Job& value) {
+  archive(value.id, value.queue, value.service, value.accepted_at, value.spec,
+          value.state, value.tasks, value.tasks_left, value.active_runs,
+          value.step_left);
+}
+
+namespace {
+
+struct SavedWave {
+  WaveOpened opened;
+  std::vector<WaveHostSet> hosts;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedWave& value) {
+  archive(value.opened, value.hosts);
+}
+
+struct SavedLedger {
+  Configuration configuration;
+  std::vector<Job> jobs;
+  std::vector<WorkerInfo> workers;
+  std::vector<SavedWave> waves;
+  std::vector<std::string> gone;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedLedger& value) {
+  archive(value.configuration, value.jobs, value.workers, value.waves,
+          value.gone);
+}
+
+}  // namespace
+
+std::string Ledger::Save() const {
+  SavedLedger saved;
+  saved.configuration = m_configuration;
+  for (const auto& [id, job] : m_jobs) {
+    saved.jobs.push_back(job);
+  }
+  for (const auto& [id, worker] : m_workers) {
+    saved.workers.push_back(worker.info);
+  }
+  for (const auto& [number, wave] : m_waves) {
+    SavedWave& out = saved.waves.emplace_back();
+    out.opened = wave.opened;
+    for (const auto& [host, stage] : wave.hosts) {
+      out.hosts.push_back({number, host, stage});
+    }
+  }
+  saved.gone.assign(m_gone_order.begin(), m_gone_order.end());
+  return Encode(std::move(saved));
+}
+
+void Ledger::Load(std::string_view text) {
+  SavedLedger saved = Decode<SavedLedger>(text);
+  *this = Ledger();
+  m_configuration = std::move(saved.configuration);
+  for (WorkerInfo& info : saved.workers) {
+    m_workers[info.id].info = std::move(info);
+  }
+  for (Job& loaded : saved.jobs) {
+    Job& job = m_jobs[loaded.id];
+    job = std::move(loaded);
+    DeriveLayout(job);
+    FollowOpen(job);
+    for (size_t index = 0; index < job.tasks.size(); ++index) {
+      for (const ActiveRun& run : job.tasks[index].active) {
+        Worker& worker = m_workers[run.worker];
+        worker.active.insert(job.IdOf(index));
+        Add(worker.used, RoomOf(job.StepOf(index)));
+      }
+    }
+  }
+  for (SavedWave& wave : saved.waves) {
+    Run(wave.opened);
+    for (const WaveHostSet& host : wave.hosts) {
+      Run(host);
+    }
+  }
+  for (const std::string& id : saved.gone) {
+    m_gone.insert(id);
+    m_gone_order.push_back(id);
+  }
+}
+
+}  // namespace laurelhall::scheduling
--- /dev/null
+++ b/packages/scheduling/src/planner.cc
@@ -0,0 +1,398 @@
+#include "laurelhall/scheduling/planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace laurelhall::scheduling {
+
+namespace {
+
+// How fast a queue's run times are learned: a fifth of each task's surprise,
+// so that a burst of some ten tasks settles it and one odd task does not.
+constexpr double kLearningRate = 0.05;
+constexpr double kSmallestRatio = 0.2;
+constexpr double kLargestRatio = 5;
+// Work that may miss its time is hopeless only when it would miss it by a
+// clear margin: estimates are off by about half.
+constexpr double kHopelessShare = 0.7;
+// How often the estimated run time a task waits for the rack with its data;
+// elsewhere it takes three times as long.
+constexpr int kDataWaitRuns = 2;
+
+// Weights of what a place costs, in shares of an idle worker.
+constexpr double kFarFromData = 100;
+constexpr double kFailedHere = 50;
+constexpr double kDoubtful = 20;
+constexpr double kSameStepHere = 0.5;
+
+// In which order kinds of work are served.
+enum class Urgency { kPersistent, kOnTime, kHopeless, kCount };
+
+bool HasLabel(const WorkerInfo& worker, const std::string& label) {
+  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
+                                    label) != worker.labels.end();
+}
+
+double Share(int64_t part, int64_t whole) {
+  return whole <= 0 ? 1.0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+}  // namespace
+
+Millis RemainingChain(const Job& job, uint32_t occurrence) {
+  std::vector<Millis> chain(job.spec.steps.size());
+  Millis longest{0};
+  for (size_t step = 0; step < job.spec.steps.size(); ++step) {
+    Millis before{0};
+    for (const uint32_t earlier : job.spec.steps[step].depends_on) {
+      before = std::max(before, chain[earlier]);
+    }
+    const bool is_left =
+        job.step_left[occurrence * job.spec.steps.size() + step] > 0;
+    chain[step] =
+        before + (is_left ? job.spec.steps[step].estimate : Millis(0));
+    longest = std::max(longest, chain[step]);
+  }
+  return longest;
+}
+
+/// The tasks of one step that could start now.
+struct Planner::Candidate {
+  const Job* job = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  std::vector<uint32_t> tasks;  // Indices within the step.
+  Urgency urgency = Urgency::kOnTime;
+  int32_t priority = 0;
+  bool is_begun = false;
+  SteadyTime deadline{};
+  SteadyTime waits_since{};
+
+  auto Key() const {
+    return std::tuple(urgency, !is_begun, deadline, priority);
+  }
+};
+
+/// Finds workers for candidates of one plan.
+class Planner::Placement {
+ public:
+  Placement(Planner& planner, const PlanInput& input)
+      : m_planner(planner), m_input(input) {
+    for (const auto& [id, worker] : input.ledger.workers()) {
+      const auto outlook = input.workers.find(id);
+      if (outlook == input.workers.end() || !outlook->second.is_usable ||
+          worker.info.is_draining) {
+        continue;
+      }
+      Place& place = m_places[worker.info.service].emplace_back();
+      place.worker = &worker;
+      place.is_doubtful = outlook->second.is_doubtful;
+      place.room = worker.info.capacity;
+      Subtract(place.room, worker.used);
+      const auto reserved = planner.m_reserved_room.find(id);
+      if (reserved != planner.m_reserved_room.end()) {
+        Subtract(place.room, reserved->second);
+      }
+    }
+  }
+
+  void Put(const Candidate& candidate, std::vector<RunStarted>& out) {
+    const StepSpec& step = candidate.job->spec.steps[candidate.step];
+    auto places = m_places.find(m_input.ledger.ServiceOf(*candidate.job));
+    if (places == m_places.end()) {
+      return;
+    }
+    if (step.is_gang) {
+      PutGang(candidate, step, places->second, out);
+      return;
+    }
+    for (const uint32_t index : candidate.tasks) {
+      Place* place = Find(candidate, step, index, places->second, {});
+      if (place == nullptr && !step.is_filling) {
+        return;  // Like tasks will find no place either.
+      }
+      if (place != nullptr) {
+        Take(candidate, step, index, *place, out);
+      }
+    }
+  }
+
+ private:
+  struct Place {
+    const Worker* worker = nullptr;
+    Resources room;
+    bool is_doubtful = false;
+    std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
+  };
+
+  static uint64_t StepKey(const Candidate& candidate) {
+    return (static_cast<uint64_t>(candidate.occurrence) << 32) | candidate.step;
+  }
+
+  // All members at once, of one rack where that matters, or none.
+  void PutGang(const Candidate& candidate,
+               const StepSpec& step,
+               std::vector<Place>& places,
+               std::vector<RunStarted>& out) {
+    std::set<std::string> racks{""};
+    if (step.is_same_rack) {
+      racks.clear();
+      for (const Place& place : places) {
+        racks.insert(place.worker->info.rack);
+      }
+      if (m_input.now - candidate.waits_since > kDataWaitRuns * step.estimate) {
+        racks.insert("");
+      }
+    }
+    // The empty name, any rack, sorts first; it is the last resort.
+    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+      std::vector<Place> trial = places;
+      std::vector<RunStarted> starts;
+      for (const uint32_t index : candidate.tasks) {
+        Place* place = Find(candidate, step, index, trial, *rack);
+        if (place == nullptr) {
+          break;
+        }
+        Take(candidate, step, index, *place, starts, false);
+      }
+      if (starts.size() == candidate.tasks.size()) {
+        places = std::move(trial);
+        for (RunStarted& start : starts) {
+          Reserve(start, step);
+          out.push_back(std::move(start));
+        }
+        return;
+      }
+    }
+  }
+
+  uint32_t CountHere(const Candidate& candidate, const Place& place) const {
+    uint32_t here = 0;
+    const TaskId first{candidate.job->id, candidate.occurrence, candidate.step,
+                       0};
+    for (auto task = place.worker->active.lower_bound(first);
+         task != place.worker->active.end() && task->job == first.job &&
+         task->occurrence == first.occurrence && task->step == first.step;
+         ++task) {
+      ++here;
+    }
+    const auto planned =
+        place.planned.find({candidate.job, StepKey(candidate)});
+    return here + (planned == place.planned.end() ? 0 : planned->second);
+  }
+
+  Place* Find(const Candidate& candidate,
+              const StepSpec& step,
+              uint32_t index,
+              std::vector<Place>& places,
+              const std::string& only_rack) const {
+    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
+                    index};
+    const Task& task = candidate.job->tasks[candidate.job->IndexOf(id)];
+    const bool waits_for_data =
+        m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
+    const Resources room = RoomOf(step);
+    Place* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (Place& place : places) {
+      const WorkerInfo& info = place.worker->info;
+      const bool is_far =
+          !step.data_rack.empty() && info.rack != step.data_rack;
+      if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
+          (!only_rack.empty() && info.rack != only_rack) ||
+          (is_far && waits_for_data) ||
+          place.worker->active.contains(id)) {
+        continue;
+      }
+      const uint32_t here = CountHere(candidate, place);
+      if (step.spread_limit > 0 && here >= step.spread_limit) {
+        continue;
+      }
+      double cost = is_far ? kFarFromData : 0;
+      cost += task.failed_on == info.id ? kFailedHere : 0;
+      cost += place.is_doubtful ? kDoubtful : 0;
+      cost += kSameStepHere * here;
+      // The emptiest first: what runs beside others disturbs them.
+      cost += 1 - Share(place.room.millicores, info.capacity.millicores);
+      cost += 0.5 * (1 - Share(place.room.memory_mb, info.capacity.memory_mb));
+      if (cost < best_cost) {
+        best = &place;
+        best_cost = cost;
+      }
+    }
+    return best;
+  }
+
+  void Take(const Candidate& candidate,
+            const StepSpec& step,
+            uint32_t index,
+            Place& place,
+            std::vector<RunStarted>& out,
+            bool is_reserved = true) {
+    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
+                    index};
+    RunStarted start{id, NextRun(candidate, step, id), place.worker->info.id};
+    Subtract(place.room, RoomOf(step));
+    ++place.planned[{candidate.job, StepKey(candidate)}];
+    if (is_reserved) {
+      Reserve(start, step);
+    }
+    out.push_back(std::move(start));
+  }
+
+  // The members of a gang share one number.
+  static uint32_t NextRun(const Candidate& candidate,
+                          const StepSpec& step,
+                          const TaskId& id) {
+    const Job& job = *candidate.job;
+    const size_t index = job.IndexOf(id);
+    uint32_t last = job.tasks[index].last_run;
+    if (step.is_gang) {
+      const size_t first = index - id.index;
+      for (size_t member = first; member < first + step.count; ++member) {
+        last = std::max(last, job.tasks[member].last_run);
+      }
+    }
+    return last + 1;
+  }
+
+  void Reserve(const RunStarted& start, const StepSpec& step) {
+    m_planner.m_reserved.insert(start.task);
+    Add(m_planner.m_reserved_room[start.worker], RoomOf(step));
+    m_planner.m_reserved_steps[{start.task, start.run}] = RoomOf(step);
+  }
+
+  Planner& m_planner;
+  const PlanInput& m_input;
+  std::map<std::string, std::vector<Place>> m_places;  // By service.
+};
+
+double Planner::RunTimeRatio(const std::string& queue) const {
+  const auto found = m_ratio.find(queue);
+  return found == m_ratio.end() ? 1.0 : found->second;
+}
+
+void Planner::Learn(const std::string& queue, Millis estimate, Millis taken) {
+  if (estimate <= Millis(0)) {
+    return;
+  }
+  const double seen = std::clamp(
+      static_cast<double>(taken.count()) / static_cast<double>(estimate.count()),
+      kSmallestRatio, kLargestRatio);
+  double& ratio = m_ratio.try_emplace(queue, 1.0).first->second;
+  ratio += kLearningRate * (seen - ratio);
+}
+
+void Planner::GatherStep(const PlanInput& input,
+                         const Job& job,
+                         uint32_t occurrence,
+                         uint32_t step,
+                         std::vector<Candidate>& out) const {
+  const StepSpec& spec = job.spec.steps[step];
+  Candidate candidate;
+  candidate.job = &job;
+  candidate.occurrence = occurrence;
+  candidate.step = step;
+  const size_t first = job.IndexOf({job.id, occurrence, step, 0});
+  for (uint32_t index = 0; index < spec.count; ++index) {
+    const Task& task = job.tasks[first + index];
+    const bool is_free = !task.is_done && task.active.empty() &&
+                         !m_reserved.contains({job.id, occurrence, step, index});
+    if (is_free) {
+      candidate.tasks.push_back(index);
+    }
+    candidate.is_begun = candidate.is_begun || task.is_hot;
+  }
+  const bool is_whole = candidate.tasks.size() == spec.count;
+  if (candidate.tasks.empty() || (spec.is_gang && !is_whole)) {
+    return;
+  }
+  const auto seen = input.seen_at.find(job.id);
+  const SteadyTime since = seen == input.seen_at.end() ? input.now : seen->second;
+  const QueueSpec* queue = input.ledger.FindQueueByName(job.queue);
+  const double ratio = RunTimeRatio(job.queue);
+  const auto scaled = [](Millis time, double factor) {
+    return std::chrono::duration_cast<Millis>(time * factor);
+  };
+  candidate.waits_since = since;
+  candidate.priority = queue == nullptr ? 0 : queue->priority;
+  candidate.is_begun = candidate.is_begun || job.state == JobState::kRunning;
+  const Millis chain =
+      scaled(RemainingChain(job, occurrence), ratio);
+  const double stretch = queue == nullptr ? 1 : queue->stretch;
+  const Millis target = queue == nullptr ? Millis(0) : queue->target_latency;
+  Millis whole{0};
+  for (const StepSpec& each : job.spec.steps) {
+    whole += each.estimate;
+  }
+  candidate.deadline =
+      since + scaled(scaled(whole, ratio), stretch) + target;
+  if (spec.is_persistent) {
+    candidate.urgency = Urgency::kPersistent;
+  } else if (input.now + scaled(chain, kHopelessShare) > candidate.deadline) {
+    candidate.urgency = Urgency::kHopeless;
+  }
+  out.push_back(std::move(candidate));
+}
+
+std::vector<Planner::Candidate> Planner::Gather(const PlanInput& input) const {
+  std::vector<Candidate> candidates;
+  for (const std::string& id : input.ledger.open_jobs()) {
+    const Job& job = *input.ledger.FindJob(id);
+    if (job.is_over()) {
+      continue;
+    }
+    for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
+         ++occurrence) {
+      const WallTime due =
+          job.spec.first_due + job.spec.interval * occurrence;
+      if (job.spec.is_timed && input.wall < due) {
+        break;
+      }
+      const size_t base = occurrence * job.spec.steps.size();
+      for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+        if (job.step_left[base + step] > 0 && job.IsStepOpen(occurrence, step)) {
+          GatherStep(input, job, occurrence, step, candidates);
+        }
+      }
+    }
+  }
+  return candidates;
+}
+
+std::vector<RunStarted> Planner::Plan(const PlanInput& input) {
+  std::vector<Candidate> candidates = Gather(input);
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return a.Key() < b.Key();
+                   });
+  std::vector<RunStarted> starts;
+  if (candidates.empty()) {
+    return starts;
+  }
+  Placement placement(*this, input);
+  for (const Candidate& candidate : candidates) {
+    placement.Put(candidate, starts);
+  }
+  return starts;
+}
+
+void Planner::Settled(const RunStarted& start) {
+  const auto found = m_reserved_steps.find({start.task, start.run});
+  if (found == m_reserved_steps.end()) {
+    return;
+  }
+  Subtract(m_reserved_room[start.worker], found->second);
+  m_reserved_steps.erase(found);
+  m_reserved.erase(start.task);
+}
+
+void Planner::Reset() {
+  m_reserved.clear();
+  m_reserved_room.clear();
+  m_reserved_steps.clear();
+}
+
+}  // namespace laurelhall::scheduling
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -5,6 +5,7 @@
 
 #include "laurelhall/base/finding.h"
 #include "laurelhall/base/time.h"
+#include "laurelhall/dispatch/dispatcher.h"
 
 namespace laurelhall::settings {
 
@@ -37,6 +38,20 @@
   std::string caller_address;  ///< Callers and endpoints, behind the balancer.
   std::string operator_address;  ///< Health, metrics, operators.
   std::vector<ControlPeer> control_peers;
+  std::string jobs_address;       ///< Entry: callers hand jobs in here.
+  std::string readiness_address;  ///< Entry: the balancer asks here.
+  /// Control: workers announce themselves, operators set the configuration.
+  std::string scheduling_address;
+  std::string hosts_address;  ///< Where acts on hosts are asked for.
+  /// Scheduling addresses of some control hosts, in place of the peers: their
+  /// inner port is the one of this file. Others are learned from them.
+  std::vector<std::string> seeds;
+  bool admits_newcomers = false;  ///< Control hosts join without an operator.
+  bool guards_zones = true;  ///< Never a quorum that one zone's loss ends.
+  /// Only the operator's own hosts are on these networks: no keys, no TLS.
+  bool is_inner_trusted = false;
+  bool is_scheduling_trusted = false;
+  dispatch::DispatchBounds dispatch_bounds;
   std::string cluster_key_file;  ///< Shared key of the inner protocol.
   std::string operator_tokens_file;
   TlsFiles inner_tls;
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -132,6 +132,29 @@
   ReadEach(value, target, &ReadRole);
 }
 
+void ReadSeed(const json::value& value, Target target) {
+  const json::string* text = value.if_string();
+  if (text == nullptr || !ParseAddress(*text)) {
+    target.findings.Add(target.place, kExpectedAddress);
+    return;
+  }
+  target.settings.seeds.emplace_back(*text);
+}
+
+void ReadSeeds(const json::value& value, Target target) {
+  ReadEach(value, target, &ReadSeed);
+}
+
+template <auto Member>
+void ReadBound(const json::value& value, Target target) {
+  try {
+    target.settings.dispatch_bounds.*Member =
+        ParseDuration(std::string_view(value.as_string()));
+  } catch (const std::exception&) {
+    target.findings.Add(target.place, "expected a duration such as \"30s\"");
+  }
+}
+
 struct PeerKey {
   std::string_view name;
   std::string ControlPeer::*member;
@@ -204,6 +227,29 @@
     Key{"addresses.inner", &ReadAddress<&DaemonSettings::inner_address>},
     Key{"addresses.caller", &ReadAddress<&DaemonSettings::caller_address>},
     Key{"addresses.operator", &ReadAddress<&DaemonSettings::operator_address>},
+    Key{"addresses.jobs", &ReadAddress<&DaemonSettings::jobs_address>},
+    Key{"addresses.readiness", &ReadAddress<&DaemonSettings::readiness_address>},
+    Key{"addresses.scheduling",
+        &ReadAddress<&DaemonSettings::scheduling_address>},
+    Key{"addresses.hosts", &ReadAddress<&DaemonSettings::hosts_address>},
+    Key{"control.seeds", &ReadSeeds},
+    Key{"control.admits_newcomers",
+        &ReadBoolean<&DaemonSettings::admits_newcomers>},
+    Key{"control.guards_zones", &ReadBoolean<&DaemonSettings::guards_zones>},
+    Key{"trusted_network.inner",
+        &ReadBoolean<&DaemonSettings::is_inner_trusted>},
+    Key{"trusted_network.scheduling",
+        &ReadBoolean<&DaemonSettings::is_scheduling_trusted>},
+    Key{"scheduling.longest_lease",
+        &ReadBound<&dispatch::DispatchBounds::longest_lease>},
+    Key{"scheduling.stop_time",
+        &ReadBound<&dispatch::DispatchBounds::stop_time>},
+    Key{"scheduling.notice", &ReadBound<&dispatch::DispatchBounds::notice>},
+    Key{"scheduling.harm", &ReadBound<&dispatch::DispatchBounds::harm>},
+    Key{"scheduling.maintenance",
+        &ReadBound<&dispatch::DispatchBounds::maintenance>},
+    Key{"scheduling.job_memory",
+        &ReadBound<&dispatch::DispatchBounds::job_memory>},
     Key{"control.data_folder", &ReadText<&DaemonSettings::data_folder>},
     Key{"control.may_bootstrap", &ReadBoolean<&DaemonSettings::may_bootstrap>},
     Key{"control.peers", &ReadPeers},
@@ -291,6 +337,7 @@
     CheckRoles();
     CheckKeys();
     CheckInnerTls();
+    CheckSchedulingTrust();
     CheckTls(m_settings.caller_tls, "tls.caller");
     CheckTls(m_settings.operator_tls, "tls.operator");
   }
@@ -310,7 +357,7 @@
 
   void CheckPeers() {
     if (m_settings.control_peers.empty()) {
-      Add("control.peers", "expected at least one control host");
+      Add("control.peers", "expected at least one control host, or seeds");
     }
     std::set<std::string> names;
     for (const ControlPeer& peer : m_settings.control_peers) {
@@ -326,14 +373,37 @@
               "expected a folder: a control host keeps its state there");
       Require(m_settings.inner_address, "addresses.inner", kExpectedAddress);
     }
-    if (m_settings.is_entry) {
+    const bool is_job_entry =
+        m_settings.is_entry && !m_settings.jobs_address.empty();
+    if (is_job_entry) {
+      Require(m_settings.readiness_address, "addresses.readiness",
+              kExpectedAddress);
+    } else if (m_settings.is_entry) {
       Require(m_settings.caller_address, "addresses.caller", kExpectedAddress);
       Require(m_settings.operator_address, "addresses.operator",
               kExpectedAddress);
     }
+    if (!m_settings.scheduling_address.empty()) {
+      Require(m_settings.hosts_address, "addresses.hosts", kExpectedAddress);
+    }
+  }
+
+  // These listeners speak plain HTTP and ask for no proof.
+  void CheckSchedulingTrust() {
+    for (const std::string* address :
+         {&m_settings.jobs_address, &m_settings.readiness_address,
+          &m_settings.scheduling_address}) {
+      if (IsOffLoopback(*address) && !m_settings.is_scheduling_trusted) {
+        Add("trusted_network.scheduling",
+            "expected true: " + *address + " is served off loopback");
+      }
+    }
   }
 
   bool IsInnerOpen() const {
+    if (m_settings.is_inner_trusted) {
+      return false;
+    }
     bool is_open = IsOffLoopback(m_settings.inner_address);
     for (const ControlPeer& peer : m_settings.control_peers) {
       is_open = is_open || IsOffLoopback(peer.address);
@@ -394,6 +464,19 @@
   FindingList& m_findings;
 };
 
+// A seed is known by its inner address, which stands for its name as well.
+void AddSeedPeers(DaemonSettings& settings) {
+  const size_t port = settings.inner_address.rfind(':');
+  if (port == std::string::npos) {
+    return;
+  }
+  for (const std::string& seed : settings.seeds) {
+    const std::string address =
+        seed.substr(0, seed.rfind(':')) + settings.inner_address.substr(port);
+    settings.control_peers.push_back({address, address, ""});
+  }
+}
+
 }  // namespace
 
 bool IsOffLoopback(const std::string& address) {
@@ -412,6 +495,7 @@
   }
   DaemonSettings settings;
   ReadSection(root.get_object(), "", {settings, place, findings});
+  AddSeedPeers(settings);
   RoleCheck(settings, place, findings).Run();
   findings.ThrowIfAny();
   return settings;
--- a/packages/state/include/laurelhall/state/command.h
+++ b/packages/state/include/laurelhall/state/command.h
@@ -188,6 +188,12 @@
 };
 BOOST_DESCRIBE_STRUCT(NoteCommand, (), (name, text))
 
+/// Records of the scheduling, in its own encoding.
+struct ScheduleCommand {
+  std::string records;
+};
+BOOST_DESCRIBE_STRUCT(ScheduleCommand, (), (records))
+
 /// New kinds go to the end: a kind is written as its place.
 using Command = std::variant<ClaimCommand,
                              CompleteCommand,
@@ -204,7 +210,8 @@
                              ExpireCommand,
                              SessionCommand,
                              NoteCommand,
-                             ControlCommand>;
+                             ControlCommand,
+                             ScheduleCommand>;
 
 /// Encodes a group of commands as one log entry's payload. Thread-safe.
 ///
--- a/packages/state/include/laurelhall/state/machine.h
+++ b/packages/state/include/laurelhall/state/machine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -9,6 +10,7 @@
 
 #include "laurelhall/model/config.h"
 #include "laurelhall/model/endpoint.h"
+#include "laurelhall/scheduling/ledger.h"
 #include "laurelhall/state/command.h"
 
 namespace laurelhall::state {
@@ -147,6 +149,11 @@
   std::optional<SessionRecord> FindSession(
       const model::EntryIdentity& entry) const;
 
+  /// Reads the scheduling's ledger; applying waits for the reader, which must
+  /// not call this machine.
+  void ReadSchedule(
+      const std::function<void(const scheduling::Ledger&)>& reader) const;
+
   /// A digest of the whole state, to compare replicas.
   uint64_t Digest() const;
 
--- a/packages/state/src/command.cc
+++ b/packages/state/src/command.cc
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "laurelhall/scheduling/codec.h"
 #include "read_json_p.h"
 
 namespace laurelhall::state {
@@ -57,9 +58,43 @@
          });
 }
 
+// Begins an entry of scheduling records alone, which JSON never does. These
+// come by the hundred a second, and as JSON within JSON each would be escaped
+// and parsed once more on every control host.
+constexpr char kScheduleMark = '!';
+
+bool IsScheduleAlone(const std::vector<Command>& commands) {
+  return !commands.empty() &&
+         std::all_of(commands.begin(), commands.end(),
+                     [](const Command& command) {
+                       return std::holds_alternative<ScheduleCommand>(command);
+                     });
+}
+
+std::string EncodeSchedule(const std::vector<Command>& commands) {
+  std::vector<std::string> batches;
+  batches.reserve(commands.size());
+  for (const Command& command : commands) {
+    batches.push_back(std::get<ScheduleCommand>(command).records);
+  }
+  return kScheduleMark + scheduling::Encode(std::move(batches));
+}
+
+std::vector<Command> DecodeSchedule(std::string_view text) {
+  std::vector<Command> commands;
+  for (std::string& batch :
+       scheduling::Decode<std::vector<std::string>>(text)) {
+    commands.emplace_back(ScheduleCommand{std::move(batch)});
+  }
+  return commands;
+}
+
 }  // namespace
 
 std::string EncodeCommands(const std::vector<Command>& commands) {
+  if (IsScheduleAlone(commands)) {
+    return EncodeSchedule(commands);
+  }
   json::array array;
   array.reserve(commands.size());
   for (const Command& command : commands) {
@@ -77,6 +112,9 @@
 }
 
 std::vector<Command> DecodeCommands(std::string_view payload) {
+  if (payload.starts_with(kScheduleMark)) {
+    return DecodeSchedule(payload.substr(1));
+  }
   const json::value array = ParseBytes(payload);
   std::vector<Command> commands;
   commands.reserve(array.as_array().size());
--- a/packages/state/src/machine.cc
+++ b/packages/state/src/machine.cc
@@ -173,6 +173,11 @@
   return m_impl->Current()->sessions.Find(entry);
 }
 
+void Machine::ReadSchedule(
+    const std::function<void(const scheduling::Ledger&)>& reader) const {
+  m_impl->Current()->schedule.Read(reader);
+}
+
 uint64_t Machine::Digest() const {
   return HashText(m_impl->Save());
 }
--- a/packages/state/src/tables.cc
+++ b/packages/state/src/tables.cc
@@ -78,6 +78,7 @@
     {"burn", &LoadInto<&Tables::burn, BurnSample>},
     {"session", &LoadInto<&Tables::sessions, SessionRecord>},
     {"note", &LoadInto<&Tables::notes, NoteCommand>},
+    {"schedule", &LoadInto<&Tables::schedule, std::string>},
 };
 
 // The time of a resend differs from the first one's; all else is the same.
@@ -168,6 +169,10 @@
   return notes.Apply(command);
 }
 
+ActResult Tables::Run(const ScheduleCommand& command) {
+  return schedule.Apply(command);
+}
+
 ActResult Tables::Run(const HostCommand& command) {
   ActResult result = fleet.Apply(command, *settings.config());
   if (result.is_accepted) {
@@ -240,6 +245,7 @@
   burn.Save(writer);
   sessions.Save(writer);
   notes.Save(writer);
+  schedule.Save(writer);
   return writer.Finish();
 }
 
--- a/packages/state/src/tables_p.h
+++ b/packages/state/src/tables_p.h
@@ -12,6 +12,7 @@
 #include "fleet_table_p.h"
 #include "note_table_p.h"
 #include "request_memory_p.h"
+#include "schedule_table_p.h"
 #include "session_table_p.h"
 #include "settings_history_p.h"
 
@@ -43,6 +44,7 @@
   BurnHistory burn;
   SessionTable sessions;
   NoteTable notes;
+  ScheduleTable schedule;
   std::atomic<uint64_t> applied_index{0};
 
  private:
@@ -57,6 +59,7 @@
   ActResult Run(const ExpireCommand& command);
   ActResult Run(const SessionCommand& command);
   ActResult Run(const NoteCommand& command);
+  ActResult Run(const ScheduleCommand& command);
   ActResult Run(const HostCommand& command);
   template <typename FleetCommand>
   ActResult Run(const FleetCommand& command);
