Hosts move between pools; the leader's passes are bounded

Ruled out: memory of the workers, the disk (both idle). A first form of the moves parked all hosts before the first rush; parking now waits for a known pattern. The spread limit counts planned starts; a last attempt avoids the worker of the failure; persistent tasks are never cut off by maintenance.

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -134,6 +134,20 @@
   uint64_t fence = 0;
 };
 
+/// A host as the platform lists it.
+struct HostInfo {
+  std::string host;
+  std::string pool;
+  bool is_up = false;  ///< Neither under way somewhere nor lost.
+  scheduling::Resources capacity;
+};
+
+struct HostPage {
+  bool is_ok = false;
+  std::vector<HostInfo> hosts;
+  std::string next;  ///< Token of the next page; empty: this was the last.
+};
+
 /// Acts on hosts. As with WorkerPort.
 class HostPort {
  public:
@@ -143,6 +157,10 @@
                         std::function<void(HostActOutcome)> done) = 0;
   virtual void Move(HostAct act,
                     std::function<void(HostActOutcome)> done) = 0;
+
+  /// @param page Empty: the first.
+  virtual void List(const std::string& page,
+                    std::function<void(HostPage)> done) = 0;
 };
 
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -83,7 +83,7 @@
     m_leadership =
         std::make_shared<Leadership>(m_init, *m_log, term, m_counters);
     m_is_leading = true;
-    m_leadership->Pump();
+    m_leadership->Tick();
     PublishCounters();
   }
 
@@ -116,7 +116,7 @@
     if (m_leadership != nullptr) {
       // Kept over the call: leadership may end within it.
       const auto leadership = m_leadership;
-      leadership->Pump();
+      leadership->Tick();
       PublishCounters();
     }
   }
@@ -126,9 +126,9 @@
     m_published = m_counters;
   }
 
-  void PumpSoon() {
+  void PlanSoon() {
     if (m_leadership != nullptr) {
-      m_leadership->PumpSoon();
+      m_leadership->PlanSoon();
     }
   }
 
@@ -141,7 +141,7 @@
       post([weak, done, outcome] {
         done(AfterCommit(outcome));
         if (const auto self = weak.lock()) {
-          self->PumpSoon();
+          self->PlanSoon();
         }
       });
     });
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -1,6 +1,8 @@
 #include "leadership_p.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "laurelhall/base/decision_log.h"
 
@@ -16,7 +18,12 @@
 
 // What comes within this time is planned together; a caller's time to wait is
 // counted in hundreds of milliseconds.
-constexpr Millis kPumpDelay{3};
+constexpr Millis kPlanDelay{3};
+// A plan looks at all open jobs: at most so often, to bound what it costs.
+constexpr Millis kPlanPause{12};
+constexpr Millis kBatchDelay{4};
+// How often the tracks of runs are compared with the ledger as a whole.
+constexpr Millis kFollowPeriod{500};
 // A worker that was not heard of for longer is given no new work: a look that
 // waits two seconds, and its way.
 constexpr Millis kFreshContact{2'600};
@@ -24,10 +31,24 @@
 // ten announcements at their usual pace.
 constexpr Millis kSilentIsGone{15'000};
 constexpr Millis kForgetPeriod{5'000};
+constexpr Millis kTakenOver{300};
 // A task whose progress stands still for so long, and twice its estimate, is
 // started again elsewhere.
 constexpr Millis kStalled{2'500};
 
+bool IsActive(const scheduling::Ledger& ledger, const RunStarted& start) {
+  const Job* job = ledger.FindJob(start.task.job);
+  if (job == nullptr) {
+    return false;
+  }
+  for (const auto& run : job->tasks[job->IndexOf(start.task)].active) {
+    if (run.run == start.run && run.worker == start.worker) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 Leadership::Leadership(const DispatcherInit& init,
@@ -40,61 +61,98 @@
       m_begun_at(init.timers->Now()),
       m_counters(counters) {}
 
+// Each batch costs every control host a message, a sync and some wake-ups, so
+// that what comes within a few milliseconds goes together.
 void Leadership::Commit(Records records,
                         std::function<void(CommitOutcome)> done) {
-  m_log.Commit(std::move(records),
+  std::move(records.begin(), records.end(), std::back_inserter(m_batch));
+  m_batch_done.push_back(std::move(done));
+  if (m_is_flush_due) {
+    return;
+  }
+  m_is_flush_due = true;
+  m_init.timers->SubscribeOnce(kBatchDelay,
+                               [weak = weak_from_this()](SteadyTime) {
+                                 if (const auto self = weak.lock()) {
+                                   self->m_is_flush_due = false;
+                                   self->Flush();
+                                 }
+                               });
+}
+
+void Leadership::Flush() {
+  auto waiting = std::make_shared<decltype(m_batch_done)>(
+      std::exchange(m_batch_done, {}));
+  m_log.Commit(std::exchange(m_batch, {}),
                [weak = weak_from_this(), post = m_init.post,
-                done = std::move(done)](CommitOutcome outcome) {
-                 post([weak, done, outcome] {
-                   if (const auto self = weak.lock()) {
+                waiting](CommitOutcome outcome) {
+                 post([weak, waiting, outcome] {
+                   const auto self = weak.lock();
+                   if (self == nullptr) {
+                     return;
+                   }
+                   for (const auto& done : *waiting) {
                      done(outcome);
                    }
                  });
                });
 }
 
-void Leadership::PumpSoon() {
-  if (m_is_pump_due) {
+void Leadership::PlanSoon() {
+  if (m_is_plan_due) {
     return;
   }
-  m_is_pump_due = true;
-  m_init.timers->SubscribeOnce(kPumpDelay,
-                               [weak = weak_from_this()](SteadyTime) {
-                                 if (const auto self = weak.lock()) {
-                                   self->m_is_pump_due = false;
-                                   self->Pump();
-                                 }
-                               });
+  m_is_plan_due = true;
+  const auto since = std::chrono::floor<Millis>(Now() - m_last_plan);
+  const Millis delay = std::max(kPlanDelay, kPlanPause - since);
+  m_init.timers->SubscribeOnce(delay, [weak = weak_from_this()](SteadyTime) {
+    if (const auto self = weak.lock()) {
+      self->m_is_plan_due = false;
+      self->PlanNow();
+    }
+  });
 }
 
-void Leadership::Pump() {
-  Records records;
+void Leadership::PlanNow() {
+  m_last_plan = Now();
   std::vector<RunStarted> starts;
   m_log.Read([&](const Ledger& ledger) {
     FollowWorkers(ledger);
-    FollowRuns(ledger);
+    FollowJobs(ledger);
+    Plan(ledger, starts);
+  });
+  CommitStarts(starts);
+}
+
+void Leadership::Tick() {
+  Records records;
+  m_log.Read([&](const Ledger& ledger) {
+    FollowWorkers(ledger);
+    FollowJobs(ledger);
+    if (Now() >= m_next_follow) {
+      m_next_follow = Now() + kFollowPeriod;
+      FollowRuns(ledger);
+    }
     WantStops(ledger);
     StopStalled(ledger);
     Lapse(ledger, records);
     DropSilent(ledger, records);
     StepWaves(ledger, records);
+    StepMoves(ledger, records);
     ForgetJobs(ledger, records);
     SendOrders(ledger);
     SendHolds(ledger);
-    Plan(ledger, starts);
   });
   if (!records.empty()) {
-    Commit(std::move(records), [this](CommitOutcome) { PumpSoon(); });
+    Commit(std::move(records), [this](CommitOutcome) { PlanSoon(); });
   }
-  CommitStarts(starts);
+  PlanSoon();
 }
 
 void Leadership::Announced(const std::string& worker) {
   const auto link = m_links.find(worker);
   if (link != m_links.end()) {
     link->second.last_announced = Now();
-  } else {
-    PumpSoon();
   }
 }
 
@@ -142,8 +200,16 @@
       }
     }
   }
+}
+
+void Leadership::FollowJobs(const Ledger& ledger) {
   for (const std::string& id : ledger.open_jobs()) {
-    m_seen_at.try_emplace(id, Now());
+    const bool is_new = m_seen_at.try_emplace(id, Now()).second;
+    // What an earlier leader took in arrived over a longer time.
+    if (is_new && Now() - m_begun_at > kTakenOver) {
+      const Job& job = *ledger.FindJob(id);
+      m_demand.Arrived(ledger.ServiceOf(job), m_planner.WorkOf(job), Now());
+    }
   }
 }
 
@@ -152,7 +218,11 @@
     if (track.is_stop_wanted) {
       continue;
     }
-    const Job& job = *ledger.FindJob(key.task.job);
+    const Job* found = ledger.FindJob(key.task.job);
+    if (found == nullptr) {
+      continue;
+    }
+    const Job& job = *found;
     const size_t index = job.IndexOf(key.task);
     const Worker* worker = ledger.FindWorker(track.worker);
     const bool is_needless = job.is_over() || job.tasks[index].is_done;
@@ -176,8 +246,11 @@
     if (track.is_stop_wanted || !track.is_listed || track.percent >= 100) {
       continue;
     }
-    const Job& job = *ledger.FindJob(key.task.job);
-    const scheduling::StepSpec& step = job.StepOf(job.IndexOf(key.task));
+    const Job* job = ledger.FindJob(key.task.job);
+    if (job == nullptr) {
+      continue;
+    }
+    const scheduling::StepSpec& step = job->spec.steps[key.task.step];
     const auto link = m_links.find(track.worker);
     const bool is_seen = link != m_links.end() &&
                          link->second.last_contact - track.percent_since >=
@@ -296,14 +369,15 @@
       return;
     }
     m_log.Read([&](const Ledger& ledger) {
-      FollowRuns(ledger);
       for (const RunStarted& start : starts) {
-        const RunKey key{start.task, start.run};
-        const auto track = m_runs.find(key);
-        if (track != m_runs.end() && track->second.worker == start.worker) {
-          track->second.begun_at = Now();
-          SendStart(ledger, key, track->second);
+        if (!IsActive(ledger, start)) {
+          continue;  // It did not fit any more when it was applied.
         }
+        const RunKey key{start.task, start.run};
+        RunTrack& track = m_runs[key];
+        track.worker = start.worker;
+        track.begun_at = Now();
+        SendStart(ledger, key, track);
       }
     });
   });
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "laurelhall/dispatch/dispatcher.h"
+#include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/planner.h"
+#include "laurelhall/scheduling/pools.h"
 #include "laurelhall/scheduling/worker_clock.h"
 #include "pacing_p.h"
 
@@ -58,6 +60,7 @@
   bool is_lapse_under_way = false;
   bool is_lapsed = false;
   bool is_gone_under_way = false;
+  bool is_first_look = true;  ///< Nothing was planned on it yet.
   bool is_hold_under_way = false;
   SteadyTime next_hold{};
   SteadyTime last_contact{};
@@ -80,6 +83,24 @@
   SteadyTime down_since{};    ///< Zero: not ordered yet.
 };
 
+/// A host as this leader believes it to be.
+struct HostState {
+  std::string pool;
+  bool is_up = false;
+  double cores = 0;
+  SteadyTime since{};  ///< In its pool.
+};
+
+/// A host on its way to another pool.
+struct MoveTrack {
+  std::string to;
+  SteadyTime chosen_at{};
+  SteadyTime next_try{};
+  SteadyTime ordered_at{};  ///< Zero: being emptied.
+  bool is_act_under_way = false;
+  std::string worker_before;
+};
+
 /// The scheduling of one term of one leader.
 ///
 /// @remarks On the dispatcher's one thread only. Ended by dropping it: what
@@ -91,11 +112,11 @@
              uint64_t term,
              DispatchCounters& counters);
 
-  /// Does all that is due.
-  void Pump();
+  /// Looks for all that is due; to be called at each tick.
+  void Tick();
 
-  /// Lets Pump() run soon; calls that come together share one.
-  void PumpSoon();
+  /// Lets starts be planned soon; calls that come together share one plan.
+  void PlanSoon();
 
   /// A worker announced itself.
   void Announced(const std::string& worker);
@@ -113,6 +134,9 @@
   // leadership.cc: workers and runs.
   void FollowWorkers(const Ledger& ledger);
   void FollowRuns(const Ledger& ledger);
+  void FollowJobs(const Ledger& ledger);
+  void PlanNow();
+  void Flush();
   void WantStops(const Ledger& ledger);
   void StopStalled(const Ledger& ledger);
   void Lapse(const Ledger& ledger, Records& records);
@@ -160,6 +184,7 @@
 
   // waves.cc: maintenance.
   void StepWaves(const Ledger& ledger, Records& records);
+  size_t HostsAtOnce(const scheduling::WaveState& wave) const;
   void ChooseHosts(const Ledger& ledger, const scheduling::WaveState& wave);
   void StepHost(const Ledger& ledger,
                 const scheduling::WaveState& wave,
@@ -171,10 +196,24 @@
                     const std::string& host,
                     HostActOutcome outcome);
   bool MayTakeAway(const Ledger& ledger, const scheduling::TaskId& task) const;
+
+  // moves.cc: hosts between pools.
+  void StepMoves(const Ledger& ledger, Records& records);
+  void FollowHosts(const Ledger& ledger);
+  void ListHosts(const std::string& page);
+  void OnListed(const HostPage& page);
+  void ChooseMoves(const Ledger& ledger);
+  std::map<std::string, double> NeededCores(const Ledger& ledger) const;
+  void StepMove(const Ledger& ledger,
+                const std::string& host,
+                MoveTrack& track);
+  void OnMoved(const std::string& host, HostActOutcome outcome);
+  bool IsSpare(const Ledger& ledger, const std::string& pool) const;
+
   const scheduling::Worker* WorkerOn(const Ledger& ledger,
                                      const std::string& host) const;
   bool IsEvacuated(const std::string& host) const {
-    return m_hosts.contains(host);
+    return m_hosts.contains(host) || m_moves.contains(host);
   }
 
   DispatcherInit m_init;
@@ -188,8 +227,21 @@
   std::map<std::string, SteadyTime> m_seen_at;  // By open job.
   std::map<std::string, SteadyTime> m_over_at;  // By ended job.
   std::map<std::string, HostTrack> m_hosts;     // Under maintenance.
+  std::map<std::string, MoveTrack> m_moves;     // By host.
+  std::map<std::string, HostState> m_inventory;  // By host.
+  std::set<std::pair<std::string, std::string>> m_refused_moves;
+  scheduling::DemandMeter m_demand;
+  SteadyTime m_next_learn{};
+  SteadyTime m_next_choice{};
+  SteadyTime m_next_list{};
+  bool m_is_listing = false;
   SteadyTime m_next_forget{};
-  bool m_is_pump_due = false;
+  SteadyTime m_next_follow{};
+  SteadyTime m_last_plan{};
+  bool m_is_plan_due = false;
+  bool m_is_flush_due = false;
+  Records m_batch;  // Waits for others to be committed with.
+  std::vector<std::function<void(scheduling::CommitOutcome)>> m_batch_done;
 };
 
 }  // namespace laurelhall::dispatch
--- /dev/null
+++ b/packages/dispatch/src/moves.cc
@@ -0,0 +1,289 @@
+#include <algorithm>
+
+#include "laurelhall/base/decision_log.h"
+#include "leadership_p.h"
+
+namespace laurelhall::dispatch {
+
+using scheduling::Job;
+using scheduling::PoolHost;
+using scheduling::PoolMove;
+using scheduling::PoolNeed;
+using scheduling::TaskId;
+using scheduling::Worker;
+
+namespace {
+
+constexpr Millis kChoicePeriod{150};
+constexpr Millis kLearnPeriod{1'000};
+// Hosts that are off announce nothing: their list is read again now and then.
+constexpr Millis kListPeriod{10'000};
+constexpr Millis kListRetry{1'000};
+constexpr Millis kActRetry{200};
+// Starts that were under way when a host was chosen are committed by then.
+constexpr Millis kSettles{80};
+// Short work that has not ended by then keeps its host where it is.
+constexpr Millis kLongestEmptying{2'500};
+// A host that was moved and did not announce itself for so long is lost.
+constexpr Millis kLostOnTheWay{6'000};
+// How far ahead a host that is chosen now will serve: its emptying, its move
+// and its first look.
+constexpr Millis kSoonest{1'600};
+constexpr Millis kLatest{2'600};
+// Waiting work that can be on time is to be served within about the time that
+// an objective leaves beside the work itself; the rest when there is room.
+constexpr double kClearMillis = 1'200;
+constexpr double kClearHopelessMillis = 8'000;
+
+}  // namespace
+
+bool Leadership::IsSpare(const Ledger& ledger, const std::string& pool) const {
+  for (const auto& service : ledger.configuration().services) {
+    if (service.name == pool) {
+      return service.is_spare;
+    }
+  }
+  return false;
+}
+
+void Leadership::StepMoves(const Ledger& ledger, Records& records) {
+  const SteadyTime now = Now();
+  if (now >= m_next_learn) {
+    m_next_learn = now + kLearnPeriod;
+    m_demand.Learn(now);
+  }
+  if (!m_is_listing && now >= m_next_list) {
+    m_is_listing = true;
+    ListHosts("");
+  }
+  FollowHosts(ledger);
+  for (auto& [host, track] : m_moves) {
+    StepMove(ledger, host, track);
+  }
+  std::erase_if(m_moves, [&](const auto& entry) {
+    const MoveTrack& track = entry.second;
+    const bool is_ordered = track.ordered_at != SteadyTime();
+    const HostState& state = m_inventory[entry.first];
+    if (!is_ordered) {
+      return !track.is_act_under_way &&
+             now - track.chosen_at > kLongestEmptying;
+    }
+    const Worker* worker = WorkerOn(ledger, entry.first);
+    const bool is_back =
+        worker != nullptr && worker->info.id != track.worker_before;
+    return is_back || IsSpare(ledger, state.pool) ||
+           now - track.ordered_at > kLostOnTheWay;
+  });
+  if (now >= m_next_choice && !m_inventory.empty()) {
+    m_next_choice = now + kChoicePeriod;
+    ChooseMoves(ledger);
+  }
+  // The life that a move ended: its host's next one is on its way.
+  for (auto& [host, track] : m_moves) {
+    const bool has_ended = track.ordered_at != SteadyTime() &&
+                           ledger.FindWorker(track.worker_before) != nullptr;
+    if (has_ended && !m_links.at(track.worker_before).is_gone_under_way) {
+      m_links.at(track.worker_before).is_gone_under_way = true;
+      records.emplace_back(scheduling::WorkerGone{track.worker_before});
+    }
+  }
+}
+
+void Leadership::ListHosts(const std::string& page) {
+  m_init.hosts->List(page, [weak = weak_from_this()](const HostPage& listed) {
+    if (const auto self = weak.lock()) {
+      self->OnListed(listed);
+    }
+  });
+}
+
+void Leadership::OnListed(const HostPage& page) {
+  const SteadyTime now = Now();
+  for (const HostInfo& info : page.hosts) {
+    const bool is_new = !m_inventory.contains(info.host);
+    HostState& state = m_inventory[info.host];
+    if (m_moves.contains(info.host)) {
+      continue;  // What this leader ordered is newer.
+    }
+    if (is_new || state.pool != info.pool) {
+      state.since = is_new ? SteadyTime() : now;
+    }
+    state.pool = info.pool;
+    state.is_up = info.is_up;
+    state.cores = static_cast<double>(info.capacity.millicores) / 1000;
+  }
+  if (page.is_ok && !page.next.empty()) {
+    ListHosts(page.next);
+    return;
+  }
+  m_is_listing = false;
+  m_next_list = now + (page.is_ok ? kListPeriod : kListRetry);
+}
+
+// What workers say of their hosts is newer than any list.
+void Leadership::FollowHosts(const Ledger& ledger) {
+  for (const auto& [id, worker] : ledger.workers()) {
+    if (worker.info.host.empty()) {
+      continue;
+    }
+    const auto move = m_moves.find(worker.info.host);
+    if (move != m_moves.end() && move->second.worker_before == id) {
+      continue;
+    }
+    HostState& state = m_inventory[worker.info.host];
+    if (state.pool != worker.info.service) {
+      state.pool = worker.info.service;
+      state.since = Now();
+    }
+    state.is_up = true;
+    state.cores = static_cast<double>(worker.info.capacity.millicores) / 1000;
+  }
+}
+
+std::map<std::string, double> Leadership::NeededCores(
+    const Ledger& ledger) const {
+  const SteadyTime now = Now();
+  std::map<std::string, double> needed;
+  for (const std::string& id : ledger.open_jobs()) {
+    const Job& job = *ledger.FindJob(id);
+    if (job.is_over() || job.spec.is_timed) {
+      continue;
+    }
+    const auto seen = m_seen_at.find(id);
+    const auto waiting = m_planner.Waiting(
+        ledger, job, seen == m_seen_at.end() ? now : seen->second, now);
+    needed[ledger.ServiceOf(job)] +=
+        waiting.core_millis /
+        (waiting.is_hopeless ? kClearHopelessMillis : kClearMillis);
+  }
+  for (const auto& [id, worker] : ledger.workers()) {
+    needed[worker.info.service] +=
+        static_cast<double>(worker.persistent_millicores) / 1000;
+  }
+  for (const auto& service : ledger.configuration().services) {
+    double rate = m_demand.Rate(service.name, now);
+    for (const Millis ahead : {kSoonest, kLatest}) {
+      rate = std::max(
+          rate, m_demand.Expected(service.name, now, ahead).value_or(0));
+    }
+    needed[service.name] += rate;
+  }
+  return needed;
+}
+
+void Leadership::ChooseMoves(const Ledger& ledger) {
+  const std::map<std::string, double> needed = NeededCores(ledger);
+  std::vector<PoolNeed> pools;
+  for (const auto& service : ledger.configuration().services) {
+    const auto found = needed.find(service.name);
+    pools.push_back({service.name, service.is_spare,
+                     found == needed.end() ? 0 : found->second});
+  }
+  std::vector<PoolHost> hosts;
+  for (const auto& [host, state] : m_inventory) {
+    const auto move = m_moves.find(host);
+    const Worker* worker = WorkerOn(ledger, host);
+    const bool is_off = IsSpare(ledger, state.pool);
+    PoolHost& out = hosts.emplace_back();
+    out.host = host;
+    out.service = move == m_moves.end() ? state.pool : move->second.to;
+    out.cores = state.cores;
+    out.since = state.since;
+    if (worker != nullptr) {
+      out.busy_cores = static_cast<double>(worker->used.millicores -
+                                           worker->persistent_millicores) /
+                       1000;
+    }
+    const bool is_idle_worker =
+        worker != nullptr && IsUsable(*worker, m_links.at(worker->info.id)) &&
+        worker->persistent_runs == 0;
+    out.is_movable = state.is_up && !IsEvacuated(host) &&
+                     (is_off || is_idle_worker);
+    if (!state.is_up || (worker == nullptr && !is_off && move == m_moves.end())) {
+      out.cores = 0;  // Serves nobody where it is.
+    }
+  }
+  const SteadyTime now = Now();
+  scheduling::PoolWeights weights;
+  weights.may_park = m_demand.period() > Millis(0);
+  for (const PoolMove& move :
+       PlanMoves(pools, std::move(hosts), weights, now)) {
+    const std::string& from = m_inventory[move.host].pool;
+    if (m_refused_moves.contains({move.host, move.to})) {
+      continue;
+    }
+    MoveTrack& track = m_moves[move.host];
+    track.to = move.to;
+    track.chosen_at = now;
+    const auto of = [&](const std::string& service) {
+      const auto found = needed.find(service);
+      return found == needed.end() ? int64_t{0}
+                                   : static_cast<int64_t>(found->second);
+    };
+    DecisionLog::Get().Write(DecisionLine("pools", "move")
+                                 .With("host", move.host)
+                                 .With("from", from)
+                                 .With("to", move.to)
+                                 .With("needed_from", of(from))
+                                 .With("needed_to", of(move.to))
+                                 .With("period_ms", m_demand.period()));
+  }
+}
+
+void Leadership::StepMove(const Ledger& ledger,
+                          const std::string& host,
+                          MoveTrack& track) {
+  const SteadyTime now = Now();
+  if (track.ordered_at != SteadyTime() || track.is_act_under_way ||
+      now < track.next_try || now - track.chosen_at < kSettles) {
+    return;
+  }
+  const Worker* worker = WorkerOn(ledger, host);
+  if (worker != nullptr && !worker->active.empty()) {
+    return;
+  }
+  track.worker_before = worker == nullptr ? "" : worker->info.id;
+  track.is_act_under_way = true;
+  HostAct act;
+  act.host = host;
+  act.pool = track.to;
+  act.holder = m_init.name;
+  act.fence = m_term;
+  m_init.hosts->Move(std::move(act), [weak = weak_from_this(),
+                                      host](HostActOutcome outcome) {
+    if (const auto self = weak.lock()) {
+      self->OnMoved(host, outcome);
+    }
+  });
+}
+
+void Leadership::OnMoved(const std::string& host, HostActOutcome outcome) {
+  const auto found = m_moves.find(host);
+  if (found == m_moves.end()) {
+    return;
+  }
+  MoveTrack& track = found->second;
+  track.is_act_under_way = false;
+  track.next_try = Now() + kActRetry;
+  DecisionLog::Get().Write(DecisionLine("pools", "moved")
+                               .With("host", host)
+                               .With("to", track.to)
+                               .With("fence", m_term)
+                               .With("outcome", static_cast<int>(outcome)));
+  if (outcome == HostActOutcome::kDone) {
+    track.ordered_at = Now();
+    HostState& state = m_inventory[host];
+    state.pool = track.to;
+    state.since = Now();
+    PlanSoon();
+  } else if (outcome == HostActOutcome::kRefused) {
+    m_refused_moves.insert({host, track.to});
+    m_moves.erase(found);
+  } else if (outcome == HostActOutcome::kBusy) {
+    m_inventory[host].is_up = false;  // Until it or the list says otherwise.
+    m_next_list = std::min(m_next_list, Now() + kListRetry);
+    m_moves.erase(found);
+  }
+}
+
+}  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -151,14 +151,19 @@
   if (track.may_be_on_its_way) {
     track.start = StartStage::kBarring;
     track.is_stop_wanted = true;
-    PumpSoon();
+    SendStop(key, track);
     return;
   }
   track.start = StartStage::kSettled;
   Commit({scheduling::RunEnded{key.task, key.run, track.worker,
                                RunEnd::kLapsed,
                                {}}},
-         [this](CommitOutcome) { PumpSoon(); });
+         [this, key](CommitOutcome outcome) {
+           if (outcome == CommitOutcome::kCommitted) {
+             m_runs.erase(key);
+           }
+           PlanSoon();
+         });
 }
 
 // --- Stops ------------------------------------------------------------------
@@ -281,7 +286,6 @@
   }
   link.next_hold = Now() + kHoldGap;
   TakeLists(worker, asked_at, reply);
-  PumpSoon();
 }
 
 void Leadership::TakeLists(const std::string& worker,
@@ -289,7 +293,10 @@
                            const HoldReply& reply) {
   Records records;
   m_log.Read([&](const Ledger& ledger) {
-    FollowRuns(ledger);
+    FollowWorkers(ledger);
+    if (!m_links.contains(worker)) {
+      return;  // Its life has ended meanwhile.
+    }
     TakeEnds(ledger, worker, reply, records);
     TakeRunning(ledger, worker, reply);
     FindMissing(ledger, worker, asked_at, reply, records);
@@ -313,6 +320,9 @@
       }
     }
   });
+  if (!m_links.contains(worker)) {
+    return;
+  }
   uint64_t seen = m_links.at(worker).ends_seen;
   for (const EndedRun& ended : reply.ended) {
     seen = std::max(seen, ended.number);
@@ -504,33 +514,54 @@
                             uint64_t seen,
                             Records records) {
   if (records.empty()) {
-    m_links.at(worker).ends_seen = seen;
+    WorkerLink& link = m_links.at(worker);
+    link.ends_seen = seen;
+    if (link.is_first_look) {
+      link.is_first_look = false;
+      PlanSoon();
+    }
     return;
   }
   WorkerLink& link = m_links.at(worker);
   link.is_hold_under_way = true;  // No look until then: it would tell the same.
-  Commit(std::move(records), [this, worker, seen](CommitOutcome outcome) {
+  std::vector<RunKey> ended;
+  for (const scheduling::Record& record : records) {
+    if (const auto* end = std::get_if<scheduling::RunEnded>(&record)) {
+      ended.push_back({end->task, end->run});
+    }
+  }
+  Commit(std::move(records), [this, worker, seen,
+                              ended = std::move(ended)](CommitOutcome outcome) {
     const auto found = m_links.find(worker);
+    if (outcome == CommitOutcome::kCommitted) {
+      for (const RunKey& key : ended) {
+        m_runs.erase(key);
+      }
+    }
     if (found != m_links.end()) {
-      found->second.is_hold_under_way = false;
+      WorkerLink& link = found->second;
+      link.is_hold_under_way = false;
+      link.is_first_look = false;
       if (outcome == CommitOutcome::kCommitted) {
-        found->second.ends_seen = std::max(found->second.ends_seen, seen);
+        link.ends_seen = std::max(link.ends_seen, seen);
+        SendHold(worker, link, kBusyWait);
       }
     }
-    Pump();
+    PlanSoon();
   });
 }
 
 void Leadership::EndLife(const std::string& worker, const char* why) {
-  WorkerLink& link = m_links.at(worker);
-  if (link.is_gone_under_way) {
+  const auto link = m_links.find(worker);
+  if (link == m_links.end() || link->second.is_gone_under_way) {
     return;
   }
-  link.is_gone_under_way = true;
+  link->second.is_gone_under_way = true;
   DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
                                .With("worker", worker)
                                .With("why", why));
-  Commit({scheduling::WorkerGone{worker}}, [this](CommitOutcome) { Pump(); });
+  Commit({scheduling::WorkerGone{worker}},
+         [this](CommitOutcome) { PlanSoon(); });
 }
 
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Millis kActRetry{300};
+constexpr Millis kSettles{80};
 // A host that did not come back for so many times the usual counts as back, or
 // one lost host would stop its wave for good.
 constexpr int kLostAfterTimes = 3;
@@ -22,6 +23,15 @@
 // Hosts being emptied beside those that are down, so that the next is ready
 // when one comes back.
 constexpr size_t kPreparedAhead = 1;
+// What a host is away for besides the maintenance itself: emptying before, an
+// announcement and a look after.
+constexpr Millis kAroundMaintenance{2'500};
+// A wave is planned to be done so long before its time.
+constexpr Millis kWaveReserve{4'000};
+// Of a run on a host, in shares of its pool's use.
+constexpr double kRunCost = 0.02;
+// A host that is off comes back without a word.
+constexpr double kOffReturns = 1.3;
 
 }  // namespace
 
@@ -56,12 +66,38 @@
   }
 }
 
-// Emptier hosts first: they are ready sooner and lose least.
+// As many at once as it takes to be done in time, with some to spare; fewer
+// hosts away leave more for callers.
+size_t Leadership::HostsAtOnce(const scheduling::WaveState& wave) const {
+  const auto elapsed = std::max(
+      Millis(0), std::chrono::duration_cast<Millis>(m_init.wall_now() -
+                                                    wave.opened.at));
+  const Millis left =
+      std::max(Millis(1), wave.opened.duration - elapsed - kWaveReserve);
+  int64_t hosts = 0;
+  for (const auto& [host, stage] : wave.hosts) {
+    hosts += stage == WaveStage::kDone ? 0 : 1;
+  }
+  const Millis each = m_init.bounds.maintenance + kAroundMaintenance;
+  const int64_t wanted = 1 + hosts * each.count() / left.count();
+  return static_cast<size_t>(
+      std::min<int64_t>(wanted, wave.opened.most_at_once));
+}
+
+// Hosts that are off first, then those of the pool that needs its hosts least,
+// and of one pool those that do least.
 void Leadership::ChooseHosts(const Ledger& ledger,
                              const scheduling::WaveState& wave) {
   const uint64_t number = wave.opened.wave;
+  const size_t at_once = HostsAtOnce(wave);
   size_t chosen = 0;
-  std::vector<std::pair<size_t, std::string>> waiting;
+  std::map<std::string, std::pair<double, double>> pools;  // Room, used.
+  for (const auto& [id, worker] : ledger.workers()) {
+    auto& [room, used] = pools[worker.info.service];
+    room += static_cast<double>(worker.info.capacity.millicores);
+    used += static_cast<double>(worker.used.millicores);
+  }
+  std::vector<std::pair<double, std::string>> waiting;
   for (const auto& [host, stage] : wave.hosts) {
     const auto track = m_hosts.find(host);
     if (track != m_hosts.end()) {
@@ -72,12 +108,20 @@
       ++chosen;
     } else if (stage == WaveStage::kWaiting) {
       const Worker* worker = WorkerOn(ledger, host);
-      waiting.emplace_back(worker == nullptr ? 0 : worker->active.size(), host);
+      double cost = -1;
+      if (worker != nullptr) {
+        const auto& [room, used] = pools[worker->info.service];
+        cost = used / std::max(1.0, room) +
+               kRunCost * static_cast<double>(worker->active.size());
+      }
+      if (!m_moves.contains(host)) {
+        waiting.emplace_back(cost, host);
+      }
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  for (const auto& [runs, host] : waiting) {
-    if (chosen >= wave.opened.most_at_once + kPreparedAhead) {
+  for (const auto& [cost, host] : waiting) {
+    if (chosen >= at_once + kPreparedAhead) {
       return;
     }
     m_hosts[host] = {number, Now(), false, Now(), {}, {}};
@@ -85,7 +129,10 @@
     DecisionLog::Get().Write(DecisionLine("wave", "host-chosen")
                                  .With("wave", number)
                                  .With("host", host)
-                                 .With("runs", static_cast<int64_t>(runs)));
+                                 .With("at_once",
+                                       static_cast<int64_t>(at_once))
+                                 .With("cost_percent",
+                                       static_cast<int64_t>(cost * 100)));
   }
 }
 
@@ -125,9 +172,14 @@
   if (track.down_since != SteadyTime()) {
     const bool is_back =
         worker != nullptr && worker->info.id != track.worker_before;
+    const auto away = now - track.down_since;
+    const bool is_off_again =
+        track.worker_before.empty() &&
+        away > std::chrono::duration_cast<Millis>(m_init.bounds.maintenance *
+                                                  kOffReturns);
     const bool is_lost =
-        now - track.down_since > kLostAfterTimes * m_init.bounds.maintenance;
-    if (is_back || is_lost) {
+        away > kLostAfterTimes * m_init.bounds.maintenance;
+    if (is_back || is_off_again || is_lost) {
       records.emplace_back(
           scheduling::WaveHostSet{wave.opened.wave, host, WaveStage::kDone});
     }
@@ -137,7 +189,7 @@
     return;
   }
   bool is_empty = true;
-  bool is_short_work_left = false;
+  bool is_persistent_left = false;
   if (worker != nullptr) {
     for (const TaskId& id : worker->active) {
       const Job& job = *ledger.FindJob(id.job);
@@ -149,15 +201,15 @@
             run->second.is_stop_wanted) {
           continue;
         }
-        if (!step.is_persistent) {
-          is_short_work_left = true;
-        } else if (MayTakeAway(ledger, id)) {
+        if (step.is_persistent && MayTakeAway(ledger, id)) {
           run->second.is_stop_wanted = true;
         }
+        is_persistent_left = is_persistent_left || step.is_persistent;
       }
     }
   }
-  const bool is_persistent_left = !is_empty && !is_short_work_left;
+  // Short work may be cut off in the end, persistent tasks never: each is
+  // stopped by itself, when enough of its step are at work.
   const bool may_cut =
       now - track.chosen_at > kLongestDrain && !is_persistent_left;
   size_t down = 0;
@@ -166,7 +218,10 @@
         state.down_since != SteadyTime() || state.is_act_under_way;
     down += state.wave == wave.opened.wave && is_down ? 1 : 0;
   }
-  if ((!is_empty && !may_cut) || down >= wave.opened.most_at_once) {
+  // Starts that were under way when it was chosen are committed by then.
+  const bool is_settled = now - track.chosen_at > kSettles;
+  if (!is_settled || (!is_empty && !may_cut) ||
+      down >= wave.opened.most_at_once) {
     return;
   }
   track.worker_before = worker == nullptr ? "" : worker->info.id;
@@ -218,10 +273,14 @@
   track.next_try = Now() + kActRetry;
   if (outcome == HostActOutcome::kDone) {
     track.down_since = Now();
+    // Its life has ended with the act.
+    if (m_links.contains(track.worker_before)) {
+      EndLife(track.worker_before, "its host is maintained");
+    }
   } else if (outcome == HostActOutcome::kRefused) {
     // No such host any more: nothing is left to maintain.
     Commit({scheduling::WaveHostSet{wave, host, WaveStage::kDone}},
-           [this](scheduling::CommitOutcome) { PumpSoon(); });
+           [this](scheduling::CommitOutcome) { PlanSoon(); });
   }
 }
 
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -59,6 +59,9 @@
   WorkerInfo info;
   Resources used;  ///< By active runs; filling tasks count no processors.
   std::set<TaskId> active;
+  uint32_t persistent_runs = 0;
+  /// Of `used`, what persistent tasks take.
+  int64_t persistent_millicores = 0;
 };
 
 /// A wave and how far each of its hosts is.
@@ -116,6 +119,8 @@
   void Run(const WaveOpened& record);
   void Run(const WaveHostSet& record);
 
+  static void Occupy(Worker& worker, const TaskId& task, const StepSpec& step);
+  static void Vacate(Worker& worker, const TaskId& task, const StepSpec& step);
   void EndRun(Job& job, size_t index, const RunEnded& record);
   void FinishTask(Job& job, size_t index);
   void CountFailure(Job& job, size_t index, const std::string& worker);
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -27,6 +27,12 @@
   const std::map<std::string, SteadyTime>& seen_at;
 };
 
+/// What an occurrence still asks for that does not run yet, short work alone.
+struct WaitingWork {
+  double core_millis = 0;
+  bool is_hopeless = false;  ///< Clearly too late to be on time.
+};
+
 /// Decides which tasks start where.
 ///
 /// @remarks Pure but for what it learns; not thread-safe. Remembers what it
@@ -40,6 +46,15 @@
   /// A planned start is applied, or will never be.
   void Settled(const RunStarted& start);
 
+  /// What a job still asks for; see WaitingWork.
+  WaitingWork Waiting(const Ledger& ledger,
+                      const Job& job,
+                      SteadyTime seen_at,
+                      SteadyTime now) const;
+
+  /// All the work of a job in core-milliseconds, persistent tasks left out.
+  double WorkOf(const Job& job) const;
+
   /// A task of a queue took this long from start to end.
   void Learn(const std::string& queue, Millis estimate, Millis taken);
 
@@ -57,8 +72,15 @@
                   uint32_t step,
                   std::vector<Candidate>& out) const;
   double RunTimeRatio(const std::string& queue) const;
+  SteadyTime DeadlineOf(const Ledger& ledger,
+                        const Job& job,
+                        SteadyTime seen_at) const;
+  bool IsHopeless(const Job& job,
+                  uint32_t occurrence,
+                  SteadyTime deadline,
+                  SteadyTime now) const;
 
-  std::set<TaskId> m_reserved;
+  std::map<TaskId, std::string> m_reserved;  // The worker it is planned for.
   std::map<std::string, Resources> m_reserved_room;  // By worker.
   std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
   std::map<std::string, double> m_ratio;  // Taken over estimated, by queue.
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -171,13 +171,32 @@
   task.is_hot = true;
   task.active.push_back({record.run, record.worker});
   ++job.active_runs;
-  worker->second.active.insert(record.task);
-  Add(worker->second.used, RoomOf(job.StepOf(index)));
+  Occupy(worker->second, record.task, job.StepOf(index));
   if (job.state == JobState::kQueued) {
     job.state = JobState::kRunning;
   }
 }
 
+void Ledger::Occupy(Worker& worker, const TaskId& task, const StepSpec& step) {
+  const Resources room = RoomOf(step);
+  worker.active.insert(task);
+  Add(worker.used, room);
+  if (step.is_persistent) {
+    ++worker.persistent_runs;
+    worker.persistent_millicores += room.millicores;
+  }
+}
+
+void Ledger::Vacate(Worker& worker, const TaskId& task, const StepSpec& step) {
+  const Resources room = RoomOf(step);
+  worker.active.erase(task);
+  Subtract(worker.used, room);
+  if (step.is_persistent) {
+    --worker.persistent_runs;
+    worker.persistent_millicores -= room.millicores;
+  }
+}
+
 void Ledger::Run(const RunEnded& record) {
   const auto found = m_jobs.find(record.task.job);
   if (found == m_jobs.end() || !found->second.Holds(record.task)) {
@@ -199,8 +218,7 @@
   --job.active_runs;
   const auto worker = m_workers.find(record.worker);
   if (worker != m_workers.end()) {
-    worker->second.active.erase(record.task);
-    Subtract(worker->second.used, RoomOf(job.StepOf(index)));
+    Vacate(worker->second, record.task, job.StepOf(index));
   }
   if (!record.checkpoint.empty()) {
     task.checkpoint = record.checkpoint;
@@ -406,9 +424,7 @@
     FollowOpen(job);
     for (size_t index = 0; index < job.tasks.size(); ++index) {
       for (const ActiveRun& run : job.tasks[index].active) {
-        Worker& worker = m_workers[run.worker];
-        worker.active.insert(job.IdOf(index));
-        Add(worker.used, RoomOf(job.StepOf(index)));
+        Occupy(m_workers[run.worker], job.IdOf(index), job.StepOf(index));
       }
     }
   }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -25,6 +25,7 @@
 constexpr double kFailedHere = 50;
 constexpr double kDoubtful = 20;
 constexpr double kSameStepHere = 0.5;
+constexpr double kGathers = 2;
 
 // In which order kinds of work are served.
 enum class Urgency { kPersistent, kOnTime, kHopeless, kCount };
@@ -34,6 +35,16 @@
                                     label) != worker.labels.end();
 }
 
+Millis Scaled(Millis time, double factor) {
+  return std::chrono::duration_cast<Millis>(time * factor);
+}
+
+// Of one task, with its processors in thousandths.
+double CoreMillis(const StepSpec& step) {
+  return static_cast<double>(RoomOf(step).millicores) / 1000 *
+         static_cast<double>(step.estimate.count());
+}
+
 double Share(int64_t part, int64_t whole) {
   return whole <= 0 ? 1.0
                     : static_cast<double>(part) / static_cast<double>(whole);
@@ -124,6 +135,7 @@
     const Worker* worker = nullptr;
     Resources room;
     bool is_doubtful = false;
+    // Of a gang under trial, not reserved yet.
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
@@ -159,6 +171,9 @@
       }
       if (starts.size() == candidate.tasks.size()) {
         places = std::move(trial);
+        for (Place& place : places) {
+          place.planned.clear();
+        }
         for (RunStarted& start : starts) {
           Reserve(start, step);
           out.push_back(std::move(start));
@@ -178,11 +193,30 @@
          ++task) {
       ++here;
     }
-    const auto planned =
-        place.planned.find({candidate.job, StepKey(candidate)});
+    for (auto planned = m_planner.m_reserved.lower_bound(first);
+         planned != m_planner.m_reserved.end() &&
+         planned->first.job == first.job &&
+         planned->first.occurrence == first.occurrence &&
+         planned->first.step == first.step;
+         ++planned) {
+      // One that is applied meanwhile counts as active already.
+      const bool is_here = planned->second == place.worker->info.id &&
+                           !place.worker->active.contains(planned->first);
+      here += is_here ? 1 : 0;
+    }
+    const auto planned = place.planned.find({candidate.job, StepKey(candidate)});
     return here + (planned == place.planned.end() ? 0 : planned->second);
   }
 
+  // Whether one more failure would fail the job: it is not risked on a worker
+  // that may be the cause.
+  bool IsLastAttempt(const Candidate& candidate, const Task& task) const {
+    const QueueSpec* queue =
+        m_input.ledger.FindQueueByName(candidate.job->queue);
+    return queue != nullptr && task.failures > 0 &&
+           task.failures + 1 >= queue->max_attempts;
+  }
+
   Place* Find(const Candidate& candidate,
               const StepSpec& step,
               uint32_t index,
@@ -194,6 +228,7 @@
     const bool waits_for_data =
         m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
     const Resources room = RoomOf(step);
+    const bool is_last_attempt = IsLastAttempt(candidate, task);
     Place* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (Place& place : places) {
@@ -203,6 +238,8 @@
       if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
           (is_far && waits_for_data) ||
+          (is_last_attempt && places.size() > 1 &&
+           (task.failed_on == info.id || place.is_doubtful)) ||
           place.worker->active.contains(id)) {
         continue;
       }
@@ -214,6 +251,10 @@
       cost += task.failed_on == info.id ? kFailedHere : 0;
       cost += place.is_doubtful ? kDoubtful : 0;
       cost += kSameStepHere * here;
+      // Persistent tasks gather on few hosts, so that the others can move.
+      const bool gathers =
+          step.is_persistent && place.worker->persistent_runs > 0;
+      cost -= gathers ? kGathers : 0;
       // The emptiest first: what runs beside others disturbs them.
       cost += 1 - Share(place.room.millicores, info.capacity.millicores);
       cost += 0.5 * (1 - Share(place.room.memory_mb, info.capacity.memory_mb));
@@ -235,9 +276,10 @@
                     index};
     RunStarted start{id, NextRun(candidate, step, id), place.worker->info.id};
     Subtract(place.room, RoomOf(step));
-    ++place.planned[{candidate.job, StepKey(candidate)}];
     if (is_reserved) {
       Reserve(start, step);
+    } else {
+      ++place.planned[{candidate.job, StepKey(candidate)}];
     }
     out.push_back(std::move(start));
   }
@@ -259,7 +301,7 @@
   }
 
   void Reserve(const RunStarted& start, const StepSpec& step) {
-    m_planner.m_reserved.insert(start.task);
+    m_planner.m_reserved[start.task] = start.worker;
     Add(m_planner.m_reserved_room[start.worker], RoomOf(step));
     m_planner.m_reserved_steps[{start.task, start.run}] = RoomOf(step);
   }
@@ -285,6 +327,55 @@
   ratio += kLearningRate * (seen - ratio);
 }
 
+SteadyTime Planner::DeadlineOf(const Ledger& ledger,
+                               const Job& job,
+                               SteadyTime seen_at) const {
+  const QueueSpec* queue = ledger.FindQueueByName(job.queue);
+  Millis chain{0};
+  for (const StepSpec& step : job.spec.steps) {
+    chain += step.estimate;
+  }
+  const double stretch = queue == nullptr ? 1 : queue->stretch;
+  const Millis target = queue == nullptr ? Millis(0) : queue->target_latency;
+  return seen_at + Scaled(chain, RunTimeRatio(job.queue) * stretch) + target;
+}
+
+bool Planner::IsHopeless(const Job& job,
+                         uint32_t occurrence,
+                         SteadyTime deadline,
+                         SteadyTime now) const {
+  const double factor = RunTimeRatio(job.queue) * kHopelessShare;
+  return now + Scaled(RemainingChain(job, occurrence), factor) > deadline;
+}
+
+double Planner::WorkOf(const Job& job) const {
+  double work = 0;
+  for (const StepSpec& step : job.spec.steps) {
+    if (!step.is_persistent) {
+      work += CoreMillis(step) * step.count;
+    }
+  }
+  return work * RunTimeRatio(job.queue);
+}
+
+WaitingWork Planner::Waiting(const Ledger& ledger,
+                             const Job& job,
+                             SteadyTime seen_at,
+                             SteadyTime now) const {
+  WaitingWork waiting;
+  for (size_t index = 0; index < job.tasks.size(); ++index) {
+    const StepSpec& step = job.StepOf(index);
+    const Task& task = job.tasks[index];
+    if (!task.is_done && task.active.empty() && !step.is_persistent) {
+      waiting.core_millis += CoreMillis(step);
+    }
+  }
+  waiting.core_millis *= RunTimeRatio(job.queue);
+  waiting.is_hopeless =
+      IsHopeless(job, 0, DeadlineOf(ledger, job, seen_at), now);
+  return waiting;
+}
+
 void Planner::GatherStep(const PlanInput& input,
                          const Job& job,
                          uint32_t occurrence,
@@ -312,26 +403,13 @@
   const auto seen = input.seen_at.find(job.id);
   const SteadyTime since = seen == input.seen_at.end() ? input.now : seen->second;
   const QueueSpec* queue = input.ledger.FindQueueByName(job.queue);
-  const double ratio = RunTimeRatio(job.queue);
-  const auto scaled = [](Millis time, double factor) {
-    return std::chrono::duration_cast<Millis>(time * factor);
-  };
   candidate.waits_since = since;
   candidate.priority = queue == nullptr ? 0 : queue->priority;
   candidate.is_begun = candidate.is_begun || job.state == JobState::kRunning;
-  const Millis chain =
-      scaled(RemainingChain(job, occurrence), ratio);
-  const double stretch = queue == nullptr ? 1 : queue->stretch;
-  const Millis target = queue == nullptr ? Millis(0) : queue->target_latency;
-  Millis whole{0};
-  for (const StepSpec& each : job.spec.steps) {
-    whole += each.estimate;
-  }
-  candidate.deadline =
-      since + scaled(scaled(whole, ratio), stretch) + target;
+  candidate.deadline = DeadlineOf(input.ledger, job, since);
   if (spec.is_persistent) {
     candidate.urgency = Urgency::kPersistent;
-  } else if (input.now + scaled(chain, kHopelessShare) > candidate.deadline) {
+  } else if (IsHopeless(job, occurrence, candidate.deadline, input.now)) {
     candidate.urgency = Urgency::kHopeless;
   }
   out.push_back(std::move(candidate));
@@ -341,7 +419,8 @@
   std::vector<Candidate> candidates;
   for (const std::string& id : input.ledger.open_jobs()) {
     const Job& job = *input.ledger.FindJob(id);
-    if (job.is_over()) {
+    // Most open jobs have all that is left of them running.
+    if (job.is_over() || job.tasks_left <= job.active_runs) {
       continue;
     }
     for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
--- /dev/null
+++ b/packages/scheduling/src/pools.cc
@@ -0,0 +1,149 @@
+#include "laurelhall/scheduling/pools.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace laurelhall::scheduling {
+
+namespace {
+
+// Of one round: what moves together is away together.
+constexpr size_t kMostMoves = 12;
+// A gain in how well the worst-off service is served below which a host is
+// not worth its move.
+constexpr double kLeastGain = 0.1;
+
+class MoveChoice {
+ public:
+  MoveChoice(const std::vector<PoolNeed>& pools,
+             std::vector<PoolHost>& hosts,
+             const PoolWeights& weights,
+             SteadyTime now)
+      : m_hosts(hosts), m_weights(weights), m_now(now) {
+    for (const PoolNeed& pool : pools) {
+      if (pool.is_spare) {
+        m_spare = pool.service;
+      } else {
+        m_needed[pool.service] = pool.needed_cores * weights.headroom;
+      }
+    }
+    for (const PoolHost& host : hosts) {
+      m_cores[host.service] += host.cores;
+      m_count[host.service] += host.cores > 0 ? 1 : 0;
+    }
+  }
+
+  std::vector<PoolMove> Choose() {
+    std::vector<PoolMove> moves;
+    while (moves.size() < kMostMoves && Feed(moves)) {
+    }
+    Park(moves);
+    return moves;
+  }
+
+ private:
+  // How well a service is served: cores for each core needed.
+  double Served(const std::string& service, double more = 0) const {
+    const double needed = m_needed.at(service);
+    const auto found = m_cores.find(service);
+    const double cores = (found == m_cores.end() ? 0 : found->second) + more;
+    return needed <= 0 ? std::numeric_limits<double>::max() : cores / needed;
+  }
+
+  // Moves one host to the worst served service.
+  bool Feed(std::vector<PoolMove>& moves) {
+    std::string worst;
+    for (const auto& [service, needed] : m_needed) {
+      if (needed > 0 && (worst.empty() || Served(service) < Served(worst))) {
+        worst = service;
+      }
+    }
+    if (worst.empty() || Served(worst) >= 1) {
+      return false;
+    }
+    PoolHost* best = nullptr;
+    for (PoolHost& host : m_hosts) {
+      if (MayGive(host, worst) && (best == nullptr || Cost(host) < Cost(*best))) {
+        best = &host;
+      }
+    }
+    if (best == nullptr) {
+      return false;
+    }
+    Move(*best, worst, moves);
+    return true;
+  }
+
+  bool MayGive(const PoolHost& host, const std::string& to) const {
+    if (!host.is_movable || host.service == to) {
+      return false;
+    }
+    if (host.service == m_spare) {
+      return true;
+    }
+    if (!m_needed.contains(host.service) ||
+        m_count.at(host.service) <= m_weights.least_hosts ||
+        m_now - host.since < m_weights.least_stay) {
+      return false;
+    }
+    const double left = Served(host.service, -host.cores);
+    return left >= 1 || left > Served(to, host.cores) + kLeastGain;
+  }
+
+  // Parked hosts first, then those of the best served service; of one service
+  // those that do least.
+  double Cost(const PoolHost& host) const {
+    if (host.service == m_spare) {
+      return -1;
+    }
+    const double served = std::min(Served(host.service), 100.0);
+    return host.busy_cores / std::max(1.0, host.cores) + 1 / (0.1 + served);
+  }
+
+  void Move(PoolHost& host, const std::string& to, std::vector<PoolMove>& moves) {
+    m_cores[host.service] -= host.cores;
+    m_cores[to] += host.cores;
+    --m_count[host.service];
+    ++m_count[to];
+    host.service = to;
+    host.is_movable = false;
+    moves.push_back({host.host, to});
+  }
+
+  void Park(std::vector<PoolMove>& moves) {
+    if (m_spare.empty() || !m_weights.may_park) {
+      return;
+    }
+    for (PoolHost& host : m_hosts) {
+      const bool is_needless =
+          host.is_movable && host.busy_cores <= 0 && host.service != m_spare &&
+          m_needed.contains(host.service) &&
+          m_count.at(host.service) > m_weights.least_hosts &&
+          m_now - host.since > m_weights.park_after &&
+          Served(host.service, -host.cores) >= 1;
+      if (is_needless && moves.size() < kMostMoves) {
+        Move(host, m_spare, moves);
+      }
+    }
+  }
+
+  std::vector<PoolHost>& m_hosts;
+  const PoolWeights& m_weights;
+  const SteadyTime m_now;
+  std::string m_spare;
+  std::map<std::string, double> m_needed;
+  std::map<std::string, double> m_cores;
+  std::map<std::string, uint32_t> m_count;  // Hosts.
+};
+
+}  // namespace
+
+std::vector<PoolMove> PlanMoves(const std::vector<PoolNeed>& pools,
+                                std::vector<PoolHost> hosts,
+                                const PoolWeights& weights,
+                                SteadyTime now) {
+  return MoveChoice(pools, hosts, weights, now).Choose();
+}
+
+}  // namespace laurelhall::scheduling
