--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -205,6 +205,10 @@
   void ListHosts(const std::string& page);
   void OnListed(const HostPage& page);
   void ChooseMoves(const Ledger& ledger);
+  Millis EmptiesIn(const Ledger& ledger,
+                   const scheduling::Worker& worker) const;
+  void ReportPool(const scheduling::PoolNeed& pool,
+                  const std::vector<scheduling::PoolHost>& hosts) const;
   std::map<std::string, double> NeededCores(const Ledger& ledger) const;
   void StepMove(const Ledger& ledger,
                 const std::string& host,
@@ -235,6 +239,7 @@
   scheduling::DemandMeter m_demand;
   SteadyTime m_next_learn{};
   SteadyTime m_next_choice{};
+  SteadyTime m_next_report{};
   SteadyTime m_next_list{};
   bool m_is_listing = false;
   SteadyTime m_next_forget{};
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -16,6 +16,9 @@
 
 constexpr Millis kChoicePeriod{150};
 constexpr Millis kLearnPeriod{1'000};
+// What a task that has outrun its estimate is taken to need still.
+constexpr Millis kLeastLeft{150};
+constexpr Millis kReportPeriod{1'000};
 // Hosts that are off announce nothing: their list is read again now and then.
 constexpr Millis kListPeriod{10'000};
 constexpr Millis kListRetry{1'000};
@@ -30,10 +33,12 @@
 // and its first look.
 constexpr Millis kSoonest{1'600};
 constexpr Millis kLatest{2'600};
-// Waiting work that can be on time is to be served within about the time that
-// an objective leaves beside the work itself; the rest when there is room.
-constexpr double kClearMillis = 1'200;
-constexpr double kClearHopelessMillis = 8'000;
+// Waiting work is to be under way within this share of the time that its job
+// has left, for the work itself takes the rest; what is too late anyway when
+// there is room.
+constexpr double kShareOfTimeLeft = 0.5;
+constexpr Millis kClearSoonest{400};
+constexpr Millis kClearHopeless{6'000};
 
 }  // namespace
 
@@ -152,13 +157,22 @@
     const auto seen = m_seen_at.find(id);
     const auto waiting = m_planner.Waiting(
         ledger, job, seen == m_seen_at.end() ? now : seen->second, now);
+    const Millis within =
+        waiting.is_hopeless
+            ? kClearHopeless
+            : std::max(kClearSoonest,
+                       std::chrono::duration_cast<Millis>(waiting.left *
+                                                          kShareOfTimeLeft));
     needed[ledger.ServiceOf(job)] +=
-        waiting.core_millis /
-        (waiting.is_hopeless ? kClearHopelessMillis : kClearMillis);
+        waiting.core_millis / static_cast<double>(within.count());
   }
+  std::map<std::string, double> pinned;
   for (const auto& [id, worker] : ledger.workers()) {
-    needed[worker.info.service] +=
+    const auto persistent =
         static_cast<double>(worker.persistent_millicores) / 1000;
+    pinned[worker.info.service] += persistent;
+    needed[worker.info.service] +=
+        static_cast<double>(worker.used.millicores) / 1000 - persistent;
   }
   for (const auto& service : ledger.configuration().services) {
     double rate = m_demand.Rate(service.name, now);
@@ -166,11 +180,56 @@
       rate = std::max(
           rate, m_demand.Expected(service.name, now, ahead).value_or(0));
     }
-    needed[service.name] += rate;
+    // Work that is here and work that keeps coming: the greater of the two,
+    // as what is here was counted when it came.
+    double& need = needed[service.name];
+    need = std::max(need, rate) + pinned[service.name];
   }
   return needed;
 }
 
+Millis Leadership::EmptiesIn(const Ledger& ledger,
+                             const Worker& worker) const {
+  Millis longest{0};
+  for (const TaskId& id : worker.active) {
+    const Job& job = *ledger.FindJob(id.job);
+    const Millis whole = m_planner.RunTimeOf(job, id.step);
+    Millis gone{0};
+    for (const auto& active : job.tasks[job.IndexOf(id)].active) {
+      const auto track = m_runs.find({id, active.run});
+      if (track != m_runs.end() && track->second.begun_at != SteadyTime()) {
+        gone = std::chrono::floor<Millis>(Now() - track->second.begun_at);
+      }
+    }
+    longest = std::max(longest, std::max(kLeastLeft, whole - gone));
+  }
+  return longest;
+}
+
+void Leadership::ReportPool(const PoolNeed& pool,
+                            const std::vector<PoolHost>& hosts) const {
+  double cores = 0;
+  double busy = 0;
+  int movable = 0;
+  for (const PoolHost& host : hosts) {
+    if (host.service == pool.service) {
+      cores += host.cores;
+      busy += host.busy_cores;
+      movable += host.is_movable ? 1 : 0;
+    }
+  }
+  DecisionLog::Get().Write(
+      DecisionLine("pools", "state")
+          .With("service", pool.service)
+          .With("needed_cores", static_cast<int64_t>(pool.needed_cores))
+          .With("cores", static_cast<int64_t>(cores))
+          .With("busy_cores", static_cast<int64_t>(busy))
+          .With("movable_hosts", movable)
+          .With("arriving_cores",
+                static_cast<int64_t>(m_demand.Rate(pool.service, Now())))
+          .With("period_ms", m_demand.period()));
+}
+
 void Leadership::ChooseMoves(const Ledger& ledger) {
   const std::map<std::string, double> needed = NeededCores(ledger);
   std::vector<PoolNeed> pools;
@@ -193,6 +252,7 @@
       out.busy_cores = static_cast<double>(worker->used.millicores -
                                            worker->persistent_millicores) /
                        1000;
+      out.empties_in = EmptiesIn(ledger, *worker);
     }
     const bool is_idle_worker =
         worker != nullptr && IsUsable(*worker, m_links.at(worker->info.id)) &&
@@ -204,6 +264,12 @@
     }
   }
   const SteadyTime now = Now();
+  if (now >= m_next_report) {
+    m_next_report = now + kReportPeriod;
+    for (const PoolNeed& pool : pools) {
+      ReportPool(pool, hosts);
+    }
+  }
   scheduling::PoolWeights weights;
   weights.may_park = m_demand.period() > Millis(0);
   for (const PoolMove& move :
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -14,6 +14,9 @@
 
 constexpr Millis kActRetry{300};
 constexpr Millis kSettles{80};
+// Longer than a busy worker's look takes at the most, far shorter than the time
+// after which a task counts as away.
+constexpr Millis kFreshList{1'800};
 // A host that did not come back for so many times the usual counts as back, or
 // one lost host would stop its wave for good.
 constexpr int kLostAfterTimes = 3;
@@ -153,8 +156,12 @@
     bool is_at_work = false;
     for (const auto& active : job.tasks[job.IndexOf(other)].active) {
       const auto track = m_runs.find({other, active.run});
-      is_at_work = track != m_runs.end() && track->second.is_listed &&
-                   track->second.percent >= 100 &&
+      const auto link = m_links.find(active.worker);
+      // What a silent worker listed last may be over long since.
+      const bool is_fresh = link != m_links.end() && !link->second.is_silent &&
+                            Now() - link->second.last_contact < kFreshList;
+      is_at_work = is_fresh && track != m_runs.end() &&
+                   track->second.is_listed && track->second.percent >= 100 &&
                    !track->second.is_stop_wanted;
     }
     away += is_at_work ? 0 : 1;
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -30,6 +30,7 @@
 /// What an occurrence still asks for that does not run yet, short work alone.
 struct WaitingWork {
   double core_millis = 0;
+  Millis left{0};            ///< Until it should be done.
   bool is_hopeless = false;  ///< Clearly too late to be on time.
 };
 
@@ -52,6 +53,9 @@
                       SteadyTime seen_at,
                       SteadyTime now) const;
 
+  /// How long a task of a job's step is expected to take.
+  Millis RunTimeOf(const Job& job, uint32_t step) const;
+
   /// All the work of a job in core-milliseconds, persistent tasks left out.
   double WorkOf(const Job& job) const;
 
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -21,6 +21,7 @@
   std::string service;  ///< Where it is, or is on its way to.
   double cores = 0;
   double busy_cores = 0;  ///< Of short work that runs there.
+  Millis empties_in{0};   ///< Until what runs there has ended.
   bool is_movable = false;  ///< Up, not pinned, and under no other act.
   SteadyTime since{};       ///< In this pool.
 };
@@ -35,6 +36,8 @@
   /// A host stays at least so long: a move takes this long twice over, there
   /// and back, in which it serves nobody.
   Millis least_stay{3'000};
+  /// A host that would be busy for longer is left to its work.
+  Millis longest_emptying{1'500};
   /// A host that nobody needs is parked after so long.
   Millis park_after{2'000};
   double headroom = 1.15;  ///< Cores kept for each core needed.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -371,11 +371,16 @@
     }
   }
   waiting.core_millis *= RunTimeRatio(job.queue);
-  waiting.is_hopeless =
-      IsHopeless(job, 0, DeadlineOf(ledger, job, seen_at), now);
+  const SteadyTime deadline = DeadlineOf(ledger, job, seen_at);
+  waiting.left = std::chrono::floor<Millis>(deadline - now);
+  waiting.is_hopeless = IsHopeless(job, 0, deadline, now);
   return waiting;
 }
 
+Millis Planner::RunTimeOf(const Job& job, uint32_t step) const {
+  return Scaled(job.spec.steps[step].estimate, RunTimeRatio(job.queue));
+}
+
 void Planner::GatherStep(const PlanInput& input,
                          const Job& job,
                          uint32_t occurrence,
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -76,7 +76,8 @@
   }
 
   bool MayGive(const PoolHost& host, const std::string& to) const {
-    if (!host.is_movable || host.service == to) {
+    if (!host.is_movable || host.service == to ||
+        host.empties_in > m_weights.longest_emptying) {
       return false;
     }
     if (host.service == m_spare) {
@@ -92,13 +93,14 @@
   }
 
   // Parked hosts first, then those of the best served service; of one service
-  // those that do least.
+  // those that are empty soonest.
   double Cost(const PoolHost& host) const {
     if (host.service == m_spare) {
       return -1;
     }
     const double served = std::min(Served(host.service), 100.0);
-    return host.busy_cores / std::max(1.0, host.cores) + 1 / (0.1 + served);
+    const double idle_seconds = std::chrono::duration<double>(host.empties_in).count();
+    return idle_seconds + 1 / (0.1 + served);
   }
 
   void Move(PoolHost& host, const std::string& to, std::vector<PoolMove>& moves) {
