--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -36,19 +36,6 @@
 // started again elsewhere.
 constexpr Millis kStalled{2'500};
 
-bool IsActive(const scheduling::Ledger& ledger, const RunStarted& start) {
-  const Job* job = ledger.FindJob(start.task.job);
-  if (job == nullptr) {
-    return false;
-  }
-  for (const auto& run : job->tasks[job->IndexOf(start.task)].active) {
-    if (run.run == start.run && run.worker == start.worker) {
-      return true;
-    }
-  }
-  return false;
-}
-
 }  // namespace
 
 Leadership::Leadership(const DispatcherInit& init,
@@ -135,7 +122,7 @@
     }
     WantStops(ledger);
     StopStalled(ledger);
-    Lapse(ledger, records);
+    Lapse(ledger);
     DropSilent(ledger, records);
     StepWaves(ledger, records);
     StepMoves(ledger, records);
@@ -270,30 +257,35 @@
   }
 }
 
-void Leadership::Lapse(const Ledger& ledger, Records& records) {
+void Leadership::Lapse(const Ledger& ledger) {
   const SteadyTime now = Now();
   for (auto& [id, link] : m_links) {
     const Worker* worker = ledger.FindWorker(id);
     const bool is_over = m_init.mutations.is_lease_ignored
                              ? link.is_silent
                              : link.clock.HasSurelyLapsed(now);
-    if (worker == nullptr || worker->active.empty() || !is_over) {
-      link.is_lapse_under_way = false;
-      continue;
-    }
-    if (link.is_lapse_under_way) {
+    if (worker == nullptr || worker->active.empty() || !is_over ||
+        link.is_lapse_under_way) {
       continue;
     }
+    // Until it is committed nothing is started there again, though the worker
+    // may answer by then: what would run would count as over.
     link.is_lapse_under_way = true;
     link.is_lapsed = true;
     ++m_counters.lapses;
-    records.emplace_back(scheduling::WorkerLapsed{id});
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "worker-lapsed")
             .With("worker", id)
             .With("silent_ms",
                   std::chrono::floor<Millis>(now - link.last_contact))
             .With("runs", static_cast<int64_t>(worker->active.size())));
+    Commit({scheduling::WorkerLapsed{id}}, [this, id = id](CommitOutcome) {
+      const auto found = m_links.find(id);
+      if (found != m_links.end()) {
+        found->second.is_lapse_under_way = false;
+      }
+      PlanSoon();
+    });
   }
 }
 
@@ -341,7 +333,8 @@
 
 bool Leadership::IsUsable(const Worker& worker, const WorkerLink& link) const {
   const SteadyTime now = Now();
-  return link.is_reached && !link.is_silent && !link.is_lapsed && link.clock.is_known() &&
+  return link.is_reached && !link.is_silent && !link.is_lapsed &&
+         !link.is_lapse_under_way && link.clock.is_known() &&
          !worker.info.is_draining && now >= link.suspect_until &&
          now - link.last_contact < kFreshContact &&
          !IsEvacuated(worker.info.host);
@@ -372,7 +365,7 @@
     }
     m_log.Read([&](const Ledger& ledger) {
       for (const RunStarted& start : starts) {
-        if (!IsActive(ledger, start)) {
+        if (!ledger.IsActive(start.task, start.run, start.worker)) {
           continue;  // It did not fit any more when it was applied.
         }
         const RunKey key{start.task, start.run};
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -141,7 +142,7 @@
   void Flush();
   void WantStops(const Ledger& ledger);
   void StopStalled(const Ledger& ledger);
-  void Lapse(const Ledger& ledger, Records& records);
+  void Lapse(const Ledger& ledger);
   void DropSilent(const Ledger& ledger, Records& records);
   void ForgetJobs(const Ledger& ledger, Records& records);
   void Plan(const Ledger& ledger, std::vector<scheduling::RunStarted>& starts);
@@ -205,6 +206,7 @@
   void ListHosts(const std::string& page);
   void OnListed(const HostPage& page);
   void ChooseMoves(const Ledger& ledger);
+  double HoldNeed(const std::string& service, double cores);
   Millis EmptiesIn(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
   void ReportPool(const scheduling::PoolNeed& pool,
@@ -237,6 +239,8 @@
   std::map<std::string, HostState> m_inventory;  // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
   scheduling::DemandMeter m_demand;
+  /// Falling peaks of need, by service, oldest first.
+  std::map<std::string, std::deque<std::pair<SteadyTime, double>>> m_peaks;
   SteadyTime m_next_learn{};
   SteadyTime m_next_choice{};
   SteadyTime m_next_report{};
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -19,6 +19,11 @@
 // What a task that has outrun its estimate is taken to need still.
 constexpr Millis kLeastLeft{150};
 constexpr Millis kReportPeriod{1'000};
+// Within a rush, arrivals pause for a second or two.
+constexpr Millis kHoldNeed{4'000};
+// Before some seconds of work have come, hosts stay: what is needed where is
+// not known yet.
+constexpr Millis kParkAfter{4'000};
 // Hosts that are off announce nothing: their list is read again now and then.
 constexpr Millis kListPeriod{10'000};
 constexpr Millis kListRetry{1'000};
@@ -206,6 +211,20 @@
   return longest;
 }
 
+// The greatest need of the last seconds.
+double Leadership::HoldNeed(const std::string& service, double cores) {
+  const SteadyTime now = Now();
+  auto& peaks = m_peaks[service];
+  while (!peaks.empty() && (peaks.back().second <= cores)) {
+    peaks.pop_back();
+  }
+  peaks.emplace_back(now, cores);
+  while (now - peaks.front().first > kHoldNeed) {
+    peaks.pop_front();
+  }
+  return peaks.front().second;
+}
+
 void Leadership::ReportPool(const PoolNeed& pool,
                             const std::vector<PoolHost>& hosts) const {
   double cores = 0;
@@ -235,8 +254,9 @@
   std::vector<PoolNeed> pools;
   for (const auto& service : ledger.configuration().services) {
     const auto found = needed.find(service.name);
-    pools.push_back({service.name, service.is_spare,
-                     found == needed.end() ? 0 : found->second});
+    const double cores = found == needed.end() ? 0 : found->second;
+    pools.push_back({service.name, service.is_spare, cores,
+                     HoldNeed(service.name, cores)});
   }
   std::vector<PoolHost> hosts;
   for (const auto& [host, state] : m_inventory) {
@@ -271,7 +291,7 @@
     }
   }
   scheduling::PoolWeights weights;
-  weights.may_park = m_demand.period() > Millis(0);
+  weights.may_park = m_demand.known_for(now) > kParkAfter;
   for (const PoolMove& move :
        PlanMoves(pools, std::move(hosts), weights, now)) {
     const std::string& from = m_inventory[move.host].pool;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -41,13 +41,6 @@
   return &(*job)->tasks[(*job)->IndexOf(id)];
 }
 
-bool IsActive(const Task& task, uint32_t run, const std::string& worker) {
-  return std::any_of(task.active.begin(), task.active.end(),
-                     [&](const scheduling::ActiveRun& active) {
-                       return active.run == run && active.worker == worker;
-                     });
-}
-
 }  // namespace
 
 void Leadership::SendOrders(const Ledger& ledger) {
@@ -70,9 +63,16 @@
 void Leadership::SendStart(const Ledger& ledger,
                            const RunKey& key,
                            RunTrack& track) {
+  // Its lease may have lapsed since: it may run elsewhere by now.
+  if (!ledger.IsActive(key.task, key.run, track.worker)) {
+    track.start = StartStage::kSettled;
+    track.settled_at = Now();
+    return;
+  }
   const auto link = m_links.find(track.worker);
   const Job* job = ledger.FindJob(key.task.job);
   if (link == m_links.end() || job == nullptr || link->second.is_silent ||
+      link->second.is_lapse_under_way ||
       !link->second.clock.is_known()) {
     track.start = StartStage::kRetry;
     track.next_try = Now() + kOrderRetry;
@@ -127,8 +127,10 @@
     case CallOutcome::kUnknown:
       ++m_counters.unknown_calls;
       track.may_be_on_its_way = true;
-      track.start = StartStage::kRetry;
-      track.next_try = Now() + kOrderRetry;
+      if (!track.is_stop_taken) {  // Else it is barred: what was sent is void.
+        track.start = StartStage::kRetry;
+        track.next_try = Now() + kOrderRetry;
+      }
       if (link != m_links.end()) {
         link->second.suspect_until = Now() + kSuspect;
       }
@@ -341,7 +343,12 @@
   for (const EndedRun& ended : reply.ended) {
     const Job* job = nullptr;
     const Task* task = FindTask(ledger, ended.task, &job);
-    if (task == nullptr || !IsActive(*task, ended.run, worker)) {
+    const bool is_late_success =
+        task != nullptr && ended.end == RunEnd::kDone && !task->is_done &&
+        task->last_run == ended.run;
+    if (task == nullptr ||
+        (!is_late_success &&
+         !ledger.IsActive(ended.task, ended.run, worker))) {
       continue;
     }
     const auto track = m_runs.find({ended.task, ended.run});
@@ -388,7 +395,8 @@
   for (const RunningRun& running : reply.running) {
     const Job* job = nullptr;
     const Task* task = FindTask(ledger, running.task, &job);
-    if (task == nullptr || !IsActive(*task, running.run, worker)) {
+    if (task == nullptr ||
+        !ledger.IsActive(running.task, running.run, worker)) {
       DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
                                    .With("task", FormatTaskId(running.task))
                                    .With("run", running.run)
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -66,6 +66,7 @@
   std::map<scheduling::TaskId, Run> m_runs;
   std::map<scheduling::TaskId, uint32_t> m_barred;  // Highest stopped or ended.
   std::vector<EndedRun> m_ended;
+  uint64_t m_lapsed_ends = 0;  // Ends up to here are older than a lapse.
 };
 
 /// Two control hosts over one committed ledger, workers, and a network that
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -94,6 +94,11 @@
   const Worker* FindWorker(const std::string& id) const;
   const QueueSpec* FindQueueByName(const std::string& name) const;
 
+  /// Whether a run was started on a worker and has not ended.
+  bool IsActive(const TaskId& task,
+                uint32_t run,
+                const std::string& worker) const;
+
   /// Whether a worker's life is known to have ended.
   bool IsGone(const std::string& worker) const;
 
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -13,6 +13,9 @@
   std::string service;
   bool is_spare = false;
   double needed_cores = 0;  ///< Now and until a move would be done.
+  /// The most it needed in the last seconds: no host is parked that was needed
+  /// a moment ago.
+  double held_cores = 0;
 };
 
 /// A host as the choice of moves sees it.
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -41,7 +41,8 @@
   std::string worker;
 };
 
-/// A run ended, as its worker said; has no effect when it is not active.
+/// A run ended, as its worker said; has no effect when it is not active, but
+/// for the end of one that was done before its lease lapsed.
 struct RunEnded {
   TaskId task;
   uint32_t run = 0;
--- a/packages/scheduling/src/demand.cc
+++ b/packages/scheduling/src/demand.cc
@@ -126,7 +126,9 @@
   }
   // The bin under way is not whole yet.
   const int64_t last = BinAt(now) - 1;
-  const int64_t longest = std::min(kLongestPeriod, last - kLeastOverlap);
+  // A third of what is known must bear it out: a few bins look alike anywhere.
+  const int64_t longest =
+      std::min({kLongestPeriod, last - kLeastOverlap, last * 2 / 3});
   double best = kAlike;
   m_period = Millis(0);
   for (int64_t lag = kShortestPeriod; lag <= longest; ++lag) {
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -92,6 +92,19 @@
   return nullptr;
 }
 
+bool Ledger::IsActive(const TaskId& task,
+                      uint32_t run,
+                      const std::string& worker) const {
+  const Job* job = FindJob(task.job);
+  if (job == nullptr || !job->Holds(task)) {
+    return false;
+  }
+  const auto& active = job->tasks[job->IndexOf(task)].active;
+  return std::any_of(active.begin(), active.end(), [&](const ActiveRun& each) {
+    return each.run == run && each.worker == worker;
+  });
+}
+
 bool Ledger::IsGone(const std::string& worker) const {
   return m_gone.contains(worker);
 }
@@ -212,6 +225,13 @@
         return active.run == record.run && active.worker == record.worker;
       });
   if (run == task.active.end()) {
+    // Its lease lapsed before its end was heard of, and nothing was started
+    // since: what is done need not be done again.
+    const bool is_last =
+        record.run == task.last_run && task.active.empty() && !task.is_done;
+    if (record.end == RunEnd::kDone && is_last) {
+      FinishTask(job, index);
+    }
     return;
   }
   task.active.erase(run);
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -135,6 +135,7 @@
     const Worker* worker = nullptr;
     Resources room;
     bool is_doubtful = false;
+    bool has_persistent = false;  // By this plan.
     // Of a gang under trial, not reserved yet.
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
@@ -253,7 +254,8 @@
       cost += kSameStepHere * here;
       // Persistent tasks gather on few hosts, so that the others can move.
       const bool gathers =
-          step.is_persistent && place.worker->persistent_runs > 0;
+          step.is_persistent &&
+          (place.worker->persistent_runs > 0 || place.has_persistent);
       cost -= gathers ? kGathers : 0;
       // The emptiest first: what runs beside others disturbs them.
       cost += 1 - Share(place.room.millicores, info.capacity.millicores);
@@ -276,6 +278,7 @@
                     index};
     RunStarted start{id, NextRun(candidate, step, id), place.worker->info.id};
     Subtract(place.room, RoomOf(step));
+    place.has_persistent = place.has_persistent || step.is_persistent;
     if (is_reserved) {
       Reserve(start, step);
     } else {
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -26,6 +26,8 @@
         m_spare = pool.service;
       } else {
         m_needed[pool.service] = pool.needed_cores * weights.headroom;
+        m_held[pool.service] =
+            std::max(pool.held_cores, pool.needed_cores) * weights.headroom;
       }
     }
     for (const PoolHost& host : hosts) {
@@ -123,7 +125,7 @@
           m_needed.contains(host.service) &&
           m_count.at(host.service) > m_weights.least_hosts &&
           m_now - host.since > m_weights.park_after &&
-          Served(host.service, -host.cores) >= 1;
+          m_cores.at(host.service) - host.cores >= m_held.at(host.service);
       if (is_needless && moves.size() < kMostMoves) {
         Move(host, m_spare, moves);
       }
@@ -135,6 +137,7 @@
   const SteadyTime m_now;
   std::string m_spare;
   std::map<std::string, double> m_needed;
+  std::map<std::string, double> m_held;
   std::map<std::string, double> m_cores;
   std::map<std::string, uint32_t> m_count;  // Hosts.
 };
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -90,6 +90,14 @@
   CHECK(job().active_runs == 1);
 }
 
+TEST_CASE_FIXTURE(LedgerFixture, "Ledger, done before its lease lapsed, is not done again") {
+  Accept({Step(1)});
+  Start(0, 0, 1, "w1");
+  ledger.Apply(WorkerLapsed{"w1"});
+  End(0, 0, 1, "w1", RunEnd::kDone);
+  CHECK(job().state == JobState::kSucceeded);
+}
+
 TEST_CASE_FIXTURE(LedgerFixture, "Ledger, same job handed in twice, first one stays") {
   Accept({Step(1)});
   Accept({Step(5)});
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -163,6 +163,24 @@
   CHECK(with == 2);
 }
 
+// Failed first: what the same plan had put there did not count.
+TEST_CASE_FIXTURE(PlannerFixture, "Planner, persistent tasks of one plan, gather too") {
+  for (const char* id : {"w1", "w2", "w3", "w4"}) {
+    AddWorker(id);
+  }
+  for (const char* id : {"a", "b"}) {
+    StepSpec step = Step(2);
+    step.is_persistent = true;
+    step.spread_limit = 1;
+    Accept(id, step);
+  }
+  std::set<std::string> used;
+  for (const RunStarted& start : Plan()) {
+    used.insert(start.worker);
+  }
+  CHECK(used.size() == 2);
+}
+
 TEST_CASE("WorkerClock, slow clock, lease counts as running until surely over") {
   const SteadyTime start{hours(1)};
   WorkerClock clock(Millis(6'000), start);
