--- a/packages/control/src/host_loop_p.h
+++ b/packages/control/src/host_loop_p.h
@@ -102,6 +102,9 @@
   void StepDown();
 
   std::string LeaderAddress() const;
+  bool IsLeadingIn(uint64_t term) const {
+    return IsLeading() && m_led_term == term;
+  }
   bool IsPeerAddress(const std::string& sender) const;
   PeerLinks& peers() { return m_peers; }
   const ControlHostInit& init() const { return m_parts.init; }
--- a/packages/control/src/schedule_log_p.h
+++ b/packages/control/src/schedule_log_p.h
@@ -19,12 +19,17 @@
               const state::Machine& machine)
       : m_mailbox(std::move(mailbox)), m_host(host), m_machine(machine) {}
 
-  void Commit(std::vector<scheduling::Record> records,
+  void Commit(uint64_t term,
+              std::vector<scheduling::Record> records,
               CommitDone done) override {
     state::ScheduleCommand command{
         scheduling::EncodeRecords(std::move(records))};
-    m_mailbox->Post([this, command = std::move(command),
+    m_mailbox->Post([this, term, command = std::move(command),
                      done = std::move(done)]() mutable {
+      if (!m_host.IsLeadingIn(term)) {
+        done(scheduling::CommitOutcome::kRefused);
+        return;
+      }
       const size_t bytes = command.records.size();
       std::vector<state::Command> commands;
       commands.emplace_back(std::move(command));
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -135,7 +135,7 @@
   void Commit(scheduling::Record record, const ReplyDone& done) {
     std::vector<scheduling::Record> records;
     records.push_back(std::move(record));
-    m_log->Commit(std::move(records), [weak = weak_from_this(),
+    m_log->Commit(m_leadership->term(), std::move(records), [weak = weak_from_this(),
                                        post = m_init.post,
                                        done](CommitOutcome outcome) {
       post([weak, done, outcome] {
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -70,7 +70,7 @@
 void Leadership::Flush() {
   auto waiting = std::make_shared<decltype(m_batch_done)>(
       std::exchange(m_batch_done, {}));
-  m_log.Commit(std::exchange(m_batch, {}),
+  m_log.Commit(m_term, std::exchange(m_batch, {}),
                [weak = weak_from_this(), post = m_init.post,
                 waiting](CommitOutcome outcome) {
                  post([weak, waiting, outcome] {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -206,6 +206,8 @@
   void ListHosts(const std::string& page);
   void OnListed(const HostPage& page);
   void ChooseMoves(const Ledger& ledger);
+  uint32_t HostsForPersistent(const Ledger& ledger,
+                              const std::string& service) const;
   double HoldNeed(const std::string& service, double cores);
   Millis EmptiesIn(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -21,6 +21,8 @@
 constexpr Millis kReportPeriod{1'000};
 // Within a rush, arrivals pause for a second or two.
 constexpr Millis kHoldNeed{4'000};
+// One is maintained and one has failed.
+constexpr uint32_t kHostsAway = 2;
 // Before some seconds of work have come, hosts stay: what is needed where is
 // not known yet.
 constexpr Millis kParkAfter{4'000};
@@ -211,6 +213,26 @@
   return longest;
 }
 
+// As many hosts as the persistent tasks that must stand apart need, and those
+// that may be away at the time.
+uint32_t Leadership::HostsForPersistent(const Ledger& ledger,
+                                        const std::string& service) const {
+  uint32_t most = 0;
+  for (const std::string& id : ledger.open_jobs()) {
+    const Job& job = *ledger.FindJob(id);
+    if (job.is_over() || ledger.ServiceOf(job) != service) {
+      continue;
+    }
+    for (const auto& step : job.spec.steps) {
+      if (step.is_persistent && step.spread_limit > 0) {
+        most = std::max(
+            most, (step.count + step.spread_limit - 1) / step.spread_limit);
+      }
+    }
+  }
+  return most == 0 ? 0 : most + kHostsAway;
+}
+
 // The greatest need of the last seconds.
 double Leadership::HoldNeed(const std::string& service, double cores) {
   const SteadyTime now = Now();
@@ -256,7 +278,8 @@
     const auto found = needed.find(service.name);
     const double cores = found == needed.end() ? 0 : found->second;
     pools.push_back({service.name, service.is_spare, cores,
-                     HoldNeed(service.name, cores)});
+                     HoldNeed(service.name, cores),
+                     HostsForPersistent(ledger, service.name)});
   }
   std::vector<PoolHost> hosts;
   for (const auto& [host, state] : m_inventory) {
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -139,11 +139,18 @@
  public:
   Log(World& world, HostView& host) : m_world(world), m_host(host) {}
 
-  void Commit(std::vector<scheduling::Record> records,
+  void Commit(uint64_t term,
+              std::vector<scheduling::Record> records,
               CommitDone done) override {
-    m_world.After(kSync, [this, records = std::move(records),
+    if (term != m_host.term) {
+      m_world.After(Millis(0), [done] {
+        done(scheduling::CommitOutcome::kRefused);
+      });
+      return;
+    }
+    m_world.After(kSync, [this, term, records = std::move(records),
                           done = std::move(done)] {
-      if (m_host.term != m_world.m_term) {
+      if (term != m_world.m_term) {
         done(scheduling::CommitOutcome::kUnknown);
         return;
       }
--- a/packages/scheduling/include/laurelhall/scheduling/log_service.h
+++ b/packages/scheduling/include/laurelhall/scheduling/log_service.h
@@ -28,8 +28,11 @@
 
   virtual ~ReplicatedLog() = default;
 
-  /// Commits records in one batch; only on the leader.
-  virtual void Commit(std::vector<Record> records, CommitDone done) = 0;
+  /// Commits records in one batch; only while this host leads in `term`, so
+  /// that nothing that was decided in an earlier one is committed in a later.
+  virtual void Commit(uint64_t term,
+                      std::vector<Record> records,
+                      CommitDone done) = 0;
 
   /// Asks whether this host still leads and the ledger here shows all that was
   /// committed before the call.
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -16,6 +16,7 @@
   /// The most it needed in the last seconds: no host is parked that was needed
   /// a moment ago.
   double held_cores = 0;
+  uint32_t least_hosts = 0;  ///< That its persistent tasks need, apart.
 };
 
 /// A host as the choice of moves sees it.
--- a/packages/scheduling/src/demand.cc
+++ b/packages/scheduling/src/demand.cc
@@ -30,6 +30,9 @@
 void DemandMeter::Arrived(const std::string& service,
                           double work,
                           SteadyTime now) {
+  if (work <= 0) {
+    return;  // Nothing but persistent tasks: they come and stay.
+  }
   if (!m_begun_at) {
     m_begun_at = now;
   }
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -26,6 +26,8 @@
         m_spare = pool.service;
       } else {
         m_needed[pool.service] = pool.needed_cores * weights.headroom;
+        m_least[pool.service] =
+            std::max(pool.least_hosts, weights.least_hosts);
         m_held[pool.service] =
             std::max(pool.held_cores, pool.needed_cores) * weights.headroom;
       }
@@ -45,9 +47,14 @@
   }
 
  private:
-  // How well a service is served: cores for each core needed.
+  // How well a service is served: cores for each core needed; not at all while
+  // it has fewer hosts than it must.
   double Served(const std::string& service, double more = 0) const {
     const double needed = m_needed.at(service);
+    const auto count = m_count.find(service);
+    if (count == m_count.end() || count->second < m_least.at(service)) {
+      return 0;
+    }
     const auto found = m_cores.find(service);
     const double cores = (found == m_cores.end() ? 0 : found->second) + more;
     return needed <= 0 ? std::numeric_limits<double>::max() : cores / needed;
@@ -57,7 +64,8 @@
   bool Feed(std::vector<PoolMove>& moves) {
     std::string worst;
     for (const auto& [service, needed] : m_needed) {
-      if (needed > 0 && (worst.empty() || Served(service) < Served(worst))) {
+      const bool is_short = needed > 0 || Served(service) <= 0;
+      if (is_short && (worst.empty() || Served(service) < Served(worst))) {
         worst = service;
       }
     }
@@ -86,7 +94,7 @@
       return true;
     }
     if (!m_needed.contains(host.service) ||
-        m_count.at(host.service) <= m_weights.least_hosts ||
+        m_count.at(host.service) <= m_least.at(host.service) ||
         m_now - host.since < m_weights.least_stay) {
       return false;
     }
@@ -123,7 +131,7 @@
       const bool is_needless =
           host.is_movable && host.busy_cores <= 0 && host.service != m_spare &&
           m_needed.contains(host.service) &&
-          m_count.at(host.service) > m_weights.least_hosts &&
+          m_count.at(host.service) > m_least.at(host.service) &&
           m_now - host.since > m_weights.park_after &&
           m_cores.at(host.service) - host.cores >= m_held.at(host.service);
       if (is_needless && moves.size() < kMostMoves) {
@@ -138,6 +146,7 @@
   std::string m_spare;
   std::map<std::string, double> m_needed;
   std::map<std::string, double> m_held;
+  std::map<std::string, uint32_t> m_least;
   std::map<std::string, double> m_cores;
   std::map<std::string, uint32_t> m_count;  // Hosts.
 };
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -300,6 +300,20 @@
   CHECK(Plan().empty());
 }
 
+// Failed first: a service was left with fewer hosts than its persistent tasks
+// must stand on.
+TEST_CASE_FIXTURE(PoolsFixture, "Moves, persistent tasks need more hosts, gets and keeps them") {
+  AddHosts("a", 3);
+  AddHosts("b", 9);
+  weights.may_park = false;
+  pools[0].least_hosts = 5;
+  CHECK(Plan().size() == 2);
+  pools[0].least_hosts = 0;
+  pools[0].needed_cores = 500;
+  pools[1].least_hosts = 8;
+  CHECK(Plan().size() == 1);
+}
+
 TEST_CASE_FIXTURE(PoolsFixture, "Moves, two services short alike, hosts stay") {
   AddHosts("a", 6);
   AddHosts("b", 6);
