Hosts park only with a known pattern of demand

Cause: parked by need of the moment, hosts were away when the next job came. Kept off until a pattern is known.

--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -23,9 +23,6 @@
 constexpr Millis kHoldNeed{4'000};
 // One is maintained and one has failed.
 constexpr uint32_t kHostsAway = 2;
-// Before some seconds of work have come, hosts stay: what is needed where is
-// not known yet.
-constexpr Millis kParkAfter{4'000};
 // Hosts that are off announce nothing: their list is read again now and then.
 constexpr Millis kListPeriod{10'000};
 constexpr Millis kListRetry{1'000};
@@ -314,7 +311,9 @@
     }
   }
   scheduling::PoolWeights weights;
-  weights.may_park = m_demand.known_for(now) > kParkAfter;
+  // Without a known pattern, what is idle now may be needed in a second, and
+  // comes back only after its move.
+  weights.may_park = m_demand.period() > Millis(0);
   for (const PoolMove& move :
        PlanMoves(pools, std::move(hosts), weights, now)) {
     const std::string& from = m_inventory[move.host].pool;
--- a/packages/scheduling/include/laurelhall/scheduling/demand.h
+++ b/packages/scheduling/include/laurelhall/scheduling/demand.h
@@ -31,12 +31,6 @@
   /// Looks for a pattern; to be called about once a second.
   void Learn(SteadyTime now);
 
-  /// How long work has been coming; zero before the first.
-  Millis known_for(SteadyTime now) const {
-    return m_begun_at ? std::chrono::floor<Millis>(now - *m_begun_at)
-                      : Millis(0);
-  }
-
   /// The pattern's length; zero while none is known.
   Millis period() const { return m_period; }
 
