--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -309,28 +309,27 @@
   }
   const std::string address = m_finder.current();
   auto shared = std::make_shared<Asked>(std::move(asked));
-  auto call = [this, address,
-               shared](proto::ControlHost::Client& client) -> kj::Promise<void> {
+  auto call = [this, address, shared](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.operateRequest();
     m_envelope.Fill(request.initEnvelope());
     request.setMethod("POST");
     request.setPath(kSchedulePath);
     request.setBody(shared->request);
-    const bool may_have_run_before =
-        std::exchange(shared->may_have_run, true);
-    return request.send().then([this, address, shared,
-                                may_have_run_before](auto&& response) {
-      const auto reply = response.getReply();
-      if (!reply.getIsLeader()) {
-        shared->may_have_run = may_have_run_before;
-        m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
-                             Now());
-        AskAgain(std::move(*shared));
-        return;
-      }
-      m_finder.Led(address);
-      shared->done(ToString(reply.getBody()), true);
-    });
+    const bool may_have_run_before = std::exchange(shared->may_have_run, true);
+    return request.send().then(
+        [this, address, shared, may_have_run_before](auto&& response) {
+          const auto reply = response.getReply();
+          if (!reply.getIsLeader()) {
+            shared->may_have_run = may_have_run_before;
+            m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
+                                 Now());
+            AskAgain(std::move(*shared));
+            return;
+          }
+          m_finder.Led(address);
+          shared->done(ToString(reply.getBody()), true);
+        });
   };
   const auto left = std::chrono::ceil<Millis>(shared->deadline - now);
   m_tasks.add(ChannelTo(address)
@@ -345,17 +344,15 @@
   const SteadyTime ready = std::max(m_finder.ready_at(), Now());
   const auto delay = std::chrono::ceil<Millis>(ready - Now());
   auto shared = std::make_shared<Asked>(std::move(asked));
-  m_tasks.add(
-      m_loop.timer.afterDelay(ToKj(delay)).then([this, shared] {
-        AskSchedule(std::move(*shared));
-      }));
+  m_tasks.add(m_loop.timer.afterDelay(ToKj(delay)).then([this, shared] {
+    AskSchedule(std::move(*shared));
+  }));
 }
 
 // The addresses of the start may all be replaced in time.
 void ClientLoop::LearnMembers() {
   const std::string address = m_finder.current();
-  auto call =
-      [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
+  auto call = [this](proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.operateRequest();
     m_envelope.Fill(request.initEnvelope());
     request.setMethod("GET");
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -53,10 +53,10 @@
   void AskSchedule(std::string request,
                    SteadyTime deadline,
                    ScheduleDone done) override {
-    m_thread.mailbox().Post([this, request = std::move(request), deadline,
-                             done = std::move(done)] {
-      m_loop->AskSchedule({request, deadline, done, false});
-    });
+    m_thread.mailbox().Post(
+        [this, request = std::move(request), deadline, done = std::move(done)] {
+          m_loop->AskSchedule({request, deadline, done, false});
+        });
   }
 
   void LearnControlHosts(std::vector<std::string> addresses) override {
--- a/packages/control/src/control_host.cc
+++ b/packages/control/src/control_host.cc
@@ -103,8 +103,8 @@
       listener = std::make_unique<RpcListener>(loop, *host, kj::mv(receiver));
       m_host = host.get();
       if (m_parts.init.schedule != nullptr) {
-        m_schedule_log = std::make_unique<ScheduleLog>(
-            loop.mailbox, *host, m_parts.machine);
+        m_schedule_log =
+            std::make_unique<ScheduleLog>(loop.mailbox, *host, m_parts.machine);
         m_parts.init.schedule->Attach(*m_schedule_log);
       }
       listening.set_value(address);
--- a/packages/control/src/host_join.cc
+++ b/packages/control/src/host_join.cc
@@ -81,22 +81,23 @@
 
 // The leader, which alone can let this host in, may be none of those known.
 void HostLoop::SayHelloTo(const std::string& address, bool follows_leader) {
-  auto call = [this, address, follows_leader](proto::ControlHost::Client& client) -> kj::Promise<void> {
+  auto call = [this, address, follows_leader](
+                  proto::ControlHost::Client& client) -> kj::Promise<void> {
     auto request = client.helloRequest();
     m_peers.envelope().Fill(request.initEnvelope());
     WriteHello(SelfHello(), request.initHello());
     const uint64_t epoch = m_bootstrap.epoch();
-    return request.send().then([this, epoch, address,
-                                follows_leader](auto&& response) {
-      const HostHello hello = ReadHello(response.getHello());
-      m_bootstrap.Answered(hello, epoch);
-      TryToJoin();
-      if (follows_leader && !hello.leader_address.empty() &&
-          hello.leader_address != address &&
-          hello.leader_address != m_address) {
-        SayHelloTo(hello.leader_address, false);
-      }
-    });
+    return request.send().then(
+        [this, epoch, address, follows_leader](auto&& response) {
+          const HostHello hello = ReadHello(response.getHello());
+          m_bootstrap.Answered(hello, epoch);
+          TryToJoin();
+          if (follows_leader && !hello.leader_address.empty() &&
+              hello.leader_address != address &&
+              hello.leader_address != m_address) {
+            SayHelloTo(hello.leader_address, false);
+          }
+        });
   };
   m_tasks.add(m_peers.ChannelTo(address)
                   .Run(kHelloTimeout, kj::mv(call))
--- a/packages/control/src/host_leader.cc
+++ b/packages/control/src/host_leader.cc
@@ -1,8 +1,8 @@
 #include <utility>
 
 #include "host_loop_p.h"
-#include "wire_p.h"
 #include "laurelhall/base/log.h"
+#include "wire_p.h"
 
 namespace laurelhall::control {
 
@@ -104,8 +104,8 @@
     return;
   }
   m_parts.init.schedule->Handle(
-      std::move(request), [mailbox = m_loop.mailbox,
-                           done = std::move(done)](std::string reply) {
+      std::move(request),
+      [mailbox = m_loop.mailbox, done = std::move(done)](std::string reply) {
         mailbox->Post([done, reply = std::move(reply)] {
           done(OperatorReply{200, reply});
         });
@@ -247,10 +247,9 @@
   if (is_addition == m_status.membership.members.contains(change.node)) {
     return is_addition ? "already a member" : "not a member";
   }
-  std::string refusal =
-      CheckPlacement(m_status.membership, change,
-                     SilentMembers(m_status, m_leads_since, Now()),
-                     m_parts.init.guards_zones);
+  std::string refusal = CheckPlacement(
+      m_status.membership, change,
+      SilentMembers(m_status, m_leads_since, Now()), m_parts.init.guards_zones);
   if (!refusal.empty()) {
     return refusal;
   }
--- a/packages/control/src/repair.cc
+++ b/packages/control/src/repair.cc
@@ -45,9 +45,8 @@
   void Propose(const MembershipChange& change,
                const Member& member,
                const std::string& text) {
-    const std::string refusal =
-        CheckPlacement(m_input.status.membership, change, m_silent,
-                       m_input.guards_zones);
+    const std::string refusal = CheckPlacement(
+        m_input.status.membership, change, m_silent, m_input.guards_zones);
     if (!refusal.empty()) {
       Note(member, text + " waits: " + refusal);
       return;
--- a/packages/control/src/repair_p.h
+++ b/packages/control/src/repair_p.h
@@ -23,7 +23,7 @@
   consensus::Status status;
   std::vector<WaitingHost> waiting;
   std::set<std::string> approved;  ///< Names that an operator let in.
-  bool admits_newcomers = false;  ///< Without an operator's word.
+  bool admits_newcomers = false;   ///< Without an operator's word.
   bool guards_zones = true;
   SteadyTime leads_since{};
   SteadyTime now{};
--- a/packages/control/src/schedule_log_p.h
+++ b/packages/control/src/schedule_log_p.h
@@ -33,16 +33,14 @@
       const size_t bytes = command.records.size();
       std::vector<state::Command> commands;
       commands.emplace_back(std::move(command));
-      m_host.Submit(std::move(commands), bytes,
-                    [done](const SubmitOutcome& outcome) {
-                      done(OutcomeOf(outcome));
-                    });
+      m_host.Submit(
+          std::move(commands), bytes,
+          [done](const SubmitOutcome& outcome) { done(OutcomeOf(outcome)); });
     });
   }
 
   void Confirm(ConfirmDone done) override {
-    m_mailbox->Post(
-        [this, done = std::move(done)] { m_host.Read(done); });
+    m_mailbox->Post([this, done = std::move(done)] { m_host.Read(done); });
   }
 
   void Read(const std::function<void(const scheduling::Ledger&)>& reader)
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -17,7 +17,7 @@
   Millis stop_time{400};        ///< A stop takes at most this.
   Millis notice{4'500};  ///< A task not at work for so long counts as away.
   Millis harm{4'000};    ///< A target may be missed for less than this.
-  Millis maintenance{2'000};  ///< How long a host is down for it.
+  Millis maintenance{2'000};   ///< How long a host is down for it.
   Millis job_memory{150'000};  ///< An ended job is known for so long.
 };
 
@@ -34,10 +34,10 @@
 
 /// Steps left out on purpose, so that tests show they are needed.
 struct DispatchMutations {
-  bool is_end_seen_early = false;    ///< Tells an end as seen, then commits.
-  bool is_lease_ignored = false;     ///< A silent worker's runs are over.
-  bool is_barring_skipped = false;   ///< A start not answered is forgotten.
-  bool is_fence_old = false;         ///< Gives orders with an old fence.
+  bool is_end_seen_early = false;   ///< Tells an end as seen, then commits.
+  bool is_lease_ignored = false;    ///< A silent worker's runs are over.
+  bool is_barring_skipped = false;  ///< A start not answered is forgotten.
+  bool is_fence_old = false;        ///< Gives orders with an old fence.
 };
 
 struct DispatcherInit {
--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -117,20 +117,20 @@
 
 /// What came of an act on a host.
 enum class HostActOutcome {
-  kDone,      ///< Also when it was done before.
-  kBusy,      ///< Not up now.
-  kRefused,   ///< Never possible: no such host, or not part of it.
+  kDone,     ///< Also when it was done before.
+  kBusy,     ///< Not up now.
+  kRefused,  ///< Never possible: no such host, or not part of it.
   kFenced,
-  kUnknown,   ///< May have been done.
-  kLimited,   ///< Too many acts; nothing was done.
+  kUnknown,  ///< May have been done.
+  kLimited,  ///< Too many acts; nothing was done.
   kCount,
 };
 
 struct HostAct {
   std::string host;
-  uint64_t wave = 0;       ///< Of a maintenance.
-  std::string pool;        ///< Of a move.
-  std::string holder;      ///< Who acts.
+  uint64_t wave = 0;   ///< Of a maintenance.
+  std::string pool;    ///< Of a move.
+  std::string holder;  ///< Who acts.
   uint64_t fence = 0;
 };
 
@@ -155,8 +155,7 @@
 
   virtual void Maintain(HostAct act,
                         std::function<void(HostActOutcome)> done) = 0;
-  virtual void Move(HostAct act,
-                    std::function<void(HostActOutcome)> done) = 0;
+  virtual void Move(HostAct act, std::function<void(HostActOutcome)> done) = 0;
 
   /// @param page Empty: the first.
   virtual void List(const std::string& page,
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -135,16 +135,16 @@
   void Commit(scheduling::Record record, const ReplyDone& done) {
     std::vector<scheduling::Record> records;
     records.push_back(std::move(record));
-    m_log->Commit(m_leadership->term(), std::move(records), [weak = weak_from_this(),
-                                       post = m_init.post,
-                                       done](CommitOutcome outcome) {
-      post([weak, done, outcome] {
-        done(AfterCommit(outcome));
-        if (const auto self = weak.lock()) {
-          self->PlanSoon();
-        }
-      });
-    });
+    m_log->Commit(m_leadership->term(), std::move(records),
+                  [weak = weak_from_this(), post = m_init.post,
+                   done](CommitOutcome outcome) {
+                    post([weak, done, outcome] {
+                      done(AfterCommit(outcome));
+                      if (const auto self = weak.lock()) {
+                        self->PlanSoon();
+                      }
+                    });
+                  });
   }
 
   // Reads once it is sure that nothing newer is committed elsewhere. Callers
@@ -169,22 +169,22 @@
     m_is_confirming = true;
     auto waiting = std::make_shared<std::vector<std::function<void(bool)>>>(
         std::exchange(m_to_confirm, {}));
-    m_log->Confirm([weak = weak_from_this(), post = m_init.post,
-                    waiting](bool is_sure) {
-      post([weak, waiting, is_sure] {
-        const auto self = weak.lock();
-        if (self == nullptr) {
-          return;
-        }
-        self->m_is_confirming = false;
-        for (const auto& reader : *waiting) {
-          reader(is_sure);
-        }
-        if (!self->m_to_confirm.empty() && !self->m_is_confirming) {
-          self->Confirm();
-        }
-      });
-    });
+    m_log->Confirm(
+        [weak = weak_from_this(), post = m_init.post, waiting](bool is_sure) {
+          post([weak, waiting, is_sure] {
+            const auto self = weak.lock();
+            if (self == nullptr) {
+              return;
+            }
+            self->m_is_confirming = false;
+            for (const auto& reader : *waiting) {
+              reader(is_sure);
+            }
+            if (!self->m_to_confirm.empty() && !self->m_is_confirming) {
+              self->Confirm();
+            }
+          });
+        });
   }
 
   static bool HasQueue(const Ledger& ledger,
@@ -346,21 +346,21 @@
       // A life that drains never comes back from it: an older word was late.
       info.is_draining =
           info.is_draining || (worker != nullptr && worker->info.is_draining);
-      is_known = ledger.IsGone(info.id) ||
-                 (worker != nullptr && worker->info == info);
+      is_known =
+          ledger.IsGone(info.id) || (worker != nullptr && worker->info == info);
     });
     m_leadership->Announced(info.id);
     if (is_known) {
       done(Done(Outcome::kOk));
       return;
     }
-    DecisionLog::Get().Write(DecisionLine("dispatch", "worker")
-                                 .With("worker", info.id)
-                                 .With("address", info.address)
-                                 .With("service", info.service)
-                                 .With("host", info.host)
-                                 .With("state", info.is_draining ? "draining"
-                                                                 : "ready"));
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "worker")
+            .With("worker", info.id)
+            .With("address", info.address)
+            .With("service", info.service)
+            .With("host", info.host)
+            .With("state", info.is_draining ? "draining" : "ready"));
     Commit(scheduling::WorkerSeen{std::move(info)}, done);
   }
 
@@ -451,8 +451,8 @@
   try {
     Ask(scheduling::Decode<Request>(request), std::move(answer));
   } catch (const scheduling::CodecError& error) {
-    DecisionLog::Get().Write(DecisionLine("dispatch", "bad-request")
-                                 .With("error", error.what()));
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "bad-request").With("error", error.what()));
     answer(Reply());
   }
 }
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -68,8 +68,8 @@
 }
 
 void Leadership::Flush() {
-  auto waiting = std::make_shared<decltype(m_batch_done)>(
-      std::exchange(m_batch_done, {}));
+  auto waiting =
+      std::make_shared<decltype(m_batch_done)>(std::exchange(m_batch_done, {}));
   m_log.Commit(m_term, std::exchange(m_batch, {}),
                [weak = weak_from_this(), post = m_init.post,
                 waiting](CommitOutcome outcome) {
@@ -153,8 +153,8 @@
     link = m_links.erase(link);
   }
   for (const auto& [id, worker] : ledger.workers()) {
-    const auto [link, is_new] = m_links.try_emplace(
-        id, m_init.bounds.longest_lease, m_begun_at);
+    const auto [link, is_new] =
+        m_links.try_emplace(id, m_init.bounds.longest_lease, m_begun_at);
     if (is_new) {
       link->second.last_announced = Now();
     }
@@ -217,12 +217,12 @@
                             job.StepOf(index).is_persistent;
     if (is_needless || is_leaving) {
       track.is_stop_wanted = true;
-      DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
-                                   .With("task", FormatTaskId(key.task))
-                                   .With("run", key.run)
-                                   .With("worker", track.worker)
-                                   .With("why", is_needless ? "not-needed"
-                                                            : "worker-leaves"));
+      DecisionLog::Get().Write(
+          DecisionLine("dispatch", "stop")
+              .With("task", FormatTaskId(key.task))
+              .With("run", key.run)
+              .With("worker", track.worker)
+              .With("why", is_needless ? "not-needed" : "worker-leaves"));
     }
   }
 }
@@ -239,10 +239,10 @@
     }
     const scheduling::StepSpec& step = job->spec.steps[key.task.step];
     const auto link = m_links.find(track.worker);
-    const bool is_seen = link != m_links.end() &&
-                         link->second.last_contact - track.percent_since >=
-                             std::max<SteadyTime::duration>(
-                                 kStalled, 2 * step.estimate);
+    const bool is_seen =
+        link != m_links.end() &&
+        link->second.last_contact - track.percent_since >=
+            std::max<SteadyTime::duration>(kStalled, 2 * step.estimate);
     if (!is_seen || step.is_gang || step.is_filling) {
       continue;
     }
@@ -347,8 +347,8 @@
     const WorkerLink& link = m_links.at(id);
     outlooks[id] = {IsUsable(worker, link), now < link.doubtful_until};
   }
-  starts = m_planner.Plan(
-      {ledger, now, m_init.wall_now(), outlooks, m_seen_at});
+  starts =
+      m_planner.Plan({ledger, now, m_init.wall_now(), outlooks, m_seen_at});
 }
 
 void Leadership::CommitStarts(const std::vector<RunStarted>& starts) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -29,9 +29,9 @@
 enum class StartStage {
   kUncertain,  ///< An earlier leader's; its worker has not told yet.
   kSending,
-  kRetry,      ///< Goes out again when its time comes.
-  kSettled,    ///< The worker has taken it, or will never.
-  kBarring,    ///< Is stopped before anything else is done about it.
+  kRetry,    ///< Goes out again when its time comes.
+  kSettled,  ///< The worker has taken it, or will never.
+  kBarring,  ///< Is stopped before anything else is done about it.
 };
 
 /// What this leader knows of an active run beyond what is committed.
@@ -62,7 +62,7 @@
   bool is_lapsed = false;
   bool is_gone_under_way = false;
   bool is_first_look = true;  ///< Nothing was planned on it yet.
-  bool is_silent = false;  ///< The last look was not answered.
+  bool is_silent = false;     ///< The last look was not answered.
   bool is_hold_under_way = false;
   SteadyTime next_hold{};
   SteadyTime last_contact{};
@@ -234,10 +234,10 @@
   scheduling::Planner m_planner;
   std::map<std::string, WorkerLink> m_links;  // By worker.
   std::map<RunKey, RunTrack> m_runs;
-  std::map<std::string, SteadyTime> m_seen_at;  // By open job.
-  std::map<std::string, SteadyTime> m_over_at;  // By ended job.
-  std::map<std::string, HostTrack> m_hosts;     // Under maintenance.
-  std::map<std::string, MoveTrack> m_moves;     // By host.
+  std::map<std::string, SteadyTime> m_seen_at;   // By open job.
+  std::map<std::string, SteadyTime> m_over_at;   // By ended job.
+  std::map<std::string, HostTrack> m_hosts;      // Under maintenance.
+  std::map<std::string, MoveTrack> m_moves;      // By host.
   std::map<std::string, HostState> m_inventory;  // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
   scheduling::DemandMeter m_demand;
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -164,9 +164,8 @@
     const Millis within =
         waiting.is_hopeless
             ? kClearHopeless
-            : std::max(kClearSoonest,
-                       std::chrono::duration_cast<Millis>(waiting.left *
-                                                          kShareOfTimeLeft));
+            : std::max(kClearSoonest, std::chrono::duration_cast<Millis>(
+                                          waiting.left * kShareOfTimeLeft));
     needed[ledger.ServiceOf(job)] +=
         waiting.core_millis / static_cast<double>(within.count());
   }
@@ -181,8 +180,8 @@
   for (const auto& service : ledger.configuration().services) {
     double rate = m_demand.Rate(service.name, now);
     for (const Millis ahead : {kSoonest, kLatest}) {
-      rate = std::max(
-          rate, m_demand.Expected(service.name, now, ahead).value_or(0));
+      rate = std::max(rate,
+                      m_demand.Expected(service.name, now, ahead).value_or(0));
     }
     // Work that is here and work that keeps coming: the greater of the two,
     // as what is here was counted when it came.
@@ -192,8 +191,7 @@
   return needed;
 }
 
-Millis Leadership::EmptiesIn(const Ledger& ledger,
-                             const Worker& worker) const {
+Millis Leadership::EmptiesIn(const Ledger& ledger, const Worker& worker) const {
   Millis longest{0};
   for (const TaskId& id : worker.active) {
     const Job& job = *ledger.FindJob(id.job);
@@ -297,9 +295,10 @@
     const bool is_idle_worker =
         worker != nullptr && IsUsable(*worker, m_links.at(worker->info.id)) &&
         worker->persistent_runs == 0;
-    out.is_movable = state.is_up && !IsEvacuated(host) &&
-                     (is_off || is_idle_worker);
-    if (!state.is_up || (worker == nullptr && !is_off && move == m_moves.end())) {
+    out.is_movable =
+        state.is_up && !IsEvacuated(host) && (is_off || is_idle_worker);
+    if (!state.is_up ||
+        (worker == nullptr && !is_off && move == m_moves.end())) {
       out.cores = 0;  // Serves nobody where it is.
     }
   }
@@ -357,12 +356,12 @@
   act.pool = track.to;
   act.holder = m_init.name;
   act.fence = m_term;
-  m_init.hosts->Move(std::move(act), [weak = weak_from_this(),
-                                      host](HostActOutcome outcome) {
-    if (const auto self = weak.lock()) {
-      self->OnMoved(host, outcome);
-    }
-  });
+  m_init.hosts->Move(std::move(act),
+                     [weak = weak_from_this(), host](HostActOutcome outcome) {
+                       if (const auto self = weak.lock()) {
+                         self->OnMoved(host, outcome);
+                       }
+                     });
 }
 
 void Leadership::OnMoved(const std::string& host, HostActOutcome outcome) {
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -72,8 +72,7 @@
   const auto link = m_links.find(track.worker);
   const Job* job = ledger.FindJob(key.task.job);
   if (link == m_links.end() || job == nullptr || link->second.is_silent ||
-      link->second.is_lapse_under_way ||
-      !link->second.clock.is_known()) {
+      link->second.is_lapse_under_way || !link->second.clock.is_known()) {
     track.start = StartStage::kRetry;
     track.next_try = Now() + kOrderRetry;
     return;
@@ -88,12 +87,12 @@
   order.lease_end = link->second.clock.Extend(Now());
   order.fence = Fence();
   ++m_counters.starts;
-  m_init.workers->Start(
-      std::move(order), [weak = weak_from_this(), key](const CallReply& reply) {
-        if (const auto self = weak.lock()) {
-          self->OnStarted(key, reply);
-        }
-      });
+  m_init.workers->Start(std::move(order),
+                        [weak = weak_from_this(), key](const CallReply& reply) {
+                          if (const auto self = weak.lock()) {
+                            self->OnStarted(key, reply);
+                          }
+                        });
 }
 
 void Leadership::OnStarted(const RunKey& key, const CallReply& reply) {
@@ -103,12 +102,13 @@
   }
   RunTrack& track = found->second;
   const auto link = m_links.find(track.worker);
-  DecisionLog::Get().Write(DecisionLine("dispatch", "start")
-                               .With("task", FormatTaskId(key.task))
-                               .With("run", key.run)
-                               .With("worker", track.worker)
-                               .With("term", m_term)
-                               .With("outcome", CallOutcomeName(reply.outcome)));
+  DecisionLog::Get().Write(
+      DecisionLine("dispatch", "start")
+          .With("task", FormatTaskId(key.task))
+          .With("run", key.run)
+          .With("worker", track.worker)
+          .With("term", m_term)
+          .With("outcome", CallOutcomeName(reply.outcome)));
   if (link != m_links.end() && reply.outcome < CallOutcome::kOtherLife) {
     Contact(link->second, reply.clock);
   }
@@ -157,9 +157,8 @@
     return;
   }
   track.start = StartStage::kSettled;
-  Commit({scheduling::RunEnded{key.task, key.run, track.worker,
-                               RunEnd::kLapsed,
-                               {}}},
+  Commit({scheduling::RunEnded{
+             key.task, key.run, track.worker, RunEnd::kLapsed, {}}},
          [this, key](CommitOutcome outcome) {
            if (outcome == CommitOutcome::kCommitted) {
              m_runs.erase(key);
@@ -177,13 +176,12 @@
   }
   track.is_stop_under_way = true;
   ++m_counters.stops;
-  m_init.workers->Stop(
-      {link->second.address, key.task, key.run, Fence()},
-      [weak = weak_from_this(), key](const CallReply& reply) {
-        if (const auto self = weak.lock()) {
-          self->OnStopped(key, reply);
-        }
-      });
+  m_init.workers->Stop({link->second.address, key.task, key.run, Fence()},
+                       [weak = weak_from_this(), key](const CallReply& reply) {
+                         if (const auto self = weak.lock()) {
+                           self->OnStopped(key, reply);
+                         }
+                       });
 }
 
 void Leadership::OnStopped(const RunKey& key, const CallReply& reply) {
@@ -242,13 +240,13 @@
   order.ends_seen = link.ends_seen;
   order.wait = wait;
   ++m_counters.holds;
-  m_init.workers->Hold(std::move(order), [weak = weak_from_this(), worker,
-                                          asked_at =
-                                              Now()](const HoldReply& reply) {
-    if (const auto self = weak.lock()) {
-      self->OnHeld(worker, asked_at, reply);
-    }
-  });
+  m_init.workers->Hold(std::move(order),
+                       [weak = weak_from_this(), worker,
+                        asked_at = Now()](const HoldReply& reply) {
+                         if (const auto self = weak.lock()) {
+                           self->OnHeld(worker, asked_at, reply);
+                         }
+                       });
 }
 
 void Leadership::Contact(WorkerLink& link,
@@ -343,12 +341,11 @@
   for (const EndedRun& ended : reply.ended) {
     const Job* job = nullptr;
     const Task* task = FindTask(ledger, ended.task, &job);
-    const bool is_late_success =
-        task != nullptr && ended.end == RunEnd::kDone && !task->is_done &&
-        task->last_run == ended.run;
+    const bool is_late_success = task != nullptr &&
+                                 ended.end == RunEnd::kDone && !task->is_done &&
+                                 task->last_run == ended.run;
     if (task == nullptr ||
-        (!is_late_success &&
-         !ledger.IsActive(ended.task, ended.run, worker))) {
+        (!is_late_success && !ledger.IsActive(ended.task, ended.run, worker))) {
       continue;
     }
     const auto track = m_runs.find({ended.task, ended.run});
@@ -402,9 +399,9 @@
                                    .With("run", running.run)
                                    .With("worker", worker)
                                    .With("why", "not-known"));
-      m_init.workers->Stop({m_links.at(worker).address, running.task,
-                            running.run, Fence()},
-                           [](const CallReply&) {});
+      m_init.workers->Stop(
+          {m_links.at(worker).address, running.task, running.run, Fence()},
+          [](const CallReply&) {});
       continue;
     }
     RunTrack& track = m_runs[{running.task, running.run}];
@@ -450,9 +447,8 @@
         track.start = StartStage::kRetry;
       } else if (track.start == StartStage::kSettled &&
                  asked_at > track.settled_at) {
-        records.emplace_back(scheduling::RunEnded{id, active.run, worker,
-                                                  RunEnd::kLapsed,
-                                                  {}});
+        records.emplace_back(
+            scheduling::RunEnded{id, active.run, worker, RunEnd::kLapsed, {}});
         DecisionLog::Get().Write(DecisionLine("dispatch", "end")
                                      .With("task", FormatTaskId(id))
                                      .With("run", active.run)
@@ -475,8 +471,9 @@
     }
     const scheduling::StepSpec& step = job->spec.steps[running.task.step];
     if (step.target_tail > Millis(0)) {
-      worst = std::max(worst, static_cast<double>(running.figure) /
-                                  static_cast<double>(step.target_tail.count()));
+      worst =
+          std::max(worst, static_cast<double>(running.figure) /
+                              static_cast<double>(step.target_tail.count()));
     }
     if (step.is_filling) {
       filling.push_back(&running);
@@ -546,25 +543,25 @@
       ended.push_back({end->task, end->run});
     }
   }
-  Commit(std::move(records), [this, worker, seen,
-                              ended = std::move(ended)](CommitOutcome outcome) {
-    const auto found = m_links.find(worker);
-    if (outcome == CommitOutcome::kCommitted) {
-      for (const RunKey& key : ended) {
-        m_runs.erase(key);
-      }
-    }
-    if (found != m_links.end()) {
-      WorkerLink& link = found->second;
-      link.is_hold_under_way = false;
-      link.is_first_look = false;
-      if (outcome == CommitOutcome::kCommitted) {
-        link.ends_seen = std::max(link.ends_seen, seen);
-        SendHold(worker, link, kBusyWait);
-      }
-    }
-    PlanSoon();
-  });
+  Commit(std::move(records),
+         [this, worker, seen, ended = std::move(ended)](CommitOutcome outcome) {
+           const auto found = m_links.find(worker);
+           if (outcome == CommitOutcome::kCommitted) {
+             for (const RunKey& key : ended) {
+               m_runs.erase(key);
+             }
+           }
+           if (found != m_links.end()) {
+             WorkerLink& link = found->second;
+             link.is_hold_under_way = false;
+             link.is_first_look = false;
+             if (outcome == CommitOutcome::kCommitted) {
+               link.ends_seen = std::max(link.ends_seen, seen);
+               SendHold(worker, link, kBusyWait);
+             }
+           }
+           PlanSoon();
+         });
 }
 
 void Leadership::EndLife(const std::string& worker, const char* why) {
--- a/packages/dispatch/src/remote.cc
+++ b/packages/dispatch/src/remote.cc
@@ -96,8 +96,8 @@
       try {
         reply = scheduling::Decode<Reply>(*text);
       } catch (const scheduling::CodecError& error) {
-        DecisionLog::Get().Write(DecisionLine("entry", "bad-reply")
-                                     .With("error", error.what()));
+        DecisionLog::Get().Write(
+            DecisionLine("entry", "bad-reply").With("error", error.what()));
         reply.outcome = Outcome::kUnknown;
       }
     } else {
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -63,8 +63,9 @@
   }
   for (auto track = m_hosts.begin(); track != m_hosts.end();) {
     const auto wave = ledger.waves().find(track->second.wave);
-    const bool is_over = wave == ledger.waves().end() ||
-                         wave->second.hosts.at(track->first) == WaveStage::kDone;
+    const bool is_over =
+        wave == ledger.waves().end() ||
+        wave->second.hosts.at(track->first) == WaveStage::kDone;
     track = is_over ? m_hosts.erase(track) : std::next(track);
   }
 }
@@ -73,8 +74,8 @@
 // hosts away leave more for callers.
 size_t Leadership::HostsAtOnce(const scheduling::WaveState& wave) const {
   const auto elapsed = std::max(
-      Millis(0), std::chrono::duration_cast<Millis>(m_init.wall_now() -
-                                                    wave.opened.at));
+      Millis(0),
+      std::chrono::duration_cast<Millis>(m_init.wall_now() - wave.opened.at));
   const Millis left =
       std::max(Millis(1), wave.opened.duration - elapsed - kWaveReserve);
   int64_t hosts = 0;
@@ -129,13 +130,12 @@
     }
     m_hosts[host] = {number, Now(), false, Now(), {}, {}};
     ++chosen;
-    DecisionLog::Get().Write(DecisionLine("wave", "host-chosen")
-                                 .With("wave", number)
-                                 .With("host", host)
-                                 .With("at_once",
-                                       static_cast<int64_t>(at_once))
-                                 .With("cost_percent",
-                                       static_cast<int64_t>(cost * 100)));
+    DecisionLog::Get().Write(
+        DecisionLine("wave", "host-chosen")
+            .With("wave", number)
+            .With("host", host)
+            .With("at_once", static_cast<int64_t>(at_once))
+            .With("cost_percent", static_cast<int64_t>(cost * 100)));
   }
 }
 
@@ -184,8 +184,7 @@
         track.worker_before.empty() &&
         away > std::chrono::duration_cast<Millis>(m_init.bounds.maintenance *
                                                   kOffReturns);
-    const bool is_lost =
-        away > kLostAfterTimes * m_init.bounds.maintenance;
+    const bool is_lost = away > kLostAfterTimes * m_init.bounds.maintenance;
     if (is_back || is_off_again || is_lost) {
       records.emplace_back(
           scheduling::WaveHostSet{wave.opened.wave, host, WaveStage::kDone});
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -40,7 +40,8 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, start's answer lost, task runs once") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, start's answer lost, task runs once") {
   world.weather.unheard = 0.5;
   world.Submit("a", {Step(10)});
   world.Advance(Millis(10'000));
@@ -49,7 +50,8 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, orders carried out late, no task runs twice") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, orders carried out late, no task runs twice") {
   world.weather.late = 0.4;
   for (const char* id : {"a", "b", "c"}) {
     world.Submit(id, {Step(8), Step(3, {0})});
@@ -60,7 +62,8 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, leader changes, next one goes on") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, leader changes, next one goes on") {
   world.Submit("a", {Step(9), Step(9, {0})});
   world.Advance(Millis(300));
   world.ChangeLeader(Millis(1'000));
@@ -70,7 +73,8 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, worker cut off, its tasks wait for the lease") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, worker cut off, its tasks wait for the lease") {
   world.Submit("a", {Step(3)});
   world.Advance(Millis(200));
   world.Cut("w0", true);
@@ -81,7 +85,8 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, job cancelled, its tasks are stopped") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, job cancelled, its tasks are stopped") {
   StepSpec step = Step(3);
   step.is_persistent = true;
   world.Submit("a", {step});
@@ -95,7 +100,8 @@
   }
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, persistent tasks lapse, start again") {
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, persistent tasks lapse, start again") {
   StepSpec step = Step(3);
   step.is_persistent = true;
   step.spread_limit = 1;
@@ -109,7 +115,9 @@
   CheckClean();
 }
 
-TEST_CASE_FIXTURE(DispatcherFixture, "Dispatcher, job fails everywhere, failed after its attempts") {
+TEST_CASE_FIXTURE(
+    DispatcherFixture,
+    "Dispatcher, job fails everywhere, failed after its attempts") {
   world.failing = 1;
   world.Submit("a", {Step(1)});
   world.Advance(Millis(4'000));
@@ -137,7 +145,8 @@
   std::vector<std::string> busy;
 };
 
-TEST_CASE_FIXTURE(WaveFixture, "Wave, hosts with persistent tasks, all maintained in time") {
+TEST_CASE_FIXTURE(WaveFixture,
+                  "Wave, hosts with persistent tasks, all maintained in time") {
   REQUIRE(busy.size() == 3);
   world.OpenWave({"host-w0", "host-w1", "host-w2", "host-w3"});
   world.Advance(Millis(20'000));
@@ -147,7 +156,9 @@
 }
 
 // Failed first: what a silent worker had listed counted as at work.
-TEST_CASE_FIXTURE(WaveFixture, "Wave, another task's worker is silent, task is not taken away") {
+TEST_CASE_FIXTURE(
+    WaveFixture,
+    "Wave, another task's worker is silent, task is not taken away") {
   REQUIRE(busy.size() == 3);
   world.Cut(busy[0], true);
   world.Advance(Millis(2'500));
@@ -210,7 +221,8 @@
 }
 
 // LAURELHALL_SEEDS plays more than the fixed set, from LAURELHALL_FIRST_SEED.
-TEST_CASE("Dispatcher, seeded schedules of failures, nothing runs twice or is lost") {
+TEST_CASE(
+    "Dispatcher, seeded schedules of failures, nothing runs twice or is lost") {
   const uint64_t first = NumberOf("LAURELHALL_FIRST_SEED", 1);
   const uint64_t seeds = NumberOf("LAURELHALL_SEEDS", 40);
   for (uint64_t seed = first; seed < first + seeds; ++seed) {
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -143,9 +143,8 @@
               std::vector<scheduling::Record> records,
               CommitDone done) override {
     if (term != m_host.term) {
-      m_world.After(Millis(0), [done] {
-        done(scheduling::CommitOutcome::kRefused);
-      });
+      m_world.After(Millis(0),
+                    [done] { done(scheduling::CommitOutcome::kRefused); });
       return;
     }
     m_world.After(kSync, [this, term, records = std::move(records),
@@ -224,7 +223,9 @@
   void Pace(PaceOrder order, std::function<void(CallReply)> done) override {
     Call(
         order.worker.id,
-        [](FakeWorker&) { return CallReply{CallOutcome::kDone, {}}; },
+        [](FakeWorker&) {
+          return CallReply{CallOutcome::kDone, {}};
+        },
         std::move(done));
   }
 
@@ -249,9 +250,8 @@
       return;
     }
     if (m_world.Now() < until && !worker.has_news(order.ends_seen)) {
-      m_world.After(kStep, [this, order, until, done] {
-        Look(order, until, done);
-      });
+      m_world.After(kStep,
+                    [this, order, until, done] { Look(order, until, done); });
       return;
     }
     const HoldReply reply = worker.Hold(order, m_world.Now());
@@ -264,8 +264,7 @@
     FakeWorker& worker = *m_world.m_workers.at(id);
     const Weather& weather = m_world.weather;
     const auto give_up = [this, done] {
-      m_world.After(Millis(450),
-                    [done] { done({CallOutcome::kUnknown, {}}); });
+      m_world.After(Millis(450), [done] { done({CallOutcome::kUnknown, {}}); });
     };
     if (IsCut(id) || m_world.Chance(weather.lost)) {
       give_up();
@@ -362,8 +361,8 @@
   scheduling::Configuration configuration;
   configuration.version = 1;
   configuration.document = "{}";
-  configuration.queues.push_back({"quotes", "q", "/q/", "teklif", 0, 3, 1.6,
-                                  Millis(600)});
+  configuration.queues.push_back(
+      {"quotes", "q", "/q/", "teklif", 0, 3, 1.6, Millis(600)});
   configuration.services.push_back({"teklif"});
   m_hosts.push_back(std::make_unique<Host>(*this, "control-1", mutations));
   m_hosts.push_back(std::make_unique<Host>(*this, "control-2", mutations));
@@ -379,9 +378,8 @@
 }
 
 void World::After(Millis delay, std::function<void()> task) {
-  m_timers.SubscribeOnce(delay, [task = std::move(task)](SteadyTime) {
-    task();
-  });
+  m_timers.SubscribeOnce(delay,
+                         [task = std::move(task)](SteadyTime) { task(); });
 }
 
 bool World::Chance(double share) {
@@ -423,8 +421,7 @@
                    std::vector<scheduling::StepSpec> steps) {
   scheduling::JobSpec spec;
   spec.steps = std::move(steps);
-  Apply(
-      scheduling::JobAccepted{id, "quotes", "teklif", WallTime(), spec});
+  Apply(scheduling::JobAccepted{id, "quotes", "teklif", WallTime(), spec});
 }
 
 void World::Cancel(const std::string& id) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -15,10 +15,10 @@
 
 /// How the network treats orders; shares of them.
 struct Weather {
-  double lost = 0;      ///< Never arrive.
-  double unheard = 0;   ///< Carried out, the answer is lost.
-  double late = 0;      ///< Not answered, carried out seconds later.
-  double refused = 0;   ///< Starts that an unhealthy worker turns down.
+  double lost = 0;     ///< Never arrive.
+  double unheard = 0;  ///< Carried out, the answer is lost.
+  double late = 0;     ///< Not answered, carried out seconds later.
+  double refused = 0;  ///< Starts that an unhealthy worker turns down.
 };
 
 /// A worker as the pages describe it: leases on its own clock, fences, runs
@@ -78,8 +78,7 @@
 
   void AddWorkers(int count);
   void AddWorker(const std::string& host);
-  void Submit(const std::string& id,
-              std::vector<scheduling::StepSpec> steps);
+  void Submit(const std::string& id, std::vector<scheduling::StepSpec> steps);
   void Cancel(const std::string& id);
 
   /// The other control host leads from now on; the old one does not know it
--- a/packages/net/src/http_lane.cc
+++ b/packages/net/src/http_lane.cc
@@ -37,32 +37,33 @@
   }
   m_connection = HttpConnection::Make(m_threads, m_address);
   const SteadyTime begun = m_threads.timers().Now();
-  m_connection->Connect(timeout, [self = shared_from_this(), begun,
-                                  timeout](bool is_connected) {
-    const auto taken = std::chrono::ceil<Millis>(
-        self->m_threads.timers().Now() - begun);
-    if (!is_connected || taken >= timeout || self->m_waiting.empty()) {
-      HttpResult result;
-      result.failure = HttpFailure::kConnect;
-      self->m_connection.reset();
-      self->Finish(std::move(result));
-      return;
-    }
-    self->SendFirst(timeout - taken);
-  });
+  m_connection->Connect(
+      timeout, [self = shared_from_this(), begun, timeout](bool is_connected) {
+        const auto taken =
+            std::chrono::ceil<Millis>(self->m_threads.timers().Now() - begun);
+        if (!is_connected || taken >= timeout || self->m_waiting.empty()) {
+          HttpResult result;
+          result.failure = HttpFailure::kConnect;
+          self->m_connection.reset();
+          self->Finish(std::move(result));
+          return;
+        }
+        self->SendFirst(timeout - taken);
+      });
 }
 
 void HttpLane::SendFirst(Millis left) {
-  m_connection->Send(std::move(m_waiting.front().request), left,
-                     kMaxAnswerBytes, [] { return true; },
-                     [self = shared_from_this()](HttpResult result) {
-                       if (result.failure != HttpFailure::kNone &&
-                           self->m_connection != nullptr) {
-                         self->m_connection->Close();
-                         self->m_connection.reset();
-                       }
-                       self->Finish(std::move(result));
-                     });
+  m_connection->Send(
+      std::move(m_waiting.front().request), left, kMaxAnswerBytes,
+      [] { return true; },
+      [self = shared_from_this()](HttpResult result) {
+        if (result.failure != HttpFailure::kNone &&
+            self->m_connection != nullptr) {
+          self->m_connection->Close();
+          self->m_connection.reset();
+        }
+        self->Finish(std::move(result));
+      });
 }
 
 void HttpLane::Finish(HttpResult result) {
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -124,8 +124,8 @@
     if (m_phase != Phase::kRunning) {
       return;
     }
-    const bool keep_alive =
-        m_decoder->keep_alive() && !m_is_eof && !m_shared->is_draining &&
+    const bool keep_alive = m_decoder->keep_alive() && !m_is_eof &&
+                            !m_shared->is_draining &&
                             !m_shared->is_closing_after_answers;
     WriteResponse(std::move(response), keep_alive);
   }
--- a/packages/scheduling/include/laurelhall/scheduling/codec.h
+++ b/packages/scheduling/include/laurelhall/scheduling/codec.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
-#include <variant>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "laurelhall/base/time.h"
@@ -41,7 +41,8 @@
       WriteNumber(static_cast<int64_t>(value));
     } else if constexpr (std::is_floating_point_v<T>) {
       // Thousandths are as fine as a stretch or a share is stated.
-      WriteNumber(static_cast<int64_t>(value * 1000 + (value < 0 ? -0.5 : 0.5)));
+      WriteNumber(
+          static_cast<int64_t>(value * 1000 + (value < 0 ? -0.5 : 0.5)));
     } else {
       Visit(*this, value);
     }
@@ -148,8 +149,9 @@
 
   template <typename Variant, size_t... kKinds>
   bool ReadKind(uint64_t kind, Variant& value, std::index_sequence<kKinds...>) {
-    return ((kind == kKinds && (Read(value.template emplace<kKinds>()), true)) ||
-            ...);
+    return (
+        (kind == kKinds && (Read(value.template emplace<kKinds>()), true)) ||
+        ...);
   }
 
   int64_t ReadNumber(char terminator) {
--- a/packages/scheduling/include/laurelhall/scheduling/graph.h
+++ b/packages/scheduling/include/laurelhall/scheduling/graph.h
@@ -33,21 +33,21 @@
 struct StepSpec {
   uint32_t count = 0;
   Resources need;
-  Millis estimate{0};                ///< Of one task's run time; may be far off.
+  Millis estimate{0};  ///< Of one task's run time; may be far off.
   std::vector<uint32_t> depends_on;  ///< Earlier steps that must be done.
-  bool is_gang = false;        ///< Works only while all of its tasks run.
-  bool is_same_rack = false;   ///< Slower when spread over racks.
+  bool is_gang = false;              ///< Works only while all of its tasks run.
+  bool is_same_rack = false;         ///< Slower when spread over racks.
   bool is_checkpointing = false;
   bool is_speculative = false;  ///< Copies may run; the first end counts.
   bool is_persistent = false;   ///< Runs until the job is cancelled.
   /// Uses what other tasks leave: not counted against a worker's processors.
   bool is_filling = false;
   std::string required_label;
-  std::string data_rack;     ///< Faster on this rack; empty: no matter.
+  std::string data_rack;      ///< Faster on this rack; empty: no matter.
   uint32_t spread_limit = 0;  ///< Most tasks of it on one worker; 0: any.
-  std::string image;         ///< Tasks of one image behave alike.
-  Millis target_tail{0};     ///< Bound of a serving task's tail; 0: none.
-  uint32_t may_miss = 0;     ///< Tasks that may be away by our own acts.
+  std::string image;          ///< Tasks of one image behave alike.
+  Millis target_tail{0};      ///< Bound of a serving task's tail; 0: none.
+  uint32_t may_miss = 0;      ///< Tasks that may be away by our own acts.
 };
 
 /// A job as a caller hands it in.
@@ -69,7 +69,7 @@
   int32_t priority = 0;  ///< 0 goes first.
   uint32_t max_attempts = 1;
   double stretch = 1;  ///< On time: within so many times the chain of work...
-  Millis target_latency{0};  ///< ...and this.
+  Millis target_latency{0};   ///< ...and this.
   bool needs_advice = false;  ///< Only some workers may run a step of it.
   Millis advice_base{0};      ///< What a call for advice takes...
   Millis advice_each{0};      ///< ...and more for each worker named.
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -22,9 +22,9 @@
   bool is_done = false;
   bool is_hot = false;  ///< Started at least once.
   uint32_t last_run = 0;
-  uint32_t failures = 0;      ///< Ends by its own fault or a worker's.
-  std::string failed_on;      ///< The worker of the last failure.
-  std::string checkpoint;     ///< Where the next run goes on; may be empty.
+  uint32_t failures = 0;   ///< Ends by its own fault or a worker's.
+  std::string failed_on;   ///< The worker of the last failure.
+  std::string checkpoint;  ///< Where the next run goes on; may be empty.
   std::vector<ActiveRun> active;
 };
 
@@ -38,7 +38,7 @@
   JobState state = JobState::kQueued;
   std::vector<Task> tasks;  ///< By occurrence, step and index.
 
-  uint32_t tasks_left = 0;            ///< Not done.
+  uint32_t tasks_left = 0;  ///< Not done.
   uint32_t active_runs = 0;
   std::vector<uint32_t> step_left;    ///< Not done, by occurrence and step.
   std::vector<uint32_t> step_offset;  ///< Of each step in an occurrence.
--- a/packages/scheduling/include/laurelhall/scheduling/log_service.h
+++ b/packages/scheduling/include/laurelhall/scheduling/log_service.h
@@ -41,8 +41,7 @@
   /// Reads the ledger as far as it is applied here.
   ///
   /// @param reader Called at once; applying waits for it.
-  virtual void Read(
-      const std::function<void(const Ledger&)>& reader) const = 0;
+  virtual void Read(const std::function<void(const Ledger&)>& reader) const = 0;
 };
 
 /// What runs beside the log on each control host.
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -13,7 +13,7 @@
 
 /// What the leader sees of a worker beyond what is committed.
 struct WorkerOutlook {
-  bool is_usable = false;   ///< Reached lately, stays, and may be given work.
+  bool is_usable = false;    ///< Reached lately, stays, and may be given work.
   bool is_doubtful = false;  ///< Lately failed what others do well.
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -24,8 +24,8 @@
   std::string host;
   std::string service;  ///< Where it is, or is on its way to.
   double cores = 0;
-  double busy_cores = 0;  ///< Of short work that runs there.
-  Millis empties_in{0};   ///< Until what runs there has ended.
+  double busy_cores = 0;    ///< Of short work that runs there.
+  Millis empties_in{0};     ///< Until what runs there has ended.
   bool is_movable = false;  ///< Up, not pinned, and under no other act.
   SteadyTime since{};       ///< In this pool.
 };
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -38,8 +38,8 @@
 TaskId Job::IdOf(size_t index) const {
   TaskId task{id, static_cast<uint32_t>(index / occurrence_size), 0, 0};
   const auto in_occurrence = static_cast<uint32_t>(index % occurrence_size);
-  const auto next = std::upper_bound(step_offset.begin(), step_offset.end(),
-                                     in_occurrence);
+  const auto next =
+      std::upper_bound(step_offset.begin(), step_offset.end(), in_occurrence);
   task.step = static_cast<uint32_t>(next - step_offset.begin()) - 1;
   task.index = in_occurrence - step_offset[task.step];
   return task;
@@ -177,7 +177,8 @@
   // A step that runs apart from the plan it was made on would run twice.
   const bool is_free = task.active.empty() || job.StepOf(index).is_speculative;
   if (job.is_over() || task.is_done || !is_free ||
-      record.run <= task.last_run || worker->second.active.contains(record.task)) {
+      record.run <= task.last_run ||
+      worker->second.active.contains(record.task)) {
     return;
   }
   task.last_run = record.run;
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -205,7 +205,8 @@
                            !place.worker->active.contains(planned->first);
       here += is_here ? 1 : 0;
     }
-    const auto planned = place.planned.find({candidate.job, StepKey(candidate)});
+    const auto planned =
+        place.planned.find({candidate.job, StepKey(candidate)});
     return here + (planned == place.planned.end() ? 0 : planned->second);
   }
 
@@ -323,9 +324,9 @@
   if (estimate <= Millis(0)) {
     return;
   }
-  const double seen = std::clamp(
-      static_cast<double>(taken.count()) / static_cast<double>(estimate.count()),
-      kSmallestRatio, kLargestRatio);
+  const double seen = std::clamp(static_cast<double>(taken.count()) /
+                                     static_cast<double>(estimate.count()),
+                                 kSmallestRatio, kLargestRatio);
   double& ratio = m_ratio.try_emplace(queue, 1.0).first->second;
   ratio += kLearningRate * (seen - ratio);
 }
@@ -397,8 +398,9 @@
   const size_t first = job.IndexOf({job.id, occurrence, step, 0});
   for (uint32_t index = 0; index < spec.count; ++index) {
     const Task& task = job.tasks[first + index];
-    const bool is_free = !task.is_done && task.active.empty() &&
-                         !m_reserved.contains({job.id, occurrence, step, index});
+    const bool is_free =
+        !task.is_done && task.active.empty() &&
+        !m_reserved.contains({job.id, occurrence, step, index});
     if (is_free) {
       candidate.tasks.push_back(index);
     }
@@ -409,7 +411,8 @@
     return;
   }
   const auto seen = input.seen_at.find(job.id);
-  const SteadyTime since = seen == input.seen_at.end() ? input.now : seen->second;
+  const SteadyTime since =
+      seen == input.seen_at.end() ? input.now : seen->second;
   const QueueSpec* queue = input.ledger.FindQueueByName(job.queue);
   candidate.waits_since = since;
   candidate.priority = queue == nullptr ? 0 : queue->priority;
@@ -433,14 +436,14 @@
     }
     for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
          ++occurrence) {
-      const WallTime due =
-          job.spec.first_due + job.spec.interval * occurrence;
+      const WallTime due = job.spec.first_due + job.spec.interval * occurrence;
       if (job.spec.is_timed && input.wall < due) {
         break;
       }
       const size_t base = occurrence * job.spec.steps.size();
       for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        if (job.step_left[base + step] > 0 && job.IsStepOpen(occurrence, step)) {
+        if (job.step_left[base + step] > 0 &&
+            job.IsStepOpen(occurrence, step)) {
           GatherStep(input, job, occurrence, step, candidates);
         }
       }
@@ -451,10 +454,9 @@
 
 std::vector<RunStarted> Planner::Plan(const PlanInput& input) {
   std::vector<Candidate> candidates = Gather(input);
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const Candidate& a, const Candidate& b) {
-                     return a.Key() < b.Key();
-                   });
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.Key() < b.Key(); });
   std::vector<RunStarted> starts;
   if (candidates.empty()) {
     return starts;
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -26,8 +26,7 @@
         m_spare = pool.service;
       } else {
         m_needed[pool.service] = pool.needed_cores * weights.headroom;
-        m_least[pool.service] =
-            std::max(pool.least_hosts, weights.least_hosts);
+        m_least[pool.service] = std::max(pool.least_hosts, weights.least_hosts);
         m_held[pool.service] =
             std::max(pool.held_cores, pool.needed_cores) * weights.headroom;
       }
@@ -74,7 +73,8 @@
     }
     PoolHost* best = nullptr;
     for (PoolHost& host : m_hosts) {
-      if (MayGive(host, worst) && (best == nullptr || Cost(host) < Cost(*best))) {
+      if (MayGive(host, worst) &&
+          (best == nullptr || Cost(host) < Cost(*best))) {
         best = &host;
       }
     }
@@ -109,11 +109,14 @@
       return -1;
     }
     const double served = std::min(Served(host.service), 100.0);
-    const double idle_seconds = std::chrono::duration<double>(host.empties_in).count();
+    const double idle_seconds =
+        std::chrono::duration<double>(host.empties_in).count();
     return idle_seconds + 1 / (0.1 + served);
   }
 
-  void Move(PoolHost& host, const std::string& to, std::vector<PoolMove>& moves) {
+  void Move(PoolHost& host,
+            const std::string& to,
+            std::vector<PoolMove>& moves) {
     m_cores[host.service] -= host.cores;
     m_cores[to] += host.cores;
     --m_count[host.service];
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -13,8 +13,8 @@
     Configuration configuration;
     configuration.version = 3;
     configuration.document = "{}";
-    configuration.queues.push_back({"quotes", "q.example", "/quotes/", "teklif",
-                                    0, 2, 1.6, Millis(600)});
+    configuration.queues.push_back(
+        {"quotes", "q.example", "/quotes/", "teklif", 0, 2, 1.6, Millis(600)});
     configuration.services.push_back({"teklif"});
     ledger.Apply(ConfigurationSet{configuration});
     for (const char* id : {"w1", "w2"}) {
@@ -80,7 +80,8 @@
   CHECK(job().tasks[0].is_done);
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, late end of an older run, no effect") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, late end of an older run, no effect") {
   Accept({Step(1)});
   Start(0, 0, 1, "w1");
   ledger.Apply(WorkerLapsed{"w1"});
@@ -90,7 +91,8 @@
   CHECK(job().active_runs == 1);
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, done before its lease lapsed, is not done again") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, done before its lease lapsed, is not done again") {
   Accept({Step(1)});
   Start(0, 0, 1, "w1");
   ledger.Apply(WorkerLapsed{"w1"});
@@ -98,7 +100,8 @@
   CHECK(job().state == JobState::kSucceeded);
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, same job handed in twice, first one stays") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, same job handed in twice, first one stays") {
   Accept({Step(1)});
   Accept({Step(5)});
   CHECK(job().tasks.size() == 1);
@@ -115,7 +118,8 @@
   CHECK(ledger.open_jobs().empty());
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, lapsed and stopped runs, count as no failure") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, lapsed and stopped runs, count as no failure") {
   Accept({Step(1)});
   Start(0, 0, 1, "w1");
   ledger.Apply(WorkerLapsed{"w1"});
@@ -125,7 +129,8 @@
   CHECK(job().tasks[0].checkpoint == "half");
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, step with dependency, opens when that is done") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, step with dependency, opens when that is done") {
   Accept({Step(1), Step(1, {0})});
   CHECK_FALSE(job().IsStepOpen(0, 1));
   Start(0, 0, 1, "w1");
@@ -150,7 +155,8 @@
   CHECK(ledger.open_jobs().empty());
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, filling task, takes memory and no processors") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, filling task, takes memory and no processors") {
   StepSpec filling = Step(1);
   filling.is_filling = true;
   Accept({filling});
@@ -158,7 +164,8 @@
   CHECK(ledger.FindWorker("w1")->used == Resources{0, 500, 0});
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, older word after draining, drains still") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, older word after draining, drains still") {
   WorkerInfo info = ledger.FindWorker("w1")->info;
   info.is_draining = true;
   ledger.Apply(WorkerSeen{info});
@@ -167,14 +174,16 @@
   CHECK(ledger.FindWorker("w1")->info.is_draining);
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, word of a life that ended, no worker") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, word of a life that ended, no worker") {
   const WorkerInfo info = ledger.FindWorker("w1")->info;
   ledger.Apply(WorkerGone{"w1"});
   ledger.Apply(WorkerSeen{info});
   CHECK(ledger.FindWorker("w1") == nullptr);
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, lower or equal version, configuration stays") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, lower or equal version, configuration stays") {
   Configuration other;
   other.version = 3;
   other.document = "other";
@@ -185,7 +194,8 @@
   CHECK(ledger.configuration().document == "other");
 }
 
-TEST_CASE_FIXTURE(LedgerFixture, "Ledger, cancelled with a run, open until it ends") {
+TEST_CASE_FIXTURE(LedgerFixture,
+                  "Ledger, cancelled with a run, open until it ends") {
   Accept({Step(2)});
   Start(0, 0, 1, "w1");
   ledger.Apply(JobCancelled{kJob});
@@ -219,9 +229,9 @@
 TEST_CASE("Records, cut at any place, refused") {
   JobSpec spec;
   spec.steps.emplace_back().count = 3;
-  const std::string text = EncodeRecords(
-      {JobAccepted{kJob, "quotes", "teklif", WallTime(), spec},
-       WaveHostSet{7, "h1", WaveStage::kDone}});
+  const std::string text =
+      EncodeRecords({JobAccepted{kJob, "quotes", "teklif", WallTime(), spec},
+                     WaveHostSet{7, "h1", WaveStage::kDone}});
   CHECK(DecodeRecords(text).size() == 2);
   for (size_t size = 0; size < text.size(); ++size) {
     CHECK_THROWS_AS(DecodeRecords(text.substr(0, size)), CodecError);
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -15,8 +15,8 @@
   PlannerFixture() {
     Configuration configuration;
     configuration.version = 1;
-    configuration.queues.push_back({"quotes", "q.example", "/quotes/", "teklif",
-                                    0, 2, 1.6, Millis(600)});
+    configuration.queues.push_back(
+        {"quotes", "q.example", "/quotes/", "teklif", 0, 2, 1.6, Millis(600)});
     configuration.services.push_back({"teklif"});
     ledger.Apply(ConfigurationSet{configuration});
   }
@@ -65,14 +65,16 @@
   SteadyTime now{hours(1)};
 };
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, more tasks than room, fills the room") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, more tasks than room, fills the room") {
   AddWorker("w1");
   AddWorker("w2");
   Accept("j", Step(10));
   CHECK(Plan().size() == 8);
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, starts not committed yet, plans no task twice") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, starts not committed yet, plans no task twice") {
   AddWorker("w1");
   Accept("j", Step(3));
   CHECK(Plan().size() == 3);
@@ -81,7 +83,9 @@
 
 // Failed before planned starts counted: the third task of a step came onto a
 // worker while the first two were being committed.
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, spread limit and starts under way, keeps the limit") {
+TEST_CASE_FIXTURE(
+    PlannerFixture,
+    "Planner, spread limit and starts under way, keeps the limit") {
   AddWorker("w1");
   StepSpec step = Step(2);
   step.spread_limit = 2;
@@ -91,7 +95,8 @@
   CHECK(Plan().empty());
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, last attempt, not where it failed") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, last attempt, not where it failed") {
   AddWorker("w1");
   AddWorker("w2");
   Accept("j", Step(1));
@@ -111,7 +116,8 @@
   CHECK(second[0].run == 2);
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, gang without room for all, starts none") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, gang without room for all, starts none") {
   AddWorker("w1");
   StepSpec gang = Step(5);
   gang.is_gang = true;
@@ -125,7 +131,8 @@
   }
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, data on one rack, waits for it a while") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, data on one rack, waits for it a while") {
   AddWorker("w1", "r1");
   StepSpec step = Step(1);
   step.data_rack = "r2";
@@ -135,7 +142,8 @@
   CHECK(Plan().size() == 1);
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, hopeless and timely work, timely goes first") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, hopeless and timely work, timely goes first") {
   AddWorker("w1");
   Accept("old", Step(4));
   seen_at["old"] = now - Millis(10'000);
@@ -145,7 +153,8 @@
   CHECK(starts[0].task.job == "new");
 }
 
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, persistent tasks, gather on few workers") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, persistent tasks, gather on few workers") {
   for (const char* id : {"w1", "w2", "w3", "w4"}) {
     AddWorker(id);
   }
@@ -164,7 +173,8 @@
 }
 
 // Failed first: what the same plan had put there did not count.
-TEST_CASE_FIXTURE(PlannerFixture, "Planner, persistent tasks of one plan, gather too") {
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, persistent tasks of one plan, gather too") {
   for (const char* id : {"w1", "w2", "w3", "w4"}) {
     AddWorker(id);
   }
@@ -181,7 +191,8 @@
   CHECK(used.size() == 2);
 }
 
-TEST_CASE("WorkerClock, slow clock, lease counts as running until surely over") {
+TEST_CASE(
+    "WorkerClock, slow clock, lease counts as running until surely over") {
   const SteadyTime start{hours(1)};
   WorkerClock clock(Millis(6'000), start);
   CHECK_FALSE(clock.HasSurelyLapsed(start + Millis(6'500)));
@@ -192,7 +203,8 @@
   CHECK(clock.HasSurelyLapsed(start + Millis(6'300)));
 }
 
-TEST_CASE("WorkerClock, never reached, earlier leader's leases are waited for") {
+TEST_CASE(
+    "WorkerClock, never reached, earlier leader's leases are waited for") {
   const SteadyTime start{hours(1)};
   const WorkerClock clock(Millis(6'000), start);
   CHECK_FALSE(clock.HasSurelyLapsed(start + Millis(7'200)));
@@ -216,7 +228,8 @@
   SteadyTime now{hours(1)};
 };
 
-TEST_CASE_FIXTURE(DemandFixture, "DemandMeter, turns came again, expects the next") {
+TEST_CASE_FIXTURE(DemandFixture,
+                  "DemandMeter, turns came again, expects the next") {
   Play(6);
   CHECK(meter.period() == Millis(4'000));
   CHECK(meter.Expected("a", now, Millis(1'000)).value() > 5);
@@ -229,7 +242,8 @@
   CHECK_FALSE(meter.Expected("a", now, Millis(1'000)));
 }
 
-TEST_CASE_FIXTURE(DemandFixture, "DemandMeter, work in the last moments, rate in cores") {
+TEST_CASE_FIXTURE(DemandFixture,
+                  "DemandMeter, work in the last moments, rate in cores") {
   Play(1);
   CHECK(meter.Rate("a", now) == doctest::Approx(10).epsilon(0.2));
   CHECK(meter.Rate("b", now) == 0);
@@ -250,13 +264,16 @@
 
   std::vector<PoolMove> Plan() { return PlanMoves(pools, hosts, weights, now); }
 
-  std::vector<PoolNeed> pools{{"a", false, 0}, {"b", false, 0}, {"off", true, 0}};
+  std::vector<PoolNeed> pools{{"a", false, 0},
+                              {"b", false, 0},
+                              {"off", true, 0}};
   std::vector<PoolHost> hosts;
   PoolWeights weights;
   SteadyTime now{hours(1)};
 };
 
-TEST_CASE_FIXTURE(PoolsFixture, "Moves, one service in a rush, takes parked hosts first") {
+TEST_CASE_FIXTURE(PoolsFixture,
+                  "Moves, one service in a rush, takes parked hosts first") {
   AddHosts("a", 4);
   AddHosts("b", 6);
   AddHosts("off", 2);
@@ -302,7 +319,9 @@
 
 // Failed first: a service was left with fewer hosts than its persistent tasks
 // must stand on.
-TEST_CASE_FIXTURE(PoolsFixture, "Moves, persistent tasks need more hosts, gets and keeps them") {
+TEST_CASE_FIXTURE(
+    PoolsFixture,
+    "Moves, persistent tasks need more hosts, gets and keeps them") {
   AddHosts("a", 3);
   AddHosts("b", 9);
   weights.may_park = false;
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -47,7 +47,7 @@
   /// inner port is the one of this file. Others are learned from them.
   std::vector<std::string> seeds;
   bool admits_newcomers = false;  ///< Control hosts join without an operator.
-  bool guards_zones = true;  ///< Never a quorum that one zone's loss ends.
+  bool guards_zones = true;       ///< Never a quorum that one zone's loss ends.
   /// Only the operator's own hosts are on these networks: no keys, no TLS.
   bool is_inner_trusted = false;
   bool is_scheduling_trusted = false;
--- a/packages/state/src/schedule_table_p.h
+++ b/packages/state/src/schedule_table_p.h
@@ -20,8 +20,7 @@
   ActResult Apply(const ScheduleCommand& command);
 
   /// Reads the ledger; applying waits for the reader.
-  void Read(
-      const std::function<void(const scheduling::Ledger&)>& reader) const;
+  void Read(const std::function<void(const scheduling::Ledger&)>& reader) const;
 
   void Save(SnapshotWriter& writer) const;
   void Load(const std::string& saved);
