--- a/packages/base/src/decision_log.cc
+++ b/packages/base/src/decision_log.cc
@@ -21,8 +21,9 @@
 // Gathered before it is written, so that lines share system calls.
 constexpr size_t kFlushBytes = 4'096;
 
+constexpr std::string_view kHex = "0123456789abcdef";
+
 void AppendEscaped(std::string& out, std::string_view text) {
-  constexpr std::string_view kHex = "0123456789abcdef";
   for (const char letter : text) {
     const auto code = static_cast<unsigned char>(letter);
     if (letter == '"' || letter == '\\') {
--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -82,16 +82,10 @@
       std::function<void(std::optional<std::string>, bool may_have_run)>;
   virtual void AskSchedule(std::string request,
                            SteadyTime deadline,
-                           ScheduleDone done) {
-    (void)request;
-    (void)deadline;
-    done(std::nullopt, false);
-  }
+                           ScheduleDone done);
 
   /// Control hosts that may be asked from now on, besides those of the start.
-  virtual void LearnControlHosts(std::vector<std::string> addresses) {
-    (void)addresses;
-  }
+  virtual void LearnControlHosts(const std::vector<std::string>& addresses);
 
   /// Starts syncing for a listener, which must outlive the link.
   virtual void Start(ViewListener& listener) = 0;
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -59,10 +59,9 @@
         });
   }
 
-  void LearnControlHosts(std::vector<std::string> addresses) override {
-    m_thread.mailbox().Post([this, addresses = std::move(addresses)] {
-      m_loop->LearnControlHosts(addresses);
-    });
+  void LearnControlHosts(const std::vector<std::string>& addresses) override {
+    m_thread.mailbox().Post(
+        [this, addresses] { m_loop->LearnControlHosts(addresses); });
   }
 
   void Start(ViewListener& listener) override {
@@ -92,6 +91,12 @@
 
 }  // namespace
 
+void ControlLink::AskSchedule(std::string, SteadyTime, ScheduleDone done) {
+  done(std::nullopt, false);
+}
+
+void ControlLink::LearnControlHosts(const std::vector<std::string>&) {}
+
 std::unique_ptr<ControlLink> MakeControlClient(const ControlClientInit& init) {
   return std::make_unique<ControlClient>(init);
 }
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -22,6 +22,7 @@
   scheduling::TaskId task;
   uint32_t run = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   friend auto operator<=>(const RunKey&, const RunKey&) = default;
 };
 
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -26,6 +26,9 @@
 constexpr Millis kOrderRetry{100};
 // After an order was not answered, the worker gets no new work for so long.
 constexpr Millis kSuspect{800};
+// After it turned an order down: about the time of one short task.
+constexpr Millis kRefusedPause{300};
+constexpr Millis kNoTicketPause{2'000};
 // Failures of so many different jobs, with none done between, put the blame on
 // the worker.
 constexpr size_t kDoubtfulFailures = 3;
@@ -141,7 +144,17 @@
       }
       OnStartRefused(key, track);
       break;
+    case CallOutcome::kNoTicket:
+      // It may run on some workers only, and which is not known: no other one
+      // is tried at once.
+      m_planner.Defer(key.task.job, Now() + kNoTicketPause);
+      OnStartRefused(key, track);
+      break;
     default:
+      // It has less room than it said, or is not well: others first.
+      if (link != m_links.end()) {
+        link->second.suspect_until = Now() + kRefusedPause;
+      }
       OnStartRefused(key, track);
       break;
   }
--- a/packages/dispatch/src/ports.cc
+++ b/packages/dispatch/src/ports.cc
@@ -4,11 +4,17 @@
 
 namespace laurelhall::dispatch {
 
+namespace {
+
+constexpr std::array<const char*, static_cast<size_t>(CallOutcome::kCount)>
+    kOutcomeNames{"done",        "fenced",    "old-run",    "late",
+                  "no-room",     "no-ticket", "other-life", "refused",
+                  "not-reached", "unknown"};
+
+}  // namespace
+
 const char* CallOutcomeName(CallOutcome outcome) {
-  constexpr std::array<const char*, static_cast<size_t>(CallOutcome::kCount)>
-      kNames{"done",      "fenced",     "old-run", "late",        "no-room",
-             "no-ticket", "other-life", "refused", "not-reached", "unknown"};
-  return kNames.at(static_cast<size_t>(outcome));
+  return kOutcomeNames.at(static_cast<size_t>(outcome));
 }
 
 }  // namespace laurelhall::dispatch
--- a/packages/scheduling/include/laurelhall/scheduling/graph.h
+++ b/packages/scheduling/include/laurelhall/scheduling/graph.h
@@ -119,6 +119,7 @@
   uint32_t step = 0;
   uint32_t index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -31,7 +31,7 @@
 struct WaitingWork {
   double core_millis = 0;
   Millis left{0};            ///< Until it should be done.
-  bool is_hopeless = false;  ///< Clearly too late to be on time.
+  bool is_hopeless = false;  ///< Too late to be of use to its caller.
 };
 
 /// Decides which tasks start where.
@@ -62,6 +62,9 @@
   /// A task of a queue took this long from start to end.
   void Learn(const std::string& queue, Millis estimate, Millis taken);
 
+  /// Plans no start of a job before a time: its last one was turned down.
+  void Defer(const std::string& job, SteadyTime until);
+
   /// Forgets all reservations: another leader may have followed.
   void Reset();
 
@@ -87,6 +90,7 @@
   std::map<TaskId, std::string> m_reserved;  // The worker it is planned for.
   std::map<std::string, Resources> m_reserved_room;  // By worker.
   std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
+  std::map<std::string, SteadyTime> m_deferred;                       // By job.
   std::map<std::string, double> m_ratio;  // Taken over estimated, by queue.
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -44,7 +44,9 @@
   Millis longest_emptying{1'500};
   /// A host that nobody needs is parked after so long.
   Millis park_after{2'000};
-  double headroom = 1.15;  ///< Cores kept for each core needed.
+  /// Cores kept for each core needed. Arrivals within a rush vary, and a host
+  /// that stands idle elsewhere costs the same.
+  double headroom = 1.8;
   /// Left to each service, whatever it needs: a rush is met by them until
   /// others come.
   uint32_t least_hosts = 3;
--- a/packages/scheduling/src/demand.cc
+++ b/packages/scheduling/src/demand.cc
@@ -99,7 +99,8 @@
   double product = 0;
   double now_square = 0;
   double then_square = 0;
-  for (const auto& [service, bins] : m_bins) {
+  for (const auto& entry : m_bins) {
+    const Bins& bins = entry.second;
     const auto at = [&bins](int64_t bin) {
       return bin < static_cast<int64_t>(bins.size())
                  ? bins[static_cast<size_t>(bin)]
--- a/packages/scheduling/src/graph.cc
+++ b/packages/scheduling/src/graph.cc
@@ -9,6 +9,9 @@
 
 constexpr size_t kTaskIdParts = 4;
 
+constexpr std::array<const char*, static_cast<size_t>(RunEnd::kCount)>
+    kRunEndNames{"done", "failed", "stopped", "lapsed", "broken", "alone"};
+
 // Splits at dots; false unless there are just four parts.
 bool SplitTaskId(const std::string& text,
                  std::array<std::string, kTaskIdParts>& parts) {
@@ -80,9 +83,7 @@
 }
 
 const char* RunEndName(RunEnd end) {
-  constexpr std::array<const char*, static_cast<size_t>(RunEnd::kCount)> kNames{
-      "done", "failed", "stopped", "lapsed", "broken", "alone"};
-  return kNames.at(static_cast<size_t>(end));
+  return kRunEndNames.at(static_cast<size_t>(end));
 }
 
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -20,6 +20,11 @@
 // elsewhere it takes three times as long.
 constexpr int kDataWaitRuns = 2;
 
+// A job is lost to its caller after so many times its objective.
+constexpr int kLateLimit = 3;
+// So long before that it goes first.
+constexpr Millis kLastCall{700};
+
 // Weights of what a place costs, in shares of an idle worker.
 constexpr double kFarFromData = 100;
 constexpr double kFailedHere = 50;
@@ -28,7 +33,7 @@
 constexpr double kGathers = 2;
 
 // In which order kinds of work are served.
-enum class Urgency { kPersistent, kOnTime, kHopeless, kCount };
+enum class Urgency { kPersistent, kOnTime, kLate, kHopeless, kCount };
 
 bool HasLabel(const WorkerInfo& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
@@ -376,8 +381,10 @@
   }
   waiting.core_millis *= RunTimeRatio(job.queue);
   const SteadyTime deadline = DeadlineOf(ledger, job, seen_at);
-  waiting.left = std::chrono::floor<Millis>(deadline - now);
-  waiting.is_hopeless = IsHopeless(job, 0, deadline, now);
+  const SteadyTime limit = seen_at + kLateLimit * (deadline - seen_at);
+  const bool is_late = IsHopeless(job, 0, deadline, now);
+  waiting.left = std::chrono::floor<Millis>((is_late ? limit : deadline) - now);
+  waiting.is_hopeless = IsHopeless(job, 0, limit, now);
   return waiting;
 }
 
@@ -417,11 +424,20 @@
   candidate.waits_since = since;
   candidate.priority = queue == nullptr ? 0 : queue->priority;
   candidate.is_begun = candidate.is_begun || job.state == JobState::kRunning;
-  candidate.deadline = DeadlineOf(input.ledger, job, since);
+  const SteadyTime deadline = DeadlineOf(input.ledger, job, since);
+  const SteadyTime limit = since + kLateLimit * (deadline - since);
+  candidate.deadline = deadline;
   if (spec.is_persistent) {
     candidate.urgency = Urgency::kPersistent;
-  } else if (IsHopeless(job, occurrence, candidate.deadline, input.now)) {
+  } else if (IsHopeless(job, occurrence, limit, input.now)) {
     candidate.urgency = Urgency::kHopeless;
+  } else if (IsHopeless(job, occurrence, deadline, input.now)) {
+    // Late, but not lost: behind what can be on time while there is time, and
+    // before it when there is none left.
+    const bool is_last_call =
+        IsHopeless(job, occurrence, limit, input.now + kLastCall);
+    candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
+    candidate.deadline = limit;
   }
   out.push_back(std::move(candidate));
 }
@@ -431,7 +447,8 @@
   for (const std::string& id : input.ledger.open_jobs()) {
     const Job& job = *input.ledger.FindJob(id);
     // Most open jobs have all that is left of them running.
-    if (job.is_over() || job.tasks_left <= job.active_runs) {
+    if (job.is_over() || job.tasks_left <= job.active_runs ||
+        m_deferred.contains(id)) {
       continue;
     }
     for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
@@ -453,6 +470,9 @@
 }
 
 std::vector<RunStarted> Planner::Plan(const PlanInput& input) {
+  std::erase_if(m_deferred, [&input](const auto& deferred) {
+    return deferred.second <= input.now;
+  });
   std::vector<Candidate> candidates = Gather(input);
   std::stable_sort(
       candidates.begin(), candidates.end(),
@@ -478,6 +498,10 @@
   m_reserved.erase(start.task);
 }
 
+void Planner::Defer(const std::string& job, SteadyTime until) {
+  m_deferred[job] = until;
+}
+
 void Planner::Reset() {
   m_reserved.clear();
   m_reserved_room.clear();
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -172,6 +172,16 @@
   CHECK(with == 2);
 }
 
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, job turned down, waits before the next start") {
+  AddWorker("w1");
+  Accept("j", Step(1));
+  planner.Defer("j", now + Millis(100));
+  CHECK(Plan().empty());
+  now += Millis(100);
+  CHECK(Plan().size() == 1);
+}
+
 // Failed first: what the same plan had put there did not count.
 TEST_CASE_FIXTURE(PlannerFixture,
                   "Planner, persistent tasks of one plan, gather too") {
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -75,8 +75,7 @@
 TEST_CASE("Commands, of the scheduling alone, decode as they were") {
   const std::vector<Command> commands{ScheduleCommand{"1 8 2:w1"},
                                       ScheduleCommand{"quote \" and 4:text"}};
-  const std::vector<Command> decoded =
-      DecodeCommands(EncodeCommands(commands));
+  const std::vector<Command> decoded = DecodeCommands(EncodeCommands(commands));
   REQUIRE(decoded.size() == 2);
   CHECK(std::get<ScheduleCommand>(decoded[1]).records ==
         std::get<ScheduleCommand>(commands[1]).records);
@@ -111,8 +110,9 @@
 
 TEST_CASE("Commands, text that is none, throws") {
   for (const char* text :
-       {"", "{}", "[1]", "[{}]", R"([{"kind":17,"value":{}}])", "!", "!1 ", "!1 9:short", "!1 2:abc",
-        R"([{"kind":-1,"value":{}}])", R"([{"kind":0,"value":3}])",
+       {"", "{}", "[1]", "[{}]", R"([{"kind":17,"value":{}}])", "!", "!1 ",
+        "!1 9:short", "!1 2:abc", R"([{"kind":-1,"value":{}}])",
+        R"([{"kind":0,"value":3}])",
         R"([{"kind":7,"value":{"event":"kExplode"}}])",
         R"([{"kind":12,"value":{"now":"soon"}}])",
         R"([{"kind":13,"value":{"state":"kAsleep"}}])"}) {
