Scheduling metrics on an address of the settings; a line when a job is over; settings tests

Cause: operators had no counters or latencies of the scheduling, and no line that told how a job ended. Histograms of the answers by kind, counters by outcome.

--- /dev/null
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -0,0 +1,94 @@
+#include "schedule_metrics_p.h"
+
+#include <prometheus/text_serializer.h>
+
+#include "laurelhall/base/decision_log.h"
+
+namespace laurelhall::daemon {
+
+namespace {
+
+using dispatch::DispatchCounters;
+
+constexpr std::array<const char*, 10> kKindNames{
+    "submit-job",      "get-job",           "cancel-job",
+    "count-waiting",   "put-configuration", "get-configuration",
+    "announce-worker", "worker-leaves",     "open-wave",
+    "get-wave"};
+static_assert(kKindNames.size() == std::variant_size_v<dispatch::Request>);
+
+constexpr std::array<const char*, 6> kOutcomeNames{
+    "ok", "no-queue", "no-job", "not-found", "unavailable", "unknown"};
+static_assert(kOutcomeNames.size() ==
+              static_cast<size_t>(dispatch::Outcome::kCount));
+
+struct Total {
+  const char* name;
+  uint64_t DispatchCounters::*count;
+};
+
+constexpr std::array kTotals{
+    Total{"starts", &DispatchCounters::starts},
+    Total{"ends", &DispatchCounters::ends},
+    Total{"stops", &DispatchCounters::stops},
+    Total{"looks", &DispatchCounters::holds},
+    Total{"jobs", &DispatchCounters::jobs},
+    Total{"lapses", &DispatchCounters::lapses},
+    Total{"unanswered_orders", &DispatchCounters::unknown_calls},
+};
+
+// Seconds: from a commit on a fast disk to a caller's usual patience.
+const prometheus::Histogram::BucketBoundaries kBuckets{
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3};
+
+}  // namespace
+
+ScheduleMetrics::ScheduleMetrics() {
+  auto& latency = prometheus::BuildHistogram()
+                      .Name("laurelhall_schedule_request_seconds")
+                      .Help("From a request's arrival to its answer.")
+                      .Register(m_registry);
+  for (size_t kind = 0; kind < kKinds; ++kind) {
+    m_latency[kind] = &latency.Add({{"kind", kKindNames[kind]}}, kBuckets);
+  }
+  auto& outcomes = prometheus::BuildCounter()
+                       .Name("laurelhall_schedule_requests_total")
+                       .Help("Requests by what became of them.")
+                       .Register(m_registry);
+  for (size_t outcome = 0; outcome < kOutcomes; ++outcome) {
+    m_outcomes[outcome] = &outcomes.Add({{"outcome", kOutcomeNames[outcome]}});
+  }
+  m_totals = &prometheus::BuildGauge()
+                  .Name("laurelhall_schedule_events")
+                  .Help("Since the process started.")
+                  .Register(m_registry);
+}
+
+void ScheduleMetrics::Answered(size_t kind,
+                               dispatch::Outcome outcome,
+                               Millis took) {
+  m_latency[kind]->Observe(std::chrono::duration<double>(took).count());
+  m_outcomes[static_cast<size_t>(outcome)]->Increment();
+}
+
+std::string ScheduleMetrics::Page() {
+  if (m_source) {
+    const DispatchCounters counters = m_source();
+    for (const Total& total : kTotals) {
+      m_totals->Add({{"event", total.name}})
+          .Set(static_cast<double>(counters.*total.count));
+    }
+  }
+  m_totals->Add({{"event", "dropped_log_lines"}})
+      .Set(static_cast<double>(DecisionLog::Get().dropped()));
+  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+void ScheduleMetrics::OnRequest(std::shared_ptr<net::HttpExchange> exchange) {
+  net::HttpResponse answer;
+  answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
+  answer.body = Page();
+  exchange->Respond(std::move(answer));
+}
+
+}  // namespace laurelhall::daemon
--- /dev/null
+++ b/packages/daemon/src/schedule_metrics_p.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "laurelhall/dispatch/dispatcher.h"
+#include "laurelhall/dispatch/request.h"
+#include "laurelhall/net/http.h"
+
+namespace laurelhall::daemon {
+
+/// Counters and latencies of the scheduling, as a page for scraping.
+///
+/// @remarks Thread-safe. Labels are bounded: kinds and outcomes alone.
+class ScheduleMetrics final : public net::HttpHandler {
+ public:
+  ScheduleMetrics();
+
+  /// A request was answered after a time.
+  ///
+  /// @param kind Its place in dispatch::Request.
+  void Answered(size_t kind, dispatch::Outcome outcome, Millis took);
+
+  /// Where a control host's counters are read when the page is asked for.
+  void SetSource(std::function<dispatch::DispatchCounters()> source) {
+    m_source = std::move(source);
+  }
+
+  int64_t MaxBodyBytes(const net::HttpRequest&) override { return 0; }
+  void OnRequest(std::shared_ptr<net::HttpExchange> exchange) override;
+
+  /// The page's text.
+  std::string Page();
+
+ private:
+  static constexpr size_t kKinds = std::variant_size_v<dispatch::Request>;
+  static constexpr size_t kOutcomes =
+      static_cast<size_t>(dispatch::Outcome::kCount);
+
+  prometheus::Registry m_registry;
+  std::array<prometheus::Histogram*, kKinds> m_latency{};
+  std::array<prometheus::Counter*, kOutcomes> m_outcomes{};
+  prometheus::Family<prometheus::Gauge>* m_totals = nullptr;
+  std::function<dispatch::DispatchCounters()> m_source;
+};
+
+}  // namespace laurelhall::daemon
--- a/packages/daemon/src/schedule_part.cc
+++ b/packages/daemon/src/schedule_part.cc
@@ -26,6 +26,32 @@
   return address.substr(address.rfind(':'));
 }
 
+// Counts an answer and the time it took, then hands it on.
+dispatch::ReplyDone Measured(ScheduleMetrics& metrics,
+                             const dispatch::Request& request,
+                             dispatch::ReplyDone done) {
+  const auto begun = std::chrono::steady_clock::now();
+  return [&metrics, kind = request.index(), begun,
+          done = std::move(done)](dispatch::Reply reply) {
+    metrics.Answered(
+        kind, reply.outcome,
+        std::chrono::floor<Millis>(std::chrono::steady_clock::now() - begun));
+    done(std::move(reply));
+  };
+}
+
+std::unique_ptr<net::HttpServer> ServeMetrics(
+    net::IoThreads& threads,
+    const settings::DaemonSettings& settings,
+    ScheduleMetrics& metrics) {
+  if (settings.metrics_address.empty()) {
+    return nullptr;
+  }
+  net::HttpServerInit server;
+  server.address = settings.metrics_address;
+  return std::make_unique<net::HttpServer>(threads, server, metrics);
+}
+
 }  // namespace
 
 // --- Control host -----------------------------------------------------------
@@ -59,7 +85,8 @@
   m_host = &host;
   platform::ControlApiInit init;
   init.ask = [this](dispatch::Request request, dispatch::ReplyDone done) {
-    m_dispatcher->Ask(std::move(request), std::move(done));
+    auto measured = Measured(m_metrics, request, std::move(done));
+    m_dispatcher->Ask(std::move(request), std::move(measured));
   };
   init.is_leading = [this] { return m_dispatcher->is_leading(); };
   init.leader = [this] { return LeaderAddress(); };
@@ -68,9 +95,12 @@
   net::HttpServerInit server;
   server.address = m_settings.scheduling_address;
   m_server = std::make_unique<net::HttpServer>(m_threads, server, *m_api);
+  m_metrics.SetSource([this] { return m_dispatcher->counters(); });
+  m_metrics_server = ServeMetrics(m_threads, m_settings, m_metrics);
 }
 
 void ControlSchedule::Stop() {
+  m_metrics_server.reset();
   m_server.reset();
   m_dispatcher->EndToLead();
   std::promise<void> ended;
@@ -109,7 +139,8 @@
   m_remote = std::make_unique<dispatch::RemoteScheduler>(init);
   m_api = std::make_unique<platform::CallerApi>(
       [this](dispatch::Request request, Millis left, dispatch::ReplyDone done) {
-        m_remote->Ask(std::move(request), left, std::move(done));
+        auto measured = Measured(m_metrics, request, std::move(done));
+        m_remote->Ask(std::move(request), left, std::move(measured));
       });
   m_readiness = std::make_unique<platform::ReadinessApi>(
       [this] { return !m_is_draining && m_remote->is_connected(); });
@@ -119,6 +150,7 @@
   server.address = m_settings.readiness_address;
   m_readiness_server =
       std::make_unique<net::HttpServer>(m_threads, server, *m_readiness);
+  m_metrics_server = ServeMetrics(m_threads, m_settings, m_metrics);
 }
 
 EntrySchedule::~EntrySchedule() = default;
--- a/packages/daemon/src/schedule_part_p.h
+++ b/packages/daemon/src/schedule_part_p.h
@@ -12,6 +12,7 @@
 #include "platform/caller_api.h"
 #include "platform/control_api.h"
 #include "platform/worker_calls.h"
+#include "schedule_metrics_p.h"
 
 namespace laurelhall::daemon {
 
@@ -48,6 +49,8 @@
   platform::HostCalls m_hosts;
   std::unique_ptr<dispatch::Dispatcher> m_dispatcher;
   std::unique_ptr<platform::ControlApi> m_api;
+  ScheduleMetrics m_metrics;
+  std::unique_ptr<net::HttpServer> m_metrics_server;
   std::unique_ptr<net::HttpServer> m_server;
   control::ControlHost* m_host = nullptr;
 };
@@ -72,8 +75,10 @@
   std::atomic<bool> m_is_draining{false};
   std::unique_ptr<platform::CallerApi> m_api;
   std::unique_ptr<platform::ReadinessApi> m_readiness;
+  ScheduleMetrics m_metrics;
   std::unique_ptr<net::HttpServer> m_server;
   std::unique_ptr<net::HttpServer> m_readiness_server;
+  std::unique_ptr<net::HttpServer> m_metrics_server;
 };
 
 }  // namespace laurelhall::daemon
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -319,7 +319,16 @@
     if (!job.is_over() || job.active_runs > 0) {
       continue;
     }
-    m_seen_at.erase(id);
+    const auto seen = m_seen_at.find(id);
+    if (seen != m_seen_at.end()) {
+      DecisionLog::Get().Write(
+          DecisionLine("dispatch", "job-over")
+              .With("job", id)
+              .With("state", JobStateName(job.state))
+              .With("within_ms",
+                    std::chrono::floor<Millis>(now - seen->second)));
+      m_seen_at.erase(seen);
+    }
     const SteadyTime over = m_over_at.try_emplace(id, now).first->second;
     if (now - over > m_init.bounds.job_memory) {
       forgotten.ids.push_back(id);
--- a/packages/scheduling/include/laurelhall/scheduling/graph.h
+++ b/packages/scheduling/include/laurelhall/scheduling/graph.h
@@ -138,6 +138,9 @@
   kCount,
 };
 
+/// A lower-case word for logs. Thread-safe.
+const char* JobStateName(JobState state);
+
 /// How a run ended.
 enum class RunEnd : uint8_t {
   kDone,
--- a/packages/scheduling/src/graph.cc
+++ b/packages/scheduling/src/graph.cc
@@ -32,6 +32,9 @@
   return error == std::errc() && next == end;
 }
 
+constexpr std::array<const char*, static_cast<size_t>(JobState::kCount)>
+    kJobStateNames{"queued", "running", "succeeded", "failed", "cancelled"};
+
 }  // namespace
 
 bool Fits(const Resources& need, const Resources& room) {
@@ -82,6 +85,10 @@
   return task;
 }
 
+const char* JobStateName(JobState state) {
+  return kJobStateNames.at(static_cast<size_t>(state));
+}
+
 const char* RunEndName(RunEnd end) {
   return kRunEndNames.at(static_cast<size_t>(end));
 }
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -42,7 +42,8 @@
   std::string readiness_address;  ///< Entry: the balancer asks here.
   /// Control: workers announce themselves, operators set the configuration.
   std::string scheduling_address;
-  std::string hosts_address;  ///< Where acts on hosts are asked for.
+  std::string metrics_address;  ///< Counters of the scheduling; empty: none.
+  std::string hosts_address;    ///< Where acts on hosts are asked for.
   /// Scheduling addresses of some control hosts, in place of the peers: their
   /// inner port is the one of this file. Others are learned from them.
   std::vector<std::string> seeds;
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -232,6 +232,7 @@
         &ReadAddress<&DaemonSettings::readiness_address>},
     Key{"addresses.scheduling",
         &ReadAddress<&DaemonSettings::scheduling_address>},
+    Key{"addresses.metrics", &ReadAddress<&DaemonSettings::metrics_address>},
     Key{"addresses.hosts", &ReadAddress<&DaemonSettings::hosts_address>},
     Key{"control.seeds", &ReadSeeds},
     Key{"control.admits_newcomers",
@@ -393,7 +394,7 @@
   void CheckSchedulingTrust() {
     for (const std::string* address :
          {&m_settings.jobs_address, &m_settings.readiness_address,
-          &m_settings.scheduling_address}) {
+          &m_settings.scheduling_address, &m_settings.metrics_address}) {
       if (IsOffLoopback(*address) && !m_settings.is_scheduling_trusted) {
         Add("trusted_network.scheduling",
             "expected true: " + *address + " is served off loopback");
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -172,5 +172,37 @@
   CHECK(FindingsOf("{").size() == 1);
 }
 
+constexpr const char* kControlFile = R"({"name": "10.1.0.9:7060",
+  "availability_zone": "z1", "roles": ["control"],
+  "addresses": {"inner": "10.1.0.9:7060", "scheduling": "10.1.0.9:8623",
+    "hosts": "10.2.0.1:80", "metrics": "10.1.0.9:9464"},
+  "control": {"data_folder": "d", "admits_newcomers": true,
+    "guards_zones": false, "seeds": ["10.1.0.11:8623", "10.2.0.25:8623"]},
+  "scheduling": {"longest_lease": "6s", "maintenance": "2s"})";
+
+TEST_CASE_FIXTURE(DaemonSettingsFixture,
+                  "ParseDaemonSettings, seeds given, stand for their peers") {
+  const DaemonSettings settings = ParseDaemonSettings(
+      std::string(kControlFile) +
+          R"(, "trusted_network": {"inner": true, "scheduling": true}})",
+      "d.json");
+  REQUIRE(settings.control_peers.size() == 2);
+  CHECK(settings.control_peers[1].address == "10.2.0.25:7060");
+  CHECK(settings.control_peers[1].name == "10.2.0.25:7060");
+  CHECK(settings.admits_newcomers);
+  CHECK_FALSE(settings.guards_zones);
+  CHECK(settings.dispatch_bounds.longest_lease == Millis(6'000));
+}
+
+TEST_CASE_FIXTURE(
+    DaemonSettingsFixture,
+    "ParseDaemonSettings, off loopback and not trusted, refused") {
+  const auto findings = FindingsOf(std::string(kControlFile) + "}");
+  CHECK(findings.size() == 4);
+  CHECK(findings.contains(
+      "d.json: trusted_network.scheduling: expected true: 10.1.0.9:8623 is "
+      "served off loopback"));
+}
+
 }  // namespace
 }  // namespace laurelhall::settings
