--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -232,6 +232,31 @@
   }
 }
 
+// Each showed a fault once; played unchanged.
+TEST_CASE(
+    "Dispatcher, seeds that failed before, nothing runs twice or is lost") {
+  const uint64_t seeds[] = {
+      49,    // A start sent again for a run that had lapsed.
+      144,   // The same, over a worker's room.
+      199,   // The same, with a change of leaders.
+      210,   // An end before a lapse, then another run: allowed.
+      246,   // As 210.
+      313,   // As 210.
+      317,   // A start without an answer after its stop was taken.
+      584,   // As 317, for a cancelled job.
+      4322,  // A plan of an earlier term, committed in a later one.
+      4632,  // A start while the lapse was being committed.
+      6268,  // As 4632.
+      6577,  // As 4322.
+      9877,  // As 4322, on two workers.
+  };
+  for (const uint64_t seed : seeds) {
+    for (const std::string& wrong : PlaySchedule(seed, {})) {
+      FAIL_CHECK("seed ", seed, ": ", wrong);
+    }
+  }
+}
+
 struct Mutant {
   const char* name;
   bool DispatchMutations::*step;
