--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -80,9 +80,9 @@
   ///   the request was sent at all.
   using ScheduleDone =
       std::function<void(std::optional<std::string>, bool may_have_run)>;
-  virtual void AskSchedule(std::string request,
+  virtual void AskSchedule(const std::string& request,
                            SteadyTime deadline,
-                           ScheduleDone done);
+                           const ScheduleDone& done);
 
   /// Control hosts that may be asked from now on, besides those of the start.
   virtual void LearnControlHosts(const std::vector<std::string>& addresses);
--- a/packages/control/src/control_client.cc
+++ b/packages/control/src/control_client.cc
@@ -50,13 +50,12 @@
     });
   }
 
-  void AskSchedule(std::string request,
+  void AskSchedule(const std::string& request,
                    SteadyTime deadline,
-                   ScheduleDone done) override {
-    m_thread.mailbox().Post(
-        [this, request = std::move(request), deadline, done = std::move(done)] {
-          m_loop->AskSchedule({request, deadline, done, false});
-        });
+                   const ScheduleDone& done) override {
+    m_thread.mailbox().Post([this, request, deadline, done] {
+      m_loop->AskSchedule({request, deadline, done, false});
+    });
   }
 
   void LearnControlHosts(const std::vector<std::string>& addresses) override {
@@ -91,7 +90,9 @@
 
 }  // namespace
 
-void ControlLink::AskSchedule(std::string, SteadyTime, ScheduleDone done) {
+void ControlLink::AskSchedule(const std::string&,
+                              SteadyTime,
+                              const ScheduleDone& done) {
   done(std::nullopt, false);
 }
 
