Settings and fields that nothing used are gone; outcomes of acts on hosts are words

Cause: read as a newcomer, bounds for stops, notice and harm were set and had no effect, a queue's advice was kept and never asked for, and a log line gave an enumerator's number. Behaviour is as before.

--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -14,11 +14,8 @@
 /// Bounds that the deployment states.
 struct DispatchBounds {
   Millis longest_lease{6'000};  ///< What workers grant at most.
-  Millis stop_time{400};        ///< A stop takes at most this.
-  Millis notice{4'500};  ///< A task not at work for so long counts as away.
-  Millis harm{4'000};    ///< A target may be missed for less than this.
-  Millis maintenance{2'000};   ///< How long a host is down for it.
-  Millis job_memory{150'000};  ///< An ended job is known for so long.
+  Millis maintenance{2'000};    ///< How long a host is down for it.
+  Millis job_memory{150'000};   ///< An ended job is known for so long.
 };
 
 /// Counts since the process started.
--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -126,6 +126,9 @@
   kCount,
 };
 
+/// A lower-case word for logs. Thread-safe.
+const char* HostActOutcomeName(HostActOutcome outcome);
+
 struct HostAct {
   std::string host;
   uint64_t wave = 0;   ///< Of a maintenance.
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -376,7 +376,7 @@
                                .With("host", host)
                                .With("to", track.to)
                                .With("fence", m_term)
-                               .With("outcome", static_cast<int>(outcome)));
+                               .With("outcome", HostActOutcomeName(outcome)));
   if (outcome == HostActOutcome::kDone) {
     track.ordered_at = Now();
     HostState& state = m_inventory[host];
--- a/packages/dispatch/src/ports.cc
+++ b/packages/dispatch/src/ports.cc
@@ -11,8 +11,16 @@
                   "no-room",     "no-ticket", "other-life", "refused",
                   "not-reached", "unknown"};
 
+constexpr std::array<const char*, static_cast<size_t>(HostActOutcome::kCount)>
+    kHostActOutcomeNames{"done",   "busy",    "refused",
+                         "fenced", "unknown", "limited"};
+
 }  // namespace
 
+const char* HostActOutcomeName(HostActOutcome outcome) {
+  return kHostActOutcomeNames.at(static_cast<size_t>(outcome));
+}
+
 const char* CallOutcomeName(CallOutcome outcome) {
   return kOutcomeNames.at(static_cast<size_t>(outcome));
 }
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -269,7 +269,7 @@
                                .With("wave", wave)
                                .With("host", host)
                                .With("fence", m_term)
-                               .With("outcome", static_cast<int>(outcome)));
+                               .With("outcome", HostActOutcomeName(outcome)));
   const auto found = m_hosts.find(host);
   if (found == m_hosts.end()) {
     return;
--- a/packages/scheduling/include/laurelhall/scheduling/graph.h
+++ b/packages/scheduling/include/laurelhall/scheduling/graph.h
@@ -69,10 +69,7 @@
   int32_t priority = 0;  ///< 0 goes first.
   uint32_t max_attempts = 1;
   double stretch = 1;  ///< On time: within so many times the chain of work...
-  Millis target_latency{0};   ///< ...and this.
-  bool needs_advice = false;  ///< Only some workers may run a step of it.
-  Millis advice_base{0};      ///< What a call for advice takes...
-  Millis advice_each{0};      ///< ...and more for each worker named.
+  Millis target_latency{0};  ///< ...and this.
 };
 
 /// A service: a pool of hosts, one worker each.
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -65,9 +65,6 @@
   /// Plans no start of a job before a time: its last one was turned down.
   void Defer(const std::string& job, SteadyTime until);
 
-  /// Forgets all reservations: another leader may have followed.
-  void Reset();
-
  private:
   struct Candidate;
   class Placement;
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -127,8 +127,7 @@
 template <typename Archive>
 void Visit(Archive& archive, QueueSpec& value) {
   archive(value.name, value.host, value.prefix, value.service, value.priority,
-          value.max_attempts, value.stretch, value.target_latency,
-          value.needs_advice, value.advice_base, value.advice_each);
+          value.max_attempts, value.stretch, value.target_latency);
 }
 
 template <typename Archive>
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -502,10 +502,4 @@
   m_deferred[job] = until;
 }
 
-void Planner::Reset() {
-  m_reserved.clear();
-  m_reserved_room.clear();
-  m_reserved_steps.clear();
-}
-
 }  // namespace laurelhall::scheduling
