--- a/packages/control/tests/decisions_test.cc
+++ b/packages/control/tests/decisions_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <random>
+#include <set>
 
 #include "leader_finder_p.h"
 #include "repair_p.h"
@@ -158,6 +159,53 @@
   CHECK(plan.notes.at(0).find("quorum") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "PlanRepair, newcomers admitted, added and promoted") {
+  RepairInput input = Healthy(Voters({"a", "b", "c"}));
+  input.admits_newcomers = true;
+  input.guards_zones = false;
+  input.waiting.push_back({NodeId{7}, {"", "a", "n7", false}, input.now});
+  RepairPlan plan = PlanRepair(input);
+  REQUIRE(plan.change);
+  CHECK(plan.change->kind == MembershipChangeKind::kAddLearner);
+  input.status.membership.members[NodeId{7}] = {"", "a", "n7", false};
+  input.status.peers[NodeId{7}] = {1'000, input.now};
+  plan = PlanRepair(input);
+  REQUIRE(plan.change);
+  CHECK(plan.change->kind == MembershipChangeKind::kPromote);
+}
+
+TEST_CASE_FIXTURE(MembershipFixture,
+                  "PlanRepair, newcomer and a silent voter, that one goes "
+                  "first") {
+  RepairInput input = Healthy(Voters({"a", "b", "c"}));
+  input.admits_newcomers = true;
+  input.guards_zones = false;
+  input.status.membership.members[NodeId{7}] = {"", "a", "n7", false};
+  input.status.peers[NodeId{7}] = {1'000, input.now};
+  input.status.peers[NodeId{3}].last_heard =
+      input.now - std::chrono::seconds(6);
+  const RepairPlan plan = PlanRepair(input);
+  REQUIRE(plan.change);
+  CHECK(plan.change->kind == MembershipChangeKind::kRemove);
+  CHECK(plan.change->node == NodeId{3});
+  // Without the setting the newcomer only raises the quorum, as before.
+  input.admits_newcomers = false;
+  CHECK(PlanRepair(input).change->kind == MembershipChangeKind::kPromote);
+}
+
+TEST_CASE("LeaderFinder, members learned, asked after those of the start") {
+  LeaderFinder finder({"a"});
+  finder.Learn({"a", "b"});
+  const SteadyTime now{std::chrono::hours(1)};
+  std::set<std::string> asked;
+  for (int i = 0; i < 4; ++i) {
+    asked.insert(finder.current());
+    finder.Failed(finder.current(), now);
+  }
+  CHECK(asked == std::set<std::string>{"a", "b"});
+}
+
 class LeaderFinderFixture {
  protected:
   SteadyTime m_now{std::chrono::hours(1)};
