A known job over a dropped queue is answered as any request over it

Cause: handed in again or cancelled, a job was acknowledged by its id alone, also when the configuration in force no longer had its queue. Test failed first for both calls.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -220,7 +220,8 @@
         accepted.service = queue->service;
       }
     });
-    if (is_known) {
+    // A queue that is gone takes nothing, not even a job that it took before.
+    if (is_known && !accepted.queue.empty()) {
       done(Done(Outcome::kOk));
       return;
     }
@@ -267,7 +268,7 @@
     bool is_over = false;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Job* job = ledger.FindJob(request.id);
-      is_known = job != nullptr;
+      is_known = job != nullptr && HasQueue(ledger, request.host, request.path);
       is_over = is_known && job->is_over();
     });
     if (is_over) {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -125,6 +125,28 @@
   CHECK(world.starts() == 3);
 }
 
+// Failed first: a resend of a known job was acknowledged over a route that the
+// configuration in force no longer has.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, known job over a dropped queue, no such queue") {
+  scheduling::JobSpec spec;
+  spec.steps = {Step(1)};
+  const SubmitJob submit{"q", "/q/a", "a", spec};
+  CHECK(world.Ask(submit).outcome == Outcome::kOk);
+  world.Advance(Millis(2'000));
+  CHECK(world.Ask(submit).outcome == Outcome::kOk);
+  CHECK(world.Ask(GetJob{"q", "/q/a", "a"}).job_state == JobState::kSucceeded);
+  scheduling::Configuration without;
+  without.version = 2;
+  without.document = "{}";
+  without.services.push_back({"teklif"});
+  world.Configure(without);
+  CHECK(world.Ask(submit).outcome == Outcome::kNoQueue);
+  CHECK(world.Ask(GetJob{"q", "/q/a", "a"}).outcome == Outcome::kNoQueue);
+  CHECK(world.Ask(CancelJob{"q", "/q/a", "a"}).outcome == Outcome::kNoQueue);
+  CHECK(world.Ask(CountWaiting{"q", "/q/"}).outcome == Outcome::kNoQueue);
+}
+
 class WaveFixture : protected DispatcherFixture {
  protected:
   WaveFixture() {
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -428,6 +428,18 @@
   Apply(scheduling::JobCancelled{id});
 }
 
+void World::Configure(const scheduling::Configuration& configuration) {
+  Apply(scheduling::ConfigurationSet{configuration});
+}
+
+Reply World::Ask(Request request) {
+  Reply answer;
+  m_hosts[m_leader]->dispatcher->Ask(
+      std::move(request), [&answer](const Reply& reply) { answer = reply; });
+  Advance(Millis(50));
+  return answer;
+}
+
 void World::ChangeLeader(Millis unaware) {
   Host& old = *m_hosts[m_leader];
   const uint64_t old_term = old.term;
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -80,6 +80,10 @@
   void AddWorker(const std::string& host);
   void Submit(const std::string& id, std::vector<scheduling::StepSpec> steps);
   void Cancel(const std::string& id);
+  void Configure(const scheduling::Configuration& configuration);
+
+  /// Asks the leader and waits for the answer.
+  Reply Ask(Request request);
 
   /// The other control host leads from now on; the old one does not know it
   /// for a while.
