Tracks of runs are compared by the ledger's own question

Cause: on reading the whole change, FollowRuns() searched a task's active runs itself, written before Ledger::IsActive() was, which asks the same.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -165,15 +165,8 @@
 // Every committed run is tracked; those of an earlier leader are uncertain.
 void Leadership::FollowRuns(const Ledger& ledger) {
   for (auto run = m_runs.begin(); run != m_runs.end();) {
-    const Job* job = ledger.FindJob(run->first.task.job);
-    bool is_active = false;
-    if (job != nullptr) {
-      for (const auto& active :
-           job->tasks[job->IndexOf(run->first.task)].active) {
-        is_active = is_active || (active.run == run->first.run &&
-                                  active.worker == run->second.worker);
-      }
-    }
+    const auto& [key, track] = *run;
+    const bool is_active = ledger.IsActive(key.task, key.run, track.worker);
     run = is_active ? std::next(run) : m_runs.erase(run);
   }
   for (const auto& [id, worker] : ledger.workers()) {
