--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "laurelhall/scheduling/record.h"
@@ -78,13 +79,18 @@
 ///   ledger on each control host; applying one reads no clock.
 class Ledger {
  public:
+  // By id, in no order: each start and end finds its job and worker some twenty
+  // times, which took a sixth of a leader's time in ordered maps.
+  using Jobs = std::unordered_map<std::string, Job>;
+  using Workers = std::unordered_map<std::string, Worker>;
+
   /// Applies a record. One that does not fit what is there (a job known
   /// already, an end of a run that is not active) has no effect.
   void Apply(const Record& record);
 
   const Configuration& configuration() const { return m_configuration; }
-  const std::map<std::string, Job>& jobs() const { return m_jobs; }
-  const std::map<std::string, Worker>& workers() const { return m_workers; }
+  const Jobs& jobs() const { return m_jobs; }
+  const Workers& workers() const { return m_workers; }
   const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
 
   /// Ids of jobs that are not over, or of which a run is active.
@@ -145,9 +151,9 @@
 
   Configuration m_configuration;
   std::map<std::string, size_t> m_queue_places;  // By name.
-  std::map<std::string, Job> m_jobs;
+  Jobs m_jobs;
   std::set<std::string> m_open;
-  std::map<std::string, Worker> m_workers;
+  Workers m_workers;
   uint64_t m_workers_version = 0;
   std::map<std::string, std::set<std::string>> m_workers_on;  // By host.
   std::map<uint64_t, WaveState> m_waves;
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -457,6 +457,12 @@
   for (const auto& [id, worker] : m_workers) {
     saved.workers.push_back(worker.info);
   }
+  // One ledger has one text, in whatever order it came about.
+  const auto is_before = [](const auto& a, const auto& b) {
+    return a.id < b.id;
+  };
+  std::sort(saved.jobs.begin(), saved.jobs.end(), is_before);
+  std::sort(saved.workers.begin(), saved.workers.end(), is_before);
   for (const auto& [number, wave] : m_waves) {
     SavedWave& out = saved.waves.emplace_back();
     out.opened = wave.opened;
