Turns are foreseen; headroom for what is here and what comes; orders time out by what answers take

Processor time: a read waits for a batch that is still to be committed in place of a round of its own; plans keep to a sixth of the time; runs to stop are looked for each 150 ms. Each mechanism can be switched off by scheduling.without.

--- a/packages/daemon/src/schedule_part.cc
+++ b/packages/daemon/src/schedule_part.cc
@@ -61,6 +61,7 @@
   dispatch::DispatcherInit init;
   init.name = settings.name;
   init.bounds = settings.dispatch_bounds;
+  init.mechanisms = settings.mechanisms;
   init.timers = &m_threads.timers();
   init.workers = &m_workers;
   init.hosts = &m_hosts;
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "laurelhall/dispatch/ports.h"
 #include "laurelhall/dispatch/request.h"
 #include "laurelhall/scheduling/log_service.h"
+#include "laurelhall/scheduling/mechanism.h"
 
 namespace laurelhall::dispatch {
 
@@ -51,6 +52,7 @@
   std::function<void(std::function<void()>)> post;
   std::function<WallTime()> wall_now = WallNow;
   std::function<BootTime()> boot_now = BootClock::now;
+  scheduling::MechanismSet mechanisms;
   DispatchMutations mutations;  ///< None in production.
 };
 
--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -43,6 +43,7 @@
   std::string checkpoint;
   scheduling::WorkerTime lease_end{0};
   uint64_t fence = 0;
+  Millis timeout{450};  ///< For an answer, from its turn on.
 };
 
 struct StopOrder {
@@ -50,6 +51,7 @@
   scheduling::TaskId task;
   uint32_t run = 0;
   uint64_t fence = 0;
+  Millis timeout{450};  ///< For an answer, from its turn on.
 };
 
 struct PaceOrder {
@@ -58,6 +60,7 @@
   uint32_t run = 0;
   uint32_t percent = 100;
   uint64_t fence = 0;
+  Millis timeout{450};  ///< For an answer, from its turn on.
 };
 
 struct HoldOrder {
@@ -71,6 +74,7 @@
 struct CallReply {
   CallOutcome outcome = CallOutcome::kUnknown;
   std::optional<scheduling::WorkerTime> clock;
+  Millis took{0};  ///< From its turn until the answer.
 };
 
 /// A run as its worker lists it.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -151,7 +151,7 @@
   // that come while a confirmation is under way share the next one.
   void ReadConfirmed(std::function<Reply(const Ledger&)> read,
                      const ReplyDone& done) {
-    m_to_confirm.push_back([this, read = std::move(read), done](bool is_sure) {
+    auto confirmed = [this, read = std::move(read), done](bool is_sure) {
       if (!is_sure) {
         done(Unavailable());
         return;
@@ -159,7 +159,12 @@
       Reply reply;
       m_log->Read([&](const Ledger& ledger) { reply = read(ledger); });
       done(reply);
-    });
+    };
+    // A batch that waits to be committed serves as the question.
+    if (m_leadership != nullptr && m_leadership->ConfirmWithBatch(confirmed)) {
+      return;
+    }
+    m_to_confirm.push_back(std::move(confirmed));
     if (!m_is_confirming) {
       ConfirmSoon();
     }
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -10,6 +10,7 @@
 
 using scheduling::CommitOutcome;
 using scheduling::Job;
+using scheduling::Mechanism;
 using scheduling::RunEnd;
 using scheduling::RunStarted;
 using scheduling::Worker;
@@ -19,14 +20,22 @@
 // What comes within this time is planned together; a caller's time to wait is
 // counted in hundreds of milliseconds.
 constexpr Millis kPlanDelay{3};
-// A plan looks at all open jobs: at most so often, to bound what it costs.
+// A plan looks at all open jobs: at most so often, to bound what it costs, and
+// not before so many times what the last one took. On a host with a third of a
+// core, plans of 5 ms every 12 ms would leave nothing for the orders
+// themselves.
 constexpr Millis kPlanPause{12};
+constexpr int kPlanShare = 6;
+constexpr Millis kLongestPlanPause{60};
 // What comes within this time is committed together; three commits a step of a
 // job cost its caller 30 ms of seconds. With nine control hosts the leader
 // spent 3.3 s of processor time for 7,200 starts rather than 4.8 s with 4 ms.
 constexpr Millis kBatchDelay{10};
 // How often the tracks of runs are compared with the ledger as a whole.
 constexpr Millis kFollowPeriod{500};
+// How often all runs are looked through for some to stop. A cancelled job's
+// tasks may run on for seconds, not for tenths.
+constexpr Millis kStopsPeriod{150};
 // A worker that was not heard of for longer is given no new work: a look that
 // waits two seconds, and its way.
 constexpr Millis kFreshContact{2'600};
@@ -53,7 +62,9 @@
       m_term(term),
       m_begun_at(init.timers->Now()),
       m_counters(counters),
-      m_lease(init.bounds.leader_lease) {}
+      m_lease(init.bounds.leader_lease),
+      m_planner(init.mechanisms),
+      m_demand(init.mechanisms) {}
 
 void Leadership::ConfirmLead() {
   if (m_is_confirming_lead) {
@@ -97,6 +108,14 @@
   FlushSoon();
 }
 
+bool Leadership::ConfirmWithBatch(std::function<void(bool is_sure)> done) {
+  if (m_batch.empty()) {
+    return false;
+  }
+  m_batch_reads.push_back(std::move(done));
+  return true;
+}
+
 void Leadership::FlushSoon() {
   if (m_is_flush_due || m_is_batch_under_way || m_batch.empty()) {
     return;
@@ -117,13 +136,18 @@
       std::make_shared<decltype(m_batch_done)>(std::exchange(m_batch_done, {}));
   auto requests = std::make_shared<decltype(m_batch_requests)>(
       std::exchange(m_batch_requests, {}));
+  auto reads = std::make_shared<decltype(m_batch_reads)>(
+      std::exchange(m_batch_reads, {}));
   m_log.Commit(m_term, std::exchange(m_batch, {}),
                [weak = weak_from_this(), post = m_init.post, waiting, requests,
-                asked_at = m_init.boot_now()](CommitOutcome outcome) {
-                 post([weak, waiting, requests, asked_at, outcome] {
+                reads, asked_at = m_init.boot_now()](CommitOutcome outcome) {
+                 post([weak, waiting, requests, reads, asked_at, outcome] {
                    for (const CommitDone& done : *requests) {
                      done(outcome);
                    }
+                   for (const auto& read : *reads) {
+                     read(outcome == CommitOutcome::kCommitted);
+                   }
                    const auto self = weak.lock();
                    if (self == nullptr) {
                      return;
@@ -145,6 +169,9 @@
   for (const CommitDone& done : m_batch_requests) {
     done(CommitOutcome::kRefused);
   }
+  for (const auto& read : m_batch_reads) {
+    read(false);
+  }
 }
 
 void Leadership::PlanSoon() {
@@ -153,7 +180,9 @@
   }
   m_is_plan_due = true;
   const auto since = std::chrono::floor<Millis>(Now() - m_last_plan);
-  const Millis delay = std::max(kPlanDelay, kPlanPause - since);
+  const Millis pause =
+      std::clamp(kPlanShare * m_plan_time, kPlanPause, kLongestPlanPause);
+  const Millis delay = std::max(kPlanDelay, pause - since);
   m_init.timers->SubscribeOnce(delay, [weak = weak_from_this()](SteadyTime) {
     if (const auto self = weak.lock()) {
       self->m_is_plan_due = false;
@@ -170,6 +199,7 @@
     FollowJobs(ledger);
     Plan(ledger, starts);
   });
+  m_plan_time = std::chrono::floor<Millis>(Now() - m_last_plan);
   CommitStarts(starts);
 }
 
@@ -186,8 +216,11 @@
       m_next_follow = Now() + kFollowPeriod;
       FollowRuns(ledger);
     }
-    WantStops(ledger);
-    StopStalled(ledger);
+    if (Now() >= m_next_stops) {
+      m_next_stops = Now() + kStopsPeriod;
+      WantStops(ledger);
+      StopStalled(ledger);
+    }
     Lapse(ledger);
     DropSilent(ledger, records);
     StepWaves(ledger, records);
@@ -291,7 +324,7 @@
     if (is_needless || is_leaving) {
       track.is_stop_wanted = true;
       DecisionLog::Get().Write(
-          DecisionLine("dispatch", "stop")
+          DecisionLine("dispatch", "stop", LineClass::kTask)
               .With("task", FormatTaskId(key.task))
               .With("run", key.run)
               .With("worker", track.worker)
@@ -418,7 +451,7 @@
   return link.is_reached && !link.is_silent && !link.is_lapsed &&
          !link.is_lapse_under_way && link.clock.is_known() &&
          !worker.info.is_draining && now >= link.suspect_until &&
-         now - link.last_contact < kFreshContact &&
+         now >= link.paused_until && now - link.last_contact < kFreshContact &&
          !IsEvacuated(worker.info.host);
 }
 
@@ -426,17 +459,46 @@
   const SteadyTime now = Now();
   const auto outlook_of = [this, now](const Worker& worker) {
     const WorkerLink& link = m_links.at(worker.info.id);
-    return scheduling::WorkerOutlook{IsUsable(worker, link),
-                                     now < link.doubtful_until};
+    const bool is_doubtful =
+        m_init.mechanisms.Has(Mechanism::kDoubt) && now < link.doubtful_until;
+    return scheduling::WorkerOutlook{IsUsable(worker, link), is_doubtful};
   };
   starts =
       m_planner.Plan({ledger, now, m_init.wall_now(), outlook_of, m_seen_at});
 }
 
+// One line for what a plan starts of a step, not for each of its tasks.
+void Leadership::TellStarts(const std::vector<RunStarted>& starts) const {
+  const auto is_same_step = [](const RunStarted& a, const RunStarted& b) {
+    return a.task.job == b.task.job && a.task.occurrence == b.task.occurrence &&
+           a.task.step == b.task.step;
+  };
+  for (size_t first = 0; first < starts.size();) {
+    size_t next = first + 1;
+    while (next < starts.size() && is_same_step(starts[first], starts[next])) {
+      ++next;
+    }
+    const RunStarted& start = starts[first];
+    const auto seen = m_seen_at.find(start.task.job);
+    const SteadyTime since = seen == m_seen_at.end() ? Now() : seen->second;
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "starts", LineClass::kTask)
+            .With("job", start.task.job)
+            .With("step", start.task.step)
+            .With("tasks", static_cast<uint64_t>(next - first))
+            .With("run", start.run)
+            .With("first_worker", start.worker)
+            .With("age_ms", std::chrono::floor<Millis>(Now() - since))
+            .With("term", m_term));
+    first = next;
+  }
+}
+
 void Leadership::CommitStarts(const std::vector<RunStarted>& starts) {
   if (starts.empty()) {
     return;
   }
+  TellStarts(starts);
   Records records(starts.begin(), starts.end());
   Commit(std::move(records), [this, starts](CommitOutcome outcome) {
     for (const RunStarted& start : starts) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -7,9 +7,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "laurelhall/dispatch/dispatcher.h"
+#include "laurelhall/scheduling/answer_time.h"
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/leader_lease.h"
 #include "laurelhall/scheduling/planner.h"
@@ -71,7 +73,8 @@
   SteadyTime last_contact{};
   SteadyTime first_contact{};
   SteadyTime last_announced{};
-  SteadyTime suspect_until{};
+  SteadyTime suspect_until{};  ///< An order was not answered; any word ends it.
+  SteadyTime paused_until{};   ///< It turned an order down.
   uint64_t ends_seen = 0;
   std::set<std::string> failed_jobs;  ///< Since the last task done here.
   SteadyTime doubtful_until{};
@@ -135,6 +138,14 @@
   void CommitRequest(scheduling::Record record,
                      std::function<void(scheduling::CommitOutcome)> done);
 
+  /// Lets a read wait for a batch that is still to be handed to the log. Once
+  /// that is committed in this term, nothing newer can have been committed
+  /// elsewhere before the read came, and the ledger here shows all until then.
+  ///
+  /// @param done Called once, also after the end of this leadership.
+  /// @returns False when no batch waits: the log must be asked.
+  bool ConfirmWithBatch(std::function<void(bool is_sure)> done);
+
  private:
   using Records = std::vector<scheduling::Record>;
   using Ledger = scheduling::Ledger;
@@ -146,7 +157,8 @@
   void Commit(Records records, CommitDone done);
 
   bool IsSureToLead() const {
-    return m_init.mutations.is_lead_assumed || m_lease.IsHeld(m_init.boot_now());
+    return m_init.mutations.is_lead_assumed ||
+           m_lease.IsHeld(m_init.boot_now());
   }
 
   /// Runs an act that leaves the process: at once while this host is sure to
@@ -178,6 +190,7 @@
   void DropSilent(const Ledger& ledger, Records& records);
   void ForgetJobs(const Ledger& ledger, Records& records);
   void Plan(const Ledger& ledger, std::vector<scheduling::RunStarted>& starts);
+  void TellStarts(const std::vector<scheduling::RunStarted>& starts) const;
   void CommitStarts(const std::vector<scheduling::RunStarted>& starts);
   bool IsUsable(const scheduling::Worker& worker, const WorkerLink& link) const;
 
@@ -220,6 +233,12 @@
   void CommitEnds(const std::string& worker, uint64_t seen, Records records);
   void EndLife(const std::string& worker, const char* why);
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
+  Millis OrderTimeout() const { return m_order_time.Timeout(); }
+  void LearnAnswerTime(const CallReply& reply) {
+    if (reply.outcome < CallOutcome::kNotReached) {
+      m_order_time.Observe(reply.took);
+    }
+  }
 
   // waves.cc: maintenance.
   void StepWaves(const Ledger& ledger, Records& records);
@@ -249,12 +268,22 @@
   void ChooseMoves(const Ledger& ledger);
   static std::map<std::string, uint32_t> HostsForPersistent(
       const Ledger& ledger);
-  double HoldNeed(const std::string& service, double cores);
+  double HoldNeed(double cores);
+  Millis IdleFor(const std::string& host, double busy_cores);
   Millis EmptiesIn(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
   void ReportPool(const scheduling::PoolNeed& pool,
                   const std::vector<scheduling::PoolHost>& hosts) const;
-  std::map<std::string, double> NeededCores(const Ledger& ledger) const;
+  /// Cores that a service needs: for short work that is here or keeps coming,
+  /// for what is foreseen, and for its persistent tasks.
+  struct ServiceNeed {
+    double now = 0;
+    double soon = 0;
+    double persistent = 0;
+  };
+  std::map<std::string, ServiceNeed> NeededCores(const Ledger& ledger) const;
+  scheduling::PoolWeights WeighPools(
+      const std::vector<scheduling::PoolNeed>& pools);
   void StepMove(const Ledger& ledger,
                 const std::string& host,
                 MoveTrack& track);
@@ -275,8 +304,9 @@
   scheduling::LeaderLease m_lease;
   bool m_is_confirming_lead = false;
   std::deque<std::function<void()>> m_waiting_acts;
+  scheduling::AnswerTime m_order_time;  // Of orders to workers.
   scheduling::Planner m_planner;
-  std::map<std::string, WorkerLink> m_links;   // By worker.
+  std::unordered_map<std::string, WorkerLink> m_links;  // By worker.
   std::optional<uint64_t> m_followed_workers;  // The ledger's version of them.
   std::map<RunKey, RunTrack> m_runs;
   std::map<std::string, SteadyTime> m_seen_at;   // By open job.
@@ -286,8 +316,10 @@
   std::map<std::string, HostState> m_inventory;  // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
   scheduling::DemandMeter m_demand;
-  /// Falling peaks of need, by service, oldest first.
-  std::map<std::string, std::deque<std::pair<SteadyTime, double>>> m_peaks;
+  /// Falling peaks of what all services need, oldest first.
+  std::deque<std::pair<SteadyTime, double>> m_peaks;
+  std::map<std::string, SteadyTime>
+      m_idle_since;  // By host without short work.
   SteadyTime m_next_learn{};
   SteadyTime m_next_choice{};
   SteadyTime m_next_report{};
@@ -295,13 +327,16 @@
   bool m_is_listing = false;
   SteadyTime m_next_forget{};
   SteadyTime m_next_follow{};
+  SteadyTime m_next_stops{};
   SteadyTime m_last_plan{};
+  Millis m_plan_time{0};  // That the last plan took.
   bool m_is_plan_due = false;
   bool m_is_flush_due = false;
   bool m_is_batch_under_way = false;
   Records m_batch;  // Waits for others to be committed with.
   std::vector<CommitDone> m_batch_done;
   std::vector<CommitDone> m_batch_requests;  // Answered whatever happens.
+  std::vector<std::function<void(bool)>> m_batch_reads;  // As these.
 };
 
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -6,6 +6,7 @@
 namespace laurelhall::dispatch {
 
 using scheduling::Job;
+using scheduling::Mechanism;
 using scheduling::PoolHost;
 using scheduling::PoolMove;
 using scheduling::PoolNeed;
@@ -15,7 +16,8 @@
 namespace {
 
 constexpr Millis kChoicePeriod{150};
-constexpr Millis kLearnPeriod{1'000};
+// One stretch of the meter.
+constexpr Millis kLearnPeriod{250};
 // What a task that has outrun its estimate is taken to need still.
 constexpr Millis kLeastLeft{150};
 constexpr Millis kReportPeriod{1'000};
@@ -42,6 +44,11 @@
 // there is room.
 constexpr double kShareOfTimeLeft = 0.5;
 constexpr Millis kClearSoonest{400};
+// Cores kept for each core of work. Arrivals within a rush vary, and a host
+// that stands idle elsewhere costs the same; what is here is known but for its
+// run times.
+constexpr double kHeadroomArriving = 1.8;
+constexpr double kHeadroomHere = 1.2;
 constexpr Millis kClearHopeless{6'000};
 
 }  // namespace
@@ -144,10 +151,10 @@
   }
 }
 
-std::map<std::string, double> Leadership::NeededCores(
+std::map<std::string, Leadership::ServiceNeed> Leadership::NeededCores(
     const Ledger& ledger) const {
   const SteadyTime now = Now();
-  std::map<std::string, double> needed;
+  std::map<std::string, ServiceNeed> needs;
   for (const std::string& id : ledger.open_jobs()) {
     const Job& job = *ledger.FindJob(id);
     if (job.is_over() || job.spec.is_timed) {
@@ -161,29 +168,31 @@
             ? kClearHopeless
             : std::max(kClearSoonest, std::chrono::duration_cast<Millis>(
                                           waiting.left * kShareOfTimeLeft));
-    needed[ledger.ServiceOf(job)] +=
+    needs[ledger.ServiceOf(job)].now +=
         waiting.core_millis / static_cast<double>(within.count());
   }
-  std::map<std::string, double> pinned;
   for (const auto& [id, worker] : ledger.workers()) {
     const auto persistent =
         static_cast<double>(worker.persistent_millicores) / 1000;
-    pinned[worker.info.service] += persistent;
-    needed[worker.info.service] +=
-        static_cast<double>(worker.used.millicores) / 1000 - persistent;
+    ServiceNeed& need = needs[worker.info.service];
+    need.persistent += persistent;
+    need.now += static_cast<double>(worker.used.millicores) / 1000 - persistent;
   }
   for (const auto& service : ledger.configuration().services) {
-    double rate = m_demand.Rate(service.name, now);
-    for (const Millis ahead : {kSoonest, kLatest}) {
-      rate = std::max(rate,
-                      m_demand.Expected(service.name, now, ahead).value_or(0));
-    }
     // Work that is here and work that keeps coming: the greater of the two,
     // as what is here was counted when it came.
-    double& need = needed[service.name];
-    need = std::max(need, rate) + pinned[service.name];
+    ServiceNeed& need = needs[service.name];
+    const bool has_headroom = m_init.mechanisms.Has(Mechanism::kHeadroom);
+    const double here = has_headroom ? kHeadroomHere : 1;
+    const double arriving = has_headroom ? kHeadroomArriving : 1;
+    need.now =
+        std::max(need.now * here, m_demand.Rate(service.name, now) * arriving);
+    // When a host that is chosen now could serve.
+    need.soon =
+        arriving * std::max(m_demand.Expected(service.name, now, kSoonest),
+                            m_demand.Expected(service.name, now, kLatest));
   }
-  return needed;
+  return needs;
 }
 
 Millis Leadership::EmptiesIn(const Ledger& ledger, const Worker& worker) const {
@@ -226,17 +235,44 @@
 }
 
 // The greatest need of the last seconds.
-double Leadership::HoldNeed(const std::string& service, double cores) {
+double Leadership::HoldNeed(double cores) {
   const SteadyTime now = Now();
-  auto& peaks = m_peaks[service];
-  while (!peaks.empty() && (peaks.back().second <= cores)) {
-    peaks.pop_back();
+  while (!m_peaks.empty() && (m_peaks.back().second <= cores)) {
+    m_peaks.pop_back();
+  }
+  m_peaks.emplace_back(now, cores);
+  while (now - m_peaks.front().first > kHoldNeed) {
+    m_peaks.pop_front();
   }
-  peaks.emplace_back(now, cores);
-  while (now - peaks.front().first > kHoldNeed) {
-    peaks.pop_front();
+  return m_peaks.front().second;
+}
+
+Millis Leadership::IdleFor(const std::string& host, double busy_cores) {
+  if (busy_cores > 0) {
+    m_idle_since.erase(host);
+    return Millis(0);
   }
-  return peaks.front().second;
+  const SteadyTime since = m_idle_since.try_emplace(host, Now()).first->second;
+  return std::chrono::floor<Millis>(Now() - since);
+}
+
+scheduling::PoolWeights Leadership::WeighPools(
+    const std::vector<PoolNeed>& pools) {
+  double needed = 0;
+  for (const PoolNeed& pool : pools) {
+    needed += std::max(pool.needed_cores, pool.expected_cores);
+  }
+  const auto& mechanisms = m_init.mechanisms;
+  scheduling::PoolWeights weights;
+  weights.held_cores = HoldNeed(needed);
+  weights.may_park = mechanisms.Has(Mechanism::kParking);
+  if (!mechanisms.Has(Mechanism::kLeastStay)) {
+    weights.least_stay = Millis(0);
+  }
+  if (!mechanisms.Has(Mechanism::kEmptyingLimit)) {
+    weights.longest_emptying = kLongestEmptying;
+  }
+  return weights;
 }
 
 void Leadership::ReportPool(const PoolNeed& pool,
@@ -255,24 +291,25 @@
       DecisionLine("pools", "state")
           .With("service", pool.service)
           .With("needed_cores", static_cast<int64_t>(pool.needed_cores))
+          .With("expected_cores", static_cast<int64_t>(pool.expected_cores))
           .With("cores", static_cast<int64_t>(cores))
           .With("busy_cores", static_cast<int64_t>(busy))
           .With("movable_hosts", movable)
           .With("arriving_cores",
                 static_cast<int64_t>(m_demand.Rate(pool.service, Now())))
-          .With("period_ms", m_demand.period()));
+          .With("period_ms", m_demand.period())
+          .With("turn_ms", m_demand.turn_length()));
 }
 
 void Leadership::ChooseMoves(const Ledger& ledger) {
-  const std::map<std::string, double> needed = NeededCores(ledger);
+  const std::map<std::string, ServiceNeed> needs = NeededCores(ledger);
   const std::map<std::string, uint32_t> persistent = HostsForPersistent(ledger);
   std::vector<PoolNeed> pools;
   for (const auto& service : ledger.configuration().services) {
-    const auto found = needed.find(service.name);
-    const double cores = found == needed.end() ? 0 : found->second;
+    const ServiceNeed& need = needs.at(service.name);
     const auto hosts = persistent.find(service.name);
-    pools.push_back({service.name, service.is_spare, cores,
-                     HoldNeed(service.name, cores),
+    pools.push_back({service.name, service.is_spare, need.now + need.persistent,
+                     need.soon + need.persistent,
                      hosts == persistent.end() ? 0 : hosts->second});
   }
   std::vector<PoolHost> hosts;
@@ -291,6 +328,7 @@
                        1000;
       out.empties_in = EmptiesIn(ledger, *worker);
     }
+    out.idle_for = IdleFor(host, out.busy_cores);
     const bool is_idle_worker =
         worker != nullptr && IsUsable(*worker, m_links.at(worker->info.id)) &&
         worker->persistent_runs == 0;
@@ -308,10 +346,7 @@
       ReportPool(pool, hosts);
     }
   }
-  scheduling::PoolWeights weights;
-  // Without a known pattern, what is idle now may be needed in a second, and
-  // comes back only after its move.
-  weights.may_park = m_demand.period() > Millis(0);
+  const scheduling::PoolWeights weights = WeighPools(pools);
   for (const PoolMove& move :
        PlanMoves(pools, std::move(hosts), weights, now)) {
     const std::string& from = m_inventory[move.host].pool;
@@ -322,9 +357,10 @@
     track.to = move.to;
     track.chosen_at = now;
     const auto of = [&](const std::string& service) {
-      const auto found = needed.find(service);
-      return found == needed.end() ? int64_t{0}
-                                   : static_cast<int64_t>(found->second);
+      const auto found = needs.find(service);
+      return found == needs.end() ? int64_t{0}
+                                  : static_cast<int64_t>(std::max(
+                                        found->second.now, found->second.soon));
     };
     DecisionLog::Get().Write(DecisionLine("pools", "move")
                                  .With("host", move.host)
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -25,6 +25,8 @@
 constexpr Millis kHoldRetry{200};
 constexpr Millis kOrderRetry{100};
 // After an order was not answered, the worker gets no new work for so long.
+// An answer to another call shows before that it lives: where a few orders of
+// each worker are left unanswered, all would be without work most of the time.
 constexpr Millis kSuspect{800};
 // After it turned an order down: about the time of one short task.
 constexpr Millis kRefusedPause{300};
@@ -89,11 +91,13 @@
   order.checkpoint = job->tasks[job->IndexOf(key.task)].checkpoint;
   order.lease_end = link->second.clock.Extend(Now());
   order.fence = Fence();
+  order.timeout = OrderTimeout();
   ++m_counters.starts;
   WhenSure([this, key, order = std::move(order)] {
     m_init.workers->Start(
         order, [weak = weak_from_this(), key](const CallReply& reply) {
           if (const auto self = weak.lock()) {
+            self->LearnAnswerTime(reply);
             self->OnStarted(key, reply);
           }
         });
@@ -107,13 +111,15 @@
   }
   RunTrack& track = found->second;
   const auto link = m_links.find(track.worker);
-  DecisionLog::Get().Write(
-      DecisionLine("dispatch", "start")
-          .With("task", FormatTaskId(key.task))
-          .With("run", key.run)
-          .With("worker", track.worker)
-          .With("term", m_term)
-          .With("outcome", CallOutcomeName(reply.outcome)));
+  if (reply.outcome != CallOutcome::kDone) {
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "start", LineClass::kTask)
+            .With("task", FormatTaskId(key.task))
+            .With("run", key.run)
+            .With("worker", track.worker)
+            .With("term", m_term)
+            .With("outcome", CallOutcomeName(reply.outcome)));
+  }
   if (link != m_links.end() && reply.outcome < CallOutcome::kOtherLife) {
     Contact(link->second, reply.clock);
   }
@@ -155,7 +161,7 @@
     default:
       // It has less room than it said, or is not well: others first.
       if (link != m_links.end()) {
-        link->second.suspect_until = Now() + kRefusedPause;
+        link->second.paused_until = Now() + kRefusedPause;
       }
       OnStartRefused(key, track);
       break;
@@ -193,9 +199,10 @@
   ++m_counters.stops;
   WhenSure([this, key, address = link->second.address] {
     m_init.workers->Stop(
-        {address, key.task, key.run, Fence()},
+        {address, key.task, key.run, Fence(), OrderTimeout()},
         [weak = weak_from_this(), key](const CallReply& reply) {
           if (const auto self = weak.lock()) {
+            self->LearnAnswerTime(reply);
             self->OnStopped(key, reply);
           }
         });
@@ -259,19 +266,19 @@
   order.wait = wait;
   ++m_counters.holds;
   WhenSure([this, worker, order = std::move(order)] {
-    m_init.workers->Hold(
-        order, [weak = weak_from_this(), worker,
-                asked_at = Now()](const HoldReply& reply) {
-          if (const auto self = weak.lock()) {
-            self->OnHeld(worker, asked_at, reply);
-          }
-        });
+    m_init.workers->Hold(order, [weak = weak_from_this(), worker,
+                                 asked_at = Now()](const HoldReply& reply) {
+      if (const auto self = weak.lock()) {
+        self->OnHeld(worker, asked_at, reply);
+      }
+    });
   });
 }
 
 void Leadership::Contact(WorkerLink& link,
                          std::optional<scheduling::WorkerTime> clock) {
   link.last_contact = Now();
+  link.suspect_until = SteadyTime();
   if (clock) {
     link.clock.Observe(*clock, Now());
   }
@@ -380,12 +387,14 @@
     ++m_counters.ends;
     records.emplace_back(scheduling::RunEnded{ended.task, ended.run, worker,
                                               ended.end, ended.checkpoint});
-    DecisionLog::Get().Write(DecisionLine("dispatch", "end")
-                                 .With("task", FormatTaskId(ended.task))
-                                 .With("run", ended.run)
-                                 .With("worker", worker)
-                                 .With("how", RunEndName(ended.end))
-                                 .With("number", ended.number));
+    if (ended.end != RunEnd::kDone) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "end", LineClass::kTask)
+                                   .With("task", FormatTaskId(ended.task))
+                                   .With("run", ended.run)
+                                   .With("worker", worker)
+                                   .With("how", RunEndName(ended.end))
+                                   .With("number", ended.number));
+    }
   }
 }
 
@@ -420,16 +429,18 @@
     const Task* task = FindTask(ledger, running.task, &job);
     if (task == nullptr ||
         !ledger.IsActive(running.task, running.run, worker)) {
-      DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
-                                   .With("task", FormatTaskId(running.task))
-                                   .With("run", running.run)
-                                   .With("worker", worker)
-                                   .With("why", "not-known"));
+      DecisionLog::Get().Write(
+          DecisionLine("dispatch", "stop", LineClass::kTask)
+              .With("task", FormatTaskId(running.task))
+              .With("run", running.run)
+              .With("worker", worker)
+              .With("why", "not-known"));
       // Told again with the next look, should this one get lost.
-      WhenSure([this, order = StopOrder{m_links.at(worker).address,
-                                        running.task, running.run, Fence()}] {
-        m_init.workers->Stop(order, [](const CallReply&) {});
-      });
+      WhenSure(
+          [this, order = StopOrder{m_links.at(worker).address, running.task,
+                                   running.run, Fence(), OrderTimeout()}] {
+            m_init.workers->Stop(order, [](const CallReply&) {});
+          });
       continue;
     }
     RunTrack& track = m_runs[{running.task, running.run}];
@@ -477,11 +488,12 @@
                  asked_at > track.settled_at) {
         records.emplace_back(
             scheduling::RunEnded{id, active.run, worker, RunEnd::kLapsed, {}});
-        DecisionLog::Get().Write(DecisionLine("dispatch", "end")
-                                     .With("task", FormatTaskId(id))
-                                     .With("run", active.run)
-                                     .With("worker", worker)
-                                     .With("how", "not-listed"));
+        DecisionLog::Get().Write(
+            DecisionLine("dispatch", "end", LineClass::kTask)
+                .With("task", FormatTaskId(id))
+                .With("run", active.run)
+                .With("worker", worker)
+                .With("how", "not-listed"));
       }
     }
   }
@@ -511,7 +523,9 @@
     link.pacer.told.clear();
     return;
   }
-  link.pacer.Observe(worst, Now());
+  if (m_init.mechanisms.Has(scheduling::Mechanism::kPacing)) {
+    link.pacer.Observe(worst, Now());
+  }
   for (const RunningRun* running : filling) {
     uint32_t& told =
         link.pacer.told.try_emplace({running->task, running->run}, 100)
@@ -522,13 +536,13 @@
     const uint32_t percent = link.pacer.percent();
     told = percent;
     DecisionLog::Get().Write(
-        DecisionLine("dispatch", "pace")
+        DecisionLine("dispatch", "pace", LineClass::kTask)
             .With("task", FormatTaskId(running->task))
             .With("worker", link.address.id)
             .With("percent", percent)
             .With("worst_tail_percent", static_cast<int64_t>(worst * 100)));
-    WhenSure([this, order = PaceOrder{link.address, running->task,
-                                      running->run, percent, Fence()}] {
+    WhenSure([this, order = PaceOrder{link.address, running->task, running->run,
+                                      percent, Fence(), OrderTimeout()}] {
       SendPace(order);
     });
   }
--- a/packages/dispatch/src/ports.cc
+++ b/packages/dispatch/src/ports.cc
@@ -12,8 +12,8 @@
                   "not-reached", "unknown"};
 
 constexpr std::array<const char*, static_cast<size_t>(HostActOutcome::kCount)>
-    kHostActOutcomeNames{"done",   "busy",    "refused",
-                         "fenced", "unknown", "limited", "not-sent"};
+    kHostActOutcomeNames{"done",    "busy",    "refused", "fenced",
+                         "unknown", "limited", "not-sent"};
 
 }  // namespace
 
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -272,13 +272,12 @@
   HostAct act = MakeHostAct(host);
   act.wave = wave;
   WhenSure([this, act = std::move(act)] {
-    m_init.hosts->Maintain(
-        act, [weak = weak_from_this(), wave = act.wave,
-              host = act.host](HostActOutcome outcome) {
-          if (const auto self = weak.lock()) {
-            self->OnMaintained(wave, host, outcome);
-          }
-        });
+    m_init.hosts->Maintain(act, [weak = weak_from_this(), wave = act.wave,
+                                 host = act.host](HostActOutcome outcome) {
+      if (const auto self = weak.lock()) {
+        self->OnMaintained(wave, host, outcome);
+      }
+    });
   });
 }
 
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -143,7 +143,7 @@
   std::set<scheduling::TaskId> m_noted_done;
   std::vector<std::string> m_violations;
   uint64_t m_starts = 0;
-  std::map<std::string, uint64_t> m_newest_term;  // By worker.
+  std::map<std::string, uint64_t> m_newest_term;   // By worker.
   std::map<std::string, uint64_t> m_newest_fence;  // By host.
   std::vector<std::string> m_maintained;
   std::vector<std::pair<std::string, std::string>> m_moved;
--- a/packages/net/include/laurelhall/net/http.h
+++ b/packages/net/include/laurelhall/net/http.h
@@ -129,6 +129,7 @@
   HttpFailure failure = HttpFailure::kNone;
   bool may_have_sent = false;  ///< A byte may have reached the other side.
   HttpResponse response;       ///< Whole, when failure is kNone.
+  Millis took{0};              ///< Of a lane: from the request's turn on.
 };
 
 /// One connection to an endpoint; one request at a time.
--- a/packages/net/src/http_lane.cc
+++ b/packages/net/src/http_lane.cc
@@ -57,17 +57,20 @@
 }
 
 void HttpLane::SendFirst(Millis left) {
-  m_connection->Send(
-      std::move(m_waiting.front().request), left, kMaxAnswerBytes,
-      std::move(m_waiting.front().may_send),
-      [self = shared_from_this()](HttpResult result) {
-        if (result.failure != HttpFailure::kNone &&
-            self->m_connection != nullptr) {
-          self->m_connection->Close();
-          self->m_connection.reset();
-        }
-        self->Finish(std::move(result));
-      });
+  Waiting& first = m_waiting.front();
+  m_connection->Send(std::move(first.request), left, kMaxAnswerBytes,
+                     std::move(first.may_send),
+                     [self = shared_from_this(),
+                      begun = m_threads.timers().Now()](HttpResult result) {
+                       result.took = std::chrono::floor<Millis>(
+                           self->m_threads.timers().Now() - begun);
+                       if (result.failure != HttpFailure::kNone &&
+                           self->m_connection != nullptr) {
+                         self->m_connection->Close();
+                         self->m_connection.reset();
+                       }
+                       self->Finish(std::move(result));
+                     });
 }
 
 void HttpLane::Finish(HttpResult result) {
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "laurelhall/scheduling/ledger.h"
+#include "laurelhall/scheduling/mechanism.h"
 
 namespace laurelhall::scheduling {
 
@@ -42,6 +43,9 @@
 ///   twice while it is being committed.
 class Planner {
  public:
+  explicit Planner(const MechanismSet& mechanisms = {})
+      : m_mechanisms(mechanisms) {}
+
   /// The starts to commit now, in order. Reserves them.
   std::vector<RunStarted> Plan(const PlanInput& input);
 
@@ -85,6 +89,7 @@
                   SteadyTime deadline,
                   SteadyTime now) const;
 
+  MechanismSet m_mechanisms;
   std::map<TaskId, std::string> m_reserved;  // The worker it is planned for.
   std::map<std::string, Resources> m_reserved_room;  // By worker.
   std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
--- a/packages/scheduling/src/demand.cc
+++ b/packages/scheduling/src/demand.cc
@@ -47,14 +47,14 @@
     *m_begun_at += kLongestPeriod * kBin;
     bin = std::min(BinAt(now), kMaxBins - 1);
   }
-  Bins& bins = m_bins[service];
+  WorkBins& bins = m_bins[service];
   if (static_cast<int64_t>(bins.size()) <= bin) {
     bins.resize(static_cast<size_t>(bin) + 1);
   }
   bins[static_cast<size_t>(bin)] += work;
 }
 
-double DemandMeter::WorkIn(const Bins& bins,
+double DemandMeter::WorkIn(const WorkBins& bins,
                            int64_t first,
                            int64_t last) const {
   double work = 0;
@@ -79,19 +79,25 @@
          static_cast<double>(std::max(span, kBin).count());
 }
 
-std::optional<double> DemandMeter::Expected(const std::string& service,
-                                            SteadyTime now,
-                                            Millis ahead) const {
+double DemandMeter::Expected(const std::string& service,
+                             SteadyTime now,
+                             Millis ahead) const {
   const auto found = m_bins.find(service);
-  if (m_period == Millis(0) || found == m_bins.end()) {
-    return std::nullopt;
+  if (found == m_bins.end()) {
+    return 0;
   }
+  const double in_turn = m_turns.Expected(service, BinAt(now + ahead)) /
+                         static_cast<double>(kBin.count());
   const int64_t bin = BinAt(now + ahead - m_period);
-  if (bin < 0) {
-    return std::nullopt;
+  if (m_period == Millis(0) || bin < 0) {
+    return in_turn;
   }
-  return WorkIn(found->second, bin - 1, bin + 1) /
-         static_cast<double>(3 * kBin.count());
+  return std::max(in_turn, WorkIn(found->second, bin - 1, bin + 1) /
+                               static_cast<double>(3 * kBin.count()));
+}
+
+Millis DemandMeter::turn_length() const {
+  return m_turns.length() * kBin;
 }
 
 // The correlation of what came with what came a lag before, over all services.
@@ -100,7 +106,7 @@
   double now_square = 0;
   double then_square = 0;
   for (const auto& entry : m_bins) {
-    const Bins& bins = entry.second;
+    const WorkBins& bins = entry.second;
     const auto at = [&bins](int64_t bin) {
       return bin < static_cast<int64_t>(bins.size())
                  ? bins[static_cast<size_t>(bin)]
@@ -130,6 +136,15 @@
   }
   // The bin under way is not whole yet.
   const int64_t last = BinAt(now) - 1;
+  if (m_mechanisms.Has(Mechanism::kTurns)) {
+    m_turns.Learn(m_bins, last);
+  }
+  if (m_mechanisms.Has(Mechanism::kPeriod)) {
+    LearnPeriod(last);
+  }
+}
+
+void DemandMeter::LearnPeriod(int64_t last) {
   // A third of what is known must bear it out: a few bins look alike anywhere.
   const int64_t longest =
       std::min({kLongestPeriod, last - kLeastOverlap, last * 2 / 3});
--- /dev/null
+++ b/packages/scheduling/src/mechanism.cc
@@ -0,0 +1,30 @@
+#include "laurelhall/scheduling/mechanism.h"
+
+#include <array>
+
+namespace laurelhall::scheduling {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<size_t>(Mechanism::kCount)>
+    kNames{"turns",          "period",         "parking",   "headroom",
+           "least-stay",     "emptying-limit", "gathering", "doubt",
+           "hopeless-order", "last-call",      "data-wait", "learned-times",
+           "pacing"};
+
+}  // namespace
+
+std::string_view MechanismName(Mechanism mechanism) {
+  return kNames.at(static_cast<size_t>(mechanism));
+}
+
+std::optional<Mechanism> FindMechanism(std::string_view name) {
+  for (size_t place = 0; place < kNames.size(); ++place) {
+    if (kNames.at(place) == name) {
+      return static_cast<Mechanism>(place);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -241,7 +241,9 @@
                     index};
     const Task& task = candidate.job->tasks[candidate.job->IndexOf(id)];
     const bool waits_for_data =
+        m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
+    const bool gathers = m_planner.m_mechanisms.Has(Mechanism::kGathering);
     const Resources room = RoomOf(step);
     const bool is_last_attempt = IsLastAttempt(candidate, task);
     Place* best = nullptr;
@@ -270,10 +272,10 @@
       // the others can move as soon as another service needs them.
       const bool has_persistent =
           place.worker->persistent_runs > 0 || place.has_persistent;
-      cost -= has_persistent ? kGathers : 0;
+      cost -= gathers && has_persistent ? kGathers : 0;
       const double used =
           1 - Share(place.room.millicores, info.capacity.millicores);
-      cost += step.is_persistent ? used : -used;
+      cost += step.is_persistent || !gathers ? used : -used;
       if (cost < best_cost) {
         best = &place;
         best_cost = cost;
@@ -334,7 +336,7 @@
 }
 
 void Planner::Learn(const std::string& queue, Millis estimate, Millis taken) {
-  if (estimate <= Millis(0)) {
+  if (estimate <= Millis(0) || !m_mechanisms.Has(Mechanism::kLearnedTimes)) {
     return;
   }
   const double seen = std::clamp(static_cast<double>(taken.count()) /
@@ -437,12 +439,15 @@
   candidate.deadline = deadline;
   if (spec.is_persistent) {
     candidate.urgency = Urgency::kPersistent;
+  } else if (!m_mechanisms.Has(Mechanism::kHopelessOrder)) {
+    candidate.urgency = Urgency::kOnTime;
   } else if (IsHopeless(job, occurrence, limit, input.now)) {
     candidate.urgency = Urgency::kHopeless;
   } else if (IsHopeless(job, occurrence, deadline, input.now)) {
     // Late, but not lost: behind what can be on time while there is time, and
     // before it when there is none left.
     const bool is_last_call =
+        m_mechanisms.Has(Mechanism::kLastCall) &&
         IsHopeless(job, occurrence, limit, input.now + kLastCall);
     candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
     candidate.deadline = limit;
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -24,12 +24,12 @@
     for (const PoolNeed& pool : pools) {
       if (pool.is_spare) {
         m_spare = pool.service;
-      } else {
-        m_needed[pool.service] = pool.needed_cores * weights.headroom;
-        m_least[pool.service] = std::max(pool.least_hosts, weights.least_hosts);
-        m_held[pool.service] =
-            std::max(pool.held_cores, pool.needed_cores) * weights.headroom;
+        continue;
       }
+      m_now_needed[pool.service] = pool.needed_cores;
+      m_soon_needed[pool.service] =
+          std::max(pool.needed_cores, pool.expected_cores);
+      m_least[pool.service] = std::max(pool.least_hosts, weights.least_hosts);
     }
     for (const PoolHost& host : hosts) {
       m_cores[host.service] += host.cores;
@@ -39,6 +39,10 @@
 
   std::vector<PoolMove> Choose() {
     std::vector<PoolMove> moves;
+    m_needed = &m_now_needed;
+    while (moves.size() < kMostMoves && Feed(moves)) {
+    }
+    m_needed = &m_soon_needed;
     while (moves.size() < kMostMoves && Feed(moves)) {
     }
     Park(moves);
@@ -46,10 +50,12 @@
   }
 
  private:
+  using Cores = std::map<std::string, double>;
+
   // How well a service is served: cores for each core needed; not at all while
   // it has fewer hosts than it must.
   double Served(const std::string& service, double more = 0) const {
-    const double needed = m_needed.at(service);
+    const double needed = m_needed->at(service);
     const auto count = m_count.find(service);
     if (count == m_count.end() || count->second < m_least.at(service)) {
       return 0;
@@ -62,7 +68,7 @@
   // Moves one host to the worst served service.
   bool Feed(std::vector<PoolMove>& moves) {
     std::string worst;
-    for (const auto& [service, needed] : m_needed) {
+    for (const auto& [service, needed] : *m_needed) {
       const bool is_short = needed > 0 || Served(service) <= 0;
       if (is_short && (worst.empty() || Served(service) < Served(worst))) {
         worst = service;
@@ -93,13 +99,15 @@
     if (host.service == m_spare) {
       return true;
     }
-    if (!m_needed.contains(host.service) ||
+    if (!m_needed->contains(host.service) ||
         m_count.at(host.service) <= m_least.at(host.service) ||
         m_now - host.since < m_weights.least_stay) {
       return false;
     }
     const double left = Served(host.service, -host.cores);
-    return left >= 1 || left > Served(to, host.cores) + kLeastGain;
+    const bool is_ahead = m_needed == &m_soon_needed;
+    return left >= 1 ||
+           (!is_ahead && left > Served(to, host.cores) + kLeastGain);
   }
 
   // Parked hosts first, then those of the best served service; of one service
@@ -126,19 +134,34 @@
     moves.push_back({host.host, to});
   }
 
+  // The longest idle first, as long as what is left serves each service, now
+  // and as foreseen, and all of them as they needed lately.
   void Park(std::vector<PoolMove>& moves) {
     if (m_spare.empty() || !m_weights.may_park) {
       return;
     }
+    double on = 0;
+    std::vector<PoolHost*> idle;
     for (PoolHost& host : m_hosts) {
+      on += host.service == m_spare ? 0 : host.cores;
+      if (host.is_movable && host.service != m_spare && host.busy_cores <= 0 &&
+          host.idle_for >= m_weights.park_after) {
+        idle.push_back(&host);
+      }
+    }
+    std::stable_sort(idle.begin(), idle.end(),
+                     [](const PoolHost* a, const PoolHost* b) {
+                       return a->idle_for > b->idle_for;
+                     });
+    for (PoolHost* host : idle) {
       const bool is_needless =
-          host.is_movable && host.busy_cores <= 0 && host.service != m_spare &&
-          m_needed.contains(host.service) &&
-          m_count.at(host.service) > m_least.at(host.service) &&
-          m_now - host.since > m_weights.park_after &&
-          m_cores.at(host.service) - host.cores >= m_held.at(host.service);
+          m_needed->contains(host->service) &&
+          m_count.at(host->service) > m_least.at(host->service) &&
+          Served(host->service, -host->cores) >= 1 &&
+          on - host->cores >= m_weights.held_cores;
       if (is_needless && moves.size() < kMostMoves) {
-        Move(host, m_spare, moves);
+        on -= host->cores;
+        Move(*host, m_spare, moves);
       }
     }
   }
@@ -147,10 +170,11 @@
   const PoolWeights& m_weights;
   const SteadyTime m_now;
   std::string m_spare;
-  std::map<std::string, double> m_needed;
-  std::map<std::string, double> m_held;
+  Cores m_now_needed;
+  Cores m_soon_needed;
+  const Cores* m_needed = nullptr;  // Which of the two is looked at.
   std::map<std::string, uint32_t> m_least;
-  std::map<std::string, double> m_cores;
+  Cores m_cores;
   std::map<std::string, uint32_t> m_count;  // Hosts.
 };
 
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -53,6 +53,7 @@
   bool is_inner_trusted = false;
   bool is_scheduling_trusted = false;
   dispatch::DispatchBounds dispatch_bounds;
+  scheduling::MechanismSet mechanisms;
   std::string cluster_key_file;  ///< Shared key of the inner protocol.
   std::string operator_tokens_file;
   TlsFiles inner_tls;
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -155,6 +155,22 @@
   }
 }
 
+void ReadMechanism(const json::value& value, Target target) {
+  const json::string* text = value.if_string();
+  const auto mechanism =
+      text == nullptr ? std::nullopt
+                      : scheduling::FindMechanism(std::string_view(*text));
+  if (!mechanism) {
+    target.findings.Add(target.place, "expected the name of a mechanism");
+    return;
+  }
+  target.settings.mechanisms.SwitchOff(*mechanism);
+}
+
+void ReadMechanisms(const json::value& value, Target target) {
+  ReadEach(value, target, &ReadMechanism);
+}
+
 struct PeerKey {
   std::string_view name;
   std::string ControlPeer::*member;
@@ -248,6 +264,7 @@
         &ReadBound<&dispatch::DispatchBounds::maintenance>},
     Key{"scheduling.job_memory",
         &ReadBound<&dispatch::DispatchBounds::job_memory>},
+    Key{"scheduling.without", &ReadMechanisms},
     Key{"control.data_folder", &ReadText<&DaemonSettings::data_folder>},
     Key{"control.may_bootstrap", &ReadBoolean<&DaemonSettings::may_bootstrap>},
     Key{"control.peers", &ReadPeers},
