--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -155,6 +155,7 @@
 struct HostPage {
   bool is_ok = false;
   std::vector<HostInfo> hosts;
+  size_t unreadable = 0;  ///< Entries that were passed over.
   std::string next;  ///< Token of the next page; empty: this was the last.
 };
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -1,5 +1,6 @@
 #include "laurelhall/dispatch/dispatcher.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <utility>
@@ -215,6 +216,15 @@
     return FindQueue(ledger.configuration(), host, path) != nullptr;
   }
 
+  // Any, before the first configuration has come.
+  static bool HasService(const Ledger& ledger, const std::string& name) {
+    const auto& configuration = ledger.configuration();
+    return configuration.version == 0 ||
+           std::any_of(
+               configuration.services.begin(), configuration.services.end(),
+               [&name](const auto& service) { return service.name == name; });
+  }
+
   static Reply JobReply(const Ledger& ledger, const GetJob& request) {
     if (ledger.configuration().version == 0) {
       return Unavailable();
@@ -364,14 +374,24 @@
   void Run(AnnounceWorker& request, const ReplyDone& done) {
     scheduling::WorkerInfo& info = request.info;
     bool is_known = false;
+    bool is_named = true;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Worker* worker = ledger.FindWorker(info.id);
+      is_named = worker != nullptr || HasService(ledger, info.service);
       // A life that drains never comes back from it: an older word was late.
       info.is_draining =
           info.is_draining || (worker != nullptr && worker->info.is_draining);
       is_known =
           ledger.IsGone(info.id) || (worker != nullptr && worker->info == info);
     });
+    if (!is_named) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "worker-refused")
+                                   .With("worker", info.id)
+                                   .With("service", info.service)
+                                   .With("why", "no such service"));
+      done(Done(Outcome::kNotFound));
+      return;
+    }
     m_leadership->Announced(info.id);
     if (is_known) {
       done(Done(Outcome::kOk));
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -155,6 +155,20 @@
   CHECK(world.Ask(CountWaiting{"q", "/q/"}).outcome == Outcome::kNoQueue);
 }
 
+// Failed first: a worker of a service that is not named here was taken in, and
+// its host seemed to have left its pool.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, announcement names no service, is not taken") {
+  scheduling::WorkerInfo info = world.ledger().FindWorker("w0")->info;
+  info.id = "stray";
+  info.service = "elsewhere";
+  CHECK(world.Ask(AnnounceWorker{info}).outcome == Outcome::kNotFound);
+  CHECK(world.ledger().FindWorker("stray") == nullptr);
+  info.id = "w0";
+  info.service = "teklif";
+  CHECK(world.Ask(AnnounceWorker{info}).outcome == Outcome::kOk);
+}
+
 class WaveFixture : protected DispatcherFixture {
  protected:
   WaveFixture() {
--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Plays the days of platform/days on deployments and prints a table.
+"""Plays the days of deploy/days on deployments and prints a table.
 
 Each day is the quiet day of the deployment's file with the troubles of one of
 our files in place of its own.
@@ -16,7 +16,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-DAYS = ROOT / "platform" / "days"
+DAYS = ROOT / "deploy" / "days"
 
 
 def quiet_day(site: str) -> str:
