The number of voters stays odd; who would make it even stands by

Ruled out: the settings read again at that time; election timeouts. Change: a newcomer is promoted only together with another one, or when the number of voters is even; a silent voter's place is taken before the next one goes, so that one standby never costs two voters.

--- a/packages/control/src/repair.cc
+++ b/packages/control/src/repair.cc
@@ -105,9 +105,10 @@
   }
 
   // A silent voter goes first: as long as it counts, each newcomer would only
-  // raise the quorum.
+  // raise the quorum. Then its place is taken, before the next one goes.
   void PlanNewcomer(NodeId id, const Member& member) {
-    if (m_input.admits_newcomers) {
+    const bool is_odd = CountVoters() % 2 == 1;
+    if (m_input.admits_newcomers && is_odd) {
       for (const auto& [other, lost] : m_members) {
         if (lost.is_voter && m_silent.contains(other)) {
           Propose({MembershipChangeKind::kRemove, other, lost}, member,
@@ -116,9 +117,31 @@
         }
       }
     }
+    // An even number bears no more losses than the odd one below it, and when
+    // the hosts are cut into halves, neither has a majority.
+    if (m_input.admits_newcomers && is_odd && CountCandidates() < 2) {
+      Note(member, "stands by: with it the number of voters would be even");
+      return;
+    }
     Propose({MembershipChangeKind::kPromote, id, member}, member, "promotion");
   }
 
+  size_t CountVoters() const {
+    return static_cast<size_t>(
+        std::count_if(m_members.begin(), m_members.end(),
+                      [](const auto& each) { return each.second.is_voter; }));
+  }
+
+  // Learners that could be promoted now.
+  size_t CountCandidates() const {
+    return static_cast<size_t>(std::count_if(
+        m_members.begin(), m_members.end(), [this](const auto& each) {
+          const auto& [id, member] = each;
+          return !member.is_voter && !m_silent.contains(id) && IsCaughtUp(id) &&
+                 !Namesake(id, member.name);
+        }));
+  }
+
   void PlanWaiting(const WaitingHost& host) {
     const bool is_stale = m_input.now - host.seen_at > kWaitingIsFresh;
     if (is_stale || m_members.contains(host.node)) {
--- a/packages/control/src/repair_p.h
+++ b/packages/control/src/repair_p.h
@@ -46,7 +46,8 @@
 /// @remarks A lost member is replaced by a new identity of the same name:
 ///   added as learner, caught up, the old one removed, the new one promoted.
 ///   Where newcomers are admitted, one of another name takes the place of a
-///   silent voter that no namesake stands by for.
+///   silent voter that no namesake stands by for, and the number of voters is
+///   kept odd: the host that would make it even stands by as a learner.
 RepairPlan PlanRepair(const RepairInput& input);
 
 }  // namespace laurelhall::control
