A leader that is behind lets ends gather before its next look

Cause: a look that tells that ends are seen went out right after their commit and came back with one new end each; at the larger size there was a look a start.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -15,8 +15,6 @@
 
 namespace {
 
-// How often what no event announces is looked for: silent workers, retries.
-constexpr Millis kTick{50};
 constexpr Millis kLogFlush{100};
 // Between two rounds that ask whether this host still leads. A round costs each
 // control host two messages; what it adds to a read is within a tenth of the
@@ -57,7 +55,7 @@
 
   void Start() {
     m_tick = m_init.timers->SubscribeEvery(
-        kTick, [weak = weak_from_this()](SteadyTime) {
+        kDispatchTick, [weak = weak_from_this()](SteadyTime) {
           const auto self = weak.lock();
           if (self != nullptr) {
             self->Tick();
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -203,7 +203,19 @@
   CommitStarts(starts);
 }
 
+// A half of what is new: a lag of some ticks counts, that of one does not.
+void Leadership::MeasureLag() {
+  const SteadyTime now = Now();
+  if (m_last_tick != SteadyTime()) {
+    const auto late =
+        std::chrono::floor<Millis>(now - m_last_tick) - kDispatchTick;
+    m_tick_lag = (m_tick_lag + std::max(Millis(0), late)) / 2;
+  }
+  m_last_tick = now;
+}
+
 void Leadership::Tick() {
+  MeasureLag();
   // Also while what was due waits: after a wake nothing goes out before.
   if (m_lease.IsHalfOver(m_init.boot_now()) || !m_waiting_acts.empty()) {
     ConfirmLead();
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -21,6 +21,9 @@
 
 namespace laurelhall::dispatch {
 
+/// How often what no event announces is looked for: silent workers, retries.
+constexpr Millis kDispatchTick{50};
+
 /// One start of one task.
 struct RunKey {
   scheduling::TaskId task;
@@ -197,6 +200,7 @@
   void FollowRuns(const Ledger& ledger);
   void FollowJobs(const Ledger& ledger);
   Millis AgeOf(const scheduling::Job& job) const;
+  void MeasureLag();
   void PlanNow();
   void Flush();
   void WantStops(const Ledger& ledger);
@@ -248,6 +252,8 @@
   void CommitEnds(const std::string& worker, uint64_t seen, Records records);
   void EndLife(const std::string& worker, const char* why);
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
+  /// Whether this thread is short of processor time: its ticks come late.
+  bool IsBehind() const { return m_tick_lag > kBehind; }
   Millis OrderTimeout() const { return m_order_time.Timeout(); }
   void LearnAnswerTime(const CallReply& reply) {
     if (reply.outcome < CallOutcome::kNotReached) {
@@ -343,6 +349,12 @@
   SteadyTime m_next_forget{};
   SteadyTime m_next_follow{};
   SteadyTime m_next_stops{};
+  // Above this lag of a tick the leader does fewer, larger things: a third of
+  // the time between ticks.
+  static constexpr Millis kBehind{15};
+
+  SteadyTime m_last_tick{};
+  Millis m_tick_lag{0};  // Smoothed.
   SteadyTime m_last_plan{};
   Millis m_plan_time{0};  // That the last plan took.
   bool m_is_plan_due = false;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -609,7 +609,12 @@
              const bool has_told = m_init.mutations.is_end_seen_early;
              if (outcome == CommitOutcome::kCommitted && !has_told) {
                link.ends_seen = std::max(link.ends_seen, seen);
-               SendHold(worker, link, kBusyWait);
+               if (IsBehind()) {
+                 // Ends gather meanwhile, and one look takes them all.
+                 link.next_hold = Now() + kHoldGap;
+               } else {
+                 SendHold(worker, link, kBusyWait);
+               }
              }
            }
            PlanSoon();
