--- a/packages/scheduling/src/turns.cc
+++ b/packages/scheduling/src/turns.cc
@@ -213,6 +213,7 @@
     return {{turns.front().service, trust}};
   }
   std::vector<Follower> followers;
+  followers.reserve(without.size());
   for (const std::string& service : without) {
     followers.push_back({service, trust / static_cast<double>(without.size())});
   }
