A host whose worker is silent does not count for its pool

Four hosts of its pool were lost for good, then the leader was killed: to the next one their workers, not yet given up, seemed to serve for 15 s more, so that the pool seemed to have its five hosts and none was moved there. Ruled out: the order of the plan (no other work waited there); the wave. Change: a worker that leaves, lapsed, or was not heard of for 3 s gives its pool no cores. Test that failed first: three hosts of five lost, then the leader; two of three tasks ran after 15 s, three with the mend.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -290,6 +290,7 @@
   static std::map<std::string, uint32_t> HostsForPersistent(
       const Ledger& ledger);
   double HoldNeed(double cores);
+  bool Serves(const scheduling::Worker& worker) const;
   Millis IdleFor(const std::string& host, double busy_cores);
   Millis EmptiesIn(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -33,6 +33,9 @@
 constexpr Millis kSettles{80};
 // Short work that has not ended by then keeps its host where it is.
 constexpr Millis kLongestEmptying{2'500};
+// A worker that was silent for so long does not count for its pool, so that its
+// place is taken before its lease is over: a look and its retry.
+constexpr Millis kNotServing{3'000};
 // A host that was moved and did not announce itself for so long is lost.
 constexpr Millis kLostOnTheWay{6'000};
 // How far ahead a host that is chosen now will serve: its emptying, its move
@@ -247,6 +250,17 @@
   return m_peaks.front().second;
 }
 
+// Whether a worker can be counted on for its pool: not one that leaves, nor one
+// that was not heard of for longer than a slow moment lasts.
+bool Leadership::Serves(const Worker& worker) const {
+  const WorkerLink& link = m_links.at(worker.info.id);
+  // One that has just come may not have been looked at yet.
+  const SteadyTime heard =
+      link.is_reached ? link.last_contact : link.last_announced;
+  return !worker.info.is_draining && !link.is_lapsed &&
+         Now() - heard < kNotServing;
+}
+
 Millis Leadership::IdleFor(const std::string& host, double busy_cores) {
   if (busy_cores > 0) {
     m_idle_since.erase(host);
@@ -334,8 +348,9 @@
         worker->persistent_runs == 0;
     out.is_movable =
         state.is_up && !IsEvacuated(host) && (is_off || is_idle_worker);
-    if (!state.is_up ||
-        (worker == nullptr && !is_off && move == m_moves.end())) {
+    const bool is_served =
+        worker == nullptr ? is_off || move != m_moves.end() : Serves(*worker);
+    if (!state.is_up || !is_served) {
       out.cores = 0;  // Serves nobody where it is.
     }
   }
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -298,6 +298,30 @@
   CHECK(world.moved().size() == 2);
 }
 
+// Failed first: to a new leader hosts that were lost before it began seemed to
+// serve for fifteen seconds; the pool seemed to have enough, and a persistent
+// task had no place for as long.
+TEST_CASE_FIXTURE(TakeoverFixture,
+                  "Moves, hosts lost and then the leader, others take their "
+                  "place") {
+  for (int host = 5; host < 9; ++host) {
+    world.AddWorker("other-" + std::to_string(host), "enerji");
+  }
+  StepSpec step = Step(3);
+  step.is_persistent = true;
+  step.spread_limit = 1;
+  world.Submit("a", {step});
+  world.Advance(Millis(8'000));
+  REQUIRE(world.moved().size() == 2);
+  for (const char* id : {"w0", "w1", "w2"}) {
+    world.Cut(id, true);
+  }
+  world.Advance(Millis(4'000));
+  world.ChangeLeader(Millis(0));
+  world.Advance(Millis(11'000));
+  CHECK(world.ledger().FindJob("a")->active_runs == 3);
+}
+
 // Failed first: the life that parking a host had ended stayed known, so that
 // its host seemed to serve where it had been.
 TEST_CASE_FIXTURE(TakeoverFixture,
