A read that waits for a batch outlives its dispatcher

By reading: the answer of a commit may come when the dispatcher is gone; the read then touched it. It holds it weakly now, as the other callbacks do.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -150,13 +150,15 @@
   // that come while a confirmation is under way share the next one.
   void ReadConfirmed(std::function<Reply(const Ledger&)> read,
                      const ReplyDone& done) {
-    auto confirmed = [this, read = std::move(read), done](bool is_sure) {
-      if (!is_sure) {
+    auto confirmed = [weak = weak_from_this(), read = std::move(read),
+                      done](bool is_sure) {
+      const auto self = weak.lock();
+      if (self == nullptr || !is_sure) {
         done(Unavailable());
         return;
       }
       Reply reply;
-      m_log->Read([&](const Ledger& ledger) { reply = read(ledger); });
+      self->m_log->Read([&](const Ledger& ledger) { reply = read(ledger); });
       done(reply);
     };
     // A batch that waits to be committed serves as the question.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -87,8 +87,7 @@
   bool is_hold_under_way = false;  ///< Or waits for its ends' commit.
   SteadyTime next_hold{};
   SteadyTime last_contact{};
-  SteadyTime
-      last_listed{};  ///< What it runs; other answers tell nothing of it.
+  SteadyTime last_listed{};  ///< When it last told what it runs.
   SteadyTime first_contact{};
   SteadyTime last_announced{};
   SteadyTime suspect_until{};  ///< An order was not answered; any word ends it.
