One check of held-back acts in the test world; headroom is looked up once

Found on the last read: the fake hosts asked twice in the same words whether an act may still be sent, and the choice of moves looked the mechanism up for each service.

--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -182,13 +182,13 @@
     need.persistent += persistent;
     need.now += static_cast<double>(worker.used.millicores) / 1000 - persistent;
   }
+  const bool has_headroom = m_init.mechanisms.Has(Mechanism::kHeadroom);
+  const double here = has_headroom ? kHeadroomHere : 1;
+  const double arriving = has_headroom ? kHeadroomArriving : 1;
   for (const auto& service : ledger.configuration().services) {
     // Work that is here and work that keeps coming: the greater of the two,
     // as what is here was counted when it came.
     ServiceNeed& need = needs[service.name];
-    const bool has_headroom = m_init.mechanisms.Has(Mechanism::kHeadroom);
-    const double here = has_headroom ? kHeadroomHere : 1;
-    const double arriving = has_headroom ? kHeadroomArriving : 1;
     need.now =
         std::max(need.now * here, m_demand.Rate(service.name, now) * arriving);
     // When a host that is chosen now could serve.
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -358,8 +358,7 @@
 
   void Maintain(HostAct act, std::function<void(HostActOutcome)> to) override {
     const auto done = m_host.WhenAwake(std::move(to));
-    if (act.may_send && !act.may_send()) {
-      m_world.After(Millis(0), [done] { done(HostActOutcome::kNotSent); });
+    if (IsHeldBack(act, done)) {
       return;
     }
     m_world.After(m_world.Delay(), [this, act, done] {
@@ -374,8 +373,7 @@
 
   void Move(HostAct act, std::function<void(HostActOutcome)> to) override {
     const auto done = m_host.WhenAwake(std::move(to));
-    if (act.may_send && !act.may_send()) {
-      m_world.After(Millis(0), [done] { done(HostActOutcome::kNotSent); });
+    if (IsHeldBack(act, done)) {
       return;
     }
     m_world.After(m_world.Delay(), [this, act, done] {
@@ -394,6 +392,16 @@
   void List(const std::string&, std::function<void(HostPage)>) override {}
 
  private:
+  // Asked right before an act is sent, as a connection does.
+  bool IsHeldBack(const HostAct& act,
+                  const std::function<void(HostActOutcome)>& done) {
+    if (!act.may_send || act.may_send()) {
+      return false;
+    }
+    m_world.After(Millis(0), [done] { done(HostActOutcome::kNotSent); });
+    return true;
+  }
+
   // The platform need not check fences: an old one must not be sent.
   void CheckFence(const HostAct& act) {
     uint64_t& newest = m_world.m_newest_fence[act.host];
