Incident: timeline and hypotheses; lines that tell them apart

Accepted jobs had nothing at work beside idle workers on larger deployments. No line said whether the leader saw the task, saw the room, or did not get to it. Each second the leader now tells its own load, by service which workers may be given work and what keeps the others from it, and of up to four jobs with nothing at work why they wait. No decision is changed: IsUsable() asks FitnessOf(), which keeps its conditions. dispatch_test 27 of 27 and scheduling_test 54 of 54 pass.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -237,6 +237,7 @@
     DropSilent(ledger, records);
     StepWaves(ledger, records);
     StepMoves(ledger);
+    Report(ledger);
     ForgetJobs(ledger, records);
     SendOrders(ledger);
     SendHolds(ledger);
@@ -458,25 +459,45 @@
   }
 }
 
-bool Leadership::IsUsable(const Worker& worker, const WorkerLink& link) const {
+Fitness Leadership::FitnessOf(const Worker& worker,
+                              const WorkerLink& link) const {
   const SteadyTime now = Now();
-  return link.is_reached && !link.is_silent && !link.is_lapsed &&
-         !link.is_lapse_under_way && link.clock.is_known() &&
-         !worker.info.is_draining && now >= link.suspect_until &&
-         now >= link.paused_until && now - link.last_contact < kFreshContact &&
-         !IsEvacuated(worker.info.host);
+  if (!link.is_reached || !link.clock.is_known()) {
+    return Fitness::kNotReached;
+  }
+  if (link.is_silent) {
+    return Fitness::kSilent;
+  }
+  if (link.is_lapsed || link.is_lapse_under_way) {
+    return Fitness::kLapsed;
+  }
+  if (worker.info.is_draining) {
+    return Fitness::kDraining;
+  }
+  if (IsEvacuated(worker.info.host)) {
+    return Fitness::kEvacuated;
+  }
+  if (now < link.suspect_until) {
+    return Fitness::kSuspect;
+  }
+  if (now < link.paused_until) {
+    return Fitness::kPaused;
+  }
+  const bool is_stale = now - link.last_contact >= kFreshContact;
+  return is_stale ? Fitness::kStale : Fitness::kUsable;
+}
+
+scheduling::WorkerOutlook Leadership::LookAt(const Worker& worker) const {
+  const WorkerLink& link = m_links.at(worker.info.id);
+  const bool is_doubtful =
+      m_init.mechanisms.Has(Mechanism::kDoubt) && Now() < link.doubtful_until;
+  return {IsUsable(worker, link), is_doubtful};
 }
 
 void Leadership::Plan(const Ledger& ledger, std::vector<RunStarted>& starts) {
-  const SteadyTime now = Now();
-  const auto outlook_of = [this, now](const Worker& worker) {
-    const WorkerLink& link = m_links.at(worker.info.id);
-    const bool is_doubtful =
-        m_init.mechanisms.Has(Mechanism::kDoubt) && now < link.doubtful_until;
-    return scheduling::WorkerOutlook{IsUsable(worker, link), is_doubtful};
-  };
-  starts =
-      m_planner.Plan({ledger, now, m_init.wall_now(), outlook_of, m_seen_at});
+  starts = m_planner.Plan(
+      {ledger, Now(), m_init.wall_now(),
+       [this](const Worker& worker) { return LookAt(worker); }, m_seen_at});
 }
 
 // One line for what a plan starts of a step, not for each of its tasks.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -98,6 +98,23 @@
   Pacer pacer;
 };
 
+/// Whether a worker may be given work, or the first thing that forbids it.
+enum class Fitness : uint8_t {
+  kUsable,
+  kNotReached,  ///< No look at it was answered yet.
+  kSilent,      ///< The last look was not answered.
+  kLapsed,      ///< Its lease ran out, or that is being committed.
+  kDraining,
+  kSuspect,    ///< An order was not answered.
+  kPaused,     ///< It turned an order down.
+  kStale,      ///< Not heard of lately, though no call has failed.
+  kEvacuated,  ///< Its host is to move or to be maintained.
+  kCount,
+};
+
+/// A short name for a log line.
+const char* FitnessName(Fitness fitness);
+
 /// A host on its way through maintenance, as this leader sees it.
 struct HostTrack {
   uint64_t wave = 0;
@@ -210,7 +227,19 @@
   void Plan(const Ledger& ledger, std::vector<scheduling::RunStarted>& starts);
   void TellStarts(const std::vector<scheduling::RunStarted>& starts) const;
   void CommitStarts(const std::vector<scheduling::RunStarted>& starts);
-  bool IsUsable(const scheduling::Worker& worker, const WorkerLink& link) const;
+  Fitness FitnessOf(const scheduling::Worker& worker,
+                    const WorkerLink& link) const;
+  bool IsUsable(const scheduling::Worker& worker,
+                const WorkerLink& link) const {
+    return FitnessOf(worker, link) == Fitness::kUsable;
+  }
+  scheduling::WorkerOutlook LookAt(const scheduling::Worker& worker) const;
+
+  // reports.cc: what an engineer on call needs to tell causes apart.
+  void Report(const Ledger& ledger);
+  void ReportLoad(const Ledger& ledger) const;
+  void ReportWorkers(const Ledger& ledger) const;
+  void ReportWaits(const Ledger& ledger) const;
 
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
@@ -349,6 +378,7 @@
   SteadyTime m_next_forget{};
   SteadyTime m_next_follow{};
   SteadyTime m_next_stops{};
+  SteadyTime m_next_sight{};
   // Above this lag of a tick the leader does fewer, larger things: a third of
   // the time between ticks. A look then brings the ends of 60 ms, not of one.
   static constexpr Millis kBehind{15};
--- /dev/null
+++ b/packages/dispatch/src/reports.cc
@@ -0,0 +1,121 @@
+#include <algorithm>
+#include <array>
+
+#include "laurelhall/base/decision_log.h"
+#include "leadership_p.h"
+
+namespace laurelhall::dispatch {
+
+using scheduling::Job;
+using scheduling::StartOutlook;
+using scheduling::Worker;
+
+namespace {
+
+// Each second: what lasts for shorter is seen in the lines of its task.
+constexpr Millis kSightPeriod{1'000};
+// A job that has nothing at work for longer is told of: about twice what a
+// start takes when the leader is not short of time.
+constexpr Millis kTellsOfWait{1'000};
+// Jobs told of each second, the longest waiting first: what holds these up
+// holds up the others.
+constexpr size_t kMostWaits = 4;
+
+using FitnessCounts =
+    std::array<uint64_t, static_cast<size_t>(Fitness::kCount)>;
+
+}  // namespace
+
+const char* FitnessName(Fitness fitness) {
+  static constexpr const char* kNames[] = {
+      "usable",  "not_reached", "silent", "lapsed",   "draining",
+      "suspect", "paused",      "stale",  "evacuated"};
+  static_assert(std::size(kNames) == static_cast<size_t>(Fitness::kCount));
+  return kNames[static_cast<size_t>(fitness)];
+}
+
+void Leadership::Report(const Ledger& ledger) {
+  const SteadyTime now = Now();
+  if (now < m_next_sight) {
+    return;
+  }
+  m_next_sight = now + kSightPeriod;
+  ReportLoad(ledger);
+  ReportWorkers(ledger);
+  ReportWaits(ledger);
+}
+
+// Whether the leader itself is the narrow place.
+void Leadership::ReportLoad(const Ledger& ledger) const {
+  DecisionLog::Get().Write(
+      DecisionLine("dispatch", "load")
+          .With("term", m_term)
+          .With("tick_lag_ms", m_tick_lag)
+          .With("plan_ms", m_plan_time)
+          .With("order_timeout_ms", OrderTimeout())
+          .With("waiting_acts", static_cast<uint64_t>(m_waiting_acts.size()))
+          .With("batched_records", static_cast<uint64_t>(m_batch.size()))
+          .With("open_jobs", static_cast<uint64_t>(ledger.open_jobs().size()))
+          .With("runs", static_cast<uint64_t>(m_runs.size())));
+}
+
+// Who of each service may be given work, and what keeps the others from it.
+void Leadership::ReportWorkers(const Ledger& ledger) const {
+  std::map<std::string, FitnessCounts> services;
+  for (const auto& [id, worker] : ledger.workers()) {
+    const Fitness fitness = FitnessOf(worker, m_links.at(id));
+    ++services[worker.info.service][static_cast<size_t>(fitness)];
+  }
+  for (const auto& [service, counts] : services) {
+    DecisionLine line("dispatch", "workers");
+    line.With("service", service);
+    for (size_t each = 0; each < counts.size(); ++each) {
+      if (counts[each] > 0) {
+        line.With(FitnessName(static_cast<Fitness>(each)), counts[each]);
+      }
+    }
+    DecisionLog::Get().Write(line);
+  }
+}
+
+// Jobs that could go on and have nothing at work, and why.
+void Leadership::ReportWaits(const Ledger& ledger) const {
+  const SteadyTime now = Now();
+  std::vector<std::pair<SteadyTime, const Job*>> waiting;
+  for (const std::string& id : ledger.open_jobs()) {
+    const Job& job = *ledger.FindJob(id);
+    const auto seen = m_seen_at.find(id);
+    if (!job.is_over() && job.active_runs == 0 && seen != m_seen_at.end() &&
+        now - seen->second > kTellsOfWait) {
+      waiting.emplace_back(seen->second, &job);
+    }
+  }
+  const size_t told = std::min(kMostWaits, waiting.size());
+  std::partial_sort(waiting.begin(),
+                    waiting.begin() + static_cast<ptrdiff_t>(told),
+                    waiting.end());
+  for (size_t each = 0; each < told; ++each) {
+    const Job& job = *waiting[each].second;
+    const auto outlook = m_planner.Explain(
+        {ledger, now, m_init.wall_now(),
+         [this](const Worker& worker) { return LookAt(worker); }, m_seen_at},
+        job);
+    if (!outlook) {
+      continue;
+    }
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "waits")
+            .With("job", job.id)
+            .With("service", ledger.ServiceOf(job))
+            .With("step", outlook->step)
+            .With("tasks", outlook->tasks)
+            .With("age_ms",
+                  std::chrono::floor<Millis>(now - waiting[each].first))
+            .With("why", scheduling::StartObstacleName(outlook->obstacle))
+            .With("workers", outlook->workers)
+            .With("with_room", outlook->with_room)
+            .With("of", static_cast<uint64_t>(waiting.size())));
+  }
+}
+
+}  // namespace laurelhall::dispatch
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -37,6 +37,32 @@
   bool is_hopeless = false;  ///< Too late to be of use to its caller.
 };
 
+/// Why a step that could go on has no task started by the next plan.
+enum class StartObstacle : uint8_t {
+  kNone,            ///< A worker would take it: it has only to be planned.
+  kDeferred,        ///< Its last start was turned down; waits a while.
+  kBeingCommitted,  ///< Planned already.
+  kGangIncomplete,  ///< Some members still run or are being committed.
+  kNoWorker,        ///< No worker of the service may be given work.
+  kNoRoom,          ///< Those that may have too little room.
+  kNotAllowed,      ///< Those with room are kept from it: label, rack, spread,
+                    ///< or the last attempt.
+  kCount,
+};
+
+/// A short name for a log line.
+const char* StartObstacleName(StartObstacle obstacle);
+
+/// What stands between a step that is open and its next start.
+struct StartOutlook {
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t tasks = 0;  ///< Neither done nor running.
+  StartObstacle obstacle = StartObstacle::kNone;
+  uint32_t workers = 0;    ///< Of the service, that may be given work.
+  uint32_t with_room = 0;  ///< Of these.
+};
+
 /// Decides which tasks start where.
 ///
 /// @remarks Pure but for what it learns; not thread-safe. Remembers what it
@@ -72,6 +98,11 @@
   /// A task of a queue took this long from start to end.
   void Learn(const std::string& queue, Millis estimate, Millis taken);
 
+  /// Why the first open step of a job with tasks left to start does not go on;
+  /// nothing when there is none. For reports: walks all workers.
+  std::optional<StartOutlook> Explain(const PlanInput& input,
+                                      const Job& job) const;
+
   /// Plans no start of a job before a time: its last one was turned down.
   void Defer(const std::string& job, SteadyTime until);
 
@@ -93,6 +124,10 @@
                   uint32_t occurrence,
                   SteadyTime deadline,
                   SteadyTime now) const;
+  StartOutlook OutlookOf(const PlanInput& input,
+                         const Job& job,
+                         uint32_t occurrence,
+                         uint32_t step) const;
 
   MechanismSet m_mechanisms;
   std::map<TaskId, std::string> m_reserved;  // The worker it is planned for.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -122,6 +122,19 @@
     }
   }
 
+  /// Workers that may be given work, and those of them with room for a task.
+  void Count(const Candidate& candidate, StartOutlook& outlook) const {
+    const Resources room = RoomOf(candidate.job->spec.steps[candidate.step]);
+    const auto places = m_places.find(m_input.ledger.ServiceOf(*candidate.job));
+    if (places == m_places.end()) {
+      return;
+    }
+    for (const Place& place : places->second) {
+      ++outlook.workers;
+      outlook.with_room += Fits(room, place.room) ? 1 : 0;
+    }
+  }
+
   void Put(const Candidate& candidate, std::vector<RunStarted>& out) {
     const StepSpec& step = candidate.job->spec.steps[candidate.step];
     auto places = m_places.find(m_input.ledger.ServiceOf(*candidate.job));
@@ -501,6 +514,75 @@
   return starts;
 }
 
+// Tries the start on a copy, which knows what is reserved and keeps nothing.
+StartOutlook Planner::OutlookOf(const PlanInput& input,
+                                const Job& job,
+                                uint32_t occurrence,
+                                uint32_t step) const {
+  StartOutlook outlook{occurrence, step};
+  const size_t first = job.IndexOf({job.id, occurrence, step, 0});
+  uint32_t reserved = 0;
+  for (uint32_t index = 0; index < job.spec.steps[step].count; ++index) {
+    const Task& task = job.tasks[first + index];
+    outlook.tasks += !task.is_done && task.active.empty() ? 1 : 0;
+    reserved += m_reserved.contains({job.id, occurrence, step, index}) ? 1 : 0;
+  }
+  std::vector<Candidate> candidates;
+  GatherStep(input, job, occurrence, step, candidates);
+  if (candidates.empty()) {
+    outlook.obstacle = reserved > 0 ? StartObstacle::kBeingCommitted
+                                    : StartObstacle::kGangIncomplete;
+    return outlook;
+  }
+  Planner trial(*this);
+  Placement placement(trial, input, candidates);
+  placement.Count(candidates.front(), outlook);
+  std::vector<RunStarted> starts;
+  placement.Put(candidates.front(), starts);
+  if (m_deferred.contains(job.id)) {
+    outlook.obstacle = StartObstacle::kDeferred;
+  } else if (outlook.workers == 0) {
+    outlook.obstacle = StartObstacle::kNoWorker;
+  } else if (outlook.with_room == 0) {
+    outlook.obstacle = StartObstacle::kNoRoom;
+  } else if (starts.empty()) {
+    outlook.obstacle = StartObstacle::kNotAllowed;
+  }
+  return outlook;
+}
+
+std::optional<StartOutlook> Planner::Explain(const PlanInput& input,
+                                             const Job& job) const {
+  for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
+       ++occurrence) {
+    const WallTime due = job.spec.first_due + job.spec.interval * occurrence;
+    if (job.spec.is_timed && input.wall < due) {
+      break;
+    }
+    const size_t base = occurrence * job.spec.steps.size();
+    for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      if (job.step_left[base + step] == 0 ||
+          !job.IsStepOpen(occurrence, step)) {
+        continue;
+      }
+      const StartOutlook outlook = OutlookOf(input, job, occurrence, step);
+      if (outlook.tasks > 0) {
+        return outlook;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+const char* StartObstacleName(StartObstacle obstacle) {
+  static constexpr const char* kNames[] = {
+      "none",      "deferred", "being-committed", "gang-incomplete",
+      "no-worker", "no-room",  "not-allowed"};
+  static_assert(std::size(kNames) ==
+                static_cast<size_t>(StartObstacle::kCount));
+  return kNames[static_cast<size_t>(obstacle)];
+}
+
 void Planner::Settled(const RunStarted& start) {
   const auto found = m_reserved_steps.find({start.task, start.run});
   if (found == m_reserved_steps.end()) {
