Hosts are set aside for moves only as fast as acts go out

Cause: a host that is chosen for a move takes no work until it serves elsewhere. Up to 12 hosts were chosen every 150 ms while acts on hosts went out one after the other, so that up to 163 of 349 hosts stood idle in the seconds in which jobs waited.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -165,6 +165,7 @@
 
 class NoHosts final : public HostPort {
  public:
+  size_t acts_at_once() const override { return 1; }
   void Maintain(HostAct, std::function<void(HostActOutcome)>) override {}
   void Move(HostAct, std::function<void(HostActOutcome)>) override {}
   void List(const std::string&, std::function<void(HostPage)>) override {}
--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -104,8 +104,8 @@
 
 /// Calls to workers.
 ///
-/// @remarks Used on one thread; each callback comes once, later, on it. Calls
-///   of one kind to one worker are made in order.
+/// @remarks Used on one thread; each callback comes once, later, on it. Orders
+///   to one worker may overtake each other, looks are made one by one.
 class WorkerPort {
  public:
   virtual ~WorkerPort() = default;
@@ -164,6 +164,9 @@
  public:
   virtual ~HostPort() = default;
 
+  /// How many acts are carried out together; more of them wait their turn.
+  virtual size_t acts_at_once() const = 0;
+
   virtual void Maintain(HostAct act,
                         std::function<void(HostActOutcome)> done) = 0;
   virtual void Move(HostAct act, std::function<void(HostActOutcome)> done) = 0;
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -334,6 +334,7 @@
   std::map<std::string, ServiceNeed> NeededCores(const Ledger& ledger) const;
   scheduling::PoolWeights WeighPools(
       const std::vector<scheduling::PoolNeed>& pools);
+  void BoundMoves(const Ledger& ledger, scheduling::PoolWeights& weights) const;
   void StepMove(const Ledger& ledger,
                 const std::string& host,
                 MoveTrack& track);
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -356,6 +356,8 @@
  public:
   Hosts(World& world, HostView& host) : m_world(world), m_host(host) {}
 
+  size_t acts_at_once() const override { return 1; }
+
   void Maintain(HostAct act, std::function<void(HostActOutcome)> to) override {
     const auto done = m_host.WhenAwake(std::move(to));
     if (IsHeldBack(act, done)) {
--- a/packages/net/include/laurelhall/net/http_lane.h
+++ b/packages/net/include/laurelhall/net/http_lane.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -35,6 +36,9 @@
   /// Ends the connection; what waits or runs fails.
   void Close();
 
+  /// Requests that wait or are under way.
+  size_t length() const { return m_waiting.size(); }
+
  private:
   struct Waiting {
     HttpRequest request;
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Of one round: what moves together is away together.
-constexpr size_t kMostMoves = 12;
 // A gain in how well the worst-off service is served below which a host is
 // not worth its move.
 constexpr double kLeastGain = 0.1;
@@ -40,10 +38,10 @@
   std::vector<PoolMove> Choose() {
     std::vector<PoolMove> moves;
     m_needed = &m_now_needed;
-    while (moves.size() < kMostMoves && Feed(moves)) {
+    while (moves.size() < m_weights.most_moves && Feed(moves)) {
     }
     m_needed = &m_soon_needed;
-    while (moves.size() < kMostMoves && Feed(moves)) {
+    while (moves.size() < m_weights.most_moves && Feed(moves)) {
     }
     Park(moves);
     return moves;
@@ -96,6 +94,9 @@
         host.empties_in > m_weights.longest_emptying) {
       return false;
     }
+    if (host.busy_cores > 0 && m_emptying >= m_weights.most_emptying) {
+      return false;
+    }
     if (host.service == m_spare) {
       return true;
     }
@@ -129,6 +130,7 @@
     m_cores[to] += host.cores;
     --m_count[host.service];
     ++m_count[to];
+    m_emptying += host.busy_cores > 0 ? 1 : 0;
     host.service = to;
     host.is_movable = false;
     moves.push_back({host.host, to});
@@ -159,7 +161,7 @@
           m_count.at(host->service) > m_least.at(host->service) &&
           Served(host->service, -host->cores) >= 1 &&
           on - host->cores >= m_weights.held_cores;
-      if (is_needless && moves.size() < kMostMoves) {
+      if (is_needless && moves.size() < m_weights.most_moves) {
         on -= host->cores;
         Move(*host, m_spare, moves);
       }
@@ -176,6 +178,7 @@
   std::map<std::string, uint32_t> m_least;
   Cores m_cores;
   std::map<std::string, uint32_t> m_count;  // Hosts.
+  size_t m_emptying = 0;                    // Chosen with work on them.
 };
 
 }  // namespace
