--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -69,6 +69,7 @@
   uint64_t fence = 0;
   uint64_t ends_seen = 0;  ///< Ends up to here are committed.
   Millis wait{0};          ///< For an end to come.
+  Millis timeout{600};     ///< For the answer, `wait` included.
 };
 
 struct CallReply {
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -24,6 +24,8 @@
 // Between two looks at one worker: ends that come together share one.
 constexpr Millis kHoldGap{60};
 constexpr Millis kHoldRetry{200};
+// How long an answer to a look may take beyond what it waits for.
+constexpr Millis kHoldMargin{600};
 constexpr Millis kOrderRetry{100};
 // After an order was not answered, the worker gets no new work for so long.
 // An answer to another call shows before that it lives: where a few orders of
@@ -265,6 +267,7 @@
   order.fence = Fence();
   order.ends_seen = link.ends_seen;
   order.wait = wait;
+  order.timeout = wait + kHoldMargin;
   ++m_counters.holds;
   WhenSure([this, worker, order = std::move(order)] {
     m_init.workers->Hold(order, [weak = weak_from_this(), worker,
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -129,20 +129,50 @@
 
 // What the log and the calls of one control host know of it.
 struct World::HostView {
+  explicit HostView(World& of) : world(of) {}
+
+  World& world;
   uint64_t term = 0;
   bool is_behind = false;  // Hears nothing of what is committed.
   bool is_frozen = false;
   std::vector<std::function<void()>> backlog;  // Due while it was frozen.
+  std::vector<std::function<void()>> next_round;
 
-  // Runs what comes to its one thread, when it wakes if it is frozen.
+  // Runs what comes to its one thread, when it wakes if it is frozen, or comes
+  // round if it is slow.
   void Run(std::function<void()> task) {
     if (is_frozen) {
       backlog.push_back(std::move(task));
+    } else if (world.m_round > Millis(0)) {
+      if (next_round.empty()) {
+        world.After(world.m_round, [this] { ComeRound(); });
+      }
+      next_round.push_back(std::move(task));
     } else {
       task();
     }
   }
 
+  void ComeRound() {
+    for (const auto& task : std::exchange(next_round, {})) {
+      task();
+    }
+  }
+
+  // An answer that a slow thread reads when the call's time is over counts for
+  // nothing. A freeze is not counted by the clock of the call.
+  template <typename Result>
+  std::function<void(Result)> InTime(Millis timeout,
+                                     std::function<void(Result)> done) {
+    if (world.m_round == Millis(0)) {
+      return done;
+    }
+    const SteadyTime until = world.Now() + timeout;
+    return [this, until, done = std::move(done)](Result result) {
+      done(world.Now() > until ? Result() : result);
+    };
+  }
+
   template <typename Result>
   std::function<void(Result)> WhenAwake(std::function<void(Result)> done) {
     return [this, done = std::move(done)](Result result) {
@@ -253,7 +283,7 @@
           }
           return reply;
         },
-        std::move(done));
+        m_host.InTime(order.timeout, std::move(done)));
   }
 
   void Stop(StopOrder order, std::function<void(CallReply)> done) override {
@@ -266,7 +296,7 @@
           }
           return reply;
         },
-        std::move(done));
+        m_host.InTime(order.timeout, std::move(done)));
   }
 
   void Pace(PaceOrder order, std::function<void(CallReply)> done) override {
@@ -275,14 +305,15 @@
         [](FakeWorker&) {
           return CallReply{CallOutcome::kDone, {}};
         },
-        std::move(done));
+        m_host.InTime(order.timeout, std::move(done)));
   }
 
   void Hold(HoldOrder order, std::function<void(HoldReply)> done) override {
-    m_world.After(m_world.Delay(),
-                  [this, order, done = m_host.WhenAwake(std::move(done))] {
-                    Look(order, m_world.Now() + order.wait, done);
-                  });
+    m_world.After(m_world.Delay(), [this, order,
+                                    done = m_host.WhenAwake(m_host.InTime(
+                                        order.timeout, std::move(done)))] {
+      Look(order, m_world.Now() + order.wait, done);
+    });
   }
 
   void Forget(const WorkerAddress&) override {}
@@ -443,7 +474,8 @@
   Host(World& world,
        const std::string& name,
        const DispatchMutations& mutations)
-      : timers(world, *this),
+      : HostView(world),
+        timers(world, *this),
         log(world, *this),
         port(world, *this),
         hosts(world, *this) {
@@ -629,6 +661,14 @@
   return m_ledger.FindJob(id)->state;
 }
 
+uint64_t World::unknown_calls() const {
+  uint64_t calls = 0;
+  for (const auto& host : m_hosts) {
+    calls += host->dispatcher->counters().unknown_calls;
+  }
+  return calls;
+}
+
 void World::Violate(const std::string& text) {
   m_violations.push_back(
       std::to_string(
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -105,6 +105,10 @@
   /// Acts on hosts are carried out one after the other from now on, and each
   /// takes so long.
   void SlowActs(Millis time) { m_act_time = time; }
+
+  /// Each control host's thread comes round this often from now on: answers and
+  /// timers wait until then, and a call's time runs out meanwhile.
+  void SlowThreads(Millis round) { m_round = round; }
   void Advance(Millis time);
 
   scheduling::JobState StateOf(const std::string& id) const;
@@ -112,6 +116,8 @@
   const std::vector<std::string>& violations() const { return m_violations; }
   FakeWorker& worker(const std::string& id) { return *m_workers.at(id); }
   uint64_t starts() const { return m_starts; }
+  /// Calls to workers that the leaders counted as unanswered.
+  uint64_t unknown_calls() const;
   const std::vector<std::string>& maintained() const { return m_maintained; }
 
   /// Hosts that were moved and where to, in order.
@@ -153,6 +159,7 @@
   size_t m_cut_off = 0;
   Millis m_sync{5};
   Millis m_act_time{0};
+  Millis m_round{0};
   SteadyTime m_acts_free_at{};  // The act before is over.
   std::vector<std::unique_ptr<Host>> m_hosts;
   size_t m_leader = 0;
