What is committed is told with the next append, not by a message of its own

Each batch of a busy leader went to every control host twice: the append, then a heartbeat with the new commit index, each with an answer. The news now waits up to 60 ms for the next append; leader commits, reads and membership changes don't wait. Ruled out: leaving it to the heartbeat, 200 ms.

--- a/packages/consensus/include/laurelhall/consensus/node.h
+++ b/packages/consensus/include/laurelhall/consensus/node.h
@@ -42,6 +42,10 @@
   std::optional<SnapshotMeta> snapshot;
   std::vector<Entry> log;  ///< Entries after the snapshot, as recovered.
   Millis heartbeat{100};
+  /// How long the news that more is committed waits, from the last message to a
+  /// peer on, for an append that takes it along; zero sends it at once. Peers
+  /// apply so much later. A leader's own commits do not wait.
+  Millis commit_delay{0};
   Millis election_timeout_min{600};
   Millis election_timeout_max{1200};
   uint64_t seed = 1;  ///< For the election jitter.
--- a/packages/consensus/src/consensus_p.h
+++ b/packages/consensus/src/consensus_p.h
@@ -29,6 +29,7 @@
   bool is_probe_sent = false;
   std::deque<Index> inflight;  ///< Last index of each append under way.
   Index sent_commit = 0;
+  SteadyTime last_sent{};  ///< When a commit index last went there.
   uint64_t acked_round = 0;
   SteadyTime last_heard{};
   SteadyTime last_progress{};  ///< Of `match`, or of the first send.
--- a/packages/consensus/src/replication.cc
+++ b/packages/consensus/src/replication.cc
@@ -64,7 +64,8 @@
     SendAppend(to, progress);
   }
   const Index known = std::min(m_commit, progress.match);
-  if (progress.sent_commit < known) {
+  const bool is_due = m_now - progress.last_sent >= m_init.commit_delay;
+  if (progress.sent_commit < known && is_due) {
     SendHeartbeat(to, progress);
   }
 }
@@ -104,6 +105,7 @@
   }
   progress.inflight.push_back(sent);
   progress.sent_commit = std::max(progress.sent_commit, commit);
+  progress.last_sent = m_now;
   if (progress.state == ProgressState::kProbe) {
     progress.is_probe_sent = true;
   } else {
@@ -128,6 +130,7 @@
   message.commit = std::min(m_commit, progress.match);
   message.round = m_round;
   progress.sent_commit = std::max(progress.sent_commit, message.commit);
+  progress.last_sent = m_now;
   Send(std::move(message));
 }
 
--- a/packages/consensus/tests/cluster.h
+++ b/packages/consensus/tests/cluster.h
@@ -32,6 +32,7 @@
   bool is_repaired = true;          ///< The leader repairs lost identities.
   size_t max_flights = 1;           ///< Readys that wait for their sync.
   Index snapshot_every = 1000;      ///< Entries between snapshots of a host.
+  Millis commit_delay{0};           ///< Of each node; see NodeInit.
   Mutations mutations;
 };
 
--- a/packages/consensus/tests/node_test.cc
+++ b/packages/consensus/tests/node_test.cc
@@ -47,11 +47,16 @@
 /// One node whose peers are played by the test.
 struct NodeFixture {
   SteadyTime now{Seconds{1}};
-  Node node{InitOf({1, 2, 3}), now};
+  Node node;
 
-  static NodeInit InitOf(const std::vector<uint64_t>& voters) {
+  explicit NodeFixture(Millis commit_delay = Millis{0})
+      : node(InitOf({1, 2, 3}, commit_delay), now) {}
+
+  static NodeInit InitOf(const std::vector<uint64_t>& voters,
+                         Millis commit_delay = Millis{0}) {
     NodeInit init;
     init.self = {1};
+    init.commit_delay = commit_delay;
     for (uint64_t voter : voters) {
       init.bootstrap.members[{voter}] = Member{};
     }
@@ -92,6 +97,25 @@
   }
 };
 
+/// A leader that lets the news of a commit wait, with an entry at index 2 that
+/// was sent to its peers just now.
+struct DelayFixture : NodeFixture {
+  // Well under a heartbeat, which would tell it anyway.
+  static constexpr Millis kDelay{20};
+
+  DelayFixture() : NodeFixture(kDelay) {
+    Lead();
+    Drive();
+    for (const uint64_t peer : {2, 3}) {
+      Answer(peer, MessageKind::kAppendReply, 1);
+    }
+    now += kDelay;
+    node.Tick(now);
+    REQUIRE(node.Propose("a", now));
+    Drive();
+  }
+};
+
 /// A node whose log holds three entries of term 1.
 struct FollowerFixture : NodeFixture {
   FollowerFixture() {
@@ -188,6 +212,33 @@
   CHECK_EQ(node.status().commit, 1);
 }
 
+TEST_CASE_FIXTURE(
+    DelayFixture,
+    "Leader, commit within its delay, goes with the next append") {
+  Answer(2, MessageKind::kAppendReply, 2);
+  REQUIRE_EQ(node.status().commit, 2);
+  CHECK(Drive().empty());
+  REQUIRE(node.Propose("b", now));
+  const std::vector<Message> sent = Drive();
+  REQUIRE_EQ(sent.size(), 2);
+  CHECK_EQ(sent[0].kind, MessageKind::kAppend);
+  CHECK_EQ(sent[0].commit, 2);
+}
+
+TEST_CASE_FIXTURE(DelayFixture,
+                  "Leader, commit and no append, is told after its delay") {
+  Answer(2, MessageKind::kAppendReply, 2);
+  now += kDelay - Millis{1};
+  node.Tick(now);
+  CHECK(Drive().empty());
+  now += Millis{1};
+  node.Tick(now);
+  const std::vector<Message> sent = Drive();
+  REQUIRE_EQ(sent.size(), 1);
+  CHECK_EQ(sent[0].to, NodeId{2});
+  CHECK_EQ(sent[0].commit, 2);
+}
+
 TEST_CASE_FIXTURE(NodeFixture,
                   "Leader, always something unsynced, commits what is synced") {
   Lead();
--- a/packages/consensus/tests/schedule_test.cc
+++ b/packages/consensus/tests/schedule_test.cc
@@ -36,6 +36,7 @@
   init.max_sync_ms = {2, 20, 100};
   init.max_flights = one_of(std::array<size_t, 2>{1, 4});
   init.snapshot_every = 40;
+  init.commit_delay = one_of(std::array<Millis, 2>{Millis{0}, Millis{30}});
   return init;
 }
 
--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -12,6 +12,10 @@
 constexpr Millis kTick{20};
 constexpr Millis kHelloPeriod{250};
 constexpr Millis kHeartbeat{200};
+// While a leader commits all the time, the next append comes within some 20 ms
+// and says what is committed; a message of its own to each host and its answer
+// doubled their number. Well under a heartbeat.
+constexpr Millis kCommitDelay{60};
 // How long syncs wait for one another. Less than a heartbeat, so that their
 // round comes in place of it.
 constexpr Millis kSyncRound{160};
@@ -128,6 +132,7 @@
   init.self = m_self;
   init.seed = m_parts.init.seed;
   init.heartbeat = kHeartbeat;
+  init.commit_delay = kCommitDelay;
   return init;
 }
 
