The planner asks after a worker only when it would take it

A plan built the places of all workers of its services: each asked the leader's view of it and looked up four trees by name, and rows of settled starts stayed for good. Workers are now kept by service until they change, and outlooks asked where a place has room and beats those before it.

--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "laurelhall/scheduling/ledger.h"
@@ -129,7 +130,14 @@
                          uint32_t occurrence,
                          uint32_t step) const;
 
+  /// The workers of a service; valid until the ledger's workers change.
+  const std::vector<const Worker*>& WorkersOf(const Ledger& ledger,
+                                              const std::string& service);
+
   MechanismSet m_mechanisms;
+  // What m_workers_of was made from.
+  std::pair<const Ledger*, uint64_t> m_index_source{nullptr, 0};
+  std::unordered_map<std::string, std::vector<const Worker*>> m_workers_of;
   std::map<TaskId, std::string> m_reserved;  // The worker it is planned for.
   std::map<std::string, Resources> m_reserved_room;  // By worker.
   std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <tuple>
 
 namespace laurelhall::scheduling {
@@ -99,36 +100,21 @@
             const std::vector<Candidate>& candidates)
       : m_planner(planner), m_input(input) {
     for (const Candidate& candidate : candidates) {
-      m_places[input.ledger.ServiceOf(*candidate.job)];
-    }
-    for (const auto& [id, worker] : input.ledger.workers()) {
-      const auto places = m_places.find(worker.info.service);
-      if (places == m_places.end() || worker.info.is_draining) {
-        continue;
-      }
-      const WorkerOutlook outlook = input.outlook_of(worker);
-      if (!outlook.is_usable) {
-        continue;
-      }
-      Place& place = places->second.emplace_back();
-      place.worker = &worker;
-      place.is_doubtful = outlook.is_doubtful;
-      place.room = worker.info.capacity;
-      Subtract(place.room, worker.used);
-      const auto reserved = planner.m_reserved_room.find(id);
-      if (reserved != planner.m_reserved_room.end()) {
-        Subtract(place.room, reserved->second);
+      const std::string& service = input.ledger.ServiceOf(*candidate.job);
+      if (!m_places.contains(service)) {
+        m_places[service] = PlacesOf(service);
       }
     }
   }
 
   /// Workers that may be given work, and those of them with room for a task.
-  void Count(const Candidate& candidate, StartOutlook& outlook) const {
+  void Count(const Candidate& candidate, StartOutlook& outlook) {
     const Resources room = RoomOf(candidate.job->spec.steps[candidate.step]);
     const auto places = m_places.find(m_input.ledger.ServiceOf(*candidate.job));
     if (places == m_places.end()) {
       return;
     }
+    KeepUsable(places->second);
     for (const Place& place : places->second) {
       ++outlook.workers;
       outlook.with_room += Fits(room, place.room) ? 1 : 0;
@@ -160,12 +146,45 @@
   struct Place {
     const Worker* worker = nullptr;
     Resources room;
-    bool is_doubtful = false;
-    bool has_persistent = false;  // By this plan.
+    std::optional<WorkerOutlook> outlook;  // Once it was asked for.
+    bool has_persistent = false;           // By this plan.
     // Of a gang under trial, not reserved yet.
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
+  std::vector<Place> PlacesOf(const std::string& service) const {
+    std::vector<Place> places;
+    for (const Worker* worker : m_planner.WorkersOf(m_input.ledger, service)) {
+      if (worker->info.is_draining) {
+        continue;
+      }
+      Place& place = places.emplace_back();
+      place.worker = worker;
+      place.room = worker->info.capacity;
+      Subtract(place.room, worker->used);
+      const auto reserved = m_planner.m_reserved_room.find(worker->info.id);
+      if (reserved != m_planner.m_reserved_room.end()) {
+        Subtract(place.room, reserved->second);
+      }
+    }
+    return places;
+  }
+
+  // Asked for only once a place would be taken: most have no room, or a better
+  // one stands before them.
+  const WorkerOutlook& OutlookOf(Place& place) const {
+    if (!place.outlook) {
+      place.outlook = m_input.outlook_of(*place.worker);
+    }
+    return *place.outlook;
+  }
+
+  // Where it matters how many there are, or of which racks.
+  void KeepUsable(std::vector<Place>& places) const {
+    std::erase_if(places,
+                  [this](Place& place) { return !OutlookOf(place).is_usable; });
+  }
+
   static uint64_t StepKey(const Candidate& candidate) {
     return (static_cast<uint64_t>(candidate.occurrence) << 32) | candidate.step;
   }
@@ -175,6 +194,7 @@
                const StepSpec& step,
                std::vector<Place>& places,
                std::vector<RunStarted>& out) {
+    KeepUsable(places);
     std::set<std::string> racks{""};
     if (step.is_same_rack) {
       racks.clear();
@@ -210,10 +230,11 @@
     }
   }
 
-  uint32_t CountHere(const Candidate& candidate, const Place& place) const {
+  /// @param first The first task of the candidate's step.
+  uint32_t CountHere(const Candidate& candidate,
+                     const TaskId& first,
+                     const Place& place) const {
     uint32_t here = 0;
-    const TaskId first{candidate.job->id, candidate.occurrence, candidate.step,
-                       0};
     for (auto task = place.worker->active.lower_bound(first);
          task != place.worker->active.end() && task->job == first.job &&
          task->occurrence == first.occurrence && task->step == first.step;
@@ -259,6 +280,10 @@
     const bool gathers = m_planner.m_mechanisms.Has(Mechanism::kGathering);
     const Resources room = RoomOf(step);
     const bool is_last_attempt = IsLastAttempt(candidate, task);
+    if (is_last_attempt) {
+      KeepUsable(places);
+    }
+    const TaskId first{id.job, id.occurrence, id.step, 0};
     Place* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     for (Place& place : places) {
@@ -267,20 +292,11 @@
           !step.data_rack.empty() && info.rack != step.data_rack;
       if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
-          (is_far && waits_for_data) ||
-          (is_last_attempt && places.size() > 1 &&
-           (task.failed_on == info.id || place.is_doubtful)) ||
-          place.worker->active.contains(id)) {
-        continue;
-      }
-      const uint32_t here = CountHere(candidate, place);
-      if (step.spread_limit > 0 && here >= step.spread_limit) {
+          (is_far && waits_for_data)) {
         continue;
       }
       double cost = is_far ? kFarFromData : 0;
       cost += task.failed_on == info.id ? kFailedHere : 0;
-      cost += place.is_doubtful ? kDoubtful : 0;
-      cost += kSameStepHere * here;
       // Tasks gather on few hosts, those with persistent ones first, so that
       // the others can move as soon as another service needs them.
       const bool has_persistent =
@@ -289,6 +305,22 @@
       const double used =
           1 - Share(place.room.millicores, info.capacity.millicores);
       cost += step.is_persistent || !gathers ? used : -used;
+      // What follows costs more to find out, and never makes a place better.
+      if (cost >= best_cost || place.worker->active.contains(id)) {
+        continue;
+      }
+      const uint32_t here = CountHere(candidate, first, place);
+      if (step.spread_limit > 0 && here >= step.spread_limit) {
+        continue;
+      }
+      const WorkerOutlook& outlook = OutlookOf(place);
+      const bool is_risk = is_last_attempt && places.size() > 1 &&
+                           (task.failed_on == info.id || outlook.is_doubtful);
+      if (!outlook.is_usable || is_risk) {
+        continue;
+      }
+      cost += outlook.is_doubtful ? kDoubtful : 0;
+      cost += kSameStepHere * here;
       if (cost < best_cost) {
         best = &place;
         best_cost = cost;
@@ -343,6 +375,21 @@
   std::map<std::string, std::vector<Place>> m_places;  // By service.
 };
 
+// In the ledger's own order.
+const std::vector<const Worker*>& Planner::WorkersOf(
+    const Ledger& ledger,
+    const std::string& service) {
+  const std::pair source(&ledger, ledger.workers_version());
+  if (m_index_source != source) {
+    m_index_source = source;
+    m_workers_of.clear();
+    for (const auto& [id, worker] : ledger.workers()) {
+      m_workers_of[worker.info.service].push_back(&worker);
+    }
+  }
+  return m_workers_of[service];
+}
+
 double Planner::RunTimeRatio(const std::string& queue) const {
   const auto found = m_ratio.find(queue);
   return found == m_ratio.end() ? 1.0 : found->second;
@@ -588,7 +635,11 @@
   if (found == m_reserved_steps.end()) {
     return;
   }
-  Subtract(m_reserved_room[start.worker], found->second);
+  Resources& room = m_reserved_room[start.worker];
+  Subtract(room, found->second);
+  if (room == Resources()) {
+    m_reserved_room.erase(start.worker);
+  }
   m_reserved_steps.erase(found);
   m_reserved.erase(start.task);
 }
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -49,6 +49,7 @@
 
   std::vector<RunStarted> Plan() {
     const auto outlook_of = [this](const Worker& worker) {
+      ++asked;
       const auto found = outlooks.find(worker.info.id);
       return found == outlooks.end() ? WorkerOutlook() : found->second;
     };
@@ -67,6 +68,7 @@
   std::map<std::string, WorkerOutlook> outlooks;
   std::unordered_map<std::string, SteadyTime> seen_at;
   SteadyTime now{hours(1)};
+  int asked = 0;  // Outlooks of workers.
 };
 
 TEST_CASE_FIXTURE(PlannerFixture,
@@ -85,6 +87,38 @@
   CHECK(Plan().empty());
 }
 
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, workers without room, are not asked after") {
+  AddWorker("w1");
+  AddWorker("w2");
+  Accept("first", Step(8));
+  Commit(Plan());
+  Accept("second", Step(2));
+  asked = 0;
+  CHECK(Plan().empty());
+  CHECK(asked == 0);
+}
+
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, workers that come, go or drain, are followed") {
+  AddWorker("w1");
+  Accept("j", Step(12));
+  Commit(Plan());
+  AddWorker("w2");
+  const std::vector<RunStarted> second = Plan();
+  CHECK(second.size() == 4);
+  ledger.Apply(WorkerGone{"w2"});
+  for (const RunStarted& start : second) {
+    planner.Settled(start);
+  }
+  CHECK(Plan().empty());
+  AddWorker("w3");
+  WorkerInfo leaving = ledger.FindWorker("w3")->info;
+  leaving.is_draining = true;
+  ledger.Apply(WorkerSeen{leaving});
+  CHECK(Plan().empty());
+}
+
 // Failed before planned starts counted: the third task of a step came onto a
 // worker while the first two were being committed.
 TEST_CASE_FIXTURE(
