--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <unordered_set>
 
 #include "laurelhall/base/decision_log.h"
 #include "leadership_p.h"
@@ -47,6 +46,26 @@
   return &(*job)->tasks[(*job)->IndexOf(id)];
 }
 
+bool IsActiveOn(const Task& task, uint32_t run, const std::string& worker) {
+  return std::any_of(task.active.begin(), task.active.end(),
+                     [&](const scheduling::ActiveRun& active) {
+                       return active.run == run && active.worker == worker;
+                     });
+}
+
+// The numbers first: they tell most tasks of a list apart.
+bool IsSameTask(const scheduling::TaskId& a, const scheduling::TaskId& b) {
+  return a.index == b.index && a.step == b.step &&
+         a.occurrence == b.occurrence && a.job == b.job;
+}
+
+template <typename Rows>
+bool Lists(const Rows& rows, const scheduling::TaskId& task, uint32_t run) {
+  return std::any_of(rows.begin(), rows.end(), [&](const auto& row) {
+    return row.run == run && IsSameTask(row.task, task);
+  });
+}
+
 }  // namespace
 
 void Leadership::SendOrders(const Ledger& ledger) {
@@ -429,8 +448,7 @@
   for (const RunningRun& running : reply.running) {
     const Job* job = nullptr;
     const Task* task = FindTask(ledger, running.task, &job);
-    if (task == nullptr ||
-        !ledger.IsActive(running.task, running.run, worker)) {
+    if (task == nullptr || !IsActiveOn(*task, running.run, worker)) {
       DecisionLog::Get().Write(
           DecisionLine("dispatch", "stop", LineClass::kTask)
               .With("task", FormatTaskId(running.task))
@@ -463,13 +481,6 @@
                              SteadyTime asked_at,
                              const HoldReply& reply,
                              Records& records) {
-  std::unordered_set<RunKey, RunKeyHash> listed;
-  for (const RunningRun& running : reply.running) {
-    listed.insert({running.task, running.run});
-  }
-  for (const EndedRun& ended : reply.ended) {
-    listed.insert({ended.task, ended.run});
-  }
   const Worker* known = ledger.FindWorker(worker);
   if (known == nullptr) {
     return;
@@ -477,11 +488,11 @@
   for (const scheduling::TaskId& id : known->active) {
     const Job& job = *ledger.FindJob(id.job);
     for (const auto& active : job.tasks[job.IndexOf(id)].active) {
-      const RunKey key{id, active.run};
-      if (active.worker != worker || listed.contains(key)) {
+      if (active.worker != worker || Lists(reply.running, id, active.run) ||
+          Lists(reply.ended, id, active.run)) {
         continue;
       }
-      RunTrack& track = m_runs[key];
+      RunTrack& track = m_runs[{id, active.run}];
       if (track.start == StartStage::kUncertain) {
         track.worker = worker;
         track.may_be_on_its_way = true;
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -85,17 +85,41 @@
     return std::static_pointer_cast<ClientConnection>(shared_from_this());
   }
 
+  // A wait outlives the calls that end in time and serves the later ones: to
+  // set and cancel it for each took two turns of the strand a call.
   void StartTimer(Millis timeout, HttpFailure failure) {
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([weak = weak_from_this(), failure](ErrorCode error) {
+    m_deadline = std::chrono::steady_clock::now() + timeout;
+    m_failure_if_late = failure;
+    if (!m_is_timer_set || m_timer.expiry() > *m_deadline) {
+      SetTimer();
+    }
+  }
+
+  void StopTimer() { m_deadline.reset(); }
+
+  void SetTimer() {
+    m_is_timer_set = true;
+    m_timer.expires_at(*m_deadline);
+    m_timer.async_wait([weak = weak_from_this()](ErrorCode error) {
       const auto self = std::static_pointer_cast<ClientConnection>(weak.lock());
-      if (!error && self != nullptr &&
-          self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
-        self->End(failure);
+      if (!error && self != nullptr) {
+        self->OnTimer();
       }
     });
   }
 
+  void OnTimer() {
+    m_is_timer_set = false;
+    if (!m_deadline) {
+      return;
+    }
+    if (*m_deadline <= std::chrono::steady_clock::now()) {
+      End(m_failure_if_late);
+    } else {
+      SetTimer();
+    }
+  }
+
   void StartConnect(Millis timeout, const std::function<void(bool)>& done) {
     tcp::endpoint endpoint;
     try {
@@ -126,7 +150,7 @@
         self->End(HttpFailure::kConnect);
         return;
       }
-      self->m_timer.cancel();
+      self->StopTimer();
       self->m_is_open = true;
       self->m_is_reusable = true;
       self->Read();
@@ -151,7 +175,7 @@
     std::string head = EncodeRequestHead(request, m_address);
     if (before_write != nullptr && !before_write()) {
       // Nothing was sent, so the connection is as good as before.
-      m_timer.cancel();
+      StopTimer();
       m_is_reusable = true;
       FinishCall({HttpFailure::kConnect, false, {}});
       return;
@@ -196,7 +220,7 @@
   }
 
   void FinishAnswer() {
-    m_timer.cancel();
+    StopTimer();
     const bool may_go_on = m_call->decoder.keep_alive() && m_bytes.empty() &&
                            !m_is_writing && !m_is_write_failed;
     HttpResult result{HttpFailure::kNone, true,
@@ -216,7 +240,7 @@
   }
 
   void End(HttpFailure failure) {
-    m_timer.cancel();
+    StopTimer();
     CloseStream();
     if (m_on_connected != nullptr) {
       std::exchange(m_on_connected, nullptr)(false);
@@ -241,6 +265,9 @@
   asio::io_context& m_context;
   Strand m_strand;
   asio::steady_timer m_timer;
+  bool m_is_timer_set = false;
+  std::optional<SteadyTime> m_deadline;  // Of what is under way.
+  HttpFailure m_failure_if_late = HttpFailure::kTimeout;
   std::string m_address;
   std::shared_ptr<TlsContext> m_tls;
   std::optional<tcp::socket> m_socket;  // Until it is connected.
--- a/packages/net/src/http_message.cc
+++ b/packages/net/src/http_message.cc
@@ -22,6 +22,8 @@
 
 constexpr size_t kMaxAnswerHeaderBytes = 64 << 10;
 constexpr int kMaxInterimAnswers = 8;
+// Of a request to a worker, so that it is written without growing: about 180.
+constexpr size_t kUsualHeadBytes = 256;
 // Chunk sizes, extensions and trailers may cost this much more than the body.
 constexpr size_t kChunkOverheadBytes = 64 << 10;
 constexpr size_t kChunkOverheadFactor = 8;
@@ -396,11 +398,25 @@
 
 namespace {
 
+bool IsSendable(std::string_view name, std::string_view value) {
+  return !IsConnectionField(name) && !name.empty() && IsFieldText(name) &&
+         name.find_first_of(" :\t") == std::string_view::npos &&
+         IsFieldText(value);
+}
+
+void AppendField(std::string& head,
+                 std::string_view name,
+                 std::string_view value) {
+  head += name;
+  head += ": ";
+  head += value;
+  head += "\r\n";
+}
+
 template <typename Message>
 void AddFields(Message& message, const HttpHeaders& headers) {
   for (const auto& [name, value] : headers.fields) {
-    if (!IsConnectionField(name) && !name.empty() && IsFieldText(name) &&
-        name.find_first_of(" :\t") == std::string::npos && IsFieldText(value)) {
+    if (IsSendable(name, value)) {
       message.insert(name, value);
     }
   }
@@ -445,19 +461,28 @@
 
 std::string EncodeRequestHead(const HttpRequest& request,
                               const std::string& authority) {
-  http::request<http::empty_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  AddFields(message, request.headers);
-  if (message.find(http::field::host) == message.end()) {
-    message.set(http::field::host, authority);
+  std::string head;
+  head.reserve(kUsualHeadBytes);
+  head += request.method;
+  head += ' ';
+  head += request.target;
+  head += " HTTP/1.1\r\n";
+  bool has_host = false;
+  for (const auto& [name, value] : request.headers.fields) {
+    if (IsSendable(name, value)) {
+      AppendField(head, name, value);
+      has_host = has_host || IsSame(name, "Host");
+    }
+  }
+  if (!has_host) {
+    AppendField(head, "Host", authority);
   }
   if (!request.body.empty() ||
       (request.method != "GET" && request.method != "HEAD")) {
-    message.content_length(request.body.size());
+    AppendField(head, "Content-Length", std::to_string(request.body.size()));
   }
-  return EncodeHead(message);
+  head += "\r\n";
+  return head;
 }
 
 std::string EncodeResponseHead(const HttpResponse& response, bool keep_alive) {
--- a/packages/net/tests/http_client_test.cc
+++ b/packages/net/tests/http_client_test.cc
@@ -49,6 +49,9 @@
   IoThreads m_threads{2};
 };
 
+constexpr const char* kEmptyAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 TEST_CASE_FIXTURE(ClientFixture, "HttpConnection, whole answer, hands it on") {
   const HttpResult result = SendTo(
       "HTTP/1.1 100 Continue\r\n\r\n"
@@ -139,6 +142,43 @@
   CHECK_FALSE(connection->is_reusable());
 }
 
+TEST_CASE_FIXTURE(
+    ClientFixture,
+    "HttpConnection, later call with less time, times out in it") {
+  const RawListener listener;
+  std::thread endpoint([&] {
+    const RawSocket socket = listener.Accept();
+    socket.ReadUntil("body");
+    socket.Write(kEmptyAnswer);
+    socket.ReadUntil("body");
+    socket.ReadUntil("never comes");
+  });
+  const auto connection = Connect(listener.address());
+  CHECK(Send(*connection).failure == HttpFailure::kNone);
+  const auto begun = std::chrono::steady_clock::now();
+  CHECK(Send(*connection, nullptr, Millis(50)).failure ==
+        HttpFailure::kTimeout);
+  CHECK(std::chrono::steady_clock::now() - begun < kTestWait / 2);
+  endpoint.join();
+}
+
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, time of an earlier call passes, goes on") {
+  const RawListener listener;
+  std::thread endpoint([&] {
+    const RawSocket socket = listener.Accept();
+    socket.ReadUntil("body");
+    socket.Write(kEmptyAnswer);
+    socket.ReadUntil("body");
+    std::this_thread::sleep_for(Millis(400));
+    socket.Write(kEmptyAnswer);
+  });
+  const auto connection = Connect(listener.address());
+  CHECK(Send(*connection, nullptr, Millis(300)).failure == HttpFailure::kNone);
+  CHECK(Send(*connection).failure == HttpFailure::kNone);
+  endpoint.join();
+}
+
 TEST_CASE_FIXTURE(ClientFixture,
                   "Fetch, served by HttpServer, gives the answer") {
   FunctionHandler handler([](std::shared_ptr<HttpExchange> exchange) {
