Tests: disks lost at the moment of an acknowledgement

Cause: the loss of two disks together with the power of all others was in no fixed test; the seeded schedules lose one disk at a time.

--- a/packages/consensus/tests/cluster.cc
+++ b/packages/consensus/tests/cluster.cc
@@ -92,14 +92,27 @@
 }
 
 void Cluster::LoseDisk(size_t index) {
+  WipeDisk(index);
+  Start(index);
+}
+
+void Cluster::WipeDisk(size_t index, bool is_renamed) {
   Crash(index);
   Host& host = m_hosts[index];
-  host.disk.hard_state = {};
-  host.disk.snapshot.reset();
-  host.disk.log.clear();
-  host.bootstrap = Membership();
-  host.id = {++m_next_id};
-  Start(index);
+  host.disk = Disk();
+  if (is_renamed) {
+    host.bootstrap = Membership();
+    host.id = {++m_next_id};
+  }
+}
+
+bool Cluster::IsOnDisk(size_t host, Index index) const {
+  const Disk& disk = m_hosts[host].disk;
+  const bool is_in_snapshot =
+      disk.snapshot && disk.snapshot->meta.index >= index;
+  return is_in_snapshot ||
+         std::any_of(disk.log.begin(), disk.log.end(),
+                     [index](const Entry& e) { return e.index == index; });
 }
 
 void Cluster::Isolate(size_t host, bool is_in, bool is_out) {
--- a/packages/consensus/tests/cluster.h
+++ b/packages/consensus/tests/cluster.h
@@ -65,6 +65,8 @@
   void Start(size_t host);
   void StartAll();
   void LoseDisk(size_t host);  ///< Comes back with a new identity.
+  /// Stays down; `is_renamed` unset: comes back as who it was, knowing nothing.
+  void WipeDisk(size_t host, bool is_renamed = true);
 
   // Work.
   std::optional<EntryPosition> Propose(size_t host);
@@ -84,6 +86,8 @@
   size_t reads_served() const { return m_reads_served; }
   Index acknowledged() const { return m_acknowledged; }
   Index committed() const { return m_committed.size(); }
+  /// Synced there, in the log or in a snapshot.
+  bool IsOnDisk(size_t host, Index index) const;
   /// The confirmed leader of the highest term, if any.
   std::optional<size_t> leader() const;
   std::optional<size_t> AnyLeader() const;  ///< Confirmed or not.
