--- a/packages/consensus/tests/survival_test.cc
+++ b/packages/consensus/tests/survival_test.cc
@@ -197,9 +197,10 @@
       : m_survival(CaseOf(voters), seed), m_cluster(m_survival.cluster()) {}
 
   /// @returns Whether enough voters kept their disks for it to serve again.
-  bool StrikeDuringRepair(bool is_holder_lost) {
-    const size_t replaced = (m_cluster.leader().value() + 1) % m_cluster.size();
-    m_cluster.LoseDisk(replaced);
+  bool StrikeDuringRepair(size_t replaced, bool is_holder_lost) {
+    for (size_t i = 1; i <= replaced; ++i) {
+      m_cluster.LoseDisk((m_cluster.leader().value() + i) % m_cluster.size());
+    }
     m_cluster.Run(Millis(m_cluster.Pick(0, 150)));
     const size_t leader = m_cluster.leader().value();
     const Index index = m_survival.Acknowledge(leader);
@@ -336,14 +337,16 @@
 TEST_CASE("Survival, struck while a voter is replaced, keeps every entry") {
   size_t served = 0;
   size_t plays = 0;
-  for (const size_t voters : {5, 7}) {
+  for (const size_t voters : {5, 7, 9}) {
     for (uint64_t seed = 1; seed <= kChanges; ++seed) {
       CAPTURE(voters);
       CAPTURE(seed);
       std::string violation;
       try {
         Replacement replacement(voters, seed);
-        const bool is_enough = replacement.StrikeDuringRepair(seed % 2 == 0);
+        const size_t replaced = 1 + seed / 2 % (voters / 2 - 1);
+        const bool is_enough =
+            replacement.StrikeDuringRepair(replaced, seed % 2 == 0);
         replacement.Check(is_enough);
         served += is_enough ? 1 : 0;
       } catch (const std::exception& error) {
