Tests: groups of four and six voters bear one and two lost disks

While a voter is replaced the number is even for a moment; the cases of lost disks ran on odd numbers only.

--- a/packages/consensus/tests/survival_test.cc
+++ b/packages/consensus/tests/survival_test.cc
@@ -286,7 +286,7 @@
 TEST_CASE_FIXTURE(SurvivalFixture,
                   "Survival, a minority of the disks that answered lost and "
                   "power everywhere, again and again, keeps every entry") {
-  for (const size_t voters : {5, 7, 9}) {
+  for (const size_t voters : {4, 5, 6, 7, 9}) {
     for (size_t lost = 0; lost <= (voters - 1) / 2; ++lost) {
       for (const SurvivalCase& each : Cases(voters, lost)) {
         CAPTURE(voters);
@@ -301,7 +301,7 @@
 TEST_CASE_FIXTURE(SurvivalFixture,
                   "Survival, one disk more lost than a minority, no leader "
                   "rather than one that forgot") {
-  for (const size_t voters : {5, 7, 9}) {
+  for (const size_t voters : {4, 5, 6, 7, 9}) {
     for (const SurvivalCase& each : Cases(voters, (voters + 1) / 2)) {
       CAPTURE(voters);
       CHECK_EQ(PlayTooMany(each), std::string());
