Tests that fail: a listed run barred, tasks without a look taken to stand still

A start whose answer is missing is sent again although a look has listed its run since, and is barred when that is turned down: the persistent task is stopped (run 2 where 1 ran). kStalled counts up to the last answer of any kind, also while looks wait for a commit: a task at 10 % is stopped and started again (4 starts for 3). No product code is changed.

--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -101,7 +101,12 @@
   });
   reply.ended = m_ended;
   for (const auto& [task, run] : m_runs) {
-    reply.running.push_back({task, run.run, "", 100, 0});
+    uint32_t percent = 100;
+    if (run.begun_at != SteadyTime() && now < run.ends_at) {
+      percent = static_cast<uint32_t>(100 * (now - run.begun_at) /
+                                      (run.ends_at - run.begun_at));
+    }
+    reply.running.push_back({task, run.run, "", percent, 0});
   }
   return reply;
 }
@@ -272,7 +277,11 @@
           FakeWorker::Run run;
           run.run = order.run;
           run.need = scheduling::RoomOf(spec);
-          run.ends_at = m_world.Now() + spec.estimate;
+          run.ends_at = m_world.Now() + std::chrono::duration_cast<Millis>(
+                                            spec.estimate * m_world.stretch);
+          if (m_world.stretch != 1 && !spec.is_persistent) {
+            run.begun_at = m_world.Now();
+          }
           run.fails = m_world.Chance(m_world.failing);
           run.is_persistent = spec.is_persistent;
           const bool was_there = worker.runs().contains(order.task);
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -34,6 +34,7 @@
     SteadyTime ends_at{};
     bool fails = false;
     bool is_persistent = false;
+    SteadyTime begun_at{};  ///< If it tells how far it is.
   };
 
   CallReply Start(const StartOrder& order, const Run& run, SteadyTime now);
@@ -130,6 +131,8 @@
 
   Weather weather;
   double failing = 0;  ///< Share of runs that fail by their own fault.
+  /// How many times its estimate a run takes; if not 1, it tells how far it is.
+  double stretch = 1;
 
  private:
   class Timers;
