--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -266,6 +266,7 @@
       : m_world(world), m_host(host), m_term(host.term) {}
 
   void Start(StartOrder order, std::function<void(CallReply)> done) override {
+    m_world.m_last_timeout = order.timeout;
     Call(
         order.worker.id,
         [this, order, term = m_term](FakeWorker& worker) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -119,6 +119,8 @@
   uint64_t starts() const { return m_starts; }
   /// Calls to workers that the leaders counted as unanswered.
   uint64_t unknown_calls() const;
+  /// What the last order to start was given for its answer.
+  Millis last_timeout() const { return m_last_timeout; }
   const std::vector<std::string>& maintained() const { return m_maintained; }
 
   /// Hosts that were moved and where to, in order.
@@ -162,6 +164,7 @@
   size_t m_cut_off = 0;
   Millis m_sync{5};
   Millis m_act_time{0};
+  Millis m_last_timeout{0};
   Millis m_round{0};
   SteadyTime m_acts_free_at{};  // The act before is over.
   std::vector<std::unique_ptr<Host>> m_hosts;
