--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -34,6 +34,7 @@
     SteadyTime ends_at{};
     bool fails = false;
     bool is_persistent = false;
+    SteadyTime begun_at{};  ///< If it tells how far it is.
   };
 
   CallReply Start(const StartOrder& order, const Run& run, SteadyTime now);
@@ -118,6 +119,8 @@
   uint64_t starts() const { return m_starts; }
   /// Calls to workers that the leaders counted as unanswered.
   uint64_t unknown_calls() const;
+  /// What the last order to start was given for its answer.
+  Millis last_timeout() const { return m_last_timeout; }
   const std::vector<std::string>& maintained() const { return m_maintained; }
 
   /// Hosts that were moved and where to, in order.
@@ -130,6 +133,8 @@
 
   Weather weather;
   double failing = 0;  ///< Share of runs that fail by their own fault.
+  /// How many times its estimate a run takes; if not 1, it tells how far it is.
+  double stretch = 1;
 
  private:
   class Timers;
@@ -159,6 +164,7 @@
   size_t m_cut_off = 0;
   Millis m_sync{5};
   Millis m_act_time{0};
+  Millis m_last_timeout{0};
   Millis m_round{0};
   SteadyTime m_acts_free_at{};  // The act before is over.
   std::vector<std::unique_ptr<Host>> m_hosts;
