A run that is listed is neither repeated nor barred; what stands still is judged by lists

A task stood still by any answer of its worker, where only a list tells its progress (a task at 10 % was stopped). The lag of the ticks did not wear off below 10 ms and had no bound (a pause of 1 s left 27 ms on each order for good); it now wears off by half of the time gone, and the delay allowed for is 700 ms at the most. The ages of a worker's last word allow for it too.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -50,9 +50,6 @@
 // A task whose progress stands still for so long, and twice its estimate, is
 // started again elsewhere.
 constexpr Millis kStalled{2'500};
-// A lag that is not seen again is forgotten within this time: two rounds of the
-// longest that a third of a core was seen to have, 0.25 s.
-constexpr Millis kLagWears{500};
 
 }  // namespace
 
@@ -213,13 +210,8 @@
   if (m_last_tick != SteadyTime()) {
     const auto taken = std::chrono::floor<Millis>(now - m_last_tick);
     const Millis late = std::max(Millis(0), taken - kDispatchTick);
-    if (late > m_tick_lag) {
-      m_tick_lag = (m_tick_lag + late) / 2;
-    } else {
-      const Millis worn =
-          m_tick_lag * std::min(taken, kLagWears).count() / kLagWears.count();
-      m_tick_lag = std::max(late, m_tick_lag - worn);
-    }
+    m_tick_lag = late > m_tick_lag ? (m_tick_lag + late) / 2
+                                   : std::max(late, m_tick_lag - taken / 2);
   }
   m_last_tick = now;
 }
@@ -370,7 +362,7 @@
     const auto link = m_links.find(track.worker);
     const bool is_seen =
         link != m_links.end() &&
-        link->second.last_contact - track.percent_since >=
+        link->second.last_listed - track.percent_since >=
             std::max<SteadyTime::duration>(kStalled, 2 * step.estimate);
     if (!is_seen || step.is_gang || step.is_filling) {
       continue;
@@ -493,7 +485,7 @@
   if (now < link.paused_until) {
     return Fitness::kPaused;
   }
-  const bool is_stale = now - link.last_contact >= kFreshContact;
+  const bool is_stale = now - link.last_contact >= kFreshContact + OwnDelay();
   return is_stale ? Fitness::kStale : Fitness::kUsable;
 }
 
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -285,7 +286,9 @@
   /// A call is sent and its answer read when this thread comes round: the
   /// leader's own delay, not the worker's. A tick is late by what a round takes
   /// beyond the time between ticks; from 100 ms on three lags are two rounds.
-  Millis OwnDelay() const { return 3 * m_tick_lag; }
+  /// Bounded, so that a pause of the whole process does not hold up what waits
+  /// behind an order that is lost.
+  Millis OwnDelay() const { return std::min(3 * m_tick_lag, kMostOwnDelay); }
   Millis OrderTimeout() const { return m_order_time.Timeout() + OwnDelay(); }
   void LearnAnswerTime(const CallReply& reply) {
     if (reply.outcome < CallOutcome::kNotReached) {
@@ -387,6 +390,8 @@
   // Above this lag of a tick the leader does fewer, larger things: a third of
   // the time between ticks. A look then brings the ends of 60 ms, not of one.
   static constexpr Millis kBehind{15};
+  // Two rounds of the longest that a fifth of a core was seen to have, 0.35 s.
+  static constexpr Millis kMostOwnDelay{700};
 
   SteadyTime m_last_tick{};
   Millis m_tick_lag{0};  // Smoothed.
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -266,7 +266,7 @@
   const SteadyTime heard =
       link.is_reached ? link.last_contact : link.last_announced;
   return !worker.info.is_draining && !link.is_lapsed &&
-         Now() - heard < kNotServing;
+         Now() - heard < kNotServing + OwnDelay();
 }
 
 Millis Leadership::IdleFor(const std::string& host, double busy_cores) {
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -160,7 +160,8 @@
     case CallOutcome::kUnknown:
       ++m_counters.unknown_calls;
       track.may_be_on_its_way = true;
-      if (!track.is_stop_taken) {  // Else it is barred: what was sent is void.
+      // Listed: it is there. Stopped: it is barred, what was sent is void.
+      if (!track.is_listed && !track.is_stop_taken) {
         track.start = StartStage::kRetry;
         track.next_try = Now() + kOrderRetry;
       }
@@ -172,7 +173,14 @@
       if (link != m_links.end()) {
         link->second.suspect_until = Now() + kSuspect;
       }
-      OnStartRefused(key, track);
+      if (track.may_be_on_its_way && !m_init.mutations.is_barring_skipped) {
+        // Says nothing about the order before: the repeat is repeated.
+        track.start =
+            track.is_listed ? StartStage::kSettled : StartStage::kRetry;
+        track.next_try = Now() + kOrderRetry;
+      } else {
+        OnStartRefused(key, track);
+      }
       break;
     case CallOutcome::kNoTicket:
       // It may run on some workers only, and which is not known: no other one
@@ -193,9 +201,17 @@
 // This order was surely not carried out. An earlier one of the same run that
 // was not answered still may be, until the worker has taken a stop for it.
 void Leadership::OnStartRefused(const RunKey& key, RunTrack& track) {
+  if (track.is_listed) {
+    return;  // It runs: only this repeat was turned down.
+  }
   if (track.may_be_on_its_way && !m_init.mutations.is_barring_skipped) {
     track.start = StartStage::kBarring;
     track.is_stop_wanted = true;
+    DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
+                                 .With("task", FormatTaskId(key.task))
+                                 .With("run", key.run)
+                                 .With("worker", track.worker)
+                                 .With("why", "start-not-answered"));
     SendStop(key, track);
     return;
   }
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -14,8 +14,9 @@
 
 constexpr Millis kActRetry{300};
 constexpr Millis kSettles{80};
-// Longer than a busy worker's look takes at the most, far shorter than the time
-// after which a task counts as away.
+// Longer than a busy worker's look takes while the leader is in time, far
+// shorter than the time after which a task counts as away. A leader that is
+// behind waits: what it has not seen lately may be away.
 constexpr Millis kFreshList{1'800};
 // A host that did not come back for so many times the usual counts as back, or
 // one lost host would stop its wave for good.
