A leader that was distrusted is asked whether it is there

Cause: an entry host ignores a hint at a control host that failed less than a second ago, lest it follow a follower's word to a dead leader. After a cold start all have failed, so the right hint was passed over and the hosts were asked in turn. The named host is now asked for a sign of life beside the requests, and once it answers it is next. A shorter distrust was ruled out: a dead, silent leader would cost each round another 400 ms. Both tests fail with the doubt kept or never dropped; control_test passes, 46 cases.

--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -193,13 +193,13 @@
                                const Group& group,
                                proto::SubmitReply::Reader reply) {
   if (!reply.getIsLeader()) {
-    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    DoesNotLead(address, ToString(reply.getLeaderAddress()));
     Requeue(group);
     return;
   }
   const auto results = reply.getResults();
   if (results.size() != group.size()) {
-    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    DoesNotLead(address, ToString(reply.getLeaderAddress()));
     Requeue(group);
     return;
   }
@@ -266,7 +266,7 @@
                              SteadyTime asked_at,
                              proto::SyncReply::Reader reply) {
   if (!reply.getIsLeader()) {
-    m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()), Now());
+    DoesNotLead(address, ToString(reply.getLeaderAddress()));
     PutBack(question, true);
     return;
   }
@@ -329,8 +329,7 @@
           const auto reply = response.getReply();
           if (!reply.getIsLeader()) {
             shared->may_have_run = may_have_run_before;
-            m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
-                                 Now());
+            DoesNotLead(address, ToString(reply.getLeaderAddress()));
             AskAgain(std::move(*shared));
             return;
           }
@@ -381,6 +380,7 @@
     auto answer = SendOperate(client, "GET", kMembersPath, "");
     return answer.then([this, address, done](auto&& response) {
       m_heard_at[address] = Now();
+      m_finder.Heard(address);
       std::istringstream lines(ToString(response.getReply().getBody()));
       std::vector<std::string> addresses;
       for (std::string line; std::getline(lines, line);) {
@@ -395,6 +395,20 @@
                   .catch_([done](kj::Exception&&) { done(false); }));
 }
 
+// After a cold start every host has failed lately, the leader among them.
+// Whether it is there now is asked beside the requests, which don't wait for
+// one that is dead.
+void ClientLoop::DoesNotLead(const std::string& address,
+                             const std::string& hint) {
+  m_finder.DoesNotLead(address, hint, Now());
+  if (m_finder.doubted().empty() || m_is_doubt_asked) {
+    return;
+  }
+  m_is_doubt_asked = true;
+  AskMembers(m_finder.doubted(), kSignOfLife,
+             [this](bool) { m_is_doubt_asked = false; });
+}
+
 // The addresses of the start may all be replaced in time. Asked again in a
 // while when there is no answer; the known ones do until then.
 void ClientLoop::LearnMembers() {
@@ -442,8 +456,7 @@
     return answer.then([this, address, done, again](auto&& response) {
       const auto reply = response.getReply();
       if (!reply.getIsLeader()) {
-        m_finder.DoesNotLead(address, ToString(reply.getLeaderAddress()),
-                             Now());
+        DoesNotLead(address, ToString(reply.getLeaderAddress()));
         again();
         return;
       }
--- a/packages/control/src/client_loop_p.h
+++ b/packages/control/src/client_loop_p.h
@@ -125,6 +125,7 @@
                   Millis timeout,
                   const std::function<void(bool is_alive)>& done);
   void LearnMembers();
+  void DoesNotLead(const std::string& address, const std::string& hint);
 
   // Sync.
   void Sync();
@@ -146,6 +147,7 @@
   std::map<std::string, SteadyTime> m_heard_at;  // By control host.
   /// Requests that wait for a sign of life, by control host.
   std::map<std::string, std::vector<Asked>> m_unheard;
+  bool m_is_doubt_asked = false;  ///< Whether a distrusted leader is there.
 
   std::deque<PendingPtr> m_waiting;
   Deadlines m_deadlines;  // Of what is not finished.
--- a/packages/control/src/leader_finder.cc
+++ b/packages/control/src/leader_finder.cc
@@ -28,6 +28,15 @@
   m_backoff = Millis(0);
   m_ready_at = SteadyTime();
   m_failed_at.erase(address);
+  m_doubted.clear();
+}
+
+void LeaderFinder::Heard(const std::string& address) {
+  m_failed_at.erase(address);
+  if (address == m_doubted) {
+    m_current = std::exchange(m_doubted, {});
+    m_ready_at = SteadyTime();
+  }
 }
 
 void LeaderFinder::DoesNotLead(const std::string& address,
@@ -39,6 +48,7 @@
   const auto failed = m_failed_at.find(hint);
   const bool is_distrusted =
       failed != m_failed_at.end() && now - failed->second < kDistrustHint;
+  m_doubted = is_distrusted ? hint : std::string();
   if (hint.empty() || hint == address || is_distrusted) {
     Rotate(now);
     return;
--- a/packages/control/src/leader_finder_p.h
+++ b/packages/control/src/leader_finder_p.h
@@ -33,6 +33,13 @@
                    const std::string& hint,
                    SteadyTime now);
 
+  /// The host answered, whatever it said: it is trusted again, and asked next
+  /// if it was named as the leader while it was distrusted.
+  void Heard(const std::string& address);
+
+  /// Named as the leader but distrusted, as it failed lately; else empty.
+  const std::string& doubted() const { return m_doubted; }
+
   /// The host did not answer.
   void Failed(const std::string& address, SteadyTime now);
 
@@ -41,6 +48,7 @@
 
   std::vector<std::string> m_addresses;
   std::string m_current;
+  std::string m_doubted;
   size_t m_next = 0;
   SteadyTime m_ready_at{};
   Millis m_backoff{0};
--- a/packages/control/tests/decisions_test.cc
+++ b/packages/control/tests/decisions_test.cc
@@ -333,5 +333,31 @@
   CHECK(m_finder.current() == "c");
 }
 
+TEST_CASE_FIXTURE(LeaderFinderFixture,
+                  "LeaderFinder, distrusted leader answers again, asked next "
+                  "without a pause") {
+  m_finder.Failed("c", m_now);
+  m_finder.DoesNotLead("a", "c", m_now);
+  CHECK(m_finder.doubted() == "c");
+  CHECK(m_finder.ready_at() > m_now);
+  m_finder.Heard("b");  // Somebody else's word says nothing of it.
+  CHECK(m_finder.doubted() == "c");
+  m_finder.Heard("c");
+  CHECK(m_finder.current() == "c");
+  CHECK(m_finder.ready_at() <= m_now);
+  CHECK(m_finder.doubted().empty());
+}
+
+TEST_CASE_FIXTURE(LeaderFinderFixture,
+                  "LeaderFinder, another leader named meanwhile, the doubt is "
+                  "dropped") {
+  m_finder.Failed("c", m_now);
+  m_finder.DoesNotLead("a", "c", m_now);
+  m_finder.DoesNotLead(m_finder.current(), "b", m_now);
+  CHECK(m_finder.current() == "b");
+  m_finder.Heard("c");
+  CHECK(m_finder.current() == "b");
+}
+
 }  // namespace
 }  // namespace laurelhall::control
