laurelhall trace: from an id to its cause in the processes' logs

On call there are only logs, and an answer took a grep on every host and knowledge of the lines. The verb merges the logs into an id's timeline, pulls in the lines that explain it, and names the deciding line by a table of rules.

--- a/packages/cli/src/errors_p.h
+++ b/packages/cli/src/errors_p.h
@@ -7,7 +7,8 @@
 /// How the program ends.
 enum class ExitCode {
   kDone = 0,
-  kRefused = 1,   ///< The system said no, or a trace did not hold.
+  kRefused = 1,   ///< The system said no, a trace did not hold, or
+                  ///< an id was not found.
   kUsage = 2,     ///< Bad usage or bad input; nothing was sent, or a 400.
   kNoAnswer = 3,  ///< The outcome is not known: resend with the same id.
 };
@@ -27,6 +28,11 @@
   using std::runtime_error::runtime_error;
 };
 
+/// The logs say nothing of an id.
+class NotFoundError : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
 /// No answer came, or one that leaves the outcome open.
 class NoAnswerError : public std::runtime_error {
   using std::runtime_error::runtime_error;
--- a/packages/cli/src/main.cc
+++ b/packages/cli/src/main.cc
@@ -41,8 +41,9 @@
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   const bool is_terminal =
       ::isatty(STDOUT_FILENO) != 0 && std::getenv("NO_COLOR") == nullptr;
-  const Environment environment{
-      Fetch, Sleep, std::cout, std::cerr, is_terminal, DefaultsOfEnvironment()};
+  const Environment environment{Fetch,     Sleep,       std::cout,
+                                std::cerr, is_terminal, DefaultsOfEnvironment(),
+                                &std::cin};
   return static_cast<int>(
       laurelhall::cli::RunCommandLine(arguments, environment));
 }
--- a/packages/cli/src/options.cc
+++ b/packages/cli/src/options.cc
@@ -22,9 +22,10 @@
 };
 
 /// Options that some verbs take; a verb's row says which.
-constexpr std::array<OptionHelp, 17> kVerbOptions = {{
+constexpr std::array<OptionHelp, 18> kVerbOptions = {{
     {"expect", "version or epoch that must still be in force"},
-    {"to", "pool that the host joins"},
+    {"to", "pool that the host joins; of a trace, the last time"},
+    {"from", "of a trace, the first time: 2026-08-17T20:28:04Z"},
     {"pool", "a pool"},
     {"team", "a team"},
     {"rack", "a rack"},
--- a/packages/cli/src/session.cc
+++ b/packages/cli/src/session.cc
@@ -428,6 +428,9 @@
   } catch (const MismatchError& error) {
     environment.err << "laurelhall: " << error.what() << '\n';
     return ExitCode::kRefused;
+  } catch (const NotFoundError& error) {
+    environment.err << "laurelhall: " << error.what() << '\n';
+    return ExitCode::kRefused;
   } catch (const std::exception& error) {
     environment.err << "laurelhall: " << error.what() << '\n';
     return ExitCode::kUsage;
--- a/packages/cli/src/session_p.h
+++ b/packages/cli/src/session_p.h
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 #include <functional>
+#include <istream>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -22,6 +24,7 @@
   std::ostream& err;
   bool is_terminal = false;
   Defaults defaults;
+  std::istream* in = nullptr;  ///< Standard input; null for none.
 };
 
 /// One verb with its command line, ready to run.
@@ -40,6 +43,7 @@
   void WaitForSettings() const;
   void PrintCompletion() const;
   void ReplayTrace() const;
+  void TraceId() const;
 
   // What verbs add to a body.
   void AddChanges(boost::json::object& body) const;
@@ -59,6 +63,7 @@
   std::string Target() const;
   void Print(const boost::json::value& value) const;
   Millis DurationOption(const char* name, Millis fallback) const;
+  std::optional<WallTime> TimeOption(const char* name) const;
 
   const Verb& m_verb;
   CommandLine m_line;
--- a/packages/cli/src/verb_help.cc
+++ b/packages/cli/src/verb_help.cc
@@ -10,8 +10,9 @@
 namespace {
 
 constexpr const char* kExitCodesHelp =
-    "Exit codes: 0 done, 1 refused or a trace did not hold, 2 bad usage or "
-    "input,\n3 no answer (resend with the same --request-id)\n";
+    "Exit codes: 0 done, 1 refused, a trace did not hold or an id was "
+    "not found,\n2 bad usage or input, 3 no answer (resend with the same "
+    "--request-id)\n";
 
 std::string FirstWord(const Verb& verb) {
   const std::string_view name = verb.name;
