--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -20,6 +20,12 @@
 // take, and beyond what one busy tick costs.
 constexpr Millis kBehind{50};
 
+// A leader that is new serves once it has caught up: about as long as its
+// election takes.
+constexpr Millis kElection{1'000};
+// How far apart lines on a pool's state are, at most, while it is in need.
+constexpr Millis kStatePeriod{1'000};
+
 constexpr int64_t kBadRequest = 400;
 constexpr int64_t kNotFound = 404;
 constexpr int64_t kUnavailable = 503;
@@ -31,8 +37,8 @@
   Story::Rule rule;
 };
 
-// In this order: what ended a job goes before what slowed it, and of that
-// first what happened to it before what it shared with others.
+// In this order: what ended a job goes before what slowed it, and of that what
+// kept it from its first start before what a later run had.
 constexpr std::array kJobRules{
     Row{"refused", "bad-request", &Story::BadRequest},
     Row{"refused", "unknown-queue", &Story::UnknownQueue},
@@ -42,15 +48,16 @@
     Row{"failed", "by-itself", &Story::FailedByItself},
     Row{"failed", "ends-not-told", &Story::FailedUntold},
     Row{"ended", "cancelled", &Story::Cancelled},
-    Row{"waiting", "told-by-the-leader", &Story::Waiting},
     Row{"lost-sight", "dropped-lines", &Story::DroppedLines},
+    Row{"waiting", "told-by-the-leader", &Story::Waiting},
     Row{"waiting", "at-work", &Story::AtWork},
     Row{"late", "failover", &Story::Failover},
-    Row{"late", "worker-lapsed", &Story::WorkerLapsed},
-    Row{"late", "order-not-answered", &Story::OrderNotAnswered},
     Row{"late", "leader-behind", &Story::LeaderBehind},
     Row{"late", "hosts-moved-late", &Story::HostsMovedLate},
     Row{"late", "no-room", &Story::NoRoom},
+    Row{"late", "worker-lapsed", &Story::WorkerLapsed},
+    Row{"late", "run-failed", &Story::RunFailed},
+    Row{"late", "order-not-answered", &Story::OrderNotAnswered},
     Row{"late", "held-back", &Story::HeldBack},
     Row{"late", "not-told", &Story::LateUntold},
     Row{"late", "answer-not-given", &Story::AnsweredLate},
@@ -140,9 +147,8 @@
   });
   const Line* first = First([](const Line& line) { return line.is_own; });
   m_taken_in = m_accept != nullptr ? m_accept->time : first->time;
-  m_at_work = m_again != nullptr          ? m_again->time
-              : m_first_starts != nullptr ? m_first_starts->time
-                                          : m_lines.back().time;
+  m_at_work =
+      m_first_starts != nullptr ? m_first_starts->time : m_lines.back().time;
 }
 
 Cause Story::FindCause() const {
@@ -204,7 +210,8 @@
 
 const Line* Story::RoomShortage() const {
   return Last([this](const Line& line) {
-    return IsShort(line) && line.time <= m_at_work;
+    return IsShort(line) && line.time >= m_taken_in - kStatePeriod &&
+           line.time <= m_at_work;
   });
 }
 
@@ -212,9 +219,12 @@
   return m_over != nullptr && m_over->Text("state") == "failed";
 }
 
-// Late is what waited before its first start, or was started again.
-bool Story::IsLate() const {
-  return m_over != nullptr && (Wait() >= kLateStart || m_again != nullptr);
+bool Story::StartedLate() const {
+  return m_over != nullptr && Wait() >= kLateStart;
+}
+
+bool Story::WasStartedAgain() const {
+  return m_over != nullptr && m_again != nullptr;
 }
 
 // The longer of what the leader measured and what the lines are apart: a new
@@ -232,9 +242,9 @@
 }
 
 std::string Story::DelayText() const {
-  return m_again != nullptr
-             ? "tasks of it were started again at " + Clock(m_again->time)
-             : "its first start came " + Ms(Wait()) + " after it";
+  return Wait() >= kLateStart || m_again == nullptr
+             ? "its first start came " + Ms(Wait()) + " after it was taken in"
+             : "tasks of it were started again at " + Clock(m_again->time);
 }
 
 std::optional<Verdict> Story::BadRequest() const {
@@ -264,8 +274,9 @@
   }
   std::string reason = "No leader took it in for " +
                        Ms(answer->Duration("took_ms")) + " (status 503)";
-  const Line* leads = First([answer](const Line& line) {
-    return Is(line, "dispatch", "leads") && line.time > answer->time;
+  const WallTime asked = m_taken_in - answer->Duration("took_ms");
+  const Line* leads = Last([asked](const Line& line) {
+    return Is(line, "dispatch", "leads") && line.time >= asked - kElection;
   });
   const Line* left = Last([answer](const Line& line) {
     return Is(line, "dispatch", "leads-no-more") && line.time <= answer->time;
@@ -298,10 +309,13 @@
   return Verdict{answer, reason + ". No line tells that it was taken in."};
 }
 
-// Only decisions count: a job's own lines are among them.
+// Only decisions count, as a job's own lines are of that class, and only what
+// was dropped after the last of them.
 std::optional<Verdict> Story::DroppedLines() const {
-  const Line* dropped = Last([](const Line& line) {
-    return Is(line, "log", "dropped") && line.Number("decisions") > 0;
+  const Line* own = Last([](const Line& line) { return line.is_own; });
+  const Line* dropped = First([own](const Line& line) {
+    return Is(line, "log", "dropped") && line.Number("decisions") > 0 &&
+           line.time >= own->time;
   });
   if (dropped == nullptr || m_over != nullptr) {
     return std::nullopt;
@@ -413,7 +427,7 @@
   const Line* leads = Last([this](const Line& line) {
     return Is(line, "dispatch", "leads") && IsWhileWaiting(line);
   });
-  if (!IsLate() || leads == nullptr) {
+  if (!StartedLate() || leads == nullptr) {
     return std::nullopt;
   }
   return Verdict{
@@ -425,9 +439,10 @@
 
 std::optional<Verdict> Story::WorkerLapsed() const {
   const Line* lapsed = Last([this](const Line& line) {
-    return Is(line, "dispatch", "worker-lapsed") && IsWhileWaiting(line);
+    return Is(line, "dispatch", "worker-lapsed") && m_again != nullptr &&
+           line.time >= m_taken_in && line.time <= m_again->time;
   });
-  if (!IsLate() || lapsed == nullptr || m_again == nullptr) {
+  if (!WasStartedAgain() || lapsed == nullptr) {
     return std::nullopt;
   }
   return Verdict{
@@ -436,9 +451,26 @@
                   NumberText(*lapsed, "runs") + " runs; " + DelayText() + "."};
 }
 
+// A run that failed or was lost, and whose task was started again.
+std::optional<Verdict> Story::RunFailed() const {
+  const auto is_bad_end = [this](const Line& line) {
+    return line.is_own && Is(line, "dispatch", "end") && m_again != nullptr &&
+           line.time <= m_again->time && line.Text("how") != "done" &&
+           line.Text("how") != "stopped";
+  };
+  const Line* end = Last(is_bad_end);
+  if (!WasStartedAgain() || end == nullptr) {
+    return std::nullopt;
+  }
+  return Verdict{end, Plural(Count(is_bad_end), "run") +
+                          " ended badly, the last of " + end->Text("task") +
+                          " on worker " + end->Text("worker") + " (" +
+                          end->Text("how") + "); " + DelayText() + "."};
+}
+
 std::optional<Verdict> Story::OrderNotAnswered() const {
   const Line* start = Own("start");
-  if (!IsLate() || start == nullptr) {
+  if (!WasStartedAgain() || start == nullptr) {
     return std::nullopt;
   }
   const size_t count = Count([](const Line& line) {
@@ -456,7 +488,7 @@
     return Is(line, "dispatch", "load") && IsWhileWaiting(line) &&
            line.Duration("tick_lag_ms") > kBehind;
   });
-  if (!IsLate() || load == nullptr) {
+  if (!StartedLate() || load == nullptr) {
     return std::nullopt;
   }
   return Verdict{load, "The leader " + load->process + " was behind by " +
@@ -468,7 +500,7 @@
 
 std::optional<Verdict> Story::HostsMovedLate() const {
   const Line* state = RoomShortage();
-  if (!IsLate() || state == nullptr) {
+  if (!StartedLate() || state == nullptr) {
     return std::nullopt;
   }
   const std::string service = state->Text("service");
@@ -493,7 +525,8 @@
     return line.is_own && line.event == "waits" &&
            (line.Text("why") == "no-room" || line.Text("why") == "no-worker");
   });
-  if (!IsLate() || (state == nullptr && waits == nullptr)) {
+  if (m_over == nullptr ||
+      (waits == nullptr && (state == nullptr || !StartedLate()))) {
     return std::nullopt;
   }
   if (waits == nullptr) {
@@ -504,23 +537,25 @@
   if (state != nullptr) {
     reason += "; " + CoresText(*state);
   }
-  return Verdict{waits, reason + "; " + DelayText() + "."};
+  return Verdict{waits, reason + ", " + Ms(waits->Duration("age_ms")) +
+                            " after it was taken in."};
 }
 
 std::optional<Verdict> Story::HeldBack() const {
   const Line* waits = LastOwn("waits");
-  if (!IsLate() || waits == nullptr) {
+  if (m_over == nullptr || waits == nullptr) {
     return std::nullopt;
   }
-  return Verdict{waits, "At " + Ms(waits->Duration("age_ms")) + " " +
-                            WaitFigures(*waits) + "; " + DelayText() + "."};
+  return Verdict{waits, "It was held back: " + WaitFigures(*waits) + ", " +
+                            Ms(waits->Duration("age_ms")) +
+                            " after it was taken in."};
 }
 
 std::optional<Verdict> Story::LateUntold() const {
-  if (!IsLate()) {
+  if (!StartedLate() && !WasStartedAgain()) {
     return std::nullopt;
   }
-  const Line* line = m_again != nullptr ? m_again : m_first_starts;
+  const Line* line = StartedLate() ? m_first_starts : m_again;
   return Verdict{line, "No line tells what held it up: " + DelayText() + "."};
 }
 
@@ -652,7 +687,8 @@
 std::optional<Verdict> Story::LastLine() const {
   const Line* last = Last([](const Line& line) { return line.is_own; });
   return Verdict{last, "The last line with it is " + last->part + " " +
-                           last->event + " of " + Clock(last->time) + "."};
+                           last->event + " of " + Clock(last->time) + ": " +
+                           last->Rest() + "."};
 }
 
 Answer Trace(const Question& question, const std::vector<Source>& sources) {
--- a/packages/trace/src/causes_p.h
+++ b/packages/trace/src/causes_p.h
@@ -43,6 +43,7 @@
   // Late.
   std::optional<Verdict> Failover() const;
   std::optional<Verdict> WorkerLapsed() const;
+  std::optional<Verdict> RunFailed() const;
   std::optional<Verdict> OrderNotAnswered() const;
   std::optional<Verdict> LeaderBehind() const;
   std::optional<Verdict> HostsMovedLate() const;
@@ -71,7 +72,8 @@
   const Line* Refusal(int64_t status) const;
   const Line* RoomShortage() const;
   bool HasFailed() const;
-  bool IsLate() const;
+  bool StartedLate() const;
+  bool WasStartedAgain() const;
   bool IsWhileWaiting(const Line& line) const;
   Millis Wait() const;
   std::string DelayText() const;
@@ -83,7 +85,7 @@
   const Line* m_again = nullptr;         // A task's second run.
   const Line* m_over = nullptr;
   WallTime m_taken_in;  // By the leader, or when the first line came.
-  WallTime m_at_work;   // When nothing held it up any more.
+  WallTime m_at_work;   // The first start, or the last line.
 };
 
 }  // namespace laurelhall::trace
