--- a/packages/cli/src/verb_table.cc
+++ b/packages/cli/src/verb_table.cc
@@ -655,7 +655,7 @@
        kMany,
        "finds in the processes' logs what became of a job, task, worker, "
        "host, wave or version, and why",
-       "trace 5c0e7a21d94b36f8 /var/log/laurelhall/*.log",
+       "trace 64f5b8e3df273d06 examples/logs/late/core-sala-cerro-1.log",
        "",
        "",
        {},
--- a/packages/cli/tests/cli_test.cc
+++ b/packages/cli/tests/cli_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -265,5 +267,79 @@
   CHECK(m_requests.size() == 1);
 }
 
+/// A log of one job in a file, as the verb reads it.
+struct TraceVerbFixture : CliFixture {
+  TraceVerbFixture() {
+    std::ofstream(m_file)
+        << R"({"time":"2026-03-01T12:00:00.000Z","part":"dispatch",)"
+        << R"("event":"accept","job":"j1","service":"s"})" << '\n'
+        << R"({"time":"2026-03-01T12:00:01.000Z","part":"dispatch",)"
+        << R"("event":"job-over","job":"j1","state":"succeeded",)"
+        << R"("within_ms":1000})" << '\n';
+  }
+  ~TraceVerbFixture() { std::filesystem::remove(m_file); }
+
+  std::string m_file = (std::filesystem::temp_directory_path() /
+                        ("core-" + std::to_string(::getpid()) + ".log"))
+                           .string();
+};
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace, shows timeline and cause") {
+  CHECK(Run({"trace", "j1", m_file}) == ExitCode::kDone);
+  CHECK(m_requests.empty());
+  CHECK(m_out.str().find("job=j1 service=s") != std::string::npos);
+  CHECK(m_out.str().find("cause       done, in-time") != std::string::npos);
+  CHECK(m_out.str().find("succeeded within 1000 ms") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace as JSON, has all lines") {
+  CHECK(Run({"trace", "j1", m_file, "--output", "json"}) == ExitCode::kDone);
+  const auto answer = boost::json::parse(m_out.str());
+  CHECK(answer.at("subject") == "job");
+  CHECK(answer.at("rule") == "in-time");
+  CHECK(answer.at("deciding_line") == 1);
+  CHECK(answer.at("timeline").as_array().size() == 2);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace of no such id, ends with 1") {
+  CHECK(Run({"trace", "j2", m_file}) == ExitCode::kRefused);
+  CHECK(m_err.str().find("j2: no line tells of it") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace misused, ends with 2") {
+  CHECK(Run({"trace", "j1"}) == ExitCode::kUsage);
+  CHECK(Run({"trace", "", m_file}) == ExitCode::kUsage);
+  CHECK(Run({"trace", "j1", "/no/such/file"}) == ExitCode::kUsage);
+  CHECK(Run({"trace", "j1", m_file, "--from", "noon"}) == ExitCode::kUsage);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace from and to, bound it") {
+  CHECK(Run({"trace", "j1", m_file, "--to", "2026-03-01T12:00:00.5Z"}) ==
+        ExitCode::kDone);
+  CHECK(m_out.str().find("waiting, at-work") != std::string::npos);
+  CHECK(Run({"trace", "j1", m_file, "--from", "2026-03-01T12:00:02Z"}) ==
+        ExitCode::kRefused);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace of standard input, reads it") {
+  std::ifstream input(m_file);
+  m_environment.in = &input;
+  CHECK(Run({"trace", "j1", "-"}) == ExitCode::kDone);
+  CHECK(m_out.str().find("done, in-time") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(TraceVerbFixture, "Cli, trace of lines alike, folds them") {
+  std::ofstream file(m_file, std::ios::app);
+  for (int each = 0; each < 9; ++each) {
+    file << R"({"time":"2026-03-01T12:00:00.50)" << each
+         << R"(Z","part":"dispatch","event":"load","runs":)" << each << "}\n";
+  }
+  file.close();
+  CHECK(Run({"trace", "j1", m_file}) == ExitCode::kDone);
+  CHECK(m_out.str().find("... and 6 more") != std::string::npos);
+  CHECK(m_out.str().find("runs=2") != std::string::npos);
+  CHECK(m_out.str().find("runs=3") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace laurelhall::cli
--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -37,6 +37,22 @@
     Total{"unanswered_orders", &DispatchCounters::unknown_calls},
 };
 
+using GaugeFamily = prometheus::Family<prometheus::Gauge>;
+
+GaugeFamily& AddGauges(prometheus::Registry& registry,
+                       const char* name,
+                       const char* help) {
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+void SetAll(GaugeFamily& family,
+            const char* label,
+            const std::vector<dispatch::NamedCount>& counts) {
+  for (const dispatch::NamedCount& each : counts) {
+    family.Add({{label, each.name}}).Set(static_cast<double>(each.count));
+  }
+}
+
 // Seconds: from a commit on a fast disk to a caller's usual patience.
 const prometheus::Histogram::BucketBoundaries kBuckets{
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3};
@@ -62,6 +78,15 @@
                   .Name("laurelhall_schedule_events")
                   .Help("Since the process started.")
                   .Register(m_registry);
+  m_tick_lag = &AddGauges(m_registry, "laurelhall_schedule_tick_lag_seconds",
+                          "By how much the leader's ticks come late.")
+                    .Add({});
+  m_jobs = &AddGauges(m_registry, "laurelhall_schedule_jobs",
+                      "Jobs not over, and of these those that wait.");
+  m_workers = &AddGauges(m_registry, "laurelhall_schedule_workers",
+                         "Workers by whether they may be given work.");
+  m_waits = &AddGauges(m_registry, "laurelhall_schedule_longest_waits",
+                       "The longest waiting jobs by what is in their way.");
 }
 
 void ScheduleMetrics::Answered(size_t kind,
@@ -79,6 +104,9 @@
           .Set(static_cast<double>(counters.*total.count));
     }
   }
+  if (m_sight) {
+    ShowSight(m_sight());
+  }
   const DecisionLog& log = DecisionLog::Get();
   m_totals->Add({{"event", "dropped_decision_lines"}})
       .Set(static_cast<double>(log.dropped(LineClass::kDecision)));
@@ -87,6 +115,16 @@
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
 
+void ScheduleMetrics::ShowSight(const dispatch::DispatchSight& sight) {
+  const std::lock_guard lock(m_sight_mutex);
+  m_tick_lag->Set(std::chrono::duration<double>(sight.tick_lag).count());
+  m_jobs->Add({{"state", "open"}}).Set(static_cast<double>(sight.open_jobs));
+  m_jobs->Add({{"state", "waiting"}})
+      .Set(static_cast<double>(sight.waiting_jobs));
+  SetAll(*m_workers, "state", sight.workers);
+  SetAll(*m_waits, "why", sight.waits);
+}
+
 void ScheduleMetrics::OnRequest(std::shared_ptr<net::HttpExchange> exchange) {
   net::HttpResponse answer;
   answer.headers.Set("Content-Type", "text/plain; version=0.0.4");
--- a/packages/daemon/src/schedule_metrics_p.h
+++ b/packages/daemon/src/schedule_metrics_p.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "laurelhall/dispatch/dispatcher.h"
@@ -18,7 +19,7 @@
 
 /// Counters and latencies of the scheduling, as a page for scraping.
 ///
-/// @remarks Thread-safe. Labels are bounded: kinds and outcomes alone.
+/// @remarks Thread-safe. Labels are bounded: kinds, outcomes and states.
 class ScheduleMetrics final : public net::HttpHandler {
  public:
   ScheduleMetrics();
@@ -33,6 +34,11 @@
     m_source = std::move(source);
   }
 
+  /// Where a control host's sight is read when the page is asked for.
+  void SetSight(std::function<dispatch::DispatchSight()> sight) {
+    m_sight = std::move(sight);
+  }
+
   int64_t MaxBodyBytes(const net::HttpRequest&) override { return 0; }
   void OnRequest(std::shared_ptr<net::HttpExchange> exchange) override;
 
@@ -40,6 +46,8 @@
   std::string Page();
 
  private:
+  void ShowSight(const dispatch::DispatchSight& sight);
+
   static constexpr size_t kKinds = std::variant_size_v<dispatch::Request>;
   static constexpr size_t kOutcomes =
       static_cast<size_t>(dispatch::Outcome::kCount);
@@ -48,7 +56,13 @@
   std::array<prometheus::Histogram*, kKinds> m_latency{};
   std::array<prometheus::Counter*, kOutcomes> m_outcomes{};
   prometheus::Family<prometheus::Gauge>* m_totals = nullptr;
+  prometheus::Gauge* m_tick_lag = nullptr;
+  prometheus::Family<prometheus::Gauge>* m_jobs = nullptr;
+  prometheus::Family<prometheus::Gauge>* m_workers = nullptr;
+  prometheus::Family<prometheus::Gauge>* m_waits = nullptr;
   std::function<dispatch::DispatchCounters()> m_source;
+  std::function<dispatch::DispatchSight()> m_sight;
+  std::mutex m_sight_mutex;  // A page's gauges of the sight are set together.
 };
 
 }  // namespace laurelhall::daemon
--- a/packages/daemon/src/schedule_part.cc
+++ b/packages/daemon/src/schedule_part.cc
@@ -97,6 +97,7 @@
   server.address = m_settings.scheduling_address;
   m_server = std::make_unique<net::HttpServer>(m_threads, server, *m_api);
   m_metrics.SetSource([this] { return m_dispatcher->counters(); });
+  m_metrics.SetSight([this] { return m_dispatcher->sight(); });
   m_metrics_server = ServeMetrics(m_threads, m_settings, m_metrics);
 }
 
--- a/packages/daemon/tests/schedule_metrics_test.cc
+++ b/packages/daemon/tests/schedule_metrics_test.cc
@@ -21,5 +21,30 @@
   CHECK(page.find(R"(events{event="starts"} 7)") != std::string::npos);
 }
 
+TEST_CASE("ScheduleMetrics, what a leader sees, stands on the page") {
+  dispatch::DispatchSight sight;
+  sight.tick_lag = Millis(60);
+  sight.open_jobs = 9;
+  sight.waiting_jobs = 4;
+  sight.workers = {{"usable", 5}, {"evacuated", 2}};
+  sight.waits = {{"no-worker", 1}};
+  ScheduleMetrics metrics;
+  metrics.SetSight([&sight] { return sight; });
+  const std::string page = metrics.Page();
+  for (const char* line :
+       {"laurelhall_schedule_tick_lag_seconds 0.06",
+        R"(laurelhall_schedule_jobs{state="open"} 9)",
+        R"(laurelhall_schedule_jobs{state="waiting"} 4)",
+        R"(laurelhall_schedule_workers{state="evacuated"} 2)",
+        R"(laurelhall_schedule_longest_waits{why="no-worker"} 1)"}) {
+    CAPTURE(line);
+    CHECK(page.find(line) != std::string::npos);
+  }
+  sight.Clear();
+  CHECK(metrics.Page().find(
+            R"(laurelhall_schedule_workers{state="evacuated"} 0)") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace laurelhall::daemon
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "laurelhall/base/timer_service.h"
 #include "laurelhall/dispatch/ports.h"
@@ -33,6 +34,25 @@
   uint64_t unknown_calls = 0;
 };
 
+/// How many there are of a kind, whose name lasts as long as the program.
+struct NamedCount {
+  const char* name;
+  uint64_t count = 0;
+};
+
+/// What a leader sees, a second old at most; all 0 where this host leads not.
+struct DispatchSight {
+  Millis tick_lag{0};               ///< By how much its ticks come late.
+  uint64_t open_jobs = 0;           ///< Neither over nor cancelled.
+  uint64_t waiting_jobs = 0;        ///< Open for a second with nothing at work.
+  std::vector<NamedCount> workers;  ///< By whether they may be given work.
+  /// The longest waiting jobs, a few, by what is in their way.
+  std::vector<NamedCount> waits;
+
+  /// Sets all to 0; kinds keep their names, so that nothing old stays shown.
+  void Clear();
+};
+
 /// Steps left out on purpose, so that tests show they are needed.
 struct DispatchMutations {
   bool is_end_seen_early = false;   ///< Tells an end as seen, then commits.
@@ -83,6 +103,9 @@
   /// Thread-safe; a moment old.
   DispatchCounters counters() const;
 
+  /// Thread-safe; a moment old.
+  DispatchSight sight() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> m_impl;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -97,6 +97,7 @@
     }
     m_leadership.reset();
     m_is_leading = false;
+    PublishCounters();
   }
 
   void Ask(Request request, const ReplyDone& done) {
@@ -114,6 +115,11 @@
     return m_published;
   }
 
+  DispatchSight sight() const {
+    const std::lock_guard lock(m_counters_mutex);
+    return m_published_sight;
+  }
+
  private:
   void Tick() {
     if (m_leadership != nullptr) {
@@ -127,6 +133,11 @@
   void PublishCounters() {
     const std::lock_guard lock(m_counters_mutex);
     m_published = m_counters;
+    if (m_leadership != nullptr) {
+      m_published_sight = m_leadership->sight();
+    } else {
+      m_published_sight.Clear();
+    }
   }
 
   void PlanSoon() {
@@ -462,8 +473,9 @@
   DispatchCounters m_counters;
 
   std::atomic<bool> m_is_leading{false};
-  mutable std::mutex m_counters_mutex;  // Guards m_published.
+  mutable std::mutex m_counters_mutex;  // Guards what is published.
   DispatchCounters m_published;
+  DispatchSight m_published_sight;
 };
 
 Dispatcher::Dispatcher(const DispatcherInit& init)
@@ -516,4 +528,8 @@
   return m_impl->counters();
 }
 
+DispatchSight Dispatcher::sight() const {
+  return m_impl->sight();
+}
+
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -165,6 +165,7 @@
   void Announced(const std::string& worker);
 
   uint64_t term() const { return m_term; }
+  const DispatchSight& sight() const { return m_sight; }
 
   /// Commits what a request asks for, with what else is to be committed.
   ///
@@ -237,9 +238,9 @@
 
   // reports.cc: what an engineer on call needs to tell causes apart.
   void Report(const Ledger& ledger);
-  void ReportLoad(const Ledger& ledger) const;
-  void ReportWorkers(const Ledger& ledger) const;
-  void ReportWaits(const Ledger& ledger) const;
+  void ReportLoad(const Ledger& ledger);
+  void ReportWorkers(const Ledger& ledger);
+  void ReportWaits(const Ledger& ledger);
 
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
@@ -380,6 +381,7 @@
   SteadyTime m_next_follow{};
   SteadyTime m_next_stops{};
   SteadyTime m_next_sight{};
+  DispatchSight m_sight;  // As the last lines told it.
   // Above this lag of a tick the leader does fewer, larger things: a third of
   // the time between ticks. A look then brings the ends of 60 ms, not of one.
   static constexpr Millis kBehind{15};
--- a/packages/dispatch/src/reports.cc
+++ b/packages/dispatch/src/reports.cc
@@ -24,6 +24,16 @@
 using FitnessCounts =
     std::array<uint64_t, static_cast<size_t>(Fitness::kCount)>;
 
+// One for each value of an enumeration.
+template <typename Kind>
+std::vector<NamedCount> ZeroCounts(const char* (*name)(Kind)) {
+  std::vector<NamedCount> counts;
+  for (size_t each = 0; each < static_cast<size_t>(Kind::kCount); ++each) {
+    counts.push_back({name(static_cast<Kind>(each))});
+  }
+  return counts;
+}
+
 }  // namespace
 
 const char* FitnessName(Fitness fitness) {
@@ -34,6 +44,17 @@
   return kNames[static_cast<size_t>(fitness)];
 }
 
+void DispatchSight::Clear() {
+  tick_lag = Millis(0);
+  open_jobs = 0;
+  waiting_jobs = 0;
+  for (std::vector<NamedCount>* counts : {&workers, &waits}) {
+    for (NamedCount& each : *counts) {
+      each.count = 0;
+    }
+  }
+}
+
 void Leadership::Report(const Ledger& ledger) {
   const SteadyTime now = Now();
   if (now < m_next_sight) {
@@ -46,7 +67,9 @@
 }
 
 // Whether the leader itself is the narrow place.
-void Leadership::ReportLoad(const Ledger& ledger) const {
+void Leadership::ReportLoad(const Ledger& ledger) {
+  m_sight.tick_lag = m_tick_lag;
+  m_sight.open_jobs = ledger.open_jobs().size();
   DecisionLog::Get().Write(
       DecisionLine("dispatch", "load")
           .With("term", m_term)
@@ -60,11 +83,13 @@
 }
 
 // Who of each service may be given work, and what keeps the others from it.
-void Leadership::ReportWorkers(const Ledger& ledger) const {
+void Leadership::ReportWorkers(const Ledger& ledger) {
+  m_sight.workers = ZeroCounts<Fitness>(FitnessName);
   std::map<std::string, FitnessCounts> services;
   for (const auto& [id, worker] : ledger.workers()) {
     const Fitness fitness = FitnessOf(worker, m_links.at(id));
     ++services[worker.info.service][static_cast<size_t>(fitness)];
+    ++m_sight.workers[static_cast<size_t>(fitness)].count;
   }
   for (const auto& [service, counts] : services) {
     DecisionLine line("dispatch", "workers");
@@ -79,7 +104,7 @@
 }
 
 // Jobs that could go on and have nothing at work, and why.
-void Leadership::ReportWaits(const Ledger& ledger) const {
+void Leadership::ReportWaits(const Ledger& ledger) {
   const SteadyTime now = Now();
   std::vector<std::pair<SteadyTime, const Job*>> waiting;
   for (const std::string& id : ledger.open_jobs()) {
@@ -90,6 +115,9 @@
       waiting.emplace_back(seen->second, &job);
     }
   }
+  m_sight.waiting_jobs = waiting.size();
+  m_sight.waits =
+      ZeroCounts<scheduling::StartObstacle>(scheduling::StartObstacleName);
   const size_t told = std::min(kMostWaits, waiting.size());
   std::partial_sort(waiting.begin(),
                     waiting.begin() + static_cast<ptrdiff_t>(told),
@@ -103,6 +131,7 @@
     if (!outlook) {
       continue;
     }
+    ++m_sight.waits[static_cast<size_t>(outlook->obstacle)].count;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "waits")
             .With("job", job.id)
--- /dev/null
+++ b/packages/dispatch/tests/sight_test.cc
@@ -0,0 +1,84 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "world.h"
+
+namespace laurelhall::dispatch {
+namespace {
+
+struct SightFixture {
+  /// Of all control hosts together: those that do not lead see nothing.
+  uint64_t Workers(const std::string& state) const {
+    uint64_t sum = 0;
+    for (const DispatchSight& sight : world.sights()) {
+      sum += CountOf(sight.workers, state);
+    }
+    return sum;
+  }
+
+  uint64_t Waits(const std::string& why) const {
+    uint64_t sum = 0;
+    for (const DispatchSight& sight : world.sights()) {
+      sum += CountOf(sight.waits, why);
+    }
+    return sum;
+  }
+
+  uint64_t Sum(uint64_t DispatchSight::*count) const {
+    uint64_t sum = 0;
+    for (const DispatchSight& sight : world.sights()) {
+      sum += sight.*count;
+    }
+    return sum;
+  }
+
+  static uint64_t CountOf(const std::vector<NamedCount>& counts,
+                          const std::string& name) {
+    for (const NamedCount& each : counts) {
+      if (each.name == name) {
+        return each.count;
+      }
+    }
+    return 0;
+  }
+
+  static scheduling::StepSpec LongStep(uint32_t count) {
+    scheduling::StepSpec step;
+    step.count = count;
+    step.need = {1'000, 500, 0};
+    step.estimate = Millis(60'000);
+    return step;
+  }
+
+  World world{7};
+};
+
+TEST_CASE_FIXTURE(SightFixture, "Sight, workers at rest, are usable") {
+  world.AddWorkers(3);
+  world.Advance(Millis(3'000));
+  CHECK(Workers("usable") == 3);
+  CHECK(Sum(&DispatchSight::open_jobs) == 0);
+}
+
+TEST_CASE_FIXTURE(SightFixture, "Sight, no worker, a job waits for one") {
+  world.Submit("a", {LongStep(2)});
+  world.Advance(Millis(4'000));
+  CHECK(Sum(&DispatchSight::open_jobs) == 1);
+  CHECK(Sum(&DispatchSight::waiting_jobs) == 1);
+  CHECK(Waits("no-worker") == 1);
+}
+
+TEST_CASE_FIXTURE(SightFixture, "Sight, another leads, the old one sees none") {
+  world.AddWorkers(3);
+  world.Submit("a", {LongStep(1)});
+  world.Advance(Millis(3'000));
+  REQUIRE(Workers("usable") == 3);
+  world.ChangeLeader(Millis(0));
+  world.Advance(Millis(5'000));
+  CHECK(Workers("usable") == 3);
+  CHECK(Sum(&DispatchSight::open_jobs) == 1);
+}
+
+}  // namespace
+}  // namespace laurelhall::dispatch
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -663,4 +663,12 @@
   }
 }
 
+std::vector<DispatchSight> World::sights() const {
+  std::vector<DispatchSight> sights;
+  for (const auto& host : m_hosts) {
+    sights.push_back(host->dispatcher->sight());
+  }
+  return sights;
+}
+
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -120,6 +120,8 @@
   }
   /// Runs that were under way on a host when it was taken down.
   size_t cut_off() const { return m_cut_off; }
+  /// Of all control hosts, in their order.
+  std::vector<DispatchSight> sights() const;
   std::mt19937_64& random() { return m_random; }
 
   Weather weather;
--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -103,23 +103,56 @@
   return std::to_string(count) + " " + noun + (count == 1 ? "" : "s");
 }
 
+struct Wording {
+  std::string_view key;
+  std::string_view text;
+};
+
 // What the leader's line on a wait means.
-std::string WaitReason(const Line& waits) {
-  static const std::map<std::string, std::string> kReasons{
-      {"no-worker", "no worker of its service may be given work"},
-      {"no-room", "its service's workers are full"},
-      {"not-allowed", "no worker may take its tasks"},
-      {"deferred", "others go first"},
-      {"being-committed", "its starts are being committed"},
-      {"gang-incomplete", "there is not room for all its tasks at once"},
-      {"none", "nothing hinders its start any more"}};
-  const auto found = kReasons.find(waits.Text("why"));
-  return found == kReasons.end() ? waits.Text("why") : found->second;
+constexpr std::array kWaitWords{
+    Wording{"no-worker", "no worker of its service may be given work"},
+    Wording{"no-room", "its service's workers are full"},
+    Wording{"not-allowed",
+            "workers with room are kept from it (label, rack, spread, last "
+            "try)"},
+    Wording{"deferred", "its last start was turned down"},
+    Wording{"being-committed", "its starts are being committed"},
+    Wording{"gang-incomplete",
+            "some of its group still run or are being committed"},
+    Wording{"none", "a worker would take it, it has only to be planned"},
+};
+
+constexpr std::array kWorkerWords{
+    Wording{"worker", "was announced"},
+    Wording{"worker-reached", "was reached"},
+    Wording{"worker-lapsed", "was silent"},
+    Wording{"worker-gone", "is gone"},
+    Wording{"worker-refused", "was refused"},
+};
+
+constexpr std::array kHostWords{
+    Wording{"move", "was chosen to move"},
+    Wording{"moved", "was told to move"},
+    Wording{"host-chosen", "was chosen for maintenance"},
+    Wording{"maintain", "was told to be maintained"},
+};
+
+// The key itself where there are no words for it.
+template <size_t size>
+std::string WordsFor(const std::array<Wording, size>& words,
+                     const std::string& key) {
+  for (const Wording& each : words) {
+    if (each.key == key) {
+      return std::string(each.text);
+    }
+  }
+  return key;
 }
 
 std::string WaitFigures(const Line& waits) {
-  return WaitReason(waits) + " (" + NumberText(waits, "tasks") +
-         " tasks of step " + NumberText(waits, "step") + " to start, " +
+  return WordsFor(kWaitWords, waits.Text("why")) + " (" +
+         NumberText(waits, "tasks") + " tasks of step " +
+         NumberText(waits, "step") + " to start, " +
          NumberText(waits, "with_room") + " of " +
          NumberText(waits, "workers") + " workers with room, " +
          NumberText(waits, "of") + " jobs waiting)";
@@ -607,17 +640,9 @@
   if (m_answer.subject != Subject::kWorker || line == nullptr) {
     return std::nullopt;
   }
-  static const std::map<std::string, std::string> kStates{
-      {"worker", "was announced"},
-      {"worker-reached", "was reached"},
-      {"worker-lapsed", "was silent"},
-      {"worker-gone", "is gone"},
-      {"worker-refused", "was refused"}};
-  const auto state = kStates.find(line->event);
-  return Verdict{line,
-                 "Worker " + m_answer.id + " " +
-                     (state == kStates.end() ? line->event : state->second) +
-                     " at " + Clock(line->time) + ": " + line->Rest() + "."};
+  return Verdict{line, "Worker " + m_answer.id + " " +
+                           WordsFor(kWorkerWords, line->event) + " at " +
+                           Clock(line->time) + ": " + line->Rest() + "."};
 }
 
 std::optional<Verdict> Story::HostState() const {
@@ -627,16 +652,9 @@
   if (m_answer.subject != Subject::kHost || line == nullptr) {
     return std::nullopt;
   }
-  static const std::map<std::string, std::string> kStates{
-      {"move", "was chosen to move"},
-      {"moved", "was told to move"},
-      {"host-chosen", "was chosen for maintenance"},
-      {"maintain", "was told to be maintained"}};
-  const auto state = kStates.find(line->event);
-  return Verdict{line,
-                 "Host " + m_answer.id + " " +
-                     (state == kStates.end() ? line->event : state->second) +
-                     " at " + Clock(line->time) + ": " + line->Rest() + "."};
+  return Verdict{line, "Host " + m_answer.id + " " +
+                           WordsFor(kHostWords, line->event) + " at " +
+                           Clock(line->time) + ": " + line->Rest() + "."};
 }
 
 std::optional<Verdict> Story::WaveState() const {
--- a/packages/trace/src/log_line.cc
+++ b/packages/trace/src/log_line.cc
@@ -26,6 +26,12 @@
     SubjectField{"version", Subject::kVersion},
 };
 
+constexpr std::array<const char*, static_cast<size_t>(Subject::kCount)>
+    kSubjectNames{"job", "task", "worker", "host", "wave", "version"};
+
+// Year, month, day, hour, minute, second.
+constexpr std::array<size_t, 6> kTimePlaces{0, 5, 8, 11, 14, 17};
+
 bool ReadNumber(std::string_view text, int& number) {
   const auto [end, error] =
       std::from_chars(text.data(), text.data() + text.size(), number);
@@ -129,10 +135,9 @@
   }
   const auto fraction = ReadFraction(text.substr(kToSeconds));
   std::array<int, 6> numbers{};
-  constexpr std::array<size_t, 6> kPlaces{0, 5, 8, 11, 14, 17};
   for (size_t each = 0; each < numbers.size(); ++each) {
     const size_t length = each == 0 ? 4 : 2;
-    if (!ReadNumber(text.substr(kPlaces[each], length), numbers[each])) {
+    if (!ReadNumber(text.substr(kTimePlaces[each], length), numbers[each])) {
       return std::nullopt;
     }
   }
@@ -227,10 +232,7 @@
 }
 
 const char* SubjectName(Subject subject) {
-  static constexpr const char* kNames[] = {"job",  "task", "worker",
-                                           "host", "wave", "version"};
-  static_assert(std::size(kNames) == static_cast<size_t>(Subject::kCount));
-  return kNames[static_cast<size_t>(subject)];
+  return kSubjectNames[static_cast<size_t>(subject)];
 }
 
 }  // namespace laurelhall::trace
