--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -69,7 +69,6 @@
   uint64_t fence = 0;
   uint64_t ends_seen = 0;  ///< Ends up to here are committed.
   Millis wait{0};          ///< For an end to come.
-  Millis margin{600};      ///< For the answer, once the wait is over.
 };
 
 struct CallReply {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -82,10 +82,8 @@
   bool is_lapse_under_way = false;
   bool is_lapsed = false;
   bool is_gone_under_way = false;
-  bool is_first_look = true;  ///< Nothing was planned on it yet.
-  bool is_silent = false;     ///< The last looks were not answered.
-  uint32_t misses = 0;        ///< Looks without an answer, in a row.
-  std::optional<SteadyTime> last_miss;
+  bool is_first_look = true;       ///< Nothing was planned on it yet.
+  bool is_silent = false;          ///< The last look was not answered.
   bool is_hold_under_way = false;  ///< Or waits for its ends' commit.
   SteadyTime next_hold{};
   SteadyTime last_contact{};
@@ -104,7 +102,7 @@
 enum class Fitness : uint8_t {
   kUsable,
   kNotReached,  ///< No look at it was answered yet.
-  kSilent,      ///< The last looks were not answered.
+  kSilent,      ///< The last look was not answered.
   kLapsed,      ///< Its lease ran out, or that is being committed.
   kDraining,
   kSuspect,    ///< An order was not answered.
@@ -246,17 +244,12 @@
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
   void SendStart(const Ledger& ledger, const RunKey& key, RunTrack& track);
-  void OnStarted(const RunKey& key,
-                 SteadyTime asked_at,
-                 const CallReply& reply);
-  void Suspect(WorkerLink& link, SteadyTime asked_at);
+  void OnStarted(const RunKey& key, const CallReply& reply);
   void OnStartRefused(const RunKey& key, RunTrack& track);
   void SendStop(const RunKey& key, RunTrack& track);
   void OnStopped(const RunKey& key, const CallReply& reply);
   void SendHolds(const Ledger& ledger);
   void SendHold(const std::string& worker, WorkerLink& link, Millis wait);
-  Millis LookMargin(const WorkerLink& link) const;
-  void OnLookMissed(WorkerLink& link, CallOutcome outcome);
   void OnHeld(const std::string& worker,
               SteadyTime asked_at,
               const HoldReply& reply);
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -23,25 +23,12 @@
 constexpr Millis kPacingWait{500};
 // Between two looks at one worker: ends that come together share one.
 constexpr Millis kHoldGap{60};
-// A worker that misses looks is looked at again after this, and this longer
-// each time: one look without an answer tells little, and who is gone is looked
-// at as often as before.
-constexpr Millis kHoldRetry{50};
-constexpr uint32_t kMostRetryGaps = 4;
-// Of looks in a row: about the time that one used to take to be given up.
-constexpr uint32_t kSilentMisses = 2;
-// Longest time for a look's answer, as for a slow moment on either side.
-constexpr Millis kLookMargin{600};
-// A worker that missed a look within this time may miss the next one: that one
-// waits for less, so that ends are not learnt seconds late.
-constexpr Millis kMissesMatter{4'000};
-constexpr Millis kWaryWait{300};
+constexpr Millis kHoldRetry{200};
 constexpr Millis kOrderRetry{100};
-// After an order was not answered, the worker gets no new work until the same
-// one, sent again, has had its time too: a gap, a tick and the longest timeout.
-// An answer to another call since shows that it lives: where orders of each
-// worker are left unanswered, all would be without work most of the time.
-constexpr Millis kSuspect{600};
+// After an order was not answered, the worker gets no new work for so long.
+// An answer to another call shows before that it lives: where a few orders of
+// each worker are left unanswered, all would be without work most of the time.
+constexpr Millis kSuspect{800};
 // After it turned an order down: about the time of one short task.
 constexpr Millis kRefusedPause{300};
 constexpr Millis kNoTicketPause{2'000};
@@ -108,26 +95,17 @@
   order.timeout = OrderTimeout();
   ++m_counters.starts;
   WhenSure([this, key, order = std::move(order)] {
-    m_init.workers->Start(order, [weak = weak_from_this(), key,
-                                  asked_at = Now()](const CallReply& reply) {
-      if (const auto self = weak.lock()) {
-        self->LearnAnswerTime(reply);
-        self->OnStarted(key, asked_at, reply);
-      }
-    });
+    m_init.workers->Start(
+        order, [weak = weak_from_this(), key](const CallReply& reply) {
+          if (const auto self = weak.lock()) {
+            self->LearnAnswerTime(reply);
+            self->OnStarted(key, reply);
+          }
+        });
   });
 }
 
-// A worker that has answered anything since is not to blame.
-void Leadership::Suspect(WorkerLink& link, SteadyTime asked_at) {
-  if (link.last_contact <= asked_at) {
-    link.suspect_until = Now() + kSuspect;
-  }
-}
-
-void Leadership::OnStarted(const RunKey& key,
-                           SteadyTime asked_at,
-                           const CallReply& reply) {
+void Leadership::OnStarted(const RunKey& key, const CallReply& reply) {
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) {
     return;
@@ -166,12 +144,12 @@
         track.next_try = Now() + kOrderRetry;
       }
       if (link != m_links.end()) {
-        Suspect(link->second, asked_at);
+        link->second.suspect_until = Now() + kSuspect;
       }
       break;
     case CallOutcome::kNotReached:
       if (link != m_links.end()) {
-        Suspect(link->second, asked_at);
+        link->second.suspect_until = Now() + kSuspect;
       }
       OnStartRefused(key, track);
       break;
@@ -269,38 +247,10 @@
     if (!link.pacer.told.empty()) {
       wait = kPacingWait;
     }
-    if (link.last_miss && now - *link.last_miss < kMissesMatter &&
-        !IsBehind()) {
-      wait = std::min(wait, kWaryWait);
-    }
-    const bool is_wanted_now = !link.is_reached || link.misses > 0;
-    SendHold(id, link, is_wanted_now ? Millis(0) : wait);
+    SendHold(id, link, link.is_reached ? wait : Millis(0));
   }
 }
 
-// Twice that of an order: it may list hundreds of ends. A first look waits for
-// less: until one is answered its worker is of no use. Each miss doubles it, as
-// what is always given up too soon never tells how long it takes. A leader that
-// is short of time comes late to answers that are there.
-Millis Leadership::LookMargin(const WorkerLink& link) const {
-  if (IsBehind()) {
-    return kLookMargin;
-  }
-  const uint32_t doublings =
-      std::min(link.misses, kMostRetryGaps) + (link.is_reached ? 1 : 0);
-  return std::min((1 << doublings) * OrderTimeout(), kLookMargin);
-}
-
-// Where nothing takes calls, the worker is gone; no second look is needed.
-void Leadership::OnLookMissed(WorkerLink& link, CallOutcome outcome) {
-  const SteadyTime now = Now();
-  ++link.misses;
-  link.last_miss = now;
-  link.is_silent = link.is_silent || link.misses >= kSilentMisses ||
-                   outcome == CallOutcome::kNotReached;
-  link.next_hold = now + std::min(link.misses, kMostRetryGaps) * kHoldRetry;
-}
-
 void Leadership::SendHold(const std::string& worker,
                           WorkerLink& link,
                           Millis wait) {
@@ -315,7 +265,6 @@
   order.fence = Fence();
   order.ends_seen = link.ends_seen;
   order.wait = wait;
-  order.margin = LookMargin(link);
   ++m_counters.holds;
   WhenSure([this, worker, order = std::move(order)] {
     m_init.workers->Hold(order, [weak = weak_from_this(), worker,
@@ -350,13 +299,13 @@
     return;
   }
   if (reply.outcome != CallOutcome::kDone) {
-    OnLookMissed(link, reply.outcome);
+    link.is_silent = true;
+    link.next_hold = Now() + kHoldRetry;
     return;
   }
   Contact(link, reply.clock);
   link.last_listed = Now();
   link.is_silent = false;
-  link.misses = 0;
   link.is_lapsed = false;
   if (!link.is_reached) {
     link.is_reached = true;
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -279,10 +279,6 @@
   }
 
   void Hold(HoldOrder order, std::function<void(HoldReply)> done) override {
-    if (!IsCut(order.worker.id) && m_world.Chance(m_world.weather.late_looks)) {
-      LookLate(order, m_host.WhenAwake(std::move(done)));
-      return;
-    }
     m_world.After(m_world.Delay(),
                   [this, order, done = m_host.WhenAwake(std::move(done))] {
                     Look(order, m_world.Now() + order.wait, done);
@@ -294,26 +290,13 @@
  private:
   bool IsCut(const std::string& id) const { return m_world.m_cut.contains(id); }
 
-  void LookLate(const HoldOrder& order,
-                const std::function<void(HoldReply)>& done) {
-    m_world.After(LateBy(), [this, order] {
-      m_world.m_workers.at(order.worker.id)->Hold(order, m_world.Now());
-    });
-    m_world.After(order.wait + order.margin, [done] { done({}); });
-  }
-
-  Millis LateBy() {
-    return Millis(
-        std::uniform_int_distribution<int>(2'000, 12'000)(m_world.m_random));
-  }
-
   // Waits for an end as a worker does.
   void Look(const HoldOrder& order,
             SteadyTime until,
             const std::function<void(HoldReply)>& done) {
     FakeWorker& worker = *m_world.m_workers.at(order.worker.id);
     if (IsCut(order.worker.id)) {
-      m_world.After(order.margin, [done] { done({}); });
+      m_world.After(Millis(600), [done] { done({}); });
       return;
     }
     if (m_world.Now() < until && !worker.has_news(order.ends_seen)) {
@@ -337,7 +320,9 @@
     if (IsCut(id) || m_world.Chance(weather.lost)) {
       give_up();
     } else if (m_world.Chance(weather.late)) {
-      m_world.After(LateBy(), [act, &worker] { act(worker); });
+      std::uniform_int_distribution<int> late(2'000, 12'000);
+      m_world.After(Millis(late(m_world.m_random)),
+                    [act, &worker] { act(worker); });
       give_up();
     } else if (m_world.Chance(weather.unheard)) {
       m_world.After(m_world.Delay(), [act, &worker] { act(worker); });
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -15,11 +15,10 @@
 
 /// How the network treats orders; shares of them.
 struct Weather {
-  double lost = 0;        ///< Never arrive.
-  double unheard = 0;     ///< Carried out, the answer is lost.
-  double late = 0;        ///< Not answered, carried out seconds later.
-  double refused = 0;     ///< Starts that an unhealthy worker turns down.
-  double late_looks = 0;  ///< As `late`, of looks.
+  double lost = 0;     ///< Never arrive.
+  double unheard = 0;  ///< Carried out, the answer is lost.
+  double late = 0;     ///< Not answered, carried out seconds later.
+  double refused = 0;  ///< Starts that an unhealthy worker turns down.
 };
 
 /// A worker as the pages describe it: leases on its own clock, fences, runs
