--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 BUILD ?= build
 JOBS ?= $(shell n=$$(nproc); [ $$n -gt 8 ] && echo 8 || echo $$n)
 SEEDS ?= 200
+FIRST ?= 1
+AT_ONCE ?= 3
 
-.PHONY: all build run test check-docs bench soak lint format install clean
+.PHONY: all build run test check-docs bench soak fault-soak lint format install clean
 
 all: build
 
@@ -25,6 +27,9 @@
 soak: build
 	@scripts/soak.sh $(BUILD) $(SEEDS)
 
+fault-soak: build
+	@scripts/fault_soak.sh $(BUILD) $(SEEDS) $(FIRST) $(AT_ONCE)
+
 bench: build
 	@scripts/bench.sh $(BUILD)
 
--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -27,6 +27,8 @@
   std::string availability_zone;
   std::filesystem::path data_folder;
   std::string inner_address;
+  /// Members know this host by it; empty: by where it listens.
+  std::string reached_at;
   bool may_bootstrap = false;
   /// The first members by name, address and zone; used for bootstrap only.
   std::vector<consensus::Member> first_members;
--- a/packages/control/src/control_host.cc
+++ b/packages/control/src/control_host.cc
@@ -97,7 +97,9 @@
       auto receiver = loop.network.parseAddress(wanted.c_str())
                           .wait(io.waitScope)
                           ->listen();
-      const std::string address = WithPort(wanted, receiver->getPort());
+      const std::string& known = m_parts.init.reached_at;
+      const std::string address =
+          known.empty() ? WithPort(wanted, receiver->getPort()) : known;
       host = std::make_unique<HostLoop>(loop, m_parts,
                                         m_parts.store.TakeRecovered(), address);
       listener = std::make_unique<RpcListener>(loop, *host, kj::mv(receiver));
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -150,6 +150,7 @@
     init.availability_zone = m_settings.availability_zone;
     init.data_folder = m_settings.data_folder;
     init.inner_address = m_settings.inner_address;
+    init.reached_at = m_settings.inner_reached_at;
     init.may_bootstrap = m_settings.may_bootstrap;
     init.filter = m_filter;
     init.tls = InnerTlsOf(m_settings.inner_tls);
--- a/packages/settings/include/laurelhall/settings/daemon_settings.h
+++ b/packages/settings/include/laurelhall/settings/daemon_settings.h
@@ -35,6 +35,9 @@
   std::string data_folder;     ///< Required of a control host.
   bool may_bootstrap = false;  ///< Its empty folder may start a cluster.
   std::string inner_address;   ///< Listens here for the inner protocol.
+  /// Where others reach it, if a relay stands before it; empty: where it
+  /// listens.
+  std::string inner_reached_at;
   std::string caller_address;  ///< Callers and endpoints, behind the balancer.
   std::string operator_address;  ///< Health, metrics, operators.
   std::vector<ControlPeer> control_peers;
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -241,6 +241,8 @@
     Key{"drain_grace", &ReadDuration<&DaemonSettings::drain_grace>},
     Key{"trace_file", &ReadText<&DaemonSettings::trace_file>},
     Key{"addresses.inner", &ReadAddress<&DaemonSettings::inner_address>},
+    Key{"addresses.inner_reached_at",
+        &ReadAddress<&DaemonSettings::inner_reached_at>},
     Key{"addresses.caller", &ReadAddress<&DaemonSettings::caller_address>},
     Key{"addresses.operator", &ReadAddress<&DaemonSettings::operator_address>},
     Key{"addresses.jobs", &ReadAddress<&DaemonSettings::jobs_address>},
@@ -416,7 +418,8 @@
     if (m_settings.is_inner_trusted) {
       return false;
     }
-    bool is_open = IsOffLoopback(m_settings.inner_address);
+    bool is_open = IsOffLoopback(m_settings.inner_address) ||
+                   IsOffLoopback(m_settings.inner_reached_at);
     for (const ControlPeer& peer : m_settings.control_peers) {
       is_open = is_open || IsOffLoopback(peer.address);
     }
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -194,6 +194,21 @@
   CHECK(settings.dispatch_bounds.longest_lease == Millis(6'000));
 }
 
+TEST_CASE_FIXTURE(
+    DaemonSettingsFixture,
+    "ParseDaemonSettings, relay before the inner address, asks for keys") {
+  const auto of_relay = [this](const std::string& relay) {
+    std::string text = With("127.0.0.1:71", "127.0.0.1:90", "");
+    const std::string key = R"("addresses": {)";
+    text.insert(text.find(key) + key.size(),
+                R"("inner_reached_at": ")" + relay + R"(", )");
+    return text;
+  };
+  CHECK(ParseDaemonSettings(of_relay("127.0.0.1:72"), "d.json")
+            .inner_reached_at == "127.0.0.1:72");
+  CHECK(FindingsOf(of_relay("10.0.0.4:72")).size() == 2);
+}
+
 TEST_CASE_FIXTURE(
     DaemonSettingsFixture,
     "ParseDaemonSettings, mechanisms left out, named ones alone") {
--- /dev/null
+++ b/scripts/fault_soak.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Seeds of faults against the real daemons on loopback (platform/tests/soak).
+# fault_soak.sh [BUILD [SEEDS [FIRST [JOBS]]]]: SEEDS seeds from FIRST on, JOBS
+# at a time. A failed seed's settings, data and logs stay in FOLDER/seed-N.
+# SECONDS_OF_FAULTS, BASE_PORT, FOLDER, CONTROLS and ENTRIES may be set.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+seeds=${2:-50}
+first=${3:-1}
+jobs=${4:-3}
+folder=${FOLDER:-$(mktemp -d -t fault_soak.XXXXXX)}
+base=${BASE_PORT:-30000}
+ports=4 # Of one seed.
+
+if [ "$(id -u)" -eq 0 ]; then
+  echo "Not played: a folder that takes no writes (the user here may write all)."
+fi
+echo "Not played: wall clocks that jump (they are the machine's)."
+
+play() { # play SEED SLOT
+  local seed=$1 home=$folder/seed-$1 controls=${CONTROLS:-3} result=0
+  # Every fourth seed has more hosts.
+  [ -n "${CONTROLS:-}" ] || [ $((seed % 4)) -ne 0 ] || controls=5
+  rm -rf "$home" && mkdir -p "$home"
+  "$build/platform/fault_soak" --daemon "$build/packages/daemon/laurelhalld" \
+    --folder "$home" --seed "$seed" --base-port $((base + ports * $2)) \
+    --controls "$controls" --entries "${ENTRIES:-2}" \
+    --seconds "${SECONDS_OF_FAULTS:-20}" > "$home/soak.log" 2>&1 || result=$?
+  if [ "$result" -eq 0 ]; then
+    echo "seed $seed: all held; $(tail -n 1 "$home/soak.log" | cut -d' ' -f3-)"
+    rm -rf "$home"
+    return 0
+  fi
+  echo "seed $seed: FAILED ($result), see $home"
+  grep FINDING "$home/soak.log" || tail -n 5 "$home/soak.log"
+  return 1
+}
+
+run_slot() { # run_slot SLOT: each JOBS-th seed, one after another
+  local seed result=0
+  for ((seed = first + $1; seed < first + seeds; seed += jobs)); do
+    play "$seed" "$1" || result=1
+  done
+  return "$result"
+}
+
+slots=()
+for ((slot = 0; slot < jobs; ++slot)); do
+  run_slot "$slot" &
+  slots+=($!)
+done
+failed=0
+for slot in "${slots[@]}"; do
+  wait "$slot" || failed=1
+done
+exit "$failed"
