--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Seeds of faults against the real daemons on loopback (platform/tests/soak).
 # fault_soak.sh [BUILD [SEEDS [FIRST [JOBS]]]]: SEEDS seeds from FIRST on, JOBS
-# at a time. A failed seed's settings, data and logs stay in FOLDER/seed-N.
+# at a time; "cases" for SEEDS plays those of cases.txt. Settings, data and logs
+# of a failed seed stay in FOLDER/seed-N.
 # SECONDS_OF_FAULTS, BASE_PORT, FOLDER, CONTROLS and ENTRIES may be set.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,9 +11,22 @@
 first=${3:-1}
 jobs=${4:-3}
 folder=${FOLDER:-$(mktemp -d -t fault_soak.XXXXXX)}
-base=${BASE_PORT:-30000}
 ports=4 # Of one seed.
 
+is_taken() { # is_taken BASE: whether anything listens on the ports from there
+  local port
+  for ((port = $1; port < $1 + ports * jobs; ++port)); do
+    ! ss -ltnH "sport = :$port" | grep -q . || return 0
+  done
+  return 1
+}
+
+# Below the ports that the kernel picks; another run on the machine has others.
+base=${BASE_PORT:-$((30000 + $$ % 150 * 16))}
+while [ -z "${BASE_PORT:-}" ] && is_taken "$base"; do
+  base=$((30000 + (base - 30000 + 16) % 2400))
+done
+
 if [ "$(id -u)" -eq 0 ]; then
   echo "Not played: a folder that takes no writes (the user here may write all)."
 fi
@@ -37,10 +51,16 @@
   return 1
 }
 
+if [ "$seeds" = cases ]; then
+  mapfile -t list < <(grep -o '^[0-9]*' platform/tests/soak/cases.txt)
+else
+  mapfile -t list < <(seq "$first" $((first + seeds - 1)))
+fi
+
 run_slot() { # run_slot SLOT: each JOBS-th seed, one after another
-  local seed result=0
-  for ((seed = first + $1; seed < first + seeds; seed += jobs)); do
-    play "$seed" "$1" || result=1
+  local at result=0
+  for ((at = $1; at < ${#list[@]}; at += jobs)); do
+    play "${list[at]}" "$1" || result=1
   done
   return "$result"
 }
