A try that may have been carried out is told before another is asked

Ruled out: the commit outcome (refused is true of the second batch). control_test 'Client, try without an answer': failed before, passes now.

--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -73,11 +73,11 @@
                        SteadyTime deadline,
                        std::function<void(OperatorReply)> done) = 0;
 
-  /// Asks the leader's scheduling; tried again at every control host until the
-  /// deadline, so the request must be idempotent.
+  /// Asks the leader's scheduling, at one control host after another until the
+  /// deadline or until one may have carried it out.
   ///
-  /// @param done Called with none when nobody answered in time; then whether
-  ///   the request was sent at all.
+  /// @param done Called with none when nobody answered; then whether the
+  ///   request may have been carried out. An answer speaks for the only try.
   using ScheduleDone =
       std::function<void(std::optional<std::string>, bool may_have_run)>;
   virtual void AskSchedule(const std::string& request,
--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -343,7 +343,12 @@
                   .Run(std::min(left, kScheduleTimeout), kj::mv(call))
                   .catch_([this, address, shared](kj::Exception&&) {
                     m_finder.Failed(address, Now());
-                    AskAgain(std::move(*shared));
+                    // A later try's answer would speak for that one alone.
+                    if (shared->may_have_run) {
+                      shared->done(std::nullopt, true);
+                    } else {
+                      AskAgain(std::move(*shared));
+                    }
                   }));
 }
 
--- a/packages/control/tests/cluster_test.cc
+++ b/packages/control/tests/cluster_test.cc
@@ -439,5 +439,40 @@
   CHECK(!may_have_run());
 }
 
+/// Never answers what it hears first.
+class SilentOnce final : public scheduling::LogService {
+ public:
+  void Attach(scheduling::ReplicatedLog&) override {}
+  void BeginToLead(uint64_t) override {}
+  void EndToLead() override {}
+  void Handle(std::string, std::function<void(std::string)> done) override {
+    if (m_heard++ > 0) {
+      done("nothing was done");
+    }
+  }
+
+ private:
+  std::atomic<int> m_heard{0};
+};
+
+// Failed first: the second try's answer was handed on as if it spoke for the
+// first one too, which a later leader carried out.
+TEST_CASE("Client, try without an answer, is told before another one") {
+  SilentOnce service;
+  Cluster cluster(1);
+  cluster.init(0).schedule = &service;
+  cluster.StartAll();
+  REQUIRE(cluster.AwaitLeader() < cluster.size());
+  const auto link = cluster.MakeLink("entry");
+  std::promise<std::pair<bool, bool>> outcome;
+  link->AskSchedule("", std::chrono::steady_clock::now() + Seconds(20),
+                    [&](const auto& text, bool may_have_run) {
+                      outcome.set_value({text.has_value(), may_have_run});
+                    });
+  const auto [has_answer, may_have_run] = outcome.get_future().get();
+  CHECK_FALSE(has_answer);
+  CHECK(may_have_run);
+}
+
 }  // namespace
 }  // namespace laurelhall::control
