--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Seeds of faults against the real daemons on loopback (platform/tests/soak).
 # fault_soak.sh [BUILD [SEEDS [FIRST [JOBS]]]]: SEEDS seeds from FIRST on, JOBS
-# at a time; "cases" for SEEDS plays those of cases.txt. Settings, data and logs
-# of a failed seed stay in FOLDER/seed-N.
+# at a time; "cases" or "open" for SEEDS plays those of that list. Settings,
+# data and logs of a failed seed stay in FOLDER/seed-N.
 # SECONDS_OF_FAULTS, BASE_PORT, FOLDER, CONTROLS and ENTRIES may be set.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -51,8 +51,8 @@
   return 1
 }
 
-if [ "$seeds" = cases ]; then
-  mapfile -t list < <(grep -o '^[0-9]*' platform/tests/soak/cases.txt)
+if [ -f "platform/tests/soak/$seeds.txt" ]; then
+  mapfile -t list < <(grep -o '^[0-9]*' "platform/tests/soak/$seeds.txt")
 else
   mapfile -t list < <(seq "$first" $((first + seeds - 1)))
 fi
