--- a/packages/dispatch/src/reports.cc
+++ b/packages/dispatch/src/reports.cc
@@ -21,6 +21,11 @@
 // holds up the others.
 constexpr size_t kMostWaits = 4;
 
+constexpr const char* kFitnessNames[] = {"usable", "not_reached", "silent",
+                                         "lapsed", "draining",    "suspect",
+                                         "paused", "stale",       "evacuated"};
+static_assert(std::size(kFitnessNames) == static_cast<size_t>(Fitness::kCount));
+
 using FitnessCounts =
     std::array<uint64_t, static_cast<size_t>(Fitness::kCount)>;
 
@@ -37,11 +42,7 @@
 }  // namespace
 
 const char* FitnessName(Fitness fitness) {
-  static constexpr const char* kNames[] = {
-      "usable",  "not_reached", "silent", "lapsed",   "draining",
-      "suspect", "paused",      "stale",  "evacuated"};
-  static_assert(std::size(kNames) == static_cast<size_t>(Fitness::kCount));
-  return kNames[static_cast<size_t>(fitness)];
+  return kFitnessNames[static_cast<size_t>(fitness)];
 }
 
 void DispatchSight::Clear() {
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -33,6 +33,12 @@
 constexpr double kSameStepHere = 0.02;
 constexpr double kGathers = 2;
 
+constexpr const char* kObstacleNames[] = {
+    "none",      "deferred", "being-committed", "gang-incomplete",
+    "no-worker", "no-room",  "not-allowed"};
+static_assert(std::size(kObstacleNames) ==
+              static_cast<size_t>(StartObstacle::kCount));
+
 // In which order kinds of work are served.
 enum class Urgency { kPersistent, kOnTime, kLate, kHopeless, kCount };
 
@@ -622,12 +628,7 @@
 }
 
 const char* StartObstacleName(StartObstacle obstacle) {
-  static constexpr const char* kNames[] = {
-      "none",      "deferred", "being-committed", "gang-incomplete",
-      "no-worker", "no-room",  "not-allowed"};
-  static_assert(std::size(kNames) ==
-                static_cast<size_t>(StartObstacle::kCount));
-  return kNames[static_cast<size_t>(obstacle)];
+  return kObstacleNames[static_cast<size_t>(obstacle)];
 }
 
 void Planner::Settled(const RunStarted& start) {
