Which steps are open is worked out in one place

The planner's report on why a job waits walked occurrences and steps as the gathering of candidates does. Both visit them through VisitOpenSteps() now, which copies nothing, as plans gather some ten times a second.

--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -57,6 +57,27 @@
          static_cast<double>(step.estimate.count());
 }
 
+// Visits the steps that are due, not done, and wait for no other, in order and
+// until a visit returns false.
+template <typename Visit>
+void VisitOpenSteps(const Job& job, WallTime wall, Visit visit) {
+  for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
+       ++occurrence) {
+    const WallTime due = job.spec.first_due + job.spec.interval * occurrence;
+    if (job.spec.is_timed && wall < due) {
+      return;
+    }
+    const size_t base = occurrence * job.spec.steps.size();
+    for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+      const bool is_open =
+          job.step_left[base + step] > 0 && job.IsStepOpen(occurrence, step);
+      if (is_open && !visit(occurrence, step)) {
+        return;
+      }
+    }
+  }
+}
+
 double Share(int64_t part, int64_t whole) {
   return whole <= 0 ? 1.0
                     : static_cast<double>(part) / static_cast<double>(whole);
@@ -530,20 +551,10 @@
         m_deferred.contains(id)) {
       continue;
     }
-    for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
-         ++occurrence) {
-      const WallTime due = job.spec.first_due + job.spec.interval * occurrence;
-      if (job.spec.is_timed && input.wall < due) {
-        break;
-      }
-      const size_t base = occurrence * job.spec.steps.size();
-      for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        if (job.step_left[base + step] > 0 &&
-            job.IsStepOpen(occurrence, step)) {
-          GatherStep(input, job, occurrence, step, candidates);
-        }
-      }
-    }
+    VisitOpenSteps(job, input.wall, [&](uint32_t occurrence, uint32_t step) {
+      GatherStep(input, job, occurrence, step, candidates);
+      return true;
+    });
   }
   return candidates;
 }
@@ -606,25 +617,15 @@
 
 std::optional<StartOutlook> Planner::Explain(const PlanInput& input,
                                              const Job& job) const {
-  for (uint32_t occurrence = 0; occurrence < job.spec.occurrences;
-       ++occurrence) {
-    const WallTime due = job.spec.first_due + job.spec.interval * occurrence;
-    if (job.spec.is_timed && input.wall < due) {
-      break;
-    }
-    const size_t base = occurrence * job.spec.steps.size();
-    for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-      if (job.step_left[base + step] == 0 ||
-          !job.IsStepOpen(occurrence, step)) {
-        continue;
-      }
-      const StartOutlook outlook = OutlookOf(input, job, occurrence, step);
-      if (outlook.tasks > 0) {
-        return outlook;
-      }
+  std::optional<StartOutlook> first;
+  VisitOpenSteps(job, input.wall, [&](uint32_t occurrence, uint32_t step) {
+    const StartOutlook outlook = OutlookOf(input, job, occurrence, step);
+    if (outlook.tasks > 0) {
+      first = outlook;
     }
-  }
-  return std::nullopt;
+    return !first;
+  });
+  return first;
 }
 
 const char* StartObstacleName(StartObstacle obstacle) {
