An answer that comes before its write is known to be over keeps the connection

Callers saw: the next call on a kept connection ended with kConnect, unsent; seen once in a test beside load. No answer was lost, but another connection had to be opened.

Cause: the end of a write and the arrival of its answer are two events, taken up by two threads. With the first held up, FinishAnswer() took the write for one that the endpoint had refused to read and closed the connection.

The new test, a request larger than the sockets' buffers, failed on the old code and is deterministic.

Now the next call waits for the write's end, 250 ms at most and within its own time; an endpoint that reads no more still ends the connection. Holding the answer back was ruled out: its caller would wait for nothing.

--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -23,6 +23,16 @@
 // Of Fetch(): its caller waits for one answer, not for many.
 constexpr int64_t kMaxFetchedBytes = 256LL << 20;
 
+// How long the end of a write may come after the whole answer. Some threads of
+// a busy machine take up one event later than another; an endpoint that reads
+// no more of a request never lets it end.
+constexpr Millis kWriteEnd{250};
+
+Millis TimeLeft(SteadyTime deadline) {
+  const auto left = deadline - std::chrono::steady_clock::now();
+  return std::max(Millis(0), std::chrono::duration_cast<Millis>(left));
+}
+
 // All members but the atomic are touched on the strand alone. Pending reads
 // hold the stream and only a weak pointer to the connection, so that dropping
 // an idle connection closes it; a running call holds the connection.
@@ -81,6 +91,15 @@
     std::shared_ptr<ClientConnection> self;
   };
 
+  // A request that waits for the write of the one before to end.
+  struct NextCall {
+    HttpRequest request;
+    SteadyTime deadline;
+    int64_t max_answer_bytes;
+    std::function<bool()> before_write;
+    std::function<void(HttpResult)> done;
+  };
+
   std::shared_ptr<ClientConnection> Self() {
     return std::static_pointer_cast<ClientConnection>(shared_from_this());
   }
@@ -163,11 +182,21 @@
                  int64_t max_answer_bytes,
                  const std::function<bool()>& before_write,
                  std::function<void(HttpResult)> done) {
-    if (!m_is_open || m_call != nullptr) {
+    if (!m_is_open || m_call != nullptr || m_next_call != nullptr) {
       done({HttpFailure::kConnect, false, {}});
       return;
     }
     m_is_reusable = false;
+    if (m_is_answered_early) {
+      const SteadyTime deadline = std::chrono::steady_clock::now() + timeout;
+      m_next_call = std::make_unique<NextCall>(
+          NextCall{std::move(request), deadline, max_answer_bytes, before_write,
+                   std::move(done)});
+      if (deadline < *m_deadline) {
+        StartTimer(timeout, HttpFailure::kConnect);
+      }
+      return;
+    }
     m_call = std::make_unique<Call>(max_answer_bytes, request.method == "HEAD");
     m_call->done = std::move(done);
     m_call->self = Self();
@@ -182,13 +211,30 @@
     }
     m_call->has_written = true;
     m_is_writing = true;
-    m_stream->Write(std::move(head), std::move(request.body),
-                    [self = Self()](ErrorCode error) {
-                      self->m_is_writing = false;
-                      // An answer may still be read: the endpoint may have
-                      // refused the rest of the body. Reading finds the end.
-                      self->m_is_write_failed = bool(error);
-                    });
+    m_stream->Write(
+        std::move(head), std::move(request.body),
+        [self = Self()](ErrorCode error) { self->OnWritten(error); });
+  }
+
+  void OnWritten(ErrorCode error) {
+    m_is_writing = false;
+    // An answer may still be read: the endpoint may have refused the rest of
+    // the body. Reading finds the end.
+    m_is_write_failed = bool(error);
+    if (!std::exchange(m_is_answered_early, false)) {
+      return;
+    }
+    if (error) {
+      End(HttpFailure::kConnect);
+      return;
+    }
+    StopTimer();
+    Read();
+    if (const auto next = std::exchange(m_next_call, nullptr)) {
+      StartCall(std::move(next->request), TimeLeft(next->deadline),
+                next->max_answer_bytes, next->before_write,
+                std::move(next->done));
+    }
   }
 
   void Read() {
@@ -221,11 +267,17 @@
 
   void FinishAnswer() {
     StopTimer();
-    const bool may_go_on = m_call->decoder.keep_alive() && m_bytes.empty() &&
-                           !m_is_writing && !m_is_write_failed;
+    const bool may_go_on =
+        m_call->decoder.keep_alive() && m_bytes.empty() && !m_is_write_failed;
     HttpResult result{HttpFailure::kNone, true,
                       std::move(m_call->decoder.response())};
-    if (may_go_on) {
+    if (may_go_on && m_is_writing) {
+      // The end of the write is often only not known here yet: the next call
+      // waits for it, rather than for a new connection.
+      m_is_reusable = true;
+      m_is_answered_early = true;
+      StartTimer(kWriteEnd, HttpFailure::kConnect);
+    } else if (may_go_on) {
       m_is_reusable = true;
       Read();
     } else {
@@ -245,12 +297,16 @@
     if (m_on_connected != nullptr) {
       std::exchange(m_on_connected, nullptr)(false);
     }
+    if (const auto next = std::exchange(m_next_call, nullptr)) {
+      next->done({HttpFailure::kConnect, false, {}});
+    }
     if (m_call != nullptr) {
       FinishCall({failure, m_call->has_written, {}});
     }
   }
 
   void CloseStream() {
+    m_is_answered_early = false;
     m_is_open = false;
     m_is_reusable = false;
     if (m_socket.has_value()) {
@@ -278,14 +334,12 @@
   bool m_is_write_failed = false;
   std::string m_bytes;
   std::unique_ptr<Call> m_call;
+  // The last answer was whole before its request's write was known to be over.
+  bool m_is_answered_early = false;
+  std::unique_ptr<NextCall> m_next_call;
   std::atomic<bool> m_is_reusable{false};
 };
 
-Millis TimeLeft(SteadyTime deadline) {
-  const auto left = deadline - std::chrono::steady_clock::now();
-  return std::max(Millis(0), std::chrono::duration_cast<Millis>(left));
-}
-
 }  // namespace
 
 std::shared_ptr<HttpConnection> HttpConnection::Make(IoThreads& threads,
--- a/packages/net/tests/http_client_test.cc
+++ b/packages/net/tests/http_client_test.cc
@@ -22,9 +22,16 @@
   HttpResult Send(HttpConnection& connection,
                   std::function<bool()> before_write = nullptr,
                   Millis timeout = kTestWait) {
+    return SendBody(connection, "body", std::move(before_write), timeout);
+  }
+
+  HttpResult SendBody(HttpConnection& connection,
+                      std::string body,
+                      std::function<bool()> before_write = nullptr,
+                      Millis timeout = kTestWait) {
     HttpRequest request;
     request.method = "POST";
-    request.body = "body";
+    request.body = std::move(body);
     auto done = std::make_shared<std::promise<HttpResult>>();
     connection.Send(
         request, timeout, 100, std::move(before_write),
@@ -49,6 +56,9 @@
   IoThreads m_threads{2};
 };
 
+// More than the sockets of both sides hold.
+constexpr size_t kOverBuffers = 32 << 20;
+
 constexpr const char* kEmptyAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
@@ -179,6 +189,54 @@
   endpoint.join();
 }
 
+// An answer may be read before the write of its request is known to be over:
+// two threads took up the two events, and the one with the write was held up.
+// The client then closed a connection that was as good as before, and the next
+// call on it, here the second one, failed with kConnect. A request that is
+// larger than the socket's buffers brings the same order about each time.
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, answer read before the write is known to be "
+                  "over, goes on") {
+  const RawListener listener;
+  std::thread endpoint([&] {
+    const RawSocket socket = listener.Accept();
+    socket.ReadUntil("Content-Length");
+    socket.Write(kEmptyAnswer);
+    socket.ReadUntil("body");
+    socket.Write(kEmptyAnswer);
+  });
+  const auto connection = Connect(listener.address());
+  CHECK(SendBody(*connection, std::string(kOverBuffers, '.')).failure ==
+        HttpFailure::kNone);
+  CHECK(connection->is_reusable());
+  CHECK(Send(*connection).failure == HttpFailure::kNone);
+  endpoint.join();
+}
+
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, endpoint answered and reads no more, gives "
+                  "the next call up unsent") {
+  const RawListener listener;
+  Signal over;
+  std::thread endpoint([&] {
+    const RawSocket socket = listener.Accept();
+    socket.ReadUntil("Content-Length");
+    socket.Write(kEmptyAnswer);
+    over.Wait();
+  });
+  const auto connection = Connect(listener.address());
+  CHECK(SendBody(*connection, std::string(kOverBuffers, '.')).failure ==
+        HttpFailure::kNone);
+  const auto begun = std::chrono::steady_clock::now();
+  const HttpResult result = Send(*connection);
+  CHECK(result.failure == HttpFailure::kConnect);
+  CHECK_FALSE(result.may_have_sent);
+  CHECK(std::chrono::steady_clock::now() - begun < kTestWait / 2);
+  CHECK_FALSE(connection->is_reusable());
+  over.Raise();
+  endpoint.join();
+}
+
 TEST_CASE_FIXTURE(ClientFixture,
                   "Fetch, served by HttpServer, gives the answer") {
   FunctionHandler handler([](std::shared_ptr<HttpExchange> exchange) {
