--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -81,6 +81,9 @@
   m_tick_lag = &AddGauges(m_registry, "laurelhall_schedule_tick_lag_seconds",
                           "By how much the leader's ticks come late.")
                     .Add({});
+  m_relays = &AddGauges(m_registry, "laurelhall_schedule_relays",
+                        "Hosts that call workers in the leader's name.")
+                  .Add({});
   m_jobs = &AddGauges(m_registry, "laurelhall_schedule_jobs",
                       "Jobs not over, and of these those that wait.");
   m_workers = &AddGauges(m_registry, "laurelhall_schedule_workers",
@@ -120,6 +123,7 @@
 void ScheduleMetrics::ShowSight(const dispatch::DispatchSight& sight) {
   const std::lock_guard lock(m_sight_mutex);
   m_tick_lag->Set(std::chrono::duration<double>(sight.tick_lag).count());
+  m_relays->Set(static_cast<double>(sight.relays));
   m_jobs->Add({{"state", "open"}}).Set(static_cast<double>(sight.open_jobs));
   m_jobs->Add({{"state", "waiting"}})
       .Set(static_cast<double>(sight.waiting_jobs));
--- a/packages/daemon/src/schedule_metrics_p.h
+++ b/packages/daemon/src/schedule_metrics_p.h
@@ -57,6 +57,7 @@
   std::array<prometheus::Counter*, kOutcomes> m_outcomes{};
   prometheus::Family<prometheus::Gauge>* m_totals = nullptr;
   prometheus::Gauge* m_tick_lag = nullptr;
+  prometheus::Gauge* m_relays = nullptr;
   prometheus::Family<prometheus::Gauge>* m_jobs = nullptr;
   prometheus::Family<prometheus::Gauge>* m_workers = nullptr;
   prometheus::Family<prometheus::Gauge>* m_waits = nullptr;
--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -342,20 +342,22 @@
   return Verdict{answer, reason + ". No line tells that it was taken in."};
 }
 
-// Only decisions count, as a job's own lines are of that class, and only what
-// was dropped after the last of them.
+// Lines of tasks don't count, as what becomes of a job is told by the others,
+// and only what was dropped after the last of them does.
 std::optional<Verdict> Story::DroppedLines() const {
   const Line* own = Last([](const Line& line) { return line.is_own; });
   const Line* dropped = First([own](const Line& line) {
-    return Is(line, "log", "dropped") && line.Number("decisions") > 0 &&
-           line.time >= own->time;
+    return Is(line, "log", "dropped") && line.time >= own->time &&
+           (line.Number("decisions") > 0 || line.Number("requests") > 0);
   });
   if (dropped == nullptr || m_over != nullptr) {
     return std::nullopt;
   }
+  const char* kind =
+      dropped->Number("decisions") > 0 ? "decisions" : "requests";
   return Verdict{dropped, dropped->process + " dropped " +
-                              NumberText(*dropped, "decisions") +
-                              " lines of decisions at " + Clock(dropped->time) +
+                              NumberText(*dropped, kind) + " lines of " + kind +
+                              " at " + Clock(dropped->time) +
                               "; what became of it may be among them."};
 }
 
--- a/packages/trace/src/gather.cc
+++ b/packages/trace/src/gather.cc
@@ -45,6 +45,8 @@
     Explaining{"pools", "moved", &Gatherer::IsMoveOfService, false},
     Explaining{"wave", "host-chosen", &Gatherer::IsOfHost, false},
     Explaining{"wave", "maintain", &Gatherer::IsOfHost, false},
+    Explaining{"relay", "chosen", &Gatherer::IsAlways, false},
+    Explaining{"relay", "lost", &Gatherer::IsAlways, false},
     Explaining{"log", "dropped", &Gatherer::IsAlways, false},
     Explaining{"control", "", &Gatherer::IsLeaderMessage, false},
 };
--- a/packages/trace/tests/trace_test.cc
+++ b/packages/trace/tests/trace_test.cc
@@ -274,6 +274,14 @@
   CHECK(Says("core-1 dropped 12 lines of decisions at 12:00:00.400"));
 }
 
+TEST_CASE_FIXTURE(TraceFixture,
+                  "Story, lines of requests dropped later, lose it") {
+  Accept();
+  Add("core-1", 400, "log dropped", R"("decisions":0,"tasks":7,"requests":3)");
+  CHECK(Verdict() == "lost-sight dropped-lines");
+  CHECK(Says("core-1 dropped 3 lines of requests at 12:00:00.400"));
+}
+
 TEST_CASE_FIXTURE(TraceFixture,
                   "Story, only tasks' lines dropped, is in sight") {
   Accept();
