--- a/packages/control/src/envelope_p.h
+++ b/packages/control/src/envelope_p.h
@@ -8,11 +8,13 @@
 
 namespace laurelhall::control {
 
+/// Of an envelope and the frame of a call.
+constexpr size_t kEnvelopeWords = 48;
+
 /// Room for a message with so many bytes of its own, envelope included. Without
 /// it each one clears 8 KB, which a leader of thousands of calls a second
 /// spends more on than on what the calls ask for.
 inline capnp::MessageSize RoomFor(size_t bytes) {
-  constexpr size_t kEnvelopeWords = 48;
   return {kEnvelopeWords + bytes / sizeof(capnp::word), 0};
 }
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -571,7 +571,7 @@
     candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
     candidate.deadline = limit;
   }
-  out.push_back(std::move(candidate));
+  out.push_back(candidate);
 }
 
 // Indices of the tasks of a step that are neither done nor running nor being
