Sight: what ran on a worker to the end of its life has lines

A worker-gone line tells how many runs its worker took with it, and each such run has an end line with how long it was seen at work; before, a run that ended with its worker left no trace at all, so that a task that crashes its workers could not be told from the tasks beside it.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -400,6 +400,7 @@
             .With("silent_ms",
                   std::chrono::floor<Millis>(now - link.last_contact))
             .With("runs", static_cast<int64_t>(worker->active.size())));
+    TellLostRuns(*worker, "lapsed");
     Commit({scheduling::WorkerLapsed{id}}, [this, id = id](CommitOutcome) {
       const auto found = m_links.find(id);
       if (found != m_links.end()) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -70,6 +70,14 @@
   uint32_t percent = 0;
   SteadyTime percent_since{};
   bool is_listed = false;
+  SteadyTime work_since{};  ///< Its start was answered, or it was listed.
+  SteadyTime work_until{};  ///< When it was listed last.
+
+  /// How long it was seen to run; zero for one that was never listed.
+  Millis SeenAtWork() const {
+    const auto seen = std::chrono::floor<Millis>(work_until - work_since);
+    return is_listed ? std::max(seen, Millis(0)) : Millis(0);
+  }
 };
 
 /// What this leader knows of a worker beyond what is committed.
@@ -282,6 +290,7 @@
              const RunTrack* track);
   void CommitEnds(const std::string& worker, uint64_t seen, Records records);
   void EndLife(const std::string& worker, const char* why);
+  void TellLostRuns(const scheduling::Worker& worker, const char* how) const;
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
   /// Whether this thread is short of processor time: its ticks come late.
   bool IsBehind() const { return m_tick_lag > kBehind; }
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -151,6 +151,7 @@
       track.start = StartStage::kSettled;
       track.settled_at = Now();
       track.percent_since = Now();
+      track.work_since = Now();
       break;
     case CallOutcome::kOtherLife:
       EndLife(track.worker, "another life answers");
@@ -401,10 +402,29 @@
     }
     link.is_gone_under_way = true;
     records.emplace_back(scheduling::WorkerGone{id});
-    DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
-                                 .With("worker", id)
-                                 .With("why", "its host has a new life")
-                                 .With("new_life", worker));
+    const Worker& older = *ledger.FindWorker(id);
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "worker-gone")
+            .With("worker", id)
+            .With("why", "its host has a new life")
+            .With("new_life", worker)
+            .With("runs", static_cast<uint64_t>(older.active.size())));
+    TellLostRuns(older, "worker-gone");
+  }
+}
+
+// What ran on a worker to the end of its life, or of its lease.
+void Leadership::TellLostRuns(const Worker& worker, const char* how) const {
+  for (const auto& [key, track] : m_runs) {
+    if (track.worker != worker.info.id || !worker.active.contains(key.task)) {
+      continue;
+    }
+    DecisionLog::Get().Write(DecisionLine("dispatch", "end", LineClass::kTask)
+                                 .With("task", FormatTaskId(key.task))
+                                 .With("run", key.run)
+                                 .With("worker", worker.info.id)
+                                 .With("how", how)
+                                 .With("seen_at_work_ms", track.SeenAtWork()));
   }
 }
 
@@ -490,6 +510,10 @@
       track.percent = running.percent;
       track.percent_since = now;
     }
+    if (track.work_since == SteadyTime()) {
+      track.work_since = now;
+    }
+    track.work_until = now;
     track.is_listed = true;
   }
 }
@@ -658,9 +682,17 @@
     return;
   }
   link->second.is_gone_under_way = true;
-  DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
-                               .With("worker", worker)
-                               .With("why", why));
+  m_log.Read([&](const Ledger& ledger) {
+    const Worker* known = ledger.FindWorker(worker);
+    const size_t runs = known == nullptr ? 0 : known->active.size();
+    DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
+                                 .With("worker", worker)
+                                 .With("why", why)
+                                 .With("runs", static_cast<uint64_t>(runs)));
+    if (known != nullptr) {
+      TellLostRuns(*known, "worker-gone");
+    }
+  });
   Commit({scheduling::WorkerGone{worker}},
          [this](CommitOutcome) { PlanSoon(); });
 }
