--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -16,6 +16,10 @@
 constexpr Millis kLongestLease{6'000};
 constexpr Millis kStep{5};
 constexpr Millis kElection{1'000};
+// A task that crashes the workers that start it must not be started so often
+// after so many workers went down under it.
+constexpr uint64_t kMostCrashes = 3;
+constexpr uint64_t kMostStartsAfter = 3;
 
 }  // namespace
 
@@ -111,6 +115,11 @@
   return reply;
 }
 
+void FakeWorker::Die() {
+  m_is_dead = true;
+  m_runs.clear();
+}
+
 void FakeWorker::End(const TaskId& task, RunEnd end) {
   const uint32_t run = m_runs.at(task).run;
   m_runs.erase(task);
@@ -335,7 +344,9 @@
     return m_is_relay ? fence : m_host.term;
   }
 
-  bool IsCut(const std::string& id) const { return m_world.m_cut.contains(id); }
+  bool IsCut(const std::string& id) const {
+    return m_world.m_cut.contains(id) || m_world.m_workers.at(id)->is_dead();
+  }
 
   // Waits for an end as a worker does.
   void Look(const HoldOrder& order,
@@ -368,15 +379,22 @@
       give_up();
     } else if (m_world.Chance(weather.late)) {
       std::uniform_int_distribution<int> late(2'000, 12'000);
-      m_world.After(Millis(late(m_world.m_random)),
-                    [act, &worker] { act(worker); });
+      m_world.After(Millis(late(m_world.m_random)), [act, &worker] {
+        if (!worker.is_dead()) {
+          act(worker);
+        }
+      });
       give_up();
     } else if (m_world.Chance(weather.unheard)) {
-      m_world.After(m_world.Delay(), [act, &worker] { act(worker); });
+      m_world.After(m_world.Delay(), [act, &worker] {
+        if (!worker.is_dead()) {
+          act(worker);
+        }
+      });
       give_up();
     } else {
       m_world.After(m_world.Delay(), [this, act, &worker, done] {
-        const CallReply reply = act(worker);
+        const CallReply reply = worker.is_dead() ? CallReply() : act(worker);
         m_world.After(m_world.Delay(), [done, reply] { done(reply); });
       });
     }
@@ -664,13 +682,16 @@
   }
 }
 
-void World::AddWorker(const std::string& host, const std::string& service) {
+void World::AddWorker(const std::string& host,
+                      const std::string& service,
+                      const std::string& rack) {
   const std::string id = "w" + std::to_string(m_workers.size());
   scheduling::WorkerInfo info;
   info.id = id;
   info.address = id;
   info.service = service;
   info.host = host;
+  info.rack = rack;
   info.capacity = {4'000, 16'000, 0};
   Apply(scheduling::WorkerSeen{info});
   auto worker = std::make_unique<FakeWorker>(
@@ -679,6 +700,65 @@
   m_workers[id] = std::move(worker);
 }
 
+void World::Crash(const std::string& worker, Millis back_in) {
+  if (m_workers.at(worker)->is_dead()) {
+    return;
+  }
+  m_workers.at(worker)->Die();
+  const scheduling::Worker* known = m_ledger.FindWorker(worker);
+  if (back_in == Millis(0) || known == nullptr) {
+    return;
+  }
+  After(back_in, [this, info = known->info] {
+    AddWorker(info.host, info.service, info.rack);
+  });
+}
+
+std::string World::LifeOn(const std::string& host) const {
+  std::string newest;
+  for (const std::string& id : m_ledger.WorkersOn(host)) {
+    if (!m_workers.at(id)->is_dead()) {
+      newest = id;
+    }
+  }
+  return newest;
+}
+
+uint64_t World::StartsOf(const std::string& task) const {
+  const auto found = m_starts_of.find(task);
+  return found == m_starts_of.end() ? 0 : found->second;
+}
+
+uint64_t World::CrashesOf(const std::string& task) const {
+  const auto found = m_crashes_of.find(task);
+  return found == m_crashes_of.end() ? 0 : found->second;
+}
+
+void World::CountStart(const std::string& task) {
+  ++m_starts_of[task];
+  if (CrashesOf(task) >= kMostCrashes &&
+      ++m_starts_after_crashes[task] == kMostStartsAfter) {
+    Violate(task +
+            " is started three times more after three workers went "
+            "down under it");
+  }
+}
+
+void World::CrashLater(const std::string& task, const std::string& worker) {
+  const auto found = crashing.find(task);
+  if (found == crashing.end()) {
+    return;
+  }
+  After(found->second, [this, task, worker] {
+    const auto id = scheduling::ParseTaskId(task);
+    if (!m_workers.at(worker)->runs().contains(*id)) {
+      return;  // It was stopped in time.
+    }
+    ++m_crashes_of[task];
+    Crash(worker, crash_pause);
+  });
+}
+
 void World::OpenWave(std::vector<std::string> hosts) {
   Apply(scheduling::WaveOpened{
       1, std::move(hosts), Millis(20'000), 2,
@@ -802,6 +882,8 @@
   }
   ++m_starts;
   const std::string task = FormatTaskId(order.task);
+  CountStart(task);
+  CrashLater(task, worker.id());
   if (m_noted_done.contains(order.task)) {
     Violate(task + " is started after its end was noted");
   }
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -54,6 +54,10 @@
   scheduling::Resources Used() const;
   const scheduling::Resources& capacity() const { return m_capacity; }
 
+  /// Its process is gone, with all that ran there.
+  void Die();
+  bool is_dead() const { return m_is_dead; }
+
  private:
   scheduling::WorkerTime Clock(SteadyTime now) const;
   void End(const scheduling::TaskId& task, scheduling::RunEnd end);
@@ -69,6 +73,7 @@
   std::map<scheduling::TaskId, uint32_t> m_barred;  // Highest stopped or ended.
   std::vector<EndedRun> m_ended;
   uint64_t m_lapsed_ends = 0;  // Ends up to here are older than a lapse.
+  bool m_is_dead = false;
 };
 
 /// Two control hosts over one committed ledger, workers, and a network that
@@ -82,7 +87,15 @@
 
   void AddWorkers(int count);
   void AddWorker(const std::string& host,
-                 const std::string& service = "teklif");
+                 const std::string& service = "teklif",
+                 const std::string& rack = "");
+
+  /// A worker's process is gone, with all that runs there. Its host has a new
+  /// life after a time; none for zero.
+  void Crash(const std::string& worker, Millis back_in);
+
+  /// The newest life on a host.
+  std::string LifeOn(const std::string& host) const;
   void Submit(const std::string& id,
               std::vector<scheduling::StepSpec> steps,
               const std::string& service = "teklif");
@@ -139,6 +152,9 @@
   size_t leader() const { return m_leader; }
   FakeWorker& worker(const std::string& id) { return *m_workers.at(id); }
   uint64_t starts() const { return m_starts; }
+  /// How often a task was started, and workers that it crashed.
+  uint64_t StartsOf(const std::string& task) const;
+  uint64_t CrashesOf(const std::string& task) const;
   /// Calls to workers that the leaders counted as unanswered.
   uint64_t unknown_calls() const;
   /// What the last order to start was given for its answer.
@@ -157,6 +173,10 @@
 
   Weather weather;
   double failing = 0;  ///< Share of runs that fail by their own fault.
+  /// Tasks that crash each worker that starts them, some time after the start;
+  /// the worker's host has a new life after crash_pause.
+  std::map<std::string, Millis> crashing;
+  Millis crash_pause{3'000};
   /// How many times its estimate a run takes; if not 1, it tells how far it is.
   double stretch = 1;
 
@@ -184,6 +204,8 @@
                   const StartOrder& order,
                   bool was_there);
   void Violate(const std::string& text);
+  void CountStart(const std::string& task);
+  void CrashLater(const std::string& task, const std::string& worker);
 
   std::mt19937_64 m_random;
   ManualTimerService m_timers;
@@ -204,6 +226,9 @@
   std::set<scheduling::TaskId> m_noted_done;
   std::vector<std::string> m_violations;
   uint64_t m_starts = 0;
+  std::map<std::string, uint64_t> m_starts_of;   // By task.
+  std::map<std::string, uint64_t> m_crashes_of;  // By task.
+  std::map<std::string, uint64_t> m_starts_after_crashes;
   std::map<std::string, uint64_t> m_newest_term;   // By worker.
   std::map<std::string, uint64_t> m_newest_fence;  // By host.
   std::vector<std::string> m_maintained;
