Workers that go down under a task are counted, and its job is given up

Cause: a run that ends with its worker ends as lapsed, which counts towards no limit.

Now the end of a life that nobody ordered is a WorkerCrashed record, with what it says of each task there: of the runs that may have started, those never seen at work for 0.5 s are suspected, one that was alone is convicted, one that had worked for 5 s is cleared; where a whole rack may have been lost at one moment nobody is. A suspect starts on a worker where nothing else runs, and nothing is put beside it until it has been seen at work; one worker a service is cleared for that. A job is given up when a worker goes down under its task alone after another one did, or after four.

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -35,6 +35,8 @@
     Total{"jobs", &DispatchCounters::jobs},
     Total{"lapses", &DispatchCounters::lapses},
     Total{"unanswered_orders", &DispatchCounters::unknown_calls},
+    Total{"worker_crashes", &DispatchCounters::crashes},
+    Total{"jobs_given_up", &DispatchCounters::given_up},
 };
 
 using GaugeFamily = prometheus::Family<prometheus::Gauge>;
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -41,6 +41,8 @@
   uint64_t jobs = 0;
   uint64_t lapses = 0;
   uint64_t unknown_calls = 0;
+  uint64_t crashes = 0;   ///< Workers that went down without a word.
+  uint64_t given_up = 0;  ///< Jobs with a task that crashes its workers.
 };
 
 /// How many there are of a kind, whose name lasts as long as the program.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -401,6 +401,7 @@
                   std::chrono::floor<Millis>(now - link.last_contact))
             .With("runs", static_cast<int64_t>(worker->active.size())));
     TellLostRuns(*worker, "lapsed");
+    link.lapsed_runs = LostRuns(*worker);
     Commit({scheduling::WorkerLapsed{id}}, [this, id = id](CommitOutcome) {
       const auto found = m_links.find(id);
       if (found != m_links.end()) {
@@ -419,13 +420,7 @@
         std::max({link.last_contact, link.last_announced, m_begun_at});
     if (worker != nullptr && worker->active.empty() &&
         !link.is_gone_under_way && now - heard > kSilentIsGone) {
-      link.is_gone_under_way = true;
-      records.emplace_back(scheduling::WorkerGone{id});
-      DecisionLog::Get().Write(
-          DecisionLine("dispatch", "worker-gone")
-              .With("worker", id)
-              .With("why", "silent")
-              .With("silent_ms", std::chrono::floor<Millis>(now - heard)));
+      EndWorker(ledger, id, "silent", records);
     }
   }
 }
@@ -496,7 +491,8 @@
   const bool is_doubtful =
       m_init.mechanisms.Has(Mechanism::kDoubt) && Now() < link.doubtful_until;
   return {IsUsable(worker, link), is_doubtful,
-          IsDueForMaintenance(ledger, worker.info.host)};
+          IsDueForMaintenance(ledger, worker.info.host),
+          IsQuarantined(ledger, worker)};
 }
 
 void Leadership::Plan(const Ledger& ledger, std::vector<RunStarted>& starts) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -13,6 +13,7 @@
 
 #include "laurelhall/dispatch/dispatcher.h"
 #include "laurelhall/scheduling/answer_time.h"
+#include "laurelhall/scheduling/crash.h"
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/leader_lease.h"
 #include "laurelhall/scheduling/planner.h"
@@ -101,6 +102,8 @@
   SteadyTime last_announced{};
   SteadyTime suspect_until{};  ///< An order was not answered; any word ends it.
   SteadyTime paused_until{};   ///< It turned an order down.
+  SteadyTime lost_at{};        ///< First unanswered look since the last word.
+  std::vector<scheduling::LostRun> lapsed_runs;  ///< Since the last word.
   uint64_t ends_seen = 0;
   std::set<std::string> failed_jobs;  ///< Since the last task done here.
   SteadyTime doubtful_until{};
@@ -134,6 +137,13 @@
   SteadyTime down_since{};    ///< Zero: not ordered yet.
 };
 
+/// A worker that went down lately.
+struct LostLife {
+  std::string rack;
+  std::string host;
+  scheduling::LossTime when;
+};
+
 /// A host as this leader believes it to be.
 struct HostState {
   std::string pool;
@@ -290,7 +300,29 @@
              const RunTrack* track);
   void CommitEnds(const std::string& worker, uint64_t seen, Records records);
   void EndLife(const std::string& worker, const char* why);
+
+  // crashes.cc: workers that end.
+  void EndWorker(const Ledger& ledger,
+                 const std::string& worker,
+                 const char* why,
+                 Records& records,
+                 const std::string& new_life = "");
+  bool IsEndedByUs(const Ledger& ledger,
+                   const scheduling::Worker& worker) const;
+  std::vector<scheduling::LostRun> LostRuns(
+      const scheduling::Worker& worker) const;
+  scheduling::LossTime WhenLost(const WorkerLink& link) const;
+  bool IsRackLost(const Ledger& ledger,
+                  const scheduling::Worker& worker,
+                  const WorkerLink& link) const;
+  void Blame(const Ledger& ledger,
+             const scheduling::Worker& worker,
+             Records& records);
+  void TellSuspects(const Ledger& ledger,
+                    const scheduling::WorkerCrashed& crash);
   void TellLostRuns(const scheduling::Worker& worker, const char* how) const;
+  bool IsQuarantined(const Ledger& ledger,
+                     const scheduling::Worker& worker) const;
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
   /// Whether this thread is short of processor time: its ticks come late.
   bool IsBehind() const { return m_tick_lag > kBehind; }
@@ -382,6 +414,7 @@
   std::optional<uint64_t> m_followed_workers;  // The ledger's version of them.
   std::optional<uint64_t> m_followed_hosts;    // As of m_inventory.
   std::unordered_map<RunKey, RunTrack, RunKeyHash> m_runs;
+  std::deque<LostLife> m_lost_lives;                      // Oldest first.
   std::unordered_map<std::string, SteadyTime> m_seen_at;  // By open job.
   std::map<std::string, SteadyTime> m_over_at;            // By ended job.
   std::map<std::string, HostTrack> m_hosts;               // Under maintenance.
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -18,7 +18,7 @@
 constexpr Millis kIdleWait{2'000};
 constexpr Millis kBusyWait{1'000};
 // Where filling tasks run beside serving ones, a change is seen in time for
-// the pacing; what a figure covers.
+// the pacing; what a figure covers. A suspect's worker is soon free again.
 constexpr Millis kPacingWait{500};
 // Between two looks at one worker: ends that come together share one.
 constexpr Millis kHoldGap{60};
@@ -283,7 +283,7 @@
       continue;
     }
     Millis wait = worker->active.empty() ? kIdleWait : kBusyWait;
-    if (!link.pacer.told.empty()) {
+    if (!link.pacer.told.empty() || !worker->suspects.empty()) {
       wait = kPacingWait;
     }
     SendHold(id, link, link.is_reached ? wait : Millis(0));
@@ -319,6 +319,8 @@
 void Leadership::Contact(WorkerLink& link,
                          std::optional<scheduling::WorkerTime> clock) {
   link.last_contact = Now();
+  link.lost_at = SteadyTime();
+  link.lapsed_runs.clear();
   link.suspect_until = SteadyTime();
   if (clock) {
     link.clock.Observe(*clock, Now());
@@ -339,6 +341,9 @@
     return;
   }
   if (reply.outcome != CallOutcome::kDone) {
+    if (link.lost_at == SteadyTime()) {
+      link.lost_at = Now();
+    }
     link.is_silent = true;
     link.next_hold = Now() + kHoldRetry;
     return;
@@ -400,31 +405,7 @@
         link.last_contact >= m_links.at(worker).first_contact) {
       continue;
     }
-    link.is_gone_under_way = true;
-    records.emplace_back(scheduling::WorkerGone{id});
-    const Worker& older = *ledger.FindWorker(id);
-    DecisionLog::Get().Write(
-        DecisionLine("dispatch", "worker-gone")
-            .With("worker", id)
-            .With("why", "its host has a new life")
-            .With("new_life", worker)
-            .With("runs", static_cast<uint64_t>(older.active.size())));
-    TellLostRuns(older, "worker-gone");
-  }
-}
-
-// What ran on a worker to the end of its life, or of its lease.
-void Leadership::TellLostRuns(const Worker& worker, const char* how) const {
-  for (const auto& [key, track] : m_runs) {
-    if (track.worker != worker.info.id || !worker.active.contains(key.task)) {
-      continue;
-    }
-    DecisionLog::Get().Write(DecisionLine("dispatch", "end", LineClass::kTask)
-                                 .With("task", FormatTaskId(key.task))
-                                 .With("run", key.run)
-                                 .With("worker", worker.info.id)
-                                 .With("how", how)
-                                 .With("seen_at_work_ms", track.SeenAtWork()));
+    EndWorker(ledger, id, "its host has a new life", records, worker);
   }
 }
 
@@ -681,20 +662,10 @@
   if (link == m_links.end() || link->second.is_gone_under_way) {
     return;
   }
-  link->second.is_gone_under_way = true;
-  m_log.Read([&](const Ledger& ledger) {
-    const Worker* known = ledger.FindWorker(worker);
-    const size_t runs = known == nullptr ? 0 : known->active.size();
-    DecisionLog::Get().Write(DecisionLine("dispatch", "worker-gone")
-                                 .With("worker", worker)
-                                 .With("why", why)
-                                 .With("runs", static_cast<uint64_t>(runs)));
-    if (known != nullptr) {
-      TellLostRuns(*known, "worker-gone");
-    }
-  });
-  Commit({scheduling::WorkerGone{worker}},
-         [this](CommitOutcome) { PlanSoon(); });
+  Records records;
+  m_log.Read(
+      [&](const Ledger& ledger) { EndWorker(ledger, worker, why, records); });
+  Commit(std::move(records), [this](CommitOutcome) { PlanSoon(); });
 }
 
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/tests/incidents/crash_loop_test.cc
+++ b/packages/dispatch/tests/incidents/crash_loop_test.cc
@@ -75,5 +75,181 @@
   CheckClean();
 }
 
+// Guards against a count that a new leader or a restart of all control hosts
+// starts anew.
+TEST_CASE_FIXTURE(CrashLoopFixture,
+                  "Dispatcher, leaders change between crashes, job is given up "
+                  "all the same") {
+  SubmitBystanders(4);
+  world.Submit("culprit", {Tasks(1)});
+  for (int change = 0; change < 8; ++change) {
+    world.Advance(Millis(2'000));
+    if (change % 2 == 0) {
+      world.ChangeLeader(Millis(500));
+    } else {
+      world.RestartControlHosts();
+    }
+  }
+  world.Advance(Millis(20'000));
+  CHECK(world.StateOf("culprit") == JobState::kFailed);
+  CHECK(world.StartsOf("culprit.0.0.0") <= 5);
+  CheckBystandersSucceeded();
+  CheckClean();
+}
+
+// Guards against a culprit whose crash shows only after its lease ran out: its
+// worker comes back later than that.
+TEST_CASE_FIXTURE(CrashLoopFixture,
+                  "Dispatcher, worker is back after its lease, crash counts") {
+  world.crash_pause = Millis(9'000);
+  SubmitBystanders(2);
+  world.Submit("culprit", {Tasks(1)});
+  world.Advance(Millis(60'000));
+  CHECK(world.StateOf("culprit") == JobState::kFailed);
+  CHECK(world.StartsOf("culprit.0.0.0") <= 5);
+  CheckBystandersSucceeded();
+  CheckClean();
+}
+
+// Guards against a culprit that works for a while before it takes its worker
+// down, so that newer runs beside it draw the suspicion.
+TEST_CASE_FIXTURE(
+    CrashLoopFixture,
+    "Dispatcher, task crashes its workers late, job is given up") {
+  world.crashing["culprit.0.0.0"] = Millis(1'500);
+  scheduling::StepSpec slow = Tasks(1);
+  slow.estimate = Millis(4'000);
+  world.Submit("culprit", {slow});
+  for (int round = 0; round < 40; ++round) {
+    SubmitBystanders(2);
+    world.Advance(Millis(700));
+  }
+  world.Advance(Millis(20'000));
+  CHECK(world.StateOf("culprit") == JobState::kFailed);
+  CHECK(world.StartsOf("culprit.0.0.0") <= 5);
+  CheckBystandersSucceeded();
+  CheckClean();
+}
+
+// Guards the other cost: what merely stood beside crashes is not given up.
+TEST_CASE_FIXTURE(CrashLoopFixture,
+                  "Dispatcher, tasks beside two crashes, are done") {
+  SubmitBystanders(3);
+  world.Advance(Millis(100));
+  for (int crash = 0; crash < 2; ++crash) {
+    for (int host = 0; host < 6; ++host) {
+      world.Crash(world.LifeOn("host-w" + std::to_string(host)), Millis(3'000));
+      world.Advance(Millis(700));
+    }
+  }
+  world.Advance(Millis(20'000));
+  CheckBystandersSucceeded();
+  CheckClean();
+}
+
+TEST_CASE_FIXTURE(
+    CrashLoopFixture,
+    "Dispatcher, persistent tasks beside crashes for long, stay") {
+  scheduling::StepSpec step = Tasks(3);
+  step.is_persistent = true;
+  world.Submit("audit", {step});
+  for (int crash = 0; crash < 8; ++crash) {
+    world.Advance(Millis(12'000));
+    const scheduling::Job& job = *world.ledger().FindJob("audit");
+    for (const scheduling::Task& task : job.tasks) {
+      REQUIRE(task.active.size() == 1);
+    }
+    world.Crash(job.tasks[0].active[0].worker, Millis(3'000));
+  }
+  world.Advance(Millis(10'000));
+  CHECK(world.StateOf("audit") == JobState::kRunning);
+  CHECK(world.ledger().FindJob("audit")->active_runs == 3);
+  CheckClean();
+}
+
+// Eight workers in two racks, and one task alone on each worker.
+class LostRackFixture {
+ protected:
+  LostRackFixture() {
+    for (int worker = 0; worker < 8; ++worker) {
+      world.AddWorker("host-" + std::to_string(worker), "teklif",
+                      worker < 4 ? "rack-1" : "rack-2");
+    }
+    world.Advance(Millis(500));
+  }
+
+  void LoseRack(int first, Millis back_in) {
+    for (int worker = first; worker < first + 4; ++worker) {
+      world.Crash(world.LifeOn("host-" + std::to_string(worker)), back_in);
+    }
+  }
+
+  World world{7};
+};
+
+// Guards against a rack's loss that is taken for the fault of what ran there.
+TEST_CASE_FIXTURE(LostRackFixture,
+                  "Dispatcher, racks are lost twice, no job is given up") {
+  for (int job = 0; job < 8; ++job) {
+    scheduling::StepSpec whole = Tasks(1);
+    whole.need = {4'000, 16'000, 0};
+    whole.estimate = Millis(5'000);
+    world.Submit("job-" + std::to_string(job), {whole});
+  }
+  for (int loss = 0; loss < 2; ++loss) {
+    world.Advance(Millis(600));
+    LoseRack(0, Millis(4'000));
+    world.Advance(Millis(4'500));
+    LoseRack(4, Millis(4'000));
+    world.Advance(Millis(4'500));
+  }
+  world.Advance(Millis(40'000));
+  for (int job = 0; job < 8; ++job) {
+    const std::string id = "job-" + std::to_string(job);
+    CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
+  }
+  for (const std::string& violation : world.violations()) {
+    FAIL_CHECK(violation);
+  }
+}
+
+// Guards against the load that was seen: many culprits at once, each of which
+// took one worker after the other out of a pool in a rush.
+TEST_CASE("Dispatcher, many tasks crash their workers, the rush is served") {
+  World world(7);
+  for (int worker = 0; worker < 24; ++worker) {
+    world.AddWorker("host-" + std::to_string(worker), "teklif",
+                    "rack-" + std::to_string(worker / 4));
+  }
+  world.Advance(Millis(500));
+  int jobs = 0;
+  for (int round = 0; round < 30; ++round) {
+    for (int job = 0; job < 10; ++job) {
+      world.Submit("job-" + std::to_string(jobs++), {Tasks(4)});
+    }
+    if (round < 12) {
+      const std::string id = "culprit-" + std::to_string(round);
+      world.crashing[id + ".0.0.0"] = Millis(10);
+      world.Submit(id, {Tasks(1)});
+    }
+    world.Advance(Millis(500));
+  }
+  world.Advance(Millis(20'000));
+  uint64_t crashes = 0;
+  for (int culprit = 0; culprit < 12; ++culprit) {
+    const std::string id = "culprit-" + std::to_string(culprit);
+    CHECK_MESSAGE(world.StateOf(id) == JobState::kFailed, id);
+    crashes += world.CrashesOf(id + ".0.0.0");
+  }
+  CHECK(crashes <= 36);
+  for (int job = 0; job < jobs; ++job) {
+    const std::string id = "job-" + std::to_string(job);
+    CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
+  }
+  for (const std::string& violation : world.violations()) {
+    FAIL_CHECK(violation);
+  }
+}
+
 }  // namespace
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -817,6 +817,12 @@
   });
 }
 
+void World::RestartControlHosts() {
+  m_hosts[m_leader]->dispatcher->EndToLead();
+  m_ledger.Load(m_ledger.Save());
+  ChangeLeader(Millis(0));
+}
+
 void World::FreezeLeader(Millis time, Millis unaware) {
   Host& frozen = *m_hosts[m_leader];
   frozen.is_frozen = true;
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -94,6 +94,9 @@
   /// life after a time; none for zero.
   void Crash(const std::string& worker, Millis back_in);
 
+  /// All control hosts lose power; another one leads from what was synced.
+  void RestartControlHosts();
+
   /// The newest life on a host.
   std::string LifeOn(const std::string& host) const;
   void Submit(const std::string& id,
--- a/packages/scheduling/include/laurelhall/scheduling/codec.h
+++ b/packages/scheduling/include/laurelhall/scheduling/codec.h
@@ -33,6 +33,13 @@
     (Write(values), ...);
   }
 
+  /// Fields that stand at the end of a text, and that earlier versions did not
+  /// write.
+  template <typename... Values>
+  void Later(Values&... values) {
+    (Write(values), ...);
+  }
+
   std::string Take() { return std::move(m_text); }
 
  private:
@@ -106,6 +113,14 @@
     (Read(values), ...);
   }
 
+  /// Leaves the values as they are where the text ends before them.
+  template <typename... Values>
+  void Later(Values&... values) {
+    if (!is_at_end()) {
+      (Read(values), ...);
+    }
+  }
+
   bool is_at_end() const { return m_text.empty(); }
 
  private:
--- /dev/null
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <vector>
+
+#include "laurelhall/scheduling/record.h"
+
+// Which task is to blame for a worker that went down. A crash has one culprit
+// and many bystanders; a rack or a site that is lost has no culprit. A worker
+// that goes down with one task alone convicts it, so suspects are started where
+// nothing else runs until they have been seen at work.
+namespace laurelhall::scheduling {
+
+/// A run that went down with its worker, as its leader saw it.
+struct LostRun {
+  TaskId task;
+  bool may_have_started = true;
+  Millis seen_at_work{0};  ///< Zero: its worker never listed it.
+};
+
+/// From then on a run no longer keeps other tasks off its worker.
+constexpr Millis kSeenAtWork{500};
+
+/// What a worker's end says of each run that may have started there.
+///
+/// @param is_widespread Its whole rack was lost at the same moment.
+/// Thread-safe.
+std::vector<CrashSuspect> JudgeCrash(const std::vector<LostRun>& runs,
+                                     bool is_widespread);
+
+/// Whether a task is given up after so many workers went down under it, the
+/// last one as `last` says. Thread-safe.
+bool IsGivenUp(size_t crashes, Suspicion last);
+
+/// When a worker was lost: after the one time, before the other.
+struct LossTime {
+  SteadyTime alive_until{};
+  SteadyTime lost_by{};
+};
+
+/// Whether all of these may have been lost at one moment. Thread-safe.
+bool MayBeOneMoment(const std::vector<LossTime>& losses);
+
+}  // namespace laurelhall::scheduling
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -28,6 +28,11 @@
   std::string failed_on;   ///< The worker of the last failure.
   std::string checkpoint;  ///< Where the next run goes on; may be empty.
   std::vector<ActiveRun> active;
+  std::vector<std::string> crashed;  ///< Workers that went down under it.
+  bool is_blamed = false;            ///< For one of them, if not alone.
+
+  /// Whether it is to start where nothing else runs.
+  bool IsSuspect() const;
 };
 
 /// A job and all of its tasks.
@@ -61,6 +66,10 @@
   WorkerInfo info;
   Resources used;  ///< By active runs; filling tasks count no processors.
   std::set<TaskId> active;
+  std::set<TaskId> suspects;  ///< Of `active`: were suspect when they started.
+  /// What its lease ran out on, until it is given work again: all that went
+  /// down with it if it does not come back.
+  std::set<TaskId> lapsed;
   uint32_t persistent_runs = 0;
   /// Of `used`, what persistent tasks take.
   int64_t persistent_millicores = 0;
@@ -141,8 +150,12 @@
   void Run(const WorkerGone& record);
   void Run(const WaveOpened& record);
   void Run(const WaveHostSet& record);
+  void Run(const WorkerCrashed& record);
 
-  static void Occupy(Worker& worker, const TaskId& task, const StepSpec& step);
+  static void Occupy(Worker& worker,
+                     const TaskId& id,
+                     const Task& task,
+                     const StepSpec& step);
   static void Vacate(Worker& worker, const TaskId& task, const StepSpec& step);
   void EndRun(Job& job, size_t index, const RunEnded& record);
   void FinishTask(Job& job, size_t index);
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -19,6 +19,9 @@
   bool is_usable = false;    ///< Reached lately, stays, and may be given work.
   bool is_doubtful = false;  ///< Lately failed what others do well.
   bool is_due_down = false;  ///< Its host is to be taken down before long.
+  /// A task that may crash it has just been started there: nothing is put
+  /// beside it.
+  bool is_quarantined = false;
 };
 
 /// What a plan is made from.
@@ -49,6 +52,7 @@
   kNoRoom,          ///< Those that may have too little room.
   kNotAllowed,      ///< Those with room are kept from it: label, rack, spread,
                     ///< or the last attempt.
+  kNoEmptyWorker,   ///< It may crash its worker, and none is without work.
   kCount,
 };
 
@@ -155,7 +159,17 @@
   std::unordered_map<std::string, uint32_t> m_reserved_jobs;
   std::unordered_map<std::string, Resources> m_reserved_room;  // By worker.
   std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
-  std::map<std::string, SteadyTime> m_deferred;                       // By job.
+  /// Workers on which a suspect's start is planned and not settled.
+  std::map<std::string, TaskId> m_reserved_suspects;
+
+  /// A worker that takes no new task, so that a suspect finds it empty.
+  struct Clearing {
+    std::string worker;
+    SteadyTime since{};
+  };
+  std::map<std::string, Clearing> m_clearing;        // By service.
+  std::map<std::string, Clearing> m_cleared_before;  // By the last plan.
+  std::map<std::string, SteadyTime> m_deferred;      // By job.
   std::map<std::string, double> m_ratio;  // Taken over estimated, by queue.
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -85,6 +85,30 @@
   WaveStage stage = WaveStage::kWaiting;
 };
 
+/// What the end of its worker says of a task that ran there.
+enum class Suspicion : uint8_t {
+  kCleared,  ///< It had worked well for long: earlier crashes count no more.
+  kBystander,
+  kSuspect,
+  kSole,  ///< Nothing else can have brought the worker down.
+  kCount,
+};
+
+/// A lower-case word for logs. Thread-safe.
+const char* SuspicionName(Suspicion suspicion);
+
+struct CrashSuspect {
+  TaskId task;
+  Suspicion suspicion = Suspicion::kBystander;
+};
+
+/// A worker went down without a word, with these tasks at work; one that has
+/// crashed too many is given up with its job. Its runs end by other records.
+struct WorkerCrashed {
+  std::string worker;
+  std::vector<CrashSuspect> suspects;
+};
+
 /// New kinds go to the end: a kind is written as its place.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -96,7 +120,8 @@
                             WorkerLapsed,
                             WorkerGone,
                             WaveOpened,
-                            WaveHostSet>;
+                            WaveHostSet,
+                            WorkerCrashed>;
 
 /// Encodes a batch of records for the log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -208,4 +233,14 @@
   archive(value.wave, value.host, value.stage);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, CrashSuspect& value) {
+  archive(value.task, value.suspicion);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerCrashed& value) {
+  archive(value.worker, value.suspects);
+}
+
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "laurelhall/scheduling/crash.h"
+
 namespace laurelhall::scheduling {
 
 namespace {
@@ -10,6 +12,8 @@
 // Ids of ended lives that are remembered, so that a late announcement does not
 // bring one back: the lives of some days at the coming size (477 a day).
 constexpr size_t kMaxGone = 2'000;
+// Workers that went down under a task, though none is sure to be its fault.
+constexpr size_t kCrashesToSuspect = 2;
 
 // Fills what follows from a job's steps.
 void DeriveLayout(Job& job) {
@@ -64,6 +68,10 @@
          task.index < spec.steps[task.step].count;
 }
 
+bool Task::IsSuspect() const {
+  return is_blamed || crashed.size() >= kCrashesToSuspect;
+}
+
 bool WaveState::is_done() const {
   return std::all_of(hosts.begin(), hosts.end(), [](const auto& host) {
     return host.second == WaveStage::kDone;
@@ -198,15 +206,22 @@
   task.is_hot = true;
   task.active.push_back({record.run, record.worker});
   ++job.active_runs;
-  Occupy(worker->second, record.task, job.StepOf(index));
+  worker->second.lapsed.clear();
+  Occupy(worker->second, record.task, task, job.StepOf(index));
   if (job.state == JobState::kQueued) {
     SetState(job, JobState::kRunning);
   }
 }
 
-void Ledger::Occupy(Worker& worker, const TaskId& task, const StepSpec& step) {
+void Ledger::Occupy(Worker& worker,
+                    const TaskId& id,
+                    const Task& task,
+                    const StepSpec& step) {
   const Resources room = RoomOf(step);
-  worker.active.insert(task);
+  worker.active.insert(id);
+  if (task.IsSuspect()) {
+    worker.suspects.insert(id);
+  }
   Add(worker.used, room);
   if (step.is_persistent) {
     ++worker.persistent_runs;
@@ -217,6 +232,7 @@
 void Ledger::Vacate(Worker& worker, const TaskId& task, const StepSpec& step) {
   const Resources room = RoomOf(step);
   worker.active.erase(task);
+  worker.suspects.erase(task);
   Subtract(worker.used, room);
   if (step.is_persistent) {
     --worker.persistent_runs;
@@ -368,6 +384,7 @@
     return;
   }
   const std::set<TaskId> active = found->second.active;
+  found->second.lapsed.insert(active.begin(), active.end());
   for (const TaskId& id : active) {
     Job& job = m_jobs.at(id.job);
     const size_t index = job.IndexOf(id);
@@ -398,6 +415,35 @@
   }
 }
 
+void Ledger::Run(const WorkerCrashed& record) {
+  const auto worker = m_workers.find(record.worker);
+  if (worker == m_workers.end()) {
+    return;
+  }
+  for (const auto& [id, suspicion] : record.suspects) {
+    const auto found = m_jobs.find(id.job);
+    const bool was_there = worker->second.active.contains(id) ||
+                           worker->second.lapsed.contains(id);
+    if (found == m_jobs.end() || !found->second.Holds(id) || !was_there) {
+      continue;
+    }
+    Job& job = found->second;
+    Task& task = job.tasks[job.IndexOf(id)];
+    if (suspicion == Suspicion::kCleared) {
+      task.crashed.clear();
+      task.is_blamed = false;
+      continue;
+    }
+    task.crashed.push_back(record.worker);
+    task.is_blamed = task.is_blamed || suspicion >= Suspicion::kSuspect;
+    if (!job.is_over() && !task.is_done &&
+        IsGivenUp(task.crashed.size(), suspicion)) {
+      SetState(job, JobState::kFailed);
+    }
+  }
+  worker->second.lapsed.clear();
+}
+
 void Ledger::Run(const WaveOpened& record) {
   const auto [found, is_new] = m_waves.try_emplace(record.wave);
   if (!is_new) {
@@ -450,18 +496,42 @@
   archive(value.opened, value.hosts);
 }
 
+struct SavedCrashes {
+  TaskId task;
+  std::vector<std::string> workers;
+  bool is_blamed = false;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedCrashes& value) {
+  archive(value.task, value.workers, value.is_blamed);
+}
+
+struct SavedLapse {
+  std::string worker;
+  std::vector<TaskId> tasks;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedLapse& value) {
+  archive(value.worker, value.tasks);
+}
+
 struct SavedLedger {
   Configuration configuration;
   std::vector<Job> jobs;
   std::vector<WorkerInfo> workers;
   std::vector<SavedWave> waves;
   std::vector<std::string> gone;
+  std::vector<SavedCrashes> crashes;
+  std::vector<SavedLapse> lapses;
 };
 
 template <typename Archive>
 void Visit(Archive& archive, SavedLedger& value) {
   archive(value.configuration, value.jobs, value.workers, value.waves,
           value.gone);
+  archive.Later(value.crashes, value.lapses);
 }
 
 }  // namespace
@@ -489,6 +559,21 @@
     }
   }
   saved.gone.assign(m_gone_order.begin(), m_gone_order.end());
+  for (const Job& job : saved.jobs) {
+    for (size_t index = 0; index < job.tasks.size(); ++index) {
+      const Task& task = job.tasks[index];
+      if (!task.crashed.empty()) {
+        saved.crashes.push_back(
+            {job.IdOf(index), task.crashed, task.is_blamed});
+      }
+    }
+  }
+  for (const WorkerInfo& info : saved.workers) {
+    const std::set<TaskId>& lapsed = m_workers.at(info.id).lapsed;
+    if (!lapsed.empty()) {
+      saved.lapses.push_back({info.id, {lapsed.begin(), lapsed.end()}});
+    }
+  }
   return Encode(std::move(saved));
 }
 
@@ -507,9 +592,22 @@
     DeriveLayout(job);
     FollowQueued(job);
     FollowOpen(job);
+  }
+  for (SavedCrashes& crashes : saved.crashes) {
+    Job& job = m_jobs.at(crashes.task.job);
+    Task& task = job.tasks[job.IndexOf(crashes.task)];
+    task.crashed = std::move(crashes.workers);
+    task.is_blamed = crashes.is_blamed;
+  }
+  for (const SavedLapse& lapse : saved.lapses) {
+    m_workers[lapse.worker].lapsed.insert(lapse.tasks.begin(),
+                                          lapse.tasks.end());
+  }
+  for (const auto& [id, job] : m_jobs) {
     for (size_t index = 0; index < job.tasks.size(); ++index) {
-      for (const ActiveRun& run : job.tasks[index].active) {
-        Occupy(m_workers[run.worker], job.IdOf(index), job.StepOf(index));
+      const Task& task = job.tasks[index];
+      for (const ActiveRun& run : task.active) {
+        Occupy(m_workers[run.worker], job.IdOf(index), task, job.StepOf(index));
       }
     }
   }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace laurelhall::scheduling {
 
@@ -30,6 +31,9 @@
 // So long before that it goes first.
 constexpr Millis kLastCall{700};
 
+// A suspect that found no empty worker for so long starts beside others.
+constexpr Millis kLongestClearing{2'000};
+
 // Weights of what a place costs, in shares of an idle worker.
 constexpr double kFarFromData = 100;
 constexpr double kFailedHere = 50;
@@ -40,7 +44,7 @@
 
 constexpr const char* kObstacleNames[] = {
     "none",      "deferred", "being-committed", "gang-incomplete",
-    "no-worker", "no-room",  "not-allowed"};
+    "no-worker", "no-room",  "not-allowed",     "no-empty-worker"};
 static_assert(std::size(kObstacleNames) ==
               static_cast<size_t>(StartObstacle::kCount));
 
@@ -171,6 +175,9 @@
     }
     for (const uint32_t index : m_planner.FreeTasks(candidate)) {
       Place* place = Find(candidate, step, index, places->second, {});
+      if (place == nullptr && IsSuspect(candidate, index)) {
+        continue;  // Its like may find a place beside other tasks.
+      }
       if (place == nullptr && !step.is_filling) {
         LearnFull(candidate, step, index, need);
         return;  // Like tasks will find no place either.
@@ -187,10 +194,21 @@
     Resources room;
     std::optional<WorkerOutlook> outlook;  // Once it was asked for.
     bool has_persistent = false;           // By this plan.
+    bool has_suspect = false;              // As well.
     // Of a gang under trial, not reserved yet.
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
+  static const Task& TaskOf(const Candidate& candidate, uint32_t index) {
+    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
+                    index};
+    return candidate.job->tasks[candidate.job->IndexOf(id)];
+  }
+
+  static bool IsSuspect(const Candidate& candidate, uint32_t index) {
+    return TaskOf(candidate, index).IsSuspect();
+  }
+
   // Whether a smaller task of this plan found no room in the service, so that
   // what waits behind costs a comparison, not a walk over all workers.
   bool IsKnownFull(const Candidate& candidate, const Resources& need) const {
@@ -207,12 +225,11 @@
                  const StepSpec& step,
                  uint32_t index,
                  const Resources& need) {
-    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
-                    index};
-    const Task& task = candidate.job->tasks[candidate.job->IndexOf(id)];
+    const Task& task = TaskOf(candidate, index);
     const bool is_free_to_go =
         step.required_label.empty() && step.data_rack.empty() &&
-        step.spread_limit == 0 && !IsLastAttempt(candidate, task);
+        step.spread_limit == 0 && !IsLastAttempt(candidate, task) &&
+        !task.IsSuspect();
     if (is_free_to_go) {
       m_no_room[m_input.ledger.ServiceOf(*candidate.job)].push_back(need);
     }
@@ -339,9 +356,83 @@
               uint32_t index,
               std::vector<Place>& places,
               const std::string& only_rack) const {
+    if (!IsSuspect(candidate, index)) {
+      return FindAmong(candidate, step, index, places, only_rack, false);
+    }
+    Place* empty = FindAmong(candidate, step, index, places, only_rack, true);
+    if (empty != nullptr || !HasWaitedForEmpty(candidate, step, places)) {
+      return empty;
+    }
+    return FindAmong(candidate, step, index, places, only_rack, false);
+  }
+
+  static bool IsEmpty(const Place& place) {
+    return place.worker->active.empty() && place.planned.empty() &&
+           place.room == place.worker->info.capacity;
+  }
+
+  // Holds a worker of the service free of new tasks, the one with the fewest,
+  // and tells whether that has lasted too long or none can become empty.
+  bool HasWaitedForEmpty(const Candidate& candidate,
+                         const StepSpec& step,
+                         std::vector<Place>& places) const {
+    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    const auto before = m_planner.m_cleared_before.find(service);
+    const auto is_being_cleared = [&](const Place& place) {
+      return before != m_planner.m_cleared_before.end() &&
+             place.worker->info.id == before->second.worker;
+    };
+    const Place* best = nullptr;
+    for (Place& place : places) {
+      const bool may_empty = place.worker->persistent_runs == 0 &&
+                             !place.has_persistent && !HasNewSuspect(place) &&
+                             Fits(RoomOf(step), place.worker->info.capacity) &&
+                             OutlookOf(place).is_usable &&
+                             !OutlookOf(place).is_quarantined;
+      const bool is_better =
+          may_empty &&
+          (best == nullptr || is_being_cleared(place) ||
+           (!is_being_cleared(*best) &&
+            place.worker->active.size() < best->worker->active.size()));
+      best = is_better ? &place : best;
+    }
+    if (best == nullptr) {
+      return true;
+    }
+    const SteadyTime since =
+        is_being_cleared(*best) ? before->second.since : m_input.now;
+    m_planner.m_clearing[service] = {best->worker->info.id, since};
+    return m_input.now - since > kLongestClearing;
+  }
+
+  // Whether a suspect's start there is planned and not settled.
+  bool HasNewSuspect(const Place& place) const {
+    return place.has_suspect ||
+           m_planner.m_reserved_suspects.contains(place.worker->info.id);
+  }
+
+  // Whether a place is held for a suspect, or has one that was just started.
+  bool IsHeldForSuspect(const Place& place, const std::string& service) const {
+    const auto is_held = [&](const auto& clearing) {
+      const auto found = clearing.find(service);
+      return found != clearing.end() &&
+             found->second.worker == place.worker->info.id;
+    };
+    return HasNewSuspect(place) || is_held(m_planner.m_clearing) ||
+           is_held(m_planner.m_cleared_before);
+  }
+
+  Place* FindAmong(const Candidate& candidate,
+                   const StepSpec& step,
+                   uint32_t index,
+                   std::vector<Place>& places,
+                   const std::string& only_rack,
+                   bool is_alone) const {
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
-    const Task& task = candidate.job->tasks[candidate.job->IndexOf(id)];
+    const Task& task = TaskOf(candidate, index);
+    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    const bool is_suspect = task.IsSuspect();
     const bool waits_for_data =
         m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
@@ -361,7 +452,8 @@
           !step.data_rack.empty() && info.rack != step.data_rack;
       if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
-          (is_far && waits_for_data)) {
+          (is_far && waits_for_data) || (is_alone && !IsEmpty(place)) ||
+          (!is_suspect && IsHeldForSuspect(place, service))) {
         continue;
       }
       double cost = is_far ? kFarFromData : 0;
@@ -385,7 +477,7 @@
       const WorkerOutlook& outlook = OutlookOf(place);
       const bool is_risk = is_last_attempt && places.size() > 1 &&
                            (task.failed_on == info.id || outlook.is_doubtful);
-      if (!outlook.is_usable || is_risk) {
+      if (!outlook.is_usable || is_risk || outlook.is_quarantined) {
         continue;
       }
       cost += outlook.is_doubtful ? kDoubtful : 0;
@@ -410,6 +502,7 @@
     RunStarted start{id, NextRun(candidate, step, id), place.worker->info.id};
     Subtract(place.room, RoomOf(step));
     place.has_persistent = place.has_persistent || step.is_persistent;
+    place.has_suspect = place.has_suspect || IsSuspect(candidate, index);
     if (is_reserved) {
       Reserve(start, step);
     } else {
@@ -439,6 +532,10 @@
     ++m_planner.m_reserved_jobs[start.task.job];
     Add(m_planner.m_reserved_room[start.worker], RoomOf(step));
     m_planner.m_reserved_steps[{start.task, start.run}] = RoomOf(step);
+    const Job& job = *m_input.ledger.FindJob(start.task.job);
+    if (job.tasks[job.IndexOf(start.task)].IsSuspect()) {
+      m_planner.m_reserved_suspects[start.worker] = start.task;
+    }
   }
 
   Planner& m_planner;
@@ -620,6 +717,7 @@
       [](const Candidate& a, const Candidate& b) { return a.Key() < b.Key(); });
   std::vector<RunStarted> starts;
   m_cost = {candidates.size(), 0};
+  m_cleared_before = std::exchange(m_clearing, {});
   if (candidates.empty()) {
     return starts;
   }
@@ -653,6 +751,7 @@
     return outlook;
   }
   Planner trial(*this);
+  trial.m_cleared_before = std::exchange(trial.m_clearing, {});
   Placement placement(trial, input, candidates);
   placement.Count(candidates.front(), outlook);
   std::vector<RunStarted> starts;
@@ -664,7 +763,9 @@
   } else if (outlook.with_room == 0) {
     outlook.obstacle = StartObstacle::kNoRoom;
   } else if (starts.empty()) {
-    outlook.obstacle = StartObstacle::kNotAllowed;
+    const bool is_suspect = !trial.m_clearing.empty();
+    outlook.obstacle =
+        is_suspect ? StartObstacle::kNoEmptyWorker : StartObstacle::kNotAllowed;
   }
   return outlook;
 }
@@ -698,6 +799,10 @@
   }
   m_reserved_steps.erase(found);
   m_reserved.erase(start.task);
+  const auto suspect = m_reserved_suspects.find(start.worker);
+  if (suspect != m_reserved_suspects.end() && suspect->second == start.task) {
+    m_reserved_suspects.erase(suspect);
+  }
   const auto job = m_reserved_jobs.find(start.task.job);
   if (--job->second == 0) {
     m_reserved_jobs.erase(job);
--- a/packages/scheduling/src/record.cc
+++ b/packages/scheduling/src/record.cc
@@ -1,7 +1,16 @@
 #include "laurelhall/scheduling/record.h"
 
+#include <array>
+
 namespace laurelhall::scheduling {
 
+const char* SuspicionName(Suspicion suspicion) {
+  static constexpr std::array<const char*,
+                              static_cast<size_t>(Suspicion::kCount)>
+      kNames{"cleared", "bystander", "suspect", "sole"};
+  return kNames.at(static_cast<size_t>(suspicion));
+}
+
 std::string EncodeRecords(std::vector<Record> records) {
   return Encode(std::move(records));
 }
--- /dev/null
+++ b/packages/scheduling/tests/crash_test.cc
@@ -0,0 +1,264 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "laurelhall/scheduling/crash.h"
+#include "laurelhall/scheduling/ledger.h"
+#include "laurelhall/scheduling/planner.h"
+
+namespace laurelhall::scheduling {
+namespace {
+
+TaskId Id(const std::string& job) {
+  return {job, 0, 0, 0};
+}
+
+std::map<std::string, Suspicion> Judge(const std::vector<LostRun>& runs,
+                                       bool is_widespread = false) {
+  std::map<std::string, Suspicion> judged;
+  for (const CrashSuspect& suspect : JudgeCrash(runs, is_widespread)) {
+    judged[suspect.task.job] = suspect.suspicion;
+  }
+  return judged;
+}
+
+TEST_CASE("Crash, new runs beside older ones, the new ones are suspected") {
+  const auto judged = Judge({{Id("new"), true, Millis(0)},
+                             {Id("old"), true, Millis(900)},
+                             {Id("long"), true, Millis(60'000)}});
+  CHECK(judged.at("new") == Suspicion::kSuspect);
+  CHECK(judged.at("old") == Suspicion::kBystander);
+  CHECK(judged.at("long") == Suspicion::kCleared);
+}
+
+TEST_CASE("Crash, no new run, the others are suspected") {
+  const auto judged =
+      Judge({{Id("a"), true, Millis(900)}, {Id("b"), true, Millis(1'900)}});
+  CHECK(judged.at("a") == Suspicion::kSuspect);
+  CHECK(judged.at("b") == Suspicion::kSuspect);
+}
+
+TEST_CASE("Crash, one run that may have started, it is the only one") {
+  const auto judged =
+      Judge({{Id("a"), true, Millis(0)}, {Id("unsent"), false, Millis(0)}});
+  CHECK(judged.at("a") == Suspicion::kSole);
+  CHECK_FALSE(judged.contains("unsent"));
+}
+
+TEST_CASE("Crash, the whole rack is lost, nothing is suspected") {
+  const auto judged = Judge({{Id("a"), true, Millis(0)}}, true);
+  CHECK(judged.at("a") == Suspicion::kBystander);
+}
+
+TEST_CASE("Crash, how often, a task is given up") {
+  CHECK_FALSE(IsGivenUp(1, Suspicion::kSole));
+  CHECK(IsGivenUp(2, Suspicion::kSole));
+  CHECK_FALSE(IsGivenUp(3, Suspicion::kSuspect));
+  CHECK(IsGivenUp(4, Suspicion::kBystander));
+}
+
+TEST_CASE("Crash, losses that overlap in time, may be one moment") {
+  const auto at = [](int from, int to) {
+    return LossTime{SteadyTime(Millis(from)), SteadyTime(Millis(to))};
+  };
+  CHECK(MayBeOneMoment({at(0, 100), at(50, 200), at(90, 95)}));
+  CHECK_FALSE(MayBeOneMoment({at(0, 100), at(50, 200), at(101, 120)}));
+}
+
+constexpr Resources kRoom{4'000, 16'000, 0};
+
+class CrashLedgerFixture {
+ protected:
+  CrashLedgerFixture() {
+    Configuration configuration;
+    configuration.version = 1;
+    configuration.queues.push_back(
+        {"quotes", "q", "/q/", "teklif", 0, 2, 1.6, Millis(600)});
+    configuration.services.push_back({"teklif", false, false});
+    ledger.Apply(ConfigurationSet{configuration});
+    for (const char* id : {"w1", "w2", "w3"}) {
+      AddWorker(id);
+    }
+    Submit("a");
+    Submit("b");
+  }
+
+  void AddWorker(const std::string& id) {
+    WorkerInfo info;
+    info.id = id;
+    info.service = "teklif";
+    info.host = "host-" + id;
+    info.capacity = kRoom;
+    ledger.Apply(WorkerSeen{info});
+  }
+
+  void Submit(const std::string& id) {
+    JobSpec spec;
+    StepSpec step;
+    step.count = 1;
+    step.need = {1'000, 500, 0};
+    step.estimate = Millis(500);
+    spec.steps.push_back(step);
+    ledger.Apply(JobAccepted{id, "quotes", "teklif", WallTime(), spec});
+  }
+
+  void Crash(const std::string& job,
+             uint32_t run,
+             const std::string& worker,
+             Suspicion suspicion) {
+    ledger.Apply(RunStarted{Id(job), run, worker});
+    ledger.Apply(WorkerCrashed{worker, {{Id(job), suspicion}}});
+    ledger.Apply(WorkerGone{worker});
+    AddWorker(worker + "'");
+  }
+
+  std::map<std::string, std::string> Plan() {
+    PlanInput input{ledger, SteadyTime(m_now), WallTime(),
+                    [this](const Worker& worker) {
+                      WorkerOutlook outlook;
+                      outlook.is_usable = true;
+                      outlook.is_quarantined = !worker.suspects.empty();
+                      return outlook;
+                    },
+                    m_seen_at};
+    std::map<std::string, std::string> starts;
+    for (const RunStarted& start : m_planner.Plan(input)) {
+      ledger.Apply(start);
+      m_planner.Settled(start);
+      starts[start.task.job] = start.worker;
+    }
+    return starts;
+  }
+
+  const Task& TaskOf(const std::string& job) const {
+    return ledger.FindJob(job)->tasks[0];
+  }
+
+  Ledger ledger;
+  Millis m_now{1'000};
+
+ private:
+  Planner m_planner;
+  std::unordered_map<std::string, SteadyTime> m_seen_at;
+};
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, workers go down under a task, its job is given up") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  CHECK(TaskOf("a").IsSuspect());
+  CHECK(ledger.FindJob("a")->state == JobState::kRunning);
+  Crash("a", 2, "w2", Suspicion::kSole);
+  CHECK(ledger.FindJob("a")->state == JobState::kFailed);
+  CHECK(ledger.FindJob("a")->active_runs == 0);
+  CHECK(TaskOf("a").crashed == std::vector<std::string>{"w1", "w2"});
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, task worked well before its worker went down, "
+                  "earlier crashes count no more") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  Crash("a", 2, "w2", Suspicion::kCleared);
+  CHECK_FALSE(TaskOf("a").IsSuspect());
+  CHECK(TaskOf("a").crashed.empty());
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, lease ran out before the crash is known, counts") {
+  ledger.Apply(RunStarted{Id("a"), 1, "w1"});
+  ledger.Apply(WorkerLapsed{"w1"});
+  ledger.Apply(WorkerCrashed{"w1", {{Id("a"), Suspicion::kSole}}});
+  CHECK(TaskOf("a").crashed.size() == 1);
+  // Told once more, by the next leader.
+  ledger.Apply(WorkerCrashed{"w1", {{Id("a"), Suspicion::kSole}}});
+  CHECK(TaskOf("a").crashed.size() == 1);
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, crashes, saved and loaded, still count") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  ledger.Apply(RunStarted{Id("a"), 2, "w2"});
+  ledger.Apply(RunStarted{Id("b"), 1, "w3"});
+  ledger.Apply(WorkerLapsed{"w3"});
+  Ledger loaded;
+  loaded.Load(ledger.Save());
+  CHECK(loaded.Save() == ledger.Save());
+  CHECK(loaded.FindWorker("w2")->suspects == std::set<TaskId>{Id("a")});
+  CHECK(loaded.FindWorker("w3")->lapsed == std::set<TaskId>{Id("b")});
+  loaded.Apply(WorkerCrashed{"w2", {{Id("a"), Suspicion::kSole}}});
+  CHECK(loaded.FindJob("a")->state == JobState::kFailed);
+}
+
+// What the version before crashes were counted wrote.
+TEST_CASE("Ledger, snapshot without crashes, is read") {
+  Ledger ledger;
+  ledger.Load(
+      "1 2:{}1 6:quotes1:q3:/q/6:teklif0 2 1600 600 1 6:teklif0 0 1 "
+      "1:a6:quotes6:teklif0 0:1 2 1000 500 0 500 0 0 0 0 0 0 0 0:0:0 0:0 0 1 0 "
+      "0 0 1 2 0 1 1 0 0:0:1 1 2:w10 0 0 0 0:0:0 2 1 1 2 1 "
+      "2:w10:6:teklif0:6:host-10:0 4000 16000 0 0 0 1 2:w9");
+  CHECK(ledger.FindJob("a")->active_runs == 1);
+  CHECK(ledger.FindWorker("w1")->active.size() == 1);
+  CHECK(ledger.FindWorker("w1")->suspects.empty());
+  CHECK(ledger.IsGone("w9"));
+}
+
+TEST_CASE("Records of the version before crashes were counted, are read") {
+  const auto records = DecodeRecords(
+      "4 6 2:w10:6:teklif0:6:host-10:0 4000 16000 0 0 4 1:a0 0 0 1 2:w17 "
+      "2:w18 2:w1");
+  CHECK(records.size() == 4);
+}
+
+// Pattern: a suspect that is put beside others takes them down with it.
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, suspect, starts where nothing else runs") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  for (int job = 0; job < 4; ++job) {
+    Submit("other-" + std::to_string(job));
+  }
+  const auto starts = Plan();
+  CHECK(starts.size() == 6);
+  for (const auto& [job, worker] : starts) {
+    CHECK((job == "a" || worker != starts.at("a")));
+  }
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, suspect and no empty worker, one is cleared") {
+  for (int job = 0; job < 4; ++job) {
+    Submit("first-" + std::to_string(job));
+  }
+  ledger.Apply(RunStarted{Id("b"), 1, "w1"});
+  ledger.Apply(RunStarted{Id("first-0"), 1, "w2"});
+  ledger.Apply(RunStarted{Id("first-1"), 1, "w3"});
+  ledger.Apply(RunStarted{Id("first-2"), 1, "w3"});
+  ledger.Apply(RunStarted{Id("first-3"), 1, "w1"});
+  ledger.Apply(RunStarted{Id("a"), 1, "w3"});
+  ledger.Apply(WorkerCrashed{"w3", {{Id("a"), Suspicion::kSuspect}}});
+  ledger.Apply(RunEnded{Id("a"), 1, "w3", RunEnd::kLapsed, {}});
+  CHECK(Plan().empty());
+  Submit("next");
+  CHECK(Plan().at("next") != "w2");  // The one with the fewest is kept free.
+  ledger.Apply(RunEnded{Id("first-0"), 1, "w2", RunEnd::kDone, {}});
+  CHECK(Plan().at("a") == "w2");
+  Submit("last");
+  CHECK(Plan().at("last") != "w2");
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, suspect and no worker becomes empty, starts beside "
+                  "others") {
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    Submit(std::string("long-") + worker);
+    ledger.Apply(RunStarted{Id(std::string("long-") + worker), 1, worker});
+  }
+  ledger.Apply(RunStarted{Id("a"), 1, "w3"});
+  ledger.Apply(WorkerCrashed{"w3", {{Id("a"), Suspicion::kSuspect}}});
+  ledger.Apply(RunEnded{Id("a"), 1, "w3", RunEnd::kLapsed, {}});
+  CHECK(Plan().size() == 1);  // "b" alone.
+  m_now += Millis(2'500);
+  CHECK(Plan().size() == 1);
+}
+
+}  // namespace
+}  // namespace laurelhall::scheduling
