A worker lost with others at one moment convicts no task

Now the hosts of a rack count, whatever life answers there; workers whose connections break within 60 ms of each other convict nothing; and a run that was seen at work for a while is suspected, not convicted.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -7,6 +7,7 @@
 
 using scheduling::CrashSuspect;
 using scheduling::Job;
+using scheduling::LossScope;
 using scheduling::LossTime;
 using scheduling::LostRun;
 using scheduling::Suspicion;
@@ -17,6 +18,9 @@
 
 // A lost worker says something of the others of its rack for so long.
 constexpr Millis kLossMemory{15'000};
+// Workers whose connections break within this time are lost together.
+constexpr Millis kOneMoment{60};
+constexpr size_t kSeveral = 2;  // Besides the worker itself.
 
 }  // namespace
 
@@ -91,34 +95,49 @@
   return {link.last_contact, is_noticed ? link.lost_at : Now()};
 }
 
-// Whether all of its rack, more than itself, may have been lost at the moment
-// that it was.
-bool Leadership::IsRackLost(const Ledger& ledger,
-                            const Worker& worker,
-                            const WorkerLink& link) const {
+// What may have been lost at the moment that a worker was: hosts lately known
+// to be lost, and those that are silent, whatever life answers there since.
+LossScope Leadership::ScopeOf(const Ledger& ledger,
+                              const Worker& worker,
+                              const WorkerLink& link) const {
+  const LossTime when = WhenLost(link);
   const std::string& rack = worker.info.rack;
-  if (rack.empty()) {
-    return false;
-  }
-  std::vector<LossTime> losses{WhenLost(link)};
-  std::set<std::string> lost_hosts{worker.info.host};
-  for (const LostLife& life : m_lost_lives) {
-    if (life.rack == rack && lost_hosts.insert(life.host).second) {
-      losses.push_back(life.when);
+  std::map<std::string, LossTime> lost_hosts{{worker.info.host, when}};
+  size_t together = 0;
+  const auto add = [&](const std::string& its_rack, const std::string& host,
+                       const LossTime& its_when) {
+    if (host == worker.info.host) {
+      return;
+    }
+    const auto apart = its_when.lost_by - when.lost_by;
+    together += std::chrono::abs(apart) <= kOneMoment ? 1 : 0;
+    if (its_rack == rack) {
+      lost_hosts.emplace(host, its_when);
     }
+  };
+  for (const LostLife& life : m_lost_lives) {
+    add(life.rack, life.host, life.when);
   }
   for (const auto& [id, other] : ledger.workers()) {
-    if (other.info.rack != rack || lost_hosts.contains(other.info.host)) {
-      continue;
-    }
     const WorkerLink& its_link = m_links.at(id);
-    if (!its_link.is_silent) {
-      return false;
+    if (its_link.is_silent && !its_link.is_gone_under_way) {
+      add(other.info.rack, other.info.host, WhenLost(its_link));
     }
-    lost_hosts.insert(other.info.host);
-    losses.push_back(WhenLost(its_link));
   }
-  return losses.size() > 1 && scheduling::MayBeOneMoment(losses);
+  const bool is_rack_whole = std::all_of(
+      ledger.workers().begin(), ledger.workers().end(), [&](const auto& entry) {
+        const scheduling::WorkerInfo& info = entry.second.info;
+        return info.rack != rack || lost_hosts.contains(info.host);
+      });
+  std::vector<LossTime> of_rack;
+  for (const auto& [host, its_when] : lost_hosts) {
+    of_rack.push_back(its_when);
+  }
+  if (!rack.empty() && of_rack.size() > 1 && is_rack_whole &&
+      scheduling::MayBeOneMoment(of_rack)) {
+    return LossScope::kRack;
+  }
+  return together >= kSeveral ? LossScope::kSeveral : LossScope::kWorker;
 }
 
 void Leadership::Blame(const Ledger& ledger,
@@ -129,7 +148,7 @@
   }
   ++m_counters.crashes;
   const WorkerLink& link = m_links.at(worker.info.id);
-  const bool is_widespread = IsRackLost(ledger, worker, link);
+  const LossScope scope = ScopeOf(ledger, worker, link);
   while (!m_lost_lives.empty() &&
          Now() - m_lost_lives.front().when.lost_by > kLossMemory) {
     m_lost_lives.pop_front();
@@ -137,10 +156,15 @@
   m_lost_lives.push_back({worker.info.rack, worker.info.host, WhenLost(link)});
   scheduling::WorkerCrashed crash;
   crash.worker = worker.info.id;
-  crash.suspects = scheduling::JudgeCrash(LostRuns(worker), is_widespread);
+  crash.suspects = scheduling::JudgeCrash(LostRuns(worker), scope);
   if (crash.suspects.empty()) {
     return;
   }
+  DecisionLog::Get().Write(
+      DecisionLine("dispatch", "worker-crashed")
+          .With("worker", crash.worker)
+          .With("lost_with_it", LossScopeName(scope))
+          .With("runs", static_cast<uint64_t>(crash.suspects.size())));
   TellSuspects(ledger, crash);
   records.emplace_back(std::move(crash));
 }
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -312,9 +312,9 @@
   std::vector<scheduling::LostRun> LostRuns(
       const scheduling::Worker& worker) const;
   scheduling::LossTime WhenLost(const WorkerLink& link) const;
-  bool IsRackLost(const Ledger& ledger,
-                  const scheduling::Worker& worker,
-                  const WorkerLink& link) const;
+  scheduling::LossScope ScopeOf(const Ledger& ledger,
+                                const scheduling::Worker& worker,
+                                const WorkerLink& link) const;
   void Blame(const Ledger& ledger,
              const scheduling::Worker& worker,
              Records& records);
--- a/packages/dispatch/tests/incidents/crash_loop_test.cc
+++ b/packages/dispatch/tests/incidents/crash_loop_test.cc
@@ -213,6 +213,32 @@
   }
 }
 
+// Guards against a rack's loss that is not seen as one, since its workers are
+// back one after the other and the older life of one is still known.
+TEST_CASE_FIXTURE(LostRackFixture,
+                  "Dispatcher, rack comes back by and by, no job is given up") {
+  for (int job = 0; job < 4; ++job) {
+    scheduling::StepSpec whole = Tasks(1);
+    whole.need = {4'000, 16'000, 0};
+    whole.estimate = Millis(3'000);
+    world.Submit("job-" + std::to_string(job), {whole});
+  }
+  for (int loss = 0; loss < 6; ++loss) {
+    world.Advance(Millis(300));
+    const int first = loss % 2 == 0 ? 0 : 4;
+    for (int worker = first; worker < first + 4; ++worker) {
+      world.Crash(world.LifeOn("host-" + std::to_string(worker)),
+                  Millis(3'000 + 70 * worker));
+    }
+    world.Advance(Millis(3'500));
+  }
+  world.Advance(Millis(40'000));
+  for (int job = 0; job < 4; ++job) {
+    const std::string id = "job-" + std::to_string(job);
+    CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
+  }
+}
+
 // Guards against the load that was seen: many culprits at once, each of which
 // took one worker after the other out of a pool in a rush.
 TEST_CASE("Dispatcher, many tasks crash their workers, the rush is served") {
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -20,12 +20,21 @@
 /// From then on a run no longer keeps other tasks off its worker.
 constexpr Millis kSeenAtWork{500};
 
+/// What else was lost with a worker.
+enum class LossScope : uint8_t {
+  kWorker,
+  kSeveral,  ///< Others at the same moment: it may not be its tasks' fault.
+  kRack,     ///< All of its rack.
+  kCount,
+};
+
+/// A lower-case word for logs. Thread-safe.
+const char* LossScopeName(LossScope scope);
+
 /// What a worker's end says of each run that may have started there.
-///
-/// @param is_widespread Its whole rack was lost at the same moment.
 /// Thread-safe.
 std::vector<CrashSuspect> JudgeCrash(const std::vector<LostRun>& runs,
-                                     bool is_widespread);
+                                     LossScope scope);
 
 /// Whether a task is given up after so many workers went down under it, the
 /// last one as `last` says. Thread-safe.
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -1,6 +1,7 @@
 #include "laurelhall/scheduling/crash.h"
 
 #include <algorithm>
+#include <array>
 
 namespace laurelhall::scheduling {
 
@@ -13,14 +14,21 @@
 // Whatever else was there: more starts would cost a worker each.
 constexpr size_t kMostCrashes = 4;
 
+constexpr std::array<const char*, static_cast<size_t>(LossScope::kCount)>
+    kScopeNames{"worker", "several", "rack"};
+
 bool IsNew(const LostRun& run) {
   return run.seen_at_work < kSeenAtWork;
 }
 
 }  // namespace
 
+const char* LossScopeName(LossScope scope) {
+  return kScopeNames.at(static_cast<size_t>(scope));
+}
+
 std::vector<CrashSuspect> JudgeCrash(const std::vector<LostRun>& runs,
-                                     bool is_widespread) {
+                                     LossScope scope) {
   std::vector<LostRun> started;
   std::copy_if(runs.begin(), runs.end(), std::back_inserter(started),
                [](const LostRun& run) { return run.may_have_started; });
@@ -32,9 +40,10 @@
     Suspicion suspicion = Suspicion::kBystander;
     if (run.seen_at_work >= kWorksWell) {
       suspicion = Suspicion::kCleared;
-    } else if (!is_widespread && started.size() == 1) {
+    } else if (scope == LossScope::kWorker && started.size() == 1 &&
+               IsNew(run)) {
       suspicion = Suspicion::kSole;
-    } else if (!is_widespread && (IsNew(run) || !is_any_new)) {
+    } else if (scope != LossScope::kRack && (IsNew(run) || !is_any_new)) {
       suspicion = Suspicion::kSuspect;
     }
     suspects.push_back({run.task, suspicion});
