A crash that its leader did not see blames no task

Now a loss from before the leader's time blames nobody, and a task is convicted only if it was suspected for an earlier crash, too.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -100,6 +100,9 @@
 LossScope Leadership::ScopeOf(const Ledger& ledger,
                               const Worker& worker,
                               const WorkerLink& link) const {
+  if (!link.is_reached) {
+    return LossScope::kUnknown;
+  }
   const LossTime when = WhenLost(link);
   const std::string& rack = worker.info.rack;
   std::map<std::string, LossTime> lost_hosts{{worker.info.host, when}};
@@ -183,8 +186,9 @@
     }
     workers += crash.worker;
     const size_t crashes = task.crashed.size() + 1;
-    const bool is_given_up = suspect.suspicion != Suspicion::kCleared &&
-                             scheduling::IsGivenUp(crashes, suspect.suspicion);
+    const bool is_given_up =
+        suspect.suspicion != Suspicion::kCleared &&
+        scheduling::IsGivenUp(crashes, task.is_blamed, suspect.suspicion);
     m_counters.given_up += is_given_up ? 1 : 0;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", is_given_up ? "give-up" : "suspect",
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -25,6 +25,7 @@
   kWorker,
   kSeveral,  ///< Others at the same moment: it may not be its tasks' fault.
   kRack,     ///< All of its rack.
+  kUnknown,  ///< It was lost before its leader began to lead.
   kCount,
 };
 
@@ -37,8 +38,10 @@
                                      LossScope scope);
 
 /// Whether a task is given up after so many workers went down under it, the
-/// last one as `last` says. Thread-safe.
-bool IsGivenUp(size_t crashes, Suspicion last);
+/// last one as `last` says.
+///
+/// @param was_blamed It was suspected for one of those before. Thread-safe.
+bool IsGivenUp(size_t crashes, bool was_blamed, Suspicion last);
 
 /// When a worker was lost: after the one time, before the other.
 struct LossTime {
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -9,13 +9,11 @@
 
 // A run that has worked for so long does not crash the workers that start it.
 constexpr Millis kWorksWell{5'000};
-// A worker that went down with this task alone, after another one did.
-constexpr size_t kCrashesToConvict = 2;
 // Whatever else was there: more starts would cost a worker each.
 constexpr size_t kMostCrashes = 4;
 
 constexpr std::array<const char*, static_cast<size_t>(LossScope::kCount)>
-    kScopeNames{"worker", "several", "rack"};
+    kScopeNames{"worker", "several", "rack", "unknown"};
 
 bool IsNew(const LostRun& run) {
   return run.seen_at_work < kSeenAtWork;
@@ -43,7 +41,7 @@
     } else if (scope == LossScope::kWorker && started.size() == 1 &&
                IsNew(run)) {
       suspicion = Suspicion::kSole;
-    } else if (scope != LossScope::kRack && (IsNew(run) || !is_any_new)) {
+    } else if (scope < LossScope::kRack && (IsNew(run) || !is_any_new)) {
       suspicion = Suspicion::kSuspect;
     }
     suspects.push_back({run.task, suspicion});
@@ -51,9 +49,8 @@
   return suspects;
 }
 
-bool IsGivenUp(size_t crashes, Suspicion last) {
-  return crashes >= kMostCrashes ||
-         (crashes >= kCrashesToConvict && last == Suspicion::kSole);
+bool IsGivenUp(size_t crashes, bool was_blamed, Suspicion last) {
+  return crashes >= kMostCrashes || (was_blamed && last == Suspicion::kSole);
 }
 
 bool MayBeOneMoment(const std::vector<LossTime>& losses) {
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -435,9 +435,10 @@
       continue;
     }
     task.crashed.push_back(record.worker);
-    task.is_blamed = task.is_blamed || suspicion >= Suspicion::kSuspect;
+    const bool was_blamed = task.is_blamed;
+    task.is_blamed = was_blamed || suspicion >= Suspicion::kSuspect;
     if (!job.is_over() && !task.is_done &&
-        IsGivenUp(task.crashed.size(), suspicion)) {
+        IsGivenUp(task.crashed.size(), was_blamed, suspicion)) {
       SetState(job, JobState::kFailed);
     }
   }
