A worker's room is as its newest word tells it

Found by reading, for rooms may now shrink while a worker runs.

Words carry their number; the ledger keeps that of the word that its facts are from, and passes older ones over.

--- a/packages/dispatch/include/laurelhall/dispatch/request.h
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -47,6 +47,7 @@
 /// A worker says that it lives, or that it is about to leave.
 struct AnnounceWorker {
   scheduling::WorkerInfo info;
+  uint64_t sequence = 0;  ///< Rises with each word of its life; 0: not told.
 };
 
 /// A worker says that its life ends now.
@@ -141,6 +142,7 @@
 template <typename Archive>
 void Visit(Archive& archive, AnnounceWorker& value) {
   archive(value.info);
+  archive.Later(value.sequence);
 }
 
 template <typename Archive>
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -431,8 +431,10 @@
     scheduling::WorkerInfo& info = request.info;
     bool is_known = false;
     bool is_named = true;
+    bool is_outdated = false;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Worker* worker = ledger.FindWorker(info.id);
+      is_outdated = ledger.IsOutdated(info.id, request.sequence);
       is_named = worker != nullptr || HasService(ledger, info.service);
       // A life that drains never comes back from it: an older word was late.
       info.is_draining =
@@ -449,7 +451,7 @@
       return;
     }
     m_leadership->Announced(info.id);
-    if (is_known) {
+    if (is_known || is_outdated) {
       done(Done(Outcome::kOk));
       return;
     }
@@ -459,8 +461,10 @@
             .With("address", info.address)
             .With("service", info.service)
             .With("host", info.host)
-            .With("state", info.is_draining ? "draining" : "ready"));
-    Commit(scheduling::WorkerSeen{std::move(info)}, done);
+            .With("state", info.is_draining ? "draining" : "ready")
+            .With("millicores", info.capacity.millicores)
+            .With("sequence", request.sequence));
+    Commit(scheduling::WorkerTold{std::move(info), request.sequence}, done);
   }
 
   void Run(WorkerLeaves& request, const ReplyDone& done) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -54,6 +54,11 @@
   scheduling::Resources Used() const;
   const scheduling::Resources& capacity() const { return m_capacity; }
 
+  /// Its room from now on. What it had before counts for a while, as the
+  /// change takes time to be known.
+  void Resize(const scheduling::Resources& capacity, SteadyTime now);
+  scheduling::Resources RoomAsKnown(SteadyTime now) const;
+
   /// Its process is gone, with all that ran there.
   void Die();
   bool is_dead() const { return m_is_dead; }
@@ -74,6 +79,8 @@
   std::vector<EndedRun> m_ended;
   uint64_t m_lapsed_ends = 0;  // Ends up to here are older than a lapse.
   bool m_is_dead = false;
+  scheduling::Resources m_capacity_before;
+  SteadyTime m_resized_at{};
 };
 
 /// Two control hosts over one committed ledger, workers, and a network that
@@ -94,6 +101,14 @@
   /// life after a time; none for zero.
   void Crash(const std::string& worker, Millis back_in);
 
+  /// A worker has another room from now on, and says so after a time.
+  void Resize(const std::string& worker,
+              const scheduling::Resources& capacity,
+              Millis told_in = Millis(100));
+
+  /// A worker says what it said before, with the number of that word.
+  void Announce(const scheduling::WorkerInfo& info, uint64_t sequence);
+
   /// All control hosts lose power; another one leads from what was synced.
   void RestartControlHosts();
 
@@ -229,6 +244,7 @@
   std::set<scheduling::TaskId> m_noted_done;
   std::vector<std::string> m_violations;
   uint64_t m_starts = 0;
+  std::map<std::string, uint64_t> m_words_of;    // By worker.
   std::map<std::string, uint64_t> m_starts_of;   // By task.
   std::map<std::string, uint64_t> m_crashes_of;  // By task.
   std::map<std::string, uint64_t> m_starts_after_crashes;
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -64,6 +64,7 @@
 /// A worker and what runs on it as far as is committed.
 struct Worker {
   WorkerInfo info;
+  uint64_t sequence = 0;  ///< Of the word that `info` is from; 0: not told.
   Resources used;  ///< By active runs; filling tasks count no processors.
   std::set<TaskId> active;
   std::set<TaskId> suspects;  ///< Of `active`: were suspect when they started.
@@ -126,6 +127,9 @@
                 uint32_t run,
                 const std::string& worker) const;
 
+  /// Whether a word of a worker is older than what is known of it.
+  bool IsOutdated(const std::string& worker, uint64_t sequence) const;
+
   /// Whether a worker's life is known to have ended.
   bool IsGone(const std::string& worker) const;
 
@@ -151,6 +155,7 @@
   void Run(const WaveOpened& record);
   void Run(const WaveHostSet& record);
   void Run(const WorkerCrashed& record);
+  void Run(const WorkerTold& record);
 
   static void Occupy(Worker& worker,
                      const TaskId& id,
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -109,6 +109,13 @@
   std::vector<CrashSuspect> suspects;
 };
 
+/// As WorkerSeen, with the number of the worker's word: of two that overtook
+/// each other on their way, the later one holds.
+struct WorkerTold {
+  WorkerInfo info;
+  uint64_t sequence = 0;
+};
+
 /// New kinds go to the end: a kind is written as its place.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -121,7 +128,8 @@
                             WorkerGone,
                             WaveOpened,
                             WaveHostSet,
-                            WorkerCrashed>;
+                            WorkerCrashed,
+                            WorkerTold>;
 
 /// Encodes a batch of records for the log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -233,6 +241,11 @@
   archive(value.wave, value.host, value.stage);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, WorkerTold& value) {
+  archive(value.info, value.sequence);
+}
+
 template <typename Archive>
 void Visit(Archive& archive, CrashSuspect& value) {
   archive(value.task, value.suspicion);
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -117,6 +117,11 @@
   });
 }
 
+bool Ledger::IsOutdated(const std::string& worker, uint64_t sequence) const {
+  const Worker* known = FindWorker(worker);
+  return known != nullptr && sequence != 0 && sequence < known->sequence;
+}
+
 bool Ledger::IsGone(const std::string& worker) const {
   return m_gone.contains(worker);
 }
@@ -358,6 +363,14 @@
   worker.info.is_draining = worker.info.is_draining || was_draining;
 }
 
+void Ledger::Run(const WorkerTold& record) {
+  if (IsGone(record.info.id) || IsOutdated(record.info.id, record.sequence)) {
+    return;
+  }
+  Run(WorkerSeen{record.info});
+  m_workers[record.info.id].sequence = record.sequence;
+}
+
 void Ledger::SetInfo(Worker& worker, const WorkerInfo& info) {
   ++m_workers_version;
   LeaveHost(worker.info);
@@ -518,6 +531,16 @@
   archive(value.worker, value.tasks);
 }
 
+struct SavedWord {
+  std::string worker;
+  uint64_t sequence = 0;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedWord& value) {
+  archive(value.worker, value.sequence);
+}
+
 struct SavedLedger {
   Configuration configuration;
   std::vector<Job> jobs;
@@ -526,13 +549,14 @@
   std::vector<std::string> gone;
   std::vector<SavedCrashes> crashes;
   std::vector<SavedLapse> lapses;
+  std::vector<SavedWord> words;
 };
 
 template <typename Archive>
 void Visit(Archive& archive, SavedLedger& value) {
   archive(value.configuration, value.jobs, value.workers, value.waves,
           value.gone);
-  archive.Later(value.crashes, value.lapses);
+  archive.Later(value.crashes, value.lapses, value.words);
 }
 
 }  // namespace
@@ -570,7 +594,11 @@
     }
   }
   for (const WorkerInfo& info : saved.workers) {
-    const std::set<TaskId>& lapsed = m_workers.at(info.id).lapsed;
+    const Worker& worker = m_workers.at(info.id);
+    if (worker.sequence != 0) {
+      saved.words.push_back({info.id, worker.sequence});
+    }
+    const std::set<TaskId>& lapsed = worker.lapsed;
     if (!lapsed.empty()) {
       saved.lapses.push_back({info.id, {lapsed.begin(), lapsed.end()}});
     }
@@ -600,6 +628,9 @@
     task.crashed = std::move(crashes.workers);
     task.is_blamed = crashes.is_blamed;
   }
+  for (const SavedWord& word : saved.words) {
+    m_workers[word.worker].sequence = word.sequence;
+  }
   for (const SavedLapse& lapse : saved.lapses) {
     m_workers[lapse.worker].lapsed.insert(lapse.tasks.begin(),
                                           lapse.tasks.end());
