A start is not repeated on a worker whose room has shrunk meanwhile

Found by the test for shrinking rooms: a start that was not answered is sent again for as long as its run counts as active, whatever became of the room that it was planned into.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -265,6 +265,10 @@
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
   void SendStart(const Ledger& ledger, const RunKey& key, RunTrack& track);
+  bool IsOverRoom(const Ledger& ledger,
+                  const scheduling::Job& job,
+                  const RunKey& key,
+                  const RunTrack& track) const;
   void OnStarted(const RunKey& key, const CallReply& reply);
   void OnStartRefused(const RunKey& key, RunTrack& track);
   void SendStop(const RunKey& key, RunTrack& track);
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -104,6 +104,10 @@
     track.next_try = Now() + kOrderRetry;
     return;
   }
+  if (IsOverRoom(ledger, *job, key, track)) {
+    OnStartRefused(key, track);
+    return;
+  }
   track.start = StartStage::kSending;
   StartOrder order;
   order.worker = link->second.address;
@@ -126,6 +130,20 @@
   });
 }
 
+// Whether the worker's room has shrunk since the start was planned, so that it
+// would have more than it can take.
+bool Leadership::IsOverRoom(const Ledger& ledger,
+                            const Job& job,
+                            const RunKey& key,
+                            const RunTrack& track) const {
+  const Worker* worker = ledger.FindWorker(track.worker);
+  const scheduling::Resources need =
+      scheduling::RoomOf(job.spec.steps[key.task.step]);
+  return worker != nullptr && !track.is_listed &&
+         need != scheduling::Resources() &&
+         !scheduling::Fits(worker->used, worker->info.capacity);
+}
+
 void Leadership::OnStarted(const RunKey& key, const CallReply& reply) {
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) {
--- a/packages/dispatch/tests/incidents/room_shrinks_test.cc
+++ b/packages/dispatch/tests/incidents/room_shrinks_test.cc
@@ -1,6 +1,8 @@
 // Seen: by reading, when the room of a worker may shrink while it runs. How: an
 // older word of a worker that arrives after a newer one set its room back to
-// what it had been. Cause: words were taken as they came.
+// what it had been, and a start that was sent again went to a worker whose room
+// had shrunk meanwhile. Cause: words were taken as they came, and room was
+// looked at only when a start was planned.
 
 #include <doctest/doctest.h>
 
@@ -51,6 +53,26 @@
   CheckClean();
 }
 
+// Guards against a start that is repeated when its place is gone.
+TEST_CASE_FIXTURE(ShrinkingRoomFixture,
+                  "Dispatcher, room shrinks before a start is repeated, it "
+                  "goes elsewhere") {
+  for (int round = 0; round < 6; ++round) {
+    world.weather.lost = 1;
+    world.Submit("job-" + std::to_string(round), {Tasks(8)});
+    world.Advance(Millis(300));
+    world.Resize("w0", kSmall);
+    world.Advance(Millis(4'600));
+    world.weather.lost = 0;
+    world.Advance(Millis(12'000));
+    CHECK(world.StateOf("job-" + std::to_string(round)) ==
+          scheduling::JobState::kSucceeded);
+    world.Resize("w0", {4'000, 16'000, 0});
+    world.Advance(Millis(1'000));
+  }
+  CheckClean();
+}
+
 TEST_CASE_FIXTURE(ShrinkingRoomFixture,
                   "Dispatcher, room shrinks to nothing and grows, work goes "
                   "on") {
