Sight: which life of a worker answered a look

The lists of a worker tell when its life began; worker-reached lines and those of runs that are not listed show it, these also with the number up to which ends were told as seen.

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -100,6 +100,7 @@
 struct HoldReply {
   CallOutcome outcome = CallOutcome::kUnknown;
   std::optional<scheduling::WorkerTime> clock;
+  WallTime born{};  ///< When the life that answers began; zero: not told.
   std::vector<RunningRun> running;
   std::vector<EndedRun> ended;
 };
--- a/packages/dispatch/include/laurelhall/dispatch/relayed.h
+++ b/packages/dispatch/include/laurelhall/dispatch/relayed.h
@@ -84,7 +84,7 @@
 
 template <typename Archive>
 void Visit(Archive& archive, HoldReply& value) {
-  archive(value.outcome, value.clock, value.running, value.ended);
+  archive(value.outcome, value.clock, value.born, value.running, value.ended);
 }
 
 template <typename Archive>
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -377,6 +377,7 @@
         DecisionLine("dispatch", "worker-reached")
             .With("worker", worker)
             .With("address", link.address.address)
+            .With("born_ms", reply.born.time_since_epoch().count())
             .With("running", static_cast<int64_t>(reply.running.size()))
             .With("ended", static_cast<int64_t>(reply.ended.size())));
   }
@@ -549,7 +550,10 @@
                 .With("task", FormatTaskId(id))
                 .With("run", active.run)
                 .With("worker", worker)
-                .With("how", "not-listed"));
+                .With("how", "not-listed")
+                .With("ends_seen", m_links.at(worker).ends_seen)
+                .With("born_ms", reply.born.time_since_epoch().count())
+                .With("seen_at_work_ms", track.SeenAtWork()));
       }
     }
   }
