--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -95,6 +95,7 @@
   m_fence = order.fence;
   Extend(order.lease_end, now);
   reply.outcome = CallOutcome::kDone;
+  reply.born = m_born;
   for (const EndedRun& ended : m_ended) {
     // Noted only if the lease has not lapsed since: else it may run again.
     if (ended.number <= order.ends_seen && ended.number > m_lapsed_ends &&
@@ -139,6 +140,19 @@
   m_runs.clear();
 }
 
+void FakeWorker::BeginAgain(SteadyTime now) {
+  const auto today = std::chrono::floor<Millis>(now.time_since_epoch());
+  m_is_dead = false;
+  m_born = WallTime(today);
+  m_clock_offset = -today;
+  m_lease_end = WorkerTime(0);
+  m_fence = 0;
+  m_next_end = 1;
+  m_lapsed_ends = 0;
+  m_barred.clear();
+  m_ended.clear();
+}
+
 void FakeWorker::End(const TaskId& task, RunEnd end) {
   const uint32_t run = m_runs.at(task).run;
   m_runs.erase(task);
@@ -733,6 +747,28 @@
   });
 }
 
+void World::CrashAndBeginAgain(const std::string& worker,
+                               Millis down_for,
+                               Millis told_in) {
+  FakeWorker& crashed = *m_workers.at(worker);
+  if (crashed.is_dead()) {
+    return;
+  }
+  crashed.Die();
+  After(down_for, [this, &crashed, told_in] {
+    crashed.BeginAgain(Now());
+    m_words_of[crashed.id()] = 0;
+    m_newest_term.erase(crashed.id());
+    const scheduling::Worker* known = m_ledger.FindWorker(crashed.id());
+    if (known != nullptr) {
+      After(told_in,
+            [this, info = known->info, sequence = ++m_words_of[crashed.id()]] {
+              Announce(info, sequence);
+            });
+    }
+  });
+}
+
 std::string World::LifeOn(const std::string& host) const {
   std::string newest;
   for (const std::string& id : m_ledger.WorkersOn(host)) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -61,6 +61,10 @@
 
   /// Its process is gone, with all that ran there.
   void Die();
+
+  /// Starts again under its id: knows nothing, and counts anew.
+  void BeginAgain(SteadyTime now);
+  WallTime born() const { return m_born; }
   bool is_dead() const { return m_is_dead; }
 
  private:
@@ -79,6 +83,7 @@
   std::vector<EndedRun> m_ended;
   uint64_t m_lapsed_ends = 0;  // Ends up to here are older than a lapse.
   bool m_is_dead = false;
+  WallTime m_born{Millis(1)};
   scheduling::Resources m_capacity_before;
   SteadyTime m_resized_at{};
 };
@@ -101,6 +106,12 @@
   /// life after a time; none for zero.
   void Crash(const std::string& worker, Millis back_in);
 
+  /// A worker's process is gone, with all that runs there, and starts again
+  /// under the same id after a time. It announces itself a little later.
+  void CrashAndBeginAgain(const std::string& worker,
+                          Millis down_for,
+                          Millis told_in = Millis(100));
+
   /// A worker has another room from now on, and says so after a time.
   void Resize(const std::string& worker,
               const scheduling::Resources& capacity,
