--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -44,6 +44,7 @@
     Row{"refused", "unknown-queue", &Story::UnknownQueue},
     Row{"refused", "no-leader", &Story::NoLeader},
     Row{"refused", "not-answered", &Story::NotAnswered},
+    Row{"failed", "workers-went-down", &Story::GivenUp},
     Row{"failed", "by-its-workers", &Story::FailedByWorkers},
     Row{"failed", "by-itself", &Story::FailedByItself},
     Row{"failed", "ends-not-told", &Story::FailedUntold},
@@ -119,14 +120,25 @@
     Wording{"being-committed", "its starts are being committed"},
     Wording{"gang-incomplete",
             "some of its group still run or are being committed"},
+    Wording{"no-empty-worker",
+            "workers went down under it, and none is without other tasks"},
     Wording{"none", "a worker would take it, it has only to be planned"},
 };
 
+constexpr std::array kSuspicionWords{
+    Wording{"bystander", "others that may be to blame"},
+    Wording{"suspect", "others as new as it"},
+    Wording{"sole", "nothing else on it"},
+    Wording{"prompt", "nothing else on it, as soon as it had started"},
+};
+
 constexpr std::array kWorkerWords{
     Wording{"worker", "was announced"},
     Wording{"worker-reached", "was reached"},
     Wording{"worker-lapsed", "was silent"},
     Wording{"worker-gone", "is gone"},
+    Wording{"worker-crashed", "went down"},
+    Wording{"worker-reborn", "began a new life"},
     Wording{"worker-refused", "was refused"},
 };
 
@@ -399,6 +411,23 @@
 }
 
 // A worker that also fails others' tasks is the cause, not the job.
+// A task crashed the workers that started it.
+std::optional<Verdict> Story::GivenUp() const {
+  const Line* given_up = Last([](const Line& line) {
+    return line.is_own && Is(line, "dispatch", "give-up");
+  });
+  if (!HasFailed() || given_up == nullptr) {
+    return std::nullopt;
+  }
+  return Verdict{
+      given_up,
+      "Its task " + given_up->Text("task") + " was given up: " +
+          Plural(static_cast<size_t>(given_up->Number("crashes")), "worker") +
+          " went down under it (" + given_up->Text("workers_down") +
+          "), the last one with " +
+          WordsFor(kSuspicionWords, given_up->Text("suspicion")) + "."};
+}
+
 std::optional<Verdict> Story::FailedByWorkers() const {
   if (!HasFailed()) {
     return std::nullopt;
--- a/packages/trace/src/causes_p.h
+++ b/packages/trace/src/causes_p.h
@@ -37,6 +37,7 @@
   std::optional<Verdict> AtWork() const;
   // Ended badly.
   std::optional<Verdict> Cancelled() const;
+  std::optional<Verdict> GivenUp() const;
   std::optional<Verdict> FailedByWorkers() const;
   std::optional<Verdict> FailedByItself() const;
   std::optional<Verdict> FailedUntold() const;
--- a/packages/trace/src/gather.cc
+++ b/packages/trace/src/gather.cc
@@ -37,6 +37,8 @@
     Explaining{"dispatch", "worker-lapsed", &Gatherer::IsOfWorker, false},
     Explaining{"dispatch", "worker-gone", &Gatherer::IsOfWorker, false},
     Explaining{"dispatch", "worker-reached", &Gatherer::IsOfWorker, false},
+    Explaining{"dispatch", "worker-crashed", &Gatherer::IsOfWorker, false},
+    Explaining{"dispatch", "worker-reborn", &Gatherer::IsOfWorker, false},
     Explaining{"dispatch", "end", &Gatherer::IsFailedEnd, false},
     Explaining{"dispatch", "configuration", &Gatherer::IsNewConfiguration,
                false},
--- a/packages/trace/tests/trace_test.cc
+++ b/packages/trace/tests/trace_test.cc
@@ -304,6 +304,18 @@
   CHECK(Verdict() == "ended cancelled");
 }
 
+TEST_CASE_FIXTURE(TraceFixture,
+                  "Story, workers went down under a task, names them") {
+  Accept();
+  Starts(20, 0, 1, 20);
+  Add("core-1", 900, "dispatch give-up",
+      R"("job":"j1","task":"j1.0.0.0","suspicion":"prompt","crashes":2,)"
+      R"("workers_down":"w1 w4")");
+  Over(901, "failed");
+  CHECK(Verdict() == "failed workers-went-down");
+  CHECK(Says("2 workers went down under it (w1 w4)"));
+}
+
 TEST_CASE_FIXTURE(TraceFixture,
                   "Story, a worker that fails all, is the cause") {
   Accept();
