--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -123,6 +123,7 @@
 std::vector<LostRun> Leadership::OutlivedRuns(const Ledger& ledger,
                                               const Worker& worker) {
   std::vector<LostRun> runs;
+  runs.reserve(worker.active.size() + worker.lapsed.size());
   for (const scheduling::TaskId& id : worker.active) {
     const Job& job = *ledger.FindJob(id.job);
     const auto& active = job.tasks[job.IndexOf(id)].active;
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -479,6 +479,11 @@
     m_world.After(m_world.ActDelay(), [this, act, done] {
       CheckFence(act);
       m_world.m_maintained.push_back(act.host);
+      if (m_world.has_same_ids) {
+        RestartWorkers(act.host);
+        done(HostActOutcome::kDone);
+        return;
+      }
       EndWorkers(act.host);
       done(HostActOutcome::kDone);
       m_world.After(Millis(2'000),
@@ -537,6 +542,12 @@
     return false;
   }
 
+  void RestartWorkers(const std::string& host) {
+    for (const std::string& id : m_world.m_ledger.WorkersOn(host)) {
+      m_world.CrashAndBeginAgain(id, Millis(2'000));
+    }
+  }
+
   void EndWorkers(const std::string& host) {
     for (const auto& [id, worker] : m_world.m_ledger.workers()) {
       if (worker.info.host == host) {
@@ -767,21 +778,21 @@
                                Millis down_for,
                                Millis told_in) {
   FakeWorker& crashed = *m_workers.at(worker);
-  if (crashed.is_dead()) {
+  const scheduling::Worker* known = m_ledger.FindWorker(worker);
+  if (crashed.is_dead() || known == nullptr) {
     return;
   }
   NoteDeaths(crashed);
   crashed.Die();
-  After(down_for, [this, &crashed, told_in] {
+  scheduling::WorkerInfo info = known->info;
+  info.is_draining = false;
+  After(down_for, [this, &crashed, info, told_in]() mutable {
     crashed.BeginAgain(Now());
-    m_words_of[crashed.id()] = 0;
-    m_newest_term.erase(crashed.id());
-    const scheduling::Worker* known = m_ledger.FindWorker(crashed.id());
-    if (known != nullptr) {
-      After(told_in,
-            [this, info = known->info, sequence = ++m_words_of[crashed.id()],
-             born = crashed.born()] { Announce(info, sequence, born); });
-    }
+    info.capacity = crashed.capacity();
+    m_words_of[info.id] = 0;
+    m_newest_term.erase(info.id);
+    After(told_in, [this, info, sequence = ++m_words_of[info.id],
+                    born = crashed.born()] { Announce(info, sequence, born); });
   });
 }
 
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -213,6 +213,7 @@
   std::map<std::string, Millis> crashing;
   Millis crash_pause{3'000};
   double reborn = 0;  ///< Share of these lives that have the id of the last.
+  bool has_same_ids = false;  ///< After a maintenance, too.
   /// How many times its estimate a run takes; if not 1, it tells how far it is.
   double stretch = 1;
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -413,6 +413,9 @@
 
   // Whether a place is held for a suspect, or has one that was just started.
   bool IsHeldForSuspect(const Place& place, const std::string& service) const {
+    if (!place.has_suspect && !m_planner.HasSuspects()) {
+      return false;  // Asked for each place of each plan.
+    }
     const auto is_held = [&](const auto& clearing) {
       const auto found = clearing.find(service);
       return found != clearing.end() &&
