The end of a life looks only at workers that the leader follows

Found by reading the change once more: what was lost with a worker is looked for among all workers of the ledger, and an end of a life told by an answer came between two looks at the ledger, so that a worker just announced had no link yet and the lookup would have thrown. The workers are followed first now. A task that lapsed on a worker and runs there again is judged once.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -30,28 +30,24 @@
 // Commits the end of a worker's life, and before it what that says of the tasks
 // that ran there.
 void Leadership::EndWorker(const Ledger& ledger,
-                           const std::string& worker,
+                           const Worker& worker,
                            const char* why,
                            Records& records,
                            const std::string& new_life) {
-  WorkerLink& link = m_links.at(worker);
+  WorkerLink& link = m_links.at(worker.info.id);
   link.is_gone_under_way = true;
-  const Worker* known = ledger.FindWorker(worker);
-  const size_t runs = known == nullptr ? 0 : known->active.size();
   DecisionLine line("dispatch", "worker-gone");
-  line.With("worker", worker).With("why", why);
+  line.With("worker", worker.info.id).With("why", why);
   if (!new_life.empty()) {
     line.With("new_life", new_life);
   }
-  line.With("runs", static_cast<uint64_t>(runs));
+  line.With("runs", static_cast<uint64_t>(worker.active.size()));
   DecisionLog::Get().Write(line);
-  if (known != nullptr) {
-    TellLostRuns(*known, "worker-gone");
-    Blame(ledger, *known, LostRuns(*known),
-          link.is_reached ? std::optional(WhenLost(link)) : std::nullopt,
-          records);
-  }
-  records.emplace_back(scheduling::LifeEnded{worker, link.born});
+  TellLostRuns(worker, "worker-gone");
+  Blame(ledger, worker, LostRuns(worker),
+        link.is_reached ? std::optional(WhenLost(link)) : std::nullopt,
+        records);
+  records.emplace_back(scheduling::LifeEnded{worker.info.id, link.born});
 }
 
 // What is kept of a worker counts for one life: its clock, its lease, the ends
@@ -173,7 +169,12 @@
     }
   }
   for (const auto& [key, track] : m_runs) {
-    if (track.worker != worker.info.id || !worker.active.contains(key.task)) {
+    const bool is_there =
+        track.worker == worker.info.id && worker.active.contains(key.task);
+    const bool is_told = std::any_of(
+        runs.begin(), runs.end(),
+        [&key = key](const auto& run) { return run.task == key.task; });
+    if (!is_there || is_told) {
       continue;
     }
     const bool may_have_started =
@@ -231,6 +232,7 @@
         return info.rack != rack || lost_hosts.contains(info.host);
       });
   std::vector<LossTime> of_rack;
+  of_rack.reserve(lost_hosts.size());
   for (const auto& [host, its_when] : lost_hosts) {
     of_rack.push_back(its_when);
   }
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -431,7 +431,7 @@
         std::max({link.last_contact, link.last_announced, m_begun_at});
     if (worker != nullptr && worker->active.empty() &&
         !link.is_gone_under_way && now - heard > kSilentIsGone) {
-      EndWorker(ledger, id, "silent", records);
+      EndWorker(ledger, *worker, "silent", records);
     }
   }
 }
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -335,7 +335,7 @@
 
   // crashes.cc: workers that end.
   void EndWorker(const Ledger& ledger,
-                 const std::string& worker,
+                 const scheduling::Worker& worker,
                  const char* why,
                  Records& records,
                  const std::string& new_life = "");
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -471,7 +471,8 @@
         link.last_contact >= m_links.at(worker).first_contact) {
       continue;
     }
-    EndWorker(ledger, id, "its host has a new life", records, worker);
+    EndWorker(ledger, *ledger.FindWorker(id), "its host has a new life",
+              records, worker);
   }
 }
 
@@ -734,15 +735,14 @@
 }
 
 void Leadership::EndLife(const WorkerLife& life, const char* why) {
-  const auto link = m_links.find(life.id);
-  if (link == m_links.end() || link->second.is_gone_under_way) {
-    return;
-  }
   Records records;
   m_log.Read([&](const Ledger& ledger) {
+    FollowWorkers(ledger);
+    const auto link = m_links.find(life.id);
     const Worker* worker = ledger.FindWorker(life.id);
-    if (worker == nullptr || life.IsSame(*worker)) {
-      EndWorker(ledger, life.id, why, records);
+    if (link != m_links.end() && !link->second.is_gone_under_way &&
+        worker != nullptr && life.IsSame(*worker)) {
+      EndWorker(ledger, *worker, why, records);
     }
   });
   if (!records.empty()) {
--- a/packages/scheduling/src/record.cc
+++ b/packages/scheduling/src/record.cc
@@ -4,11 +4,15 @@
 
 namespace laurelhall::scheduling {
 
+namespace {
+
+constexpr std::array<const char*, static_cast<size_t>(Suspicion::kCount)>
+    kSuspicionNames{"cleared", "bystander", "suspect", "sole", "prompt"};
+
+}  // namespace
+
 const char* SuspicionName(Suspicion suspicion) {
-  static constexpr std::array<const char*,
-                              static_cast<size_t>(Suspicion::kCount)>
-      kNames{"cleared", "bystander", "suspect", "sole", "prompt"};
-  return kNames.at(static_cast<size_t>(suspicion));
+  return kSuspicionNames.at(static_cast<size_t>(suspicion));
 }
 
 std::string EncodeRecords(std::vector<Record> records) {
