A busy leader tells its workers again that their ends are seen

Cause: a look told no ends as seen when the worker's last list was older than one second, which is every look of a leader short of processor time; lists then grew with each look, and made the leader slower still. Ruled out: the plan's own cost (0 ms in the lines), relays (eight were chosen).

--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -23,8 +23,9 @@
 // Between two looks at one worker: ends that come together share one.
 constexpr Millis kHoldGap{60};
 constexpr Millis kHoldRetry{200};
-// A worker takes longer to crash and begin anew than it may be unheard of.
-constexpr Millis kSameLife{1'000};
+// Orders to a worker that crashed fail before it can have begun anew, run what
+// came late and ended it; a busy leader may take as long from list to look.
+constexpr Millis kSameLife{4'000};
 // How long an answer to a look may take beyond what it waits for.
 constexpr Millis kHoldMargin{600};
 constexpr Millis kOrderRetry{100};
