Workers held for suspects are looked up once a task, not once a place

Found in the last read: while there is any suspect, each place of a plan cost three lookups by name, some tens of thousands a plan over 1,100 workers.

--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -169,13 +169,7 @@
   };
   std::map<std::string, Clearing> m_clearing;        // By service.
   std::map<std::string, Clearing> m_cleared_before;  // By the last plan.
-
-  /// Whether a suspect's start is planned, or a worker is held for one.
-  bool HasSuspects() const {
-    return !m_reserved_suspects.empty() || !m_clearing.empty() ||
-           !m_cleared_before.empty();
-  }
-  std::map<std::string, SteadyTime> m_deferred;  // By job.
+  std::map<std::string, SteadyTime> m_deferred;      // By job.
   std::map<std::string, double> m_ratio;  // Taken over estimated, by queue.
 };
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -408,21 +408,16 @@
   // Whether a suspect's start there is planned and not settled.
   bool HasNewSuspect(const Place& place) const {
     return place.has_suspect ||
-           m_planner.m_reserved_suspects.contains(place.worker->info.id);
+           (!m_planner.m_reserved_suspects.empty() &&
+            m_planner.m_reserved_suspects.contains(place.worker->info.id));
   }
 
-  // Whether a place is held for a suspect, or has one that was just started.
-  bool IsHeldForSuspect(const Place& place, const std::string& service) const {
-    if (!place.has_suspect && !m_planner.HasSuspects()) {
-      return false;  // Asked for each place of each plan.
-    }
-    const auto is_held = [&](const auto& clearing) {
-      const auto found = clearing.find(service);
-      return found != clearing.end() &&
-             found->second.worker == place.worker->info.id;
-    };
-    return HasNewSuspect(place) || is_held(m_planner.m_clearing) ||
-           is_held(m_planner.m_cleared_before);
+  // The worker that is cleared for a suspect of a service, of one plan; none:
+  // an empty name.
+  static std::string ClearedFor(const std::map<std::string, Clearing>& clearing,
+                                const std::string& service) {
+    const auto found = clearing.find(service);
+    return found == clearing.end() ? std::string() : found->second.worker;
   }
 
   Place* FindAmong(const Candidate& candidate,
@@ -435,7 +430,15 @@
                     index};
     const Task& task = TaskOf(candidate, index);
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
-    const bool is_suspect = task.IsSuspect();
+    // Looked up once, not for each place of the plan.
+    const bool avoids_held = !task.IsSuspect();
+    const std::string cleared = ClearedFor(m_planner.m_clearing, service);
+    const std::string cleared_before =
+        ClearedFor(m_planner.m_cleared_before, service);
+    const auto is_held = [&](const Place& place) {
+      const std::string& id = place.worker->info.id;
+      return id == cleared || id == cleared_before || HasNewSuspect(place);
+    };
     const bool waits_for_data =
         m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
@@ -456,7 +459,7 @@
       if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
           (is_far && waits_for_data) || (is_alone && !IsEmpty(place)) ||
-          (!is_suspect && IsHeldForSuspect(place, service))) {
+          (avoids_held && is_held(place))) {
         continue;
       }
       double cost = is_far ? kFarFromData : 0;
