Jobs belong to organisations: keys are read, caps hold, excess waits

The adapter turns keys into fingerprints; the leader judges them by the configuration that it holds, and turns nobody away before a quorum has said that there is none newer. Entry hosts hold no view of keys. Caps count what is committed and not known to be over, at the plan and once more as the order goes out. What goes beyond an organisation's rate waits behind what was promised.

Failed first: the dispatcher's tests of keys (any key was let in).

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -17,8 +17,9 @@
     "get-wave",        "relay-orders"};
 static_assert(kKindNames.size() == std::variant_size_v<dispatch::Request>);
 
-constexpr std::array<const char*, 6> kOutcomeNames{
-    "ok", "no-queue", "no-job", "not-found", "unavailable", "unknown"};
+constexpr std::array<const char*, 8> kOutcomeNames{
+    "ok",          "no-queue", "no-job",    "not-found",
+    "unavailable", "unknown",  "no-access", "conflict"};
 static_assert(kOutcomeNames.size() ==
               static_cast<size_t>(dispatch::Outcome::kCount));
 
--- a/packages/dispatch/include/laurelhall/dispatch/request.h
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -18,24 +18,28 @@
   std::string path;  ///< The queue's prefix and the id.
   std::string id;
   scheduling::JobSpec spec;
+  std::string key;  ///< Fingerprint of the caller's key; empty: none given.
 };
 
 struct GetJob {
   std::string host;
   std::string path;
   std::string id;
+  std::string key;  ///< As in SubmitJob.
 };
 
 struct CancelJob {
   std::string host;
   std::string path;
   std::string id;
+  std::string key;  ///< As in SubmitJob.
 };
 
 /// How many jobs of a queue wait for their first start.
 struct CountWaiting {
   std::string host;
   std::string path;
+  std::string key;  ///< As in SubmitJob.
 };
 
 struct PutConfiguration {
@@ -96,6 +100,8 @@
   kNotFound,     ///< No such wave.
   kUnavailable,  ///< Surely not done; may be asked again later.
   kUnknown,      ///< May or may not have been done; asking again is safe.
+  kNoAccess,     ///< No configuration in force holds the caller's key.
+  kConflict,     ///< Another organisation has a job of this id.
   kCount,
 };
 
@@ -115,26 +121,31 @@
 template <typename Archive>
 void Visit(Archive& archive, SubmitJob& value) {
   archive(value.host, value.path, value.id, value.spec);
+  archive.Later(value.key);
 }
 
 template <typename Archive>
 void Visit(Archive& archive, GetJob& value) {
   archive(value.host, value.path, value.id);
+  archive.Later(value.key);
 }
 
 template <typename Archive>
 void Visit(Archive& archive, CancelJob& value) {
   archive(value.host, value.path, value.id);
+  archive.Later(value.key);
 }
 
 template <typename Archive>
 void Visit(Archive& archive, CountWaiting& value) {
   archive(value.host, value.path);
+  archive.Later(value.key);
 }
 
 template <typename Archive>
 void Visit(Archive& archive, PutConfiguration& value) {
   archive(value.configuration);
+  archive.Later(value.configuration.identities);
 }
 
 template <typename Archive>
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -26,6 +26,8 @@
 constexpr Millis kPassOn{5'000};
 // When a caller that could not be served may come back: about an election.
 constexpr Millis kComeBack{700};
+// Digits of a key's fingerprint in a log line: enough to tell keys apart.
+constexpr size_t kShownKey = 12;
 
 Reply Unavailable() {
   Reply reply;
@@ -40,6 +42,10 @@
   return reply;
 }
 
+Reply ReplyOf(Outcome outcome) {
+  return outcome == Outcome::kUnavailable ? Unavailable() : Done(outcome);
+}
+
 Reply AfterCommit(CommitOutcome outcome) {
   switch (outcome) {
     case CommitOutcome::kCommitted:
@@ -93,6 +99,7 @@
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "leads").With("term", term));
     m_relays.Begin(term);
+    m_rates = {};
     DispatcherInit init = m_init;
     init.workers = &m_relays;
     m_leadership = std::make_shared<Leadership>(init, *m_log, term, m_counters);
@@ -238,10 +245,68 @@
         });
   }
 
-  static bool HasQueue(const Ledger& ledger,
-                       const std::string& host,
-                       const std::string& path) {
-    return FindQueue(ledger.configuration(), host, path) != nullptr;
+  // Whether a queue takes a caller's requests by the configuration that this
+  // host holds: kOk, kUnavailable before there is one, kNoQueue or kNoAccess.
+  struct Admission {
+    Outcome outcome = Outcome::kUnavailable;
+    const scheduling::QueueSpec* queue = nullptr;  // With kOk and kNoAccess.
+    std::string organisation;
+  };
+
+  template <typename Asked>
+  static Admission Admit(const Ledger& ledger, const Asked& request) {
+    const auto& configuration = ledger.configuration();
+    if (configuration.version == 0) {
+      return {};
+    }
+    const auto* queue = FindQueue(configuration, request.host, request.path);
+    if (queue == nullptr) {
+      return {Outcome::kNoQueue};
+    }
+    scheduling::Access access = ledger.keys().Check(queue->name, request.key);
+    return {access.is_granted ? Outcome::kOk : Outcome::kNoAccess, queue,
+            std::move(access.organisation)};
+  }
+
+  // A newer configuration may hold the queue or the key that this one lacks, so
+  // nobody is turned away before it is sure that there is none.
+  template <typename Asked>
+  void RefuseConfirmed(const Asked& request, const ReplyDone& done) {
+    ReadConfirmed(
+        [host = request.host, path = request.path,
+         key = request.key](const Ledger& ledger) {
+          const Admission admission =
+              Admit(ledger, CountWaiting{host, path, key});
+          if (admission.outcome == Outcome::kNoAccess) {
+            TellNoAccess(ledger, *admission.queue, key);
+          }
+          // Taken by now: as if asked again.
+          return admission.outcome == Outcome::kOk ? Unavailable()
+                                                   : ReplyOf(admission.outcome);
+        },
+        done);
+  }
+
+  static void TellNoAccess(const Ledger& ledger,
+                           const scheduling::QueueSpec& queue,
+                           const std::string& key) {
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "refuse", LineClass::kRequest)
+            .With("queue", queue.name)
+            .With("version", ledger.configuration().version)
+            .With("key", key.empty() ? "none" : key.substr(0, kShownKey))
+            .With("why", "unknown-key"));
+  }
+
+  // Another organisation's job is not shown; nobody's is, to all that the queue
+  // lets in.
+  static const scheduling::Job* FindOwnJob(const Ledger& ledger,
+                                           const std::string& id,
+                                           const std::string& organisation) {
+    const scheduling::Job* job = ledger.FindJob(id);
+    const bool is_own = job != nullptr && (job->organisation.empty() ||
+                                           job->organisation == organisation);
+    return is_own ? job : nullptr;
   }
 
   // Any, before the first configuration has come.
@@ -254,13 +319,12 @@
   }
 
   static Reply JobReply(const Ledger& ledger, const GetJob& request) {
-    if (ledger.configuration().version == 0) {
-      return Unavailable();
-    }
-    if (!HasQueue(ledger, request.host, request.path)) {
-      return Done(Outcome::kNoQueue);
+    const Admission admission = Admit(ledger, request);
+    if (admission.outcome != Outcome::kOk) {
+      return ReplyOf(admission.outcome);
     }
-    const scheduling::Job* job = ledger.FindJob(request.id);
+    const scheduling::Job* job =
+        FindOwnJob(ledger, request.id, admission.organisation);
     Reply reply = Done(job == nullptr ? Outcome::kNoJob : Outcome::kOk);
     if (job != nullptr) {
       reply.job_state = job->state;
@@ -269,44 +333,53 @@
   }
 
   void Run(SubmitJob& request, const ReplyDone& done) {
-    scheduling::JobAccepted accepted;
+    scheduling::JobTaken taken;
+    Outcome outcome = Outcome::kOk;
     bool is_known = false;
+    double promised = 0;
     m_log->Read([&](const Ledger& ledger) {
+      const Admission admission = Admit(ledger, request);
+      outcome = admission.outcome;
+      if (outcome != Outcome::kOk) {
+        return;
+      }
       is_known = ledger.FindJob(request.id) != nullptr;
-      const auto* queue =
-          FindQueue(ledger.configuration(), request.host, request.path);
-      if (queue != nullptr) {
-        accepted.queue = queue->name;
-        accepted.service = queue->service;
+      if (is_known &&
+          FindOwnJob(ledger, request.id, admission.organisation) == nullptr) {
+        outcome = Outcome::kConflict;
       }
+      taken.job.queue = admission.queue->name;
+      taken.job.service = admission.queue->service;
+      taken.organisation = admission.organisation;
+      const auto* spec = ledger.keys().Find(taken.organisation);
+      promised = spec == nullptr ? 0 : spec->weight;
     });
     // A queue that is gone takes nothing, not even a job that it took before.
-    if (is_known && !accepted.queue.empty()) {
-      done(Done(Outcome::kOk));
+    if (outcome == Outcome::kConflict ||
+        (outcome == Outcome::kOk && is_known)) {
+      done(Done(outcome));
       return;
     }
-    if (accepted.queue.empty()) {
-      ReadConfirmed(
-          [request](const Ledger& ledger) {
-            // A queue that a newer configuration added: as if asked again.
-            const bool is_there = ledger.configuration().version == 0 ||
-                                  HasQueue(ledger, request.host, request.path);
-            return is_there ? Unavailable() : Done(Outcome::kNoQueue);
-          },
-          done);
+    if (outcome != Outcome::kOk) {
+      RefuseConfirmed(request, done);
       return;
     }
-    accepted.id = request.id;
-    accepted.at = m_init.wall_now();
-    accepted.spec = std::move(request.spec);
+    taken.job.id = request.id;
+    taken.job.at = m_init.wall_now();
+    taken.job.spec = std::move(request.spec);
+    taken.is_excess =
+        promised > 0 &&
+        m_rates.IsExcess(taken.organisation, promised, m_init.timers->Now());
     ++m_counters.jobs;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "accept", LineClass::kRequest)
-            .With("job", accepted.id)
-            .With("queue", accepted.queue)
-            .With("service", accepted.service)
+            .With("job", taken.job.id)
+            .With("queue", taken.job.queue)
+            .With("service", taken.job.service)
+            .With("organisation", taken.organisation)
+            .With("excess", taken.is_excess ? 1 : 0)
             .With("term", m_leadership->term()));
-    Commit(std::move(accepted), done);
+    Commit(std::move(taken), done);
   }
 
   void Run(GetJob& request, const ReplyDone& done) {
@@ -319,48 +392,53 @@
       done(known);
       return;
     }
+    if (known.outcome == Outcome::kNoAccess) {
+      RefuseConfirmed(request, done);
+      return;
+    }
     ReadConfirmed(
         [request](const Ledger& ledger) { return JobReply(ledger, request); },
         done);
   }
 
   void Run(CancelJob& request, const ReplyDone& done) {
-    bool is_known = false;
-    bool is_over = false;
-    m_log->Read([&](const Ledger& ledger) {
-      const scheduling::Job* job = ledger.FindJob(request.id);
-      is_known = job != nullptr && HasQueue(ledger, request.host, request.path);
-      is_over = is_known && job->is_over();
-    });
-    if (is_over) {
-      done(Done(Outcome::kOk));
-    } else if (is_known) {
-      DecisionLog::Get().Write(
-          DecisionLine("dispatch", "cancel", LineClass::kRequest)
-              .With("job", request.id));
-      Commit(scheduling::JobCancelled{request.id}, done);
-    } else {
+    const GetJob asked{request.host, request.path, request.id, request.key};
+    Reply known;
+    m_log->Read([&](const Ledger& ledger) { known = JobReply(ledger, asked); });
+    if (known.outcome == Outcome::kNoAccess) {
+      RefuseConfirmed(request, done);
+      return;
+    }
+    if (known.outcome != Outcome::kOk) {
       ReadConfirmed(
-          [request](const Ledger& ledger) {
-            return JobReply(ledger, {request.host, request.path, request.id});
+          [asked](const Ledger& ledger) {
+            const Reply reply = JobReply(ledger, asked);
+            // Known by now, and not cancelled by this: as if asked again.
+            return reply.outcome == Outcome::kOk ? Unavailable() : reply;
           },
           done);
+      return;
+    }
+    if (known.job_state >= scheduling::JobState::kSucceeded) {
+      done(Done(Outcome::kOk));
+      return;
     }
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "cancel", LineClass::kRequest)
+            .With("job", request.id));
+    Commit(scheduling::JobCancelled{request.id}, done);
   }
 
   void Run(CountWaiting& request, const ReplyDone& done) {
     ReadConfirmed(
         [request](const Ledger& ledger) {
-          const auto* queue =
-              FindQueue(ledger.configuration(), request.host, request.path);
-          if (ledger.configuration().version == 0) {
-            return Unavailable();
+          const Admission admission = Admit(ledger, request);
+          Reply reply = ReplyOf(admission.outcome);
+          if (admission.outcome == Outcome::kNoAccess) {
+            TellNoAccess(ledger, *admission.queue, request.key);
+          } else if (admission.outcome == Outcome::kOk) {
+            reply.waiting = ledger.CountQueued(admission.queue->name);
           }
-          if (queue == nullptr) {
-            return Done(Outcome::kNoQueue);
-          }
-          Reply reply = Done(Outcome::kOk);
-          reply.waiting = ledger.CountQueued(queue->name);
           return reply;
         },
         done);
@@ -382,7 +460,7 @@
       done(Done(Outcome::kOk));
       return;
     }
-    Commit(scheduling::ConfigurationSet{std::move(request.configuration)},
+    Commit(scheduling::ConfigurationAdopted{std::move(request.configuration)},
            done);
   }
 
@@ -564,6 +642,7 @@
   std::unordered_map<std::string, SteadyTime> m_passed_on;
   SteadyTime m_next_forget{};
   DispatchCounters m_counters;
+  scheduling::JobRates m_rates;  // Since this host began to lead.
 
   std::atomic<bool> m_is_leading{false};
   mutable std::mutex m_counters_mutex;  // Guards what is published.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -292,6 +292,10 @@
                   const scheduling::Job& job,
                   const RunKey& key,
                   const RunTrack& track) const;
+  bool IsOverCap(const Ledger& ledger,
+                 const scheduling::Job& job,
+                 const RunKey& key,
+                 const RunTrack& track) const;
   void OnStarted(const RunKey& key, uint64_t life, const CallReply& reply);
   void OnStartRefused(const RunKey& key, RunTrack& track);
   void SendStop(const RunKey& key, RunTrack& track);
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -107,7 +107,8 @@
     track.next_try = Now() + kOrderRetry;
     return;
   }
-  if (IsOverRoom(ledger, *job, key, track)) {
+  if (IsOverRoom(ledger, *job, key, track) ||
+      IsOverCap(ledger, *job, key, track)) {
     OnStartRefused(key, track);
     return;
   }
@@ -147,6 +148,22 @@
          !scheduling::Fits(worker->used, worker->info.capacity);
 }
 
+// Whether the organisation's cap was lowered since the start was planned. Such
+// runs may be on their way for seconds.
+bool Leadership::IsOverCap(const Ledger& ledger,
+                           const Job& job,
+                           const RunKey& key,
+                           const RunTrack& track) const {
+  if (job.organisation.empty() || track.is_listed ||
+      m_init.mutations.is_cap_planned_only) {
+    return false;
+  }
+  const scheduling::Resources& need = job.spec.steps[key.task.step].need;
+  scheduling::Resources own;
+  scheduling::Subtract(own, need);  // It counts as at work already.
+  return !ledger.IsWithinCapOf(job.organisation, own, need);
+}
+
 void Leadership::OnStarted(const RunKey& key,
                            uint64_t life,
                            const CallReply& reply) {
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -156,6 +156,93 @@
   CHECK(world.Ask(CountWaiting{"q", "/q/"}).outcome == Outcome::kNoQueue);
 }
 
+// Organisations a and b with a key each, a queue that asks for them and one
+// that is open.
+class KeyedQueueFixture : public DispatcherFixture {
+ protected:
+  KeyedQueueFixture() {
+    scheduling::Configuration configuration = world.ledger().configuration();
+    configuration.queues.push_back(
+        {"audits", "q", "/open/", "teklif", 0, 3, 1.6, Millis(600)});
+    ++configuration.version;
+    world.Configure(configuration);
+    Identify({{"a", "key-a"}, {"b", "key-b"}});
+  }
+
+  void Identify(
+      const std::vector<std::pair<std::string, std::string>>& owners) {
+    scheduling::IdentitySpec identities;
+    identities.open_queues = {"audits"};
+    for (const auto& [name, key] : owners) {
+      identities.organisations.push_back({name, {key}, 100, {}});
+    }
+    world.Identify(identities);
+  }
+
+  Outcome Submit(const std::string& key, const std::string& id = "job") {
+    scheduling::JobSpec spec;
+    spec.steps = {Step(1)};
+    return world.Ask(SubmitJob{"q", "/q/" + id, id, spec, key}).outcome;
+  }
+
+  Outcome Get(const std::string& key) {
+    return world.Ask(GetJob{"q", "/q/job", "job", key}).outcome;
+  }
+};
+
+// Failed first: any key opened every queue.
+TEST_CASE_FIXTURE(KeyedQueueFixture,
+                  "Dispatcher, unknown key or none, refused and nothing runs") {
+  CHECK(Submit("key-x") == Outcome::kNoAccess);
+  CHECK(Submit("") == Outcome::kNoAccess);
+  CHECK(world.Ask(CountWaiting{"q", "/q/", "key-x"}).outcome ==
+        Outcome::kNoAccess);
+  world.Advance(Millis(1'000));
+  CHECK(world.starts() == 0);
+  CHECK(world.ledger().FindJob("job") == nullptr);
+}
+
+TEST_CASE_FIXTURE(KeyedQueueFixture,
+                  "Dispatcher, open queue, takes jobs of nobody") {
+  scheduling::JobSpec spec;
+  spec.steps = {Step(1)};
+  CHECK(world.Ask(SubmitJob{"q", "/open/job", "job", spec}).outcome ==
+        Outcome::kOk);
+  CHECK(world.Ask(GetJob{"q", "/open/job", "job"}).outcome == Outcome::kOk);
+  CHECK(world.ledger().FindJob("job")->organisation.empty());
+}
+
+TEST_CASE_FIXTURE(KeyedQueueFixture,
+                  "Dispatcher, keys turn, the job stays its organisation's") {
+  CHECK(Submit("key-a") == Outcome::kOk);
+  Identify({{"a", "key-a2"}, {"b", "key-b"}});
+  CHECK(Get("key-a") == Outcome::kNoAccess);
+  CHECK(Get("key-a2") == Outcome::kOk);
+  CHECK(Submit("key-a2") == Outcome::kOk);
+}
+
+TEST_CASE_FIXTURE(
+    KeyedQueueFixture,
+    "Dispatcher, another organisation's key, neither shows nor cancels") {
+  CHECK(Submit("key-a") == Outcome::kOk);
+  CHECK(Get("key-b") == Outcome::kNoJob);
+  CHECK(world.Ask(CancelJob{"q", "/q/job", "job", "key-b"}).outcome ==
+        Outcome::kNoJob);
+  CHECK(Submit("key-b") == Outcome::kConflict);
+  CHECK(world.StateOf("job") != JobState::kCancelled);
+  CHECK(world.Ask(CancelJob{"q", "/q/job", "job", "key-a"}).outcome ==
+        Outcome::kOk);
+}
+
+// The configuration is read only after a quorum's word.
+TEST_CASE_FIXTURE(KeyedQueueFixture,
+                  "Dispatcher, a host that does not lead, refuses no key") {
+  scheduling::JobSpec spec;
+  spec.steps = {Step(1)};
+  CHECK(world.AskFollower(SubmitJob{"q", "/q/job", "job", spec, "key-x"})
+            .outcome == Outcome::kUnavailable);
+}
+
 // Failed first: a worker of a service that is not named here was taken in, and
 // its host seemed to have left its pool.
 TEST_CASE_FIXTURE(DispatcherFixture,
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -21,6 +21,8 @@
 constexpr uint64_t kMostCrashes = 3;
 constexpr uint64_t kMostStartsAfter = 3;
 // A room that has shrunk counts so long later: contact and one announcement.
+// A configuration that is replaced may be in force for so long.
+constexpr Millis kCapGrace{2'500};
 constexpr Millis kRoomGrace{4'500};
 // By how much an order may be carried out late.
 constexpr Millis kLatest{12'000};
@@ -877,6 +879,28 @@
       WallTime(std::chrono::floor<Millis>(Now().time_since_epoch())), spec});
 }
 
+void World::SubmitFor(const std::string& organisation,
+                      const std::string& id,
+                      std::vector<scheduling::StepSpec> steps) {
+  scheduling::JobSpec spec;
+  spec.steps = std::move(steps);
+  Apply(scheduling::JobTaken{
+      {id, "quotes", "teklif",
+       WallTime(std::chrono::floor<Millis>(Now().time_since_epoch())), spec},
+      organisation});
+}
+
+void World::Identify(const scheduling::IdentitySpec& identities) {
+  scheduling::Configuration configuration = m_ledger.configuration();
+  ++configuration.version;
+  configuration.identities = identities;
+  if (!m_identities.empty()) {
+    m_identities.back().second = Now();
+  }
+  m_identities.emplace_back(identities, SteadyTime::max());
+  Configure(configuration);
+}
+
 void World::Cancel(const std::string& id) {
   Apply(scheduling::JobCancelled{id});
 }
@@ -1038,6 +1062,7 @@
   if (!scheduling::Fits(worker.Used(), worker.RoomAsKnown(Now(), grace))) {
     Violate(task + " is over the room of " + worker.id());
   }
+  CheckCap(order);
   const scheduling::Job& job = *m_ledger.FindJob(order.task.job);
   for (const uint32_t earlier : job.spec.steps[order.task.step].depends_on) {
     if (job.step_left[earlier] > 0) {
@@ -1046,6 +1071,50 @@
   }
 }
 
+// The highest of those that may be in force somewhere; nothing: no limit.
+scheduling::Resources World::CapInForce(const std::string& organisation) const {
+  const Millis grace = m_is_late ? kCapGrace + kLatest : kCapGrace;
+  scheduling::Resources highest;
+  for (const auto& [identities, until] : m_identities) {
+    if (until < Now() - grace) {
+      continue;
+    }
+    for (const scheduling::OrganisationSpec& spec : identities.organisations) {
+      if (spec.name != organisation) {
+        continue;
+      }
+      if (spec.cap.millicores == 0) {
+        return {};
+      }
+      highest.millicores = std::max(highest.millicores, spec.cap.millicores);
+    }
+  }
+  return highest;
+}
+
+// From what runs on the workers, whoever knows of it.
+void World::CheckCap(const StartOrder& order) {
+  const std::string& organisation =
+      m_ledger.FindJob(order.task.job)->organisation;
+  const scheduling::Resources cap = CapInForce(organisation);
+  if (organisation.empty() || cap == scheduling::Resources()) {
+    return;
+  }
+  int64_t in_use = 0;
+  for (const auto& [id, worker] : m_workers) {
+    for (const auto& [task, run] : worker->runs()) {
+      const scheduling::Job* job = m_ledger.FindJob(task.job);
+      const bool is_its = job != nullptr && job->organisation == organisation;
+      in_use += is_its ? run.need.millicores : 0;
+    }
+  }
+  if (in_use > cap.millicores) {
+    Violate(FormatTaskId(order.task) + " is over the cap of " + organisation +
+            ", " + std::to_string(in_use) + " of " +
+            std::to_string(cap.millicores));
+  }
+}
+
 std::vector<DispatchSight> World::sights() const {
   std::vector<DispatchSight> sights;
   for (const auto& host : m_hosts) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -131,7 +131,13 @@
   void Submit(const std::string& id,
               std::vector<scheduling::StepSpec> steps,
               const std::string& service = "teklif");
+  void SubmitFor(const std::string& organisation,
+                 const std::string& id,
+                 std::vector<scheduling::StepSpec> steps);
   void Cancel(const std::string& id);
+
+  /// Whose jobs the queues take from now on, by the next configuration.
+  void Identify(const scheduling::IdentitySpec& identities);
   void Configure(const scheduling::Configuration& configuration);
 
   /// Asks the leader and waits for the answer.
@@ -240,6 +246,8 @@
   void CheckStart(const FakeWorker& worker,
                   const StartOrder& order,
                   bool was_there);
+  void CheckCap(const StartOrder& order);
+  scheduling::Resources CapInForce(const std::string& organisation) const;
   void Violate(const std::string& text);
   void CountStart(const std::string& task);
   void NoteDeaths(const FakeWorker& worker);
@@ -264,6 +272,8 @@
   std::set<scheduling::TaskId> m_noted_done;
   std::vector<std::string> m_violations;
   uint64_t m_starts = 0;
+  /// Whose jobs the queues took, and until when; the newest last.
+  std::vector<std::pair<scheduling::IdentitySpec, SteadyTime>> m_identities;
   std::map<std::string, uint64_t> m_words_of;  // By worker.
   bool m_is_late = false;  // The order that is being carried out.
   std::map<std::string, uint64_t> m_starts_of;     // By task.
--- a/packages/scheduling/include/laurelhall/scheduling/graph.h
+++ b/packages/scheduling/include/laurelhall/scheduling/graph.h
@@ -79,12 +79,28 @@
   bool is_spare = false;    ///< Its hosts are off.
 };
 
+/// An organisation that hands jobs in, and what it may have of the workers.
+struct OrganisationSpec {
+  std::string name;
+  std::vector<std::string>
+      keys;           ///< By fingerprint, never the keys themselves.
+  double weight = 0;  ///< Its share when all is full, and its jobs a second.
+  Resources cap;      ///< Of all that it runs; zero: no limit.
+};
+
+/// Whose jobs queues take.
+struct IdentitySpec {
+  std::vector<OrganisationSpec> organisations;
+  std::vector<std::string> open_queues;  ///< Need no key; by name.
+};
+
 /// A configuration in force.
 struct Configuration {
   uint64_t version = 0;
   std::string document;  ///< As it was sent, for reading back.
   std::vector<QueueSpec> queues;
   std::vector<ServiceSpec> services;
+  std::optional<IdentitySpec> identities;  ///< None: all queues are open.
 };
 
 /// The queue of a request: same host, longest prefix of the path.
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "laurelhall/scheduling/organisation.h"
 #include "laurelhall/scheduling/record.h"
 
 namespace laurelhall::scheduling {
@@ -47,6 +48,8 @@
   std::string id;
   std::string queue;
   std::string service;
+  std::string organisation;  ///< Empty: nobody's.
+  bool is_excess = false;    ///< Beyond what its organisation is promised.
   WallTime accepted_at{};
   JobSpec spec;
   JobState state = JobState::kQueued;
@@ -112,6 +115,7 @@
   void Apply(const Record& record);
 
   const Configuration& configuration() const { return m_configuration; }
+  const KeyRing& keys() const { return m_keys; }
   const Jobs& jobs() const { return m_jobs; }
   const Workers& workers() const { return m_workers; }
   const std::map<uint64_t, WaveState>& waves() const { return m_waves; }
@@ -134,6 +138,17 @@
   const Worker* FindWorker(const std::string& id) const;
   const QueueSpec* FindQueueByName(const std::string& name) const;
 
+  /// What the active runs of an organisation's jobs take, the processors of
+  /// filling tasks included.
+  Resources InUseBy(const std::string& organisation) const;
+
+  /// Whether an organisation may start one more such task.
+  ///
+  /// @param planned What else of it is about to start.
+  bool IsWithinCapOf(const std::string& organisation,
+                     const Resources& planned,
+                     const Resources& need) const;
+
   /// Whether a run was started on a worker and has not ended.
   bool IsActive(const TaskId& task,
                 uint32_t run,
@@ -172,13 +187,12 @@
   void Run(const WorkerTold& record);
   void Run(const WorkerReborn& record);
   void Run(const LifeEnded& record);
+  void Run(const ConfigurationAdopted& record);
+  void Run(const JobTaken& record);
   void BeginLife(const std::string& id, Worker& worker, WallTime born);
   void Remember(const std::string& worker, WallTime born);
 
-  static void Occupy(Worker& worker,
-                     const TaskId& id,
-                     const Task& task,
-                     const StepSpec& step);
+  void Occupy(Worker& worker, const Job& job, size_t index);
   static void Vacate(Worker& worker, const TaskId& task, const StepSpec& step);
   void EndRun(Job& job, size_t index, const RunEnded& record);
   void FinishTask(Job& job, size_t index);
@@ -193,6 +207,8 @@
 
   Configuration m_configuration;
   std::map<std::string, size_t> m_queue_places;  // By name.
+  KeyRing m_keys;
+  std::unordered_map<std::string, Resources> m_in_use;  // By organisation.
   Jobs m_jobs;
   std::set<std::string> m_open;
   std::unordered_map<std::string, std::unordered_set<std::string>>
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -53,6 +53,7 @@
   kNotAllowed,      ///< Those with room are kept from it: label, rack, spread,
                     ///< or the last attempt.
   kNoEmptyWorker,   ///< It may crash its worker, and none is without work.
+  kOverCap,         ///< Its organisation has all running that it may have.
   kCount,
 };
 
@@ -158,7 +159,16 @@
   /// How many of a job's tasks are in m_reserved.
   std::unordered_map<std::string, uint32_t> m_reserved_jobs;
   std::unordered_map<std::string, Resources> m_reserved_room;  // By worker.
-  std::map<std::pair<TaskId, uint32_t>, Resources> m_reserved_steps;  // By run.
+  /// What a planned start will take.
+  struct Reservation {
+    Resources room;  // Of its worker.
+    Resources need;  // Of its organisation's cap.
+    std::string organisation;
+  };
+  std::map<std::pair<TaskId, uint32_t>, Reservation> m_reserved_steps;  // By
+                                                                        // run.
+  std::unordered_map<std::string, Resources>
+      m_reserved_caps;  // By organisation.
   /// Workers on which a suspect's start is planned and not settled.
   std::map<std::string, TaskId> m_reserved_suspects;
 
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -131,6 +131,18 @@
   WallTime born{};  ///< Zero: not known.
 };
 
+/// As ConfigurationSet, with whose jobs its queues take.
+struct ConfigurationAdopted {
+  Configuration configuration;
+};
+
+/// As JobAccepted, with the organisation that it is for.
+struct JobTaken {
+  JobAccepted job;
+  std::string organisation;  ///< Empty: it came to an open queue.
+  bool is_excess = false;    ///< Beyond what its organisation is promised.
+};
+
 /// New kinds go to the end: a kind is written as its place.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -146,7 +158,9 @@
                             WorkerCrashed,
                             WorkerTold,
                             WorkerReborn,
-                            LifeEnded>;
+                            LifeEnded,
+                            ConfigurationAdopted,
+                            JobTaken>;
 
 /// Encodes a batch of records for the log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -190,6 +204,16 @@
   archive(value.version, value.document, value.queues, value.services);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, OrganisationSpec& value) {
+  archive(value.name, value.keys, value.weight, value.cap);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, IdentitySpec& value) {
+  archive(value.organisations, value.open_queues);
+}
+
 template <typename Archive>
 void Visit(Archive& archive, WorkerInfo& value) {
   archive(value.id, value.address, value.service, value.availability_zone,
@@ -283,4 +307,14 @@
   archive(value.worker, value.suspects);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, ConfigurationAdopted& value) {
+  archive(value.configuration, value.configuration.identities);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, JobTaken& value) {
+  archive(value.job, value.organisation, value.is_excess);
+}
+
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -108,6 +108,23 @@
                                        : &m_configuration.queues[found->second];
 }
 
+Resources Ledger::InUseBy(const std::string& organisation) const {
+  const auto found = m_in_use.find(organisation);
+  return found == m_in_use.end() ? Resources() : found->second;
+}
+
+bool Ledger::IsWithinCapOf(const std::string& organisation,
+                           const Resources& planned,
+                           const Resources& need) const {
+  const OrganisationSpec* spec = m_keys.Find(organisation);
+  if (spec == nullptr || spec->cap == Resources()) {
+    return true;
+  }
+  Resources in_use = InUseBy(organisation);
+  Add(in_use, planned);
+  return IsWithinCap(spec->cap, in_use, need);
+}
+
 bool Ledger::IsActive(const TaskId& task,
                       uint32_t run,
                       const std::string& worker) const {
@@ -151,12 +168,27 @@
 
 void Ledger::Configure(Configuration configuration) {
   m_configuration = std::move(configuration);
+  m_keys = KeyRing(m_configuration);
   m_queue_places.clear();
   for (size_t place = 0; place < m_configuration.queues.size(); ++place) {
     m_queue_places.try_emplace(m_configuration.queues[place].name, place);
   }
 }
 
+void Ledger::Run(const ConfigurationAdopted& record) {
+  Run(ConfigurationSet{record.configuration});
+}
+
+void Ledger::Run(const JobTaken& record) {
+  if (m_jobs.contains(record.job.id)) {
+    return;
+  }
+  Run(record.job);
+  Job& job = m_jobs.at(record.job.id);
+  job.organisation = record.organisation;
+  job.is_excess = record.is_excess;
+}
+
 void Ledger::Run(const JobAccepted& record) {
   const auto [found, is_new] = m_jobs.try_emplace(record.id);
   if (!is_new) {
@@ -224,21 +256,23 @@
   task.active.push_back({record.run, record.worker});
   ++job.active_runs;
   CloseLapses(worker->second);
-  Occupy(worker->second, record.task, task, job.StepOf(index));
+  Occupy(worker->second, job, index);
   if (job.state == JobState::kQueued) {
     SetState(job, JobState::kRunning);
   }
 }
 
-void Ledger::Occupy(Worker& worker,
-                    const TaskId& id,
-                    const Task& task,
-                    const StepSpec& step) {
+void Ledger::Occupy(Worker& worker, const Job& job, size_t index) {
+  const TaskId id = job.IdOf(index);
+  const StepSpec& step = job.spec.steps[id.step];
   const Resources room = RoomOf(step);
   worker.active.insert(id);
-  if (task.IsSuspect()) {
+  if (job.tasks[index].IsSuspect()) {
     worker.suspects.insert(id);
   }
+  if (!job.organisation.empty()) {
+    Add(m_in_use[job.organisation], step.need);
+  }
   Add(worker.used, room);
   if (step.is_persistent) {
     ++worker.persistent_runs;
@@ -283,6 +317,9 @@
   }
   task.active.erase(run);
   --job.active_runs;
+  if (!job.organisation.empty()) {
+    Subtract(m_in_use[job.organisation], job.StepOf(index).need);
+  }
   const auto worker = m_workers.find(record.worker);
   if (worker != m_workers.end()) {
     Vacate(worker->second, record.task, job.StepOf(index));
@@ -629,6 +666,17 @@
   archive(value.task, value.run);
 }
 
+struct SavedOwner {
+  std::string job;
+  std::string organisation;
+  bool is_excess = false;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedOwner& value) {
+  archive(value.job, value.organisation, value.is_excess);
+}
+
 struct SavedLedger {
   Configuration configuration;
   std::vector<Job> jobs;
@@ -640,6 +688,7 @@
   std::vector<SavedWord> words;
   std::vector<SavedOutlived> outlived;
   std::vector<WallTime> gone_births;  ///< As `gone`.
+  std::vector<SavedOwner> owners;     ///< Of the jobs that are somebody's.
 };
 
 template <typename Archive>
@@ -648,6 +697,7 @@
           value.gone);
   archive.Later(value.crashes, value.lapses, value.words, value.outlived,
                 value.gone_births);
+  archive.Later(value.configuration.identities, value.owners);
 }
 
 }  // namespace
@@ -679,6 +729,9 @@
     saved.gone_births.push_back(m_gone.at(id));
   }
   for (const Job& job : saved.jobs) {
+    if (!job.organisation.empty()) {
+      saved.owners.push_back({job.id, job.organisation, job.is_excess});
+    }
     for (size_t index = 0; index < job.tasks.size(); ++index) {
       const Task& task = job.tasks[index];
       if (!task.crashed.empty()) {
@@ -719,6 +772,11 @@
     FollowQueued(job);
     FollowOpen(job);
   }
+  for (SavedOwner& owner : saved.owners) {
+    Job& job = m_jobs.at(owner.job);
+    job.organisation = std::move(owner.organisation);
+    job.is_excess = owner.is_excess;
+  }
   for (SavedCrashes& crashes : saved.crashes) {
     Job& job = m_jobs.at(crashes.task.job);
     Task& task = job.tasks[job.IndexOf(crashes.task)];
@@ -752,7 +810,7 @@
     for (size_t index = 0; index < job.tasks.size(); ++index) {
       const Task& task = job.tasks[index];
       for (const ActiveRun& run : task.active) {
-        Occupy(m_workers[run.worker], job.IdOf(index), task, job.StepOf(index));
+        Occupy(m_workers[run.worker], job, index);
       }
     }
   }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -43,13 +43,20 @@
 constexpr double kGathers = 2;
 
 constexpr const char* kObstacleNames[] = {
-    "none",      "deferred", "being-committed", "gang-incomplete",
-    "no-worker", "no-room",  "not-allowed",     "no-empty-worker"};
+    "none",    "deferred",    "being-committed", "gang-incomplete", "no-worker",
+    "no-room", "not-allowed", "no-empty-worker", "over-cap"};
 static_assert(std::size(kObstacleNames) ==
               static_cast<size_t>(StartObstacle::kCount));
 
 // In which order kinds of work are served.
-enum class Urgency { kPersistent, kOnTime, kLate, kHopeless, kCount };
+enum class Urgency {
+  kPersistent,
+  kOnTime,
+  kLate,
+  kExcess,  // Behind all that organisations are promised.
+  kHopeless,
+  kCount
+};
 
 bool HasLabel(const WorkerInfo& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
@@ -166,7 +173,7 @@
       return;
     }
     const Resources need = RoomOf(step);
-    if (IsKnownFull(candidate, need)) {
+    if (IsKnownFull(candidate, need) || IsOverCap(*candidate.job, step)) {
       return;
     }
     if (step.is_gang) {
@@ -174,6 +181,9 @@
       return;
     }
     for (const uint32_t index : m_planner.FreeTasks(candidate)) {
+      if (IsOverCap(*candidate.job, step)) {
+        return;
+      }
       Place* place = Find(candidate, step, index, places->second, {});
       if (place == nullptr && IsSuspect(candidate, index)) {
         continue;  // Its like may find a place beside other tasks.
@@ -188,6 +198,22 @@
     }
   }
 
+  // Whether the job's organisation has all at work that it may have. A gang
+  // starts as a whole.
+  bool IsOverCap(const Job& job, const StepSpec& step) const {
+    if (job.organisation.empty()) {
+      return false;
+    }
+    const auto reserved = m_planner.m_reserved_caps.find(job.organisation);
+    Resources planned = reserved == m_planner.m_reserved_caps.end()
+                            ? Resources()
+                            : reserved->second;
+    for (uint32_t member = 1; step.is_gang && member < step.count; ++member) {
+      Add(planned, step.need);
+    }
+    return !m_input.ledger.IsWithinCapOf(job.organisation, planned, step.need);
+  }
+
  private:
   struct Place {
     const Worker* worker = nullptr;
@@ -537,8 +563,12 @@
     m_planner.m_reserved[start.task] = start.worker;
     ++m_planner.m_reserved_jobs[start.task.job];
     Add(m_planner.m_reserved_room[start.worker], RoomOf(step));
-    m_planner.m_reserved_steps[{start.task, start.run}] = RoomOf(step);
     const Job& job = *m_input.ledger.FindJob(start.task.job);
+    m_planner.m_reserved_steps[{start.task, start.run}] = {
+        RoomOf(step), step.need, job.organisation};
+    if (!job.organisation.empty()) {
+      Add(m_planner.m_reserved_caps[job.organisation], step.need);
+    }
     if (job.tasks[job.IndexOf(start.task)].IsSuspect()) {
       m_planner.m_reserved_suspects[start.worker] = start.task;
     }
@@ -674,6 +704,9 @@
     candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
     candidate.deadline = limit;
   }
+  if (job.is_excess && candidate.urgency != Urgency::kPersistent) {
+    candidate.urgency = std::max(candidate.urgency, Urgency::kExcess);
+  }
   out.push_back(candidate);
 }
 
@@ -761,10 +794,13 @@
   trial.m_cleared_before = std::exchange(trial.m_clearing, {});
   Placement placement(trial, input, candidates);
   placement.Count(candidates.front(), outlook);
+  const bool is_over_cap = placement.IsOverCap(job, spec);
   std::vector<RunStarted> starts;
   placement.Put(candidates.front(), starts);
   if (m_deferred.contains(job.id)) {
     outlook.obstacle = StartObstacle::kDeferred;
+  } else if (is_over_cap) {
+    outlook.obstacle = StartObstacle::kOverCap;
   } else if (outlook.workers == 0) {
     outlook.obstacle = StartObstacle::kNoWorker;
   } else if (outlook.with_room == 0) {
@@ -799,8 +835,12 @@
   if (found == m_reserved_steps.end()) {
     return;
   }
+  const Reservation& reserved = found->second;
+  if (!reserved.organisation.empty()) {
+    Subtract(m_reserved_caps[reserved.organisation], reserved.need);
+  }
   Resources& room = m_reserved_room[start.worker];
-  Subtract(room, found->second);
+  Subtract(room, reserved.room);
   if (room == Resources()) {
     m_reserved_room.erase(start.worker);
   }
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/planner.h"
 #include "laurelhall/scheduling/pools.h"
@@ -531,5 +533,97 @@
   CHECK(Plan().size() == 2);
 }
 
+// Two organisations, of which "capped" may have two processors at work.
+class OrganisationPlanFixture : public PlannerFixture {
+ protected:
+  OrganisationPlanFixture() { SetCap(2'000); }
+
+  void SetCap(int64_t millicores) {
+    Configuration configuration = ledger.configuration();
+    ++configuration.version;
+    configuration.identities.emplace();
+    configuration.identities->organisations = {
+        {"capped", {"1"}, 5, {millicores, 0, 0}}, {"free", {"2"}, 5, {}}};
+    ledger.Apply(ConfigurationAdopted{configuration});
+  }
+
+  void AcceptFor(const std::string& organisation,
+                 const std::string& id,
+                 const StepSpec& step,
+                 bool is_excess = false) {
+    JobSpec spec;
+    spec.steps = {step};
+    ledger.Apply(JobTaken{
+        {id, "quotes", "teklif", WallTime(), spec}, organisation, is_excess});
+    seen_at[id] = now;
+  }
+
+  static size_t CountOf(const std::vector<RunStarted>& starts,
+                        const std::string& job) {
+    return static_cast<size_t>(std::count_if(
+        starts.begin(), starts.end(),
+        [&job](const RunStarted& start) { return start.task.job == job; }));
+  }
+};
+
+TEST_CASE_FIXTURE(OrganisationPlanFixture,
+                  "Planner, step wider than the cap, goes in waves") {
+  AddWorker("w1");
+  AddWorker("w2");
+  AcceptFor("capped", "j", Step(5));
+  std::vector<RunStarted> starts = Plan();
+  CHECK(starts.size() == 2);
+  CHECK(Plan().empty());  // Planned and not committed counts, too.
+  Commit(starts);
+  CHECK(Plan().empty());
+  ledger.Apply(RunEnded{starts.front().task, 1, starts.front().worker,
+                        RunEnd::kDone, ""});
+  CHECK(Plan().size() == 1);
+}
+
+TEST_CASE_FIXTURE(OrganisationPlanFixture,
+                  "Planner, one organisation at its cap, blocks nobody else") {
+  AddWorker("w1");
+  AcceptFor("capped", "first", Step(8));
+  now += Millis(10);
+  AcceptFor("free", "second", Step(8));
+  const std::vector<RunStarted> starts = Plan();
+  CHECK(CountOf(starts, "first") == 2);
+  CHECK(CountOf(starts, "second") == 2);
+}
+
+TEST_CASE_FIXTURE(OrganisationPlanFixture,
+                  "Planner, gang larger than the cap, never starts") {
+  AddWorker("w1");
+  StepSpec gang = Step(3);
+  gang.is_gang = true;
+  AcceptFor("capped", "j", gang);
+  CHECK(Plan().empty());
+  SetCap(3'000);
+  CHECK(Plan().size() == 3);
+}
+
+TEST_CASE_FIXTURE(OrganisationPlanFixture,
+                  "Planner, cap raised, more starts at once") {
+  AddWorker("w1");
+  AcceptFor("capped", "j", Step(4));
+  Commit(Plan());
+  SetCap(4'000);
+  CHECK(Plan().size() == 2);
+}
+
+// A rush of one organisation beyond its rate: it came first, and the job that
+// was promised goes before it.
+TEST_CASE_FIXTURE(OrganisationPlanFixture,
+                  "Planner, excess before a promised job, waits behind it") {
+  AddWorker("w1");
+  AcceptFor("free", "rush", Step(4), true);
+  now += Millis(50);
+  AcceptFor("capped", "promised", Step(2));
+  const std::vector<RunStarted> starts = Plan();
+  CHECK(CountOf(starts, "promised") == 2);
+  CHECK(CountOf(starts, "rush") == 2);
+}
+
 }  // namespace
 }  // namespace laurelhall::scheduling
