A suspect waits for an empty worker by its own time; persistent ones not at all

Cause: the time was counted from when a worker was chosen to be cleared, and began anew whenever that worker left. So a suspect could wait for ever while hosts moved, and a persistent task without limit, though its users are served all the while. Both tests failed first.

One worker is chosen a plan for all suspects of a service, and a service without an empty worker is walked once a plan, not twice for each suspect.

--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -172,14 +172,14 @@
   /// Workers on which a suspect's start is planned and not settled.
   std::map<std::string, TaskId> m_reserved_suspects;
 
-  /// A worker that takes no new task, so that a suspect finds it empty.
-  struct Clearing {
-    std::string worker;
-    SteadyTime since{};
-  };
-  std::map<std::string, Clearing> m_clearing;        // By service.
-  std::map<std::string, Clearing> m_cleared_before;  // By the last plan.
-  std::map<std::string, SteadyTime> m_deferred;      // By job.
+  /// Workers that take no new task, so that a suspect finds one empty; by
+  /// service.
+  std::map<std::string, std::string> m_clearing;
+  std::map<std::string, std::string> m_cleared_before;  // By the last plan.
+  /// Since when suspects have waited for an empty worker.
+  std::map<TaskId, SteadyTime> m_suspects_waiting;
+  std::map<TaskId, SteadyTime> m_suspects_waited;  // As of the last plan.
+  std::map<std::string, SteadyTime> m_deferred;    // By job.
   std::map<std::string, double> m_ratio;  // Taken over estimated, by queue.
 };
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -381,12 +381,16 @@
               const StepSpec& step,
               uint32_t index,
               std::vector<Place>& places,
-              const std::string& only_rack) const {
+              const std::string& only_rack) {
     if (!IsSuspect(candidate, index)) {
       return FindAmong(candidate, step, index, places, only_rack, false);
     }
-    Place* empty = FindAmong(candidate, step, index, places, only_rack, true);
-    if (empty != nullptr || !HasWaitedForEmpty(candidate, step, places)) {
+    Place* empty = nullptr;
+    if (HasEmpty(candidate, places)) {
+      empty = FindAmong(candidate, step, index, places, only_rack, true);
+    }
+    if (empty != nullptr ||
+        !HasWaitedForEmpty(candidate, step, index, places)) {
       return empty;
     }
     return FindAmong(candidate, step, index, places, only_rack, false);
@@ -397,16 +401,52 @@
            place.room == place.worker->info.capacity;
   }
 
-  // Holds a worker of the service free of new tasks, the one with the fewest,
-  // and tells whether that has lasted too long or none can become empty.
+  // No place becomes empty within a plan, so that many suspects cost one walk
+  // once there is none.
+  bool HasEmpty(const Candidate& candidate, const std::vector<Place>& places) {
+    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    if (m_without_empty.contains(service)) {
+      return false;
+    }
+    const bool has_empty = std::any_of(places.begin(), places.end(), IsEmpty);
+    if (!has_empty) {
+      m_without_empty.insert(service);
+    }
+    return has_empty;
+  }
+
+  // Whether a suspect goes beside other tasks: it has waited for so long, its
+  // users are not to wait, or no worker of the service will be empty.
   bool HasWaitedForEmpty(const Candidate& candidate,
                          const StepSpec& step,
-                         std::vector<Place>& places) const {
+                         uint32_t index,
+                         std::vector<Place>& places) {
+    if (step.is_persistent) {
+      return true;
+    }
+    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
+                    index};
+    const auto before = m_planner.m_suspects_waited.find(id);
+    const SteadyTime since = before == m_planner.m_suspects_waited.end()
+                                 ? m_input.now
+                                 : before->second;
+    m_planner.m_suspects_waiting[id] = since;
+    return !Clears(candidate, step, places) ||
+           m_input.now - since > kLongestClearing;
+  }
+
+  // Holds a worker of the service free of new tasks, the one with the fewest;
+  // false when none can become empty. One serves all suspects of a plan.
+  bool Clears(const Candidate& candidate,
+              const StepSpec& step,
+              std::vector<Place>& places) {
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
-    const auto before = m_planner.m_cleared_before.find(service);
+    if (m_planner.m_clearing.contains(service)) {
+      return true;
+    }
+    const std::string before = ClearedFor(m_planner.m_cleared_before, service);
     const auto is_being_cleared = [&](const Place& place) {
-      return before != m_planner.m_cleared_before.end() &&
-             place.worker->info.id == before->second.worker;
+      return place.worker->info.id == before;
     };
     const Place* best = nullptr;
     for (Place& place : places) {
@@ -422,13 +462,10 @@
             place.worker->active.size() < best->worker->active.size()));
       best = is_better ? &place : best;
     }
-    if (best == nullptr) {
-      return true;
+    if (best != nullptr) {
+      m_planner.m_clearing[service] = best->worker->info.id;
     }
-    const SteadyTime since =
-        is_being_cleared(*best) ? before->second.since : m_input.now;
-    m_planner.m_clearing[service] = {best->worker->info.id, since};
-    return m_input.now - since > kLongestClearing;
+    return best != nullptr;
   }
 
   // Whether a suspect's start there is planned and not settled.
@@ -440,10 +477,11 @@
 
   // The worker that is cleared for a suspect of a service, of one plan; none:
   // an empty name.
-  static std::string ClearedFor(const std::map<std::string, Clearing>& clearing,
-                                const std::string& service) {
+  static std::string ClearedFor(
+      const std::map<std::string, std::string>& clearing,
+      const std::string& service) {
     const auto found = clearing.find(service);
-    return found == clearing.end() ? std::string() : found->second.worker;
+    return found == clearing.end() ? std::string() : found->second;
   }
 
   Place* FindAmong(const Candidate& candidate,
@@ -578,6 +616,7 @@
   const PlanInput& m_input;
   std::map<std::string, std::vector<Place>> m_places;       // By service.
   std::map<std::string, std::vector<Resources>> m_no_room;  // By service.
+  std::set<std::string> m_without_empty;  // Services, found to be so.
 };
 
 // In the ledger's own order.
@@ -758,6 +797,7 @@
   std::vector<RunStarted> starts;
   m_cost = {candidates.size(), 0};
   m_cleared_before = std::exchange(m_clearing, {});
+  m_suspects_waited = std::exchange(m_suspects_waiting, {});
   if (candidates.empty()) {
     return starts;
   }
@@ -792,6 +832,7 @@
   }
   Planner trial(*this);
   trial.m_cleared_before = std::exchange(trial.m_clearing, {});
+  trial.m_suspects_waited = std::exchange(trial.m_suspects_waiting, {});
   Placement placement(trial, input, candidates);
   placement.Count(candidates.front(), outlook);
   const bool is_over_cap = placement.IsOverCap(job, spec);
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -300,5 +300,53 @@
   CHECK(Plan().size() == 1);
 }
 
+// Pattern: hosts leave for other pools one after the other, so that another
+// worker is to be cleared each time.
+TEST_CASE_FIXTURE(
+    CrashLedgerFixture,
+    "Planner, worker that is cleared leaves, the suspect waits no "
+    "longer for it") {
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    Submit(std::string("long-") + worker);
+    ledger.Apply(RunStarted{Id(std::string("long-") + worker), 1, worker});
+  }
+  ledger.Apply(RunStarted{Id("a"), 1, "w3"});
+  ledger.Apply(WorkerCrashed{"w3", {{Id("a"), Suspicion::kSuspect}}});
+  ledger.Apply(RunEnded{Id("a"), 1, "w3", RunEnd::kLapsed, {}});
+  CHECK_FALSE(Plan().contains("a"));
+  for (const char* leaving : {"w1", "w2"}) {
+    m_now += Millis(1'100);
+    WorkerInfo info = ledger.FindWorker(leaving)->info;
+    info.is_draining = true;
+    ledger.Apply(WorkerSeen{info});
+    if (std::string(leaving) == "w1") {
+      CHECK_FALSE(Plan().contains("a"));
+    }
+  }
+  CHECK(Plan().at("a") == "w3");
+}
+
+// A persistent task serves its users all the while: it waits for no empty
+// worker.
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, persistent suspect and no empty worker, starts "
+                  "beside others at once") {
+  for (const char* worker : {"w1", "w2", "w3"}) {
+    Submit(std::string("long-") + worker);
+    ledger.Apply(RunStarted{Id(std::string("long-") + worker), 1, worker});
+  }
+  JobSpec spec;
+  StepSpec step;
+  step.count = 1;
+  step.need = {1'000, 500, 0};
+  step.is_persistent = true;
+  spec.steps.push_back(step);
+  ledger.Apply(JobAccepted{"audit", "quotes", "teklif", WallTime(), spec});
+  ledger.Apply(RunStarted{Id("audit"), 1, "w3"});
+  ledger.Apply(WorkerCrashed{"w3", {{Id("audit"), Suspicion::kSuspect}}});
+  ledger.Apply(RunEnded{Id("audit"), 1, "w3", RunEnd::kLapsed, {}});
+  CHECK(Plan().contains("audit"));
+}
+
 }  // namespace
 }  // namespace laurelhall::scheduling
