The end of a worker looks up its own runs, not all

Each host that moves or is maintained ends a worker's life, and each end walked all runs of the leader twice; addresses of all workers were copied whenever one of them changed.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -27,6 +27,25 @@
 
 }  // namespace
 
+// The tracked runs that are active on a worker. Looked up by what is committed
+// of it: most workers that end have none, and a walk over all runs for each
+// host that moves would grow with both.
+template <typename Visitor>
+void Leadership::VisitRuns(const Ledger& ledger,
+                           const Worker& worker,
+                           Visitor visit) const {
+  for (const scheduling::TaskId& id : worker.active) {
+    const Job& job = *ledger.FindJob(id.job);
+    for (const auto& active : job.tasks[job.IndexOf(id)].active) {
+      const auto run = m_runs.find({id, active.run});
+      if (active.worker == worker.info.id && run != m_runs.end() &&
+          run->second.worker == worker.info.id) {
+        visit(run->first, run->second);
+      }
+    }
+  }
+}
+
 // Commits the end of a worker's life, and before it what that says of the tasks
 // that ran there.
 void Leadership::EndWorker(const Ledger& ledger,
@@ -43,8 +62,8 @@
   }
   line.With("runs", static_cast<uint64_t>(worker.active.size()));
   DecisionLog::Get().Write(line);
-  TellLostRuns(worker, "worker-gone");
-  Blame(ledger, worker, LostRuns(worker),
+  TellLostRuns(ledger, worker, "worker-gone");
+  Blame(ledger, worker, LostRuns(ledger, worker),
         link.is_reached ? std::optional(WhenLost(link)) : std::nullopt,
         records);
   records.emplace_back(scheduling::LifeEnded{worker.info.id, link.born});
@@ -79,7 +98,7 @@
     next.loss_before = WhenLost(link);
   }
   if (known != nullptr) {
-    next.lapsed_runs = LostRuns(*known);
+    next.lapsed_runs = LostRuns(ledger, *known);
   }
   for (auto& [key, track] : m_runs) {
     if (track.worker == worker) {
@@ -158,7 +177,8 @@
 }
 
 // What was at work there, and what its lease had run out on before.
-std::vector<LostRun> Leadership::LostRuns(const Worker& worker) const {
+std::vector<LostRun> Leadership::LostRuns(const Ledger& ledger,
+                                          const Worker& worker) const {
   const WorkerLink& link = m_links.at(worker.info.id);
   const SteadyTime lost_by = WhenLost(link).lost_by;
   std::vector<LostRun> runs = link.lapsed_runs;
@@ -168,14 +188,12 @@
       runs.push_back({task});
     }
   }
-  for (const auto& [key, track] : m_runs) {
-    const bool is_there =
-        track.worker == worker.info.id && worker.active.contains(key.task);
-    const bool is_told = std::any_of(
-        runs.begin(), runs.end(),
-        [&key = key](const auto& run) { return run.task == key.task; });
-    if (!is_there || is_told) {
-      continue;
+  VisitRuns(ledger, worker, [&](const RunKey& key, const RunTrack& track) {
+    const bool is_told =
+        std::any_of(runs.begin(), runs.end(),
+                    [&key](const auto& run) { return run.task == key.task; });
+    if (is_told) {
+      return;
     }
     const bool may_have_started =
         track.start != StartStage::kRetry || track.may_be_on_its_way;
@@ -185,7 +203,7 @@
                         ? std::chrono::floor<Millis>(lost_by - track.begun_at)
                         : Millis::max(),
                     track.work_since != SteadyTime()});
-  }
+  });
   return runs;
 }
 
@@ -305,18 +323,17 @@
 }
 
 // What ran on a worker to the end of its life, or of its lease.
-void Leadership::TellLostRuns(const Worker& worker, const char* how) const {
-  for (const auto& [key, track] : m_runs) {
-    if (track.worker != worker.info.id || !worker.active.contains(key.task)) {
-      continue;
-    }
+void Leadership::TellLostRuns(const Ledger& ledger,
+                              const Worker& worker,
+                              const char* how) const {
+  VisitRuns(ledger, worker, [&](const RunKey& key, const RunTrack& track) {
     DecisionLog::Get().Write(DecisionLine("dispatch", "end", LineClass::kTask)
                                  .With("task", FormatTaskId(key.task))
                                  .With("run", key.run)
                                  .With("worker", worker.info.id)
                                  .With("how", how)
                                  .With("seen_at_work_ms", track.SeenAtWork()));
-  }
+  });
 }
 
 // Until all suspects there have been seen at work.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -286,8 +286,11 @@
                !m_init.mutations.is_birth_ignored) {
       BeginLife(ledger, id, link->second, worker.born);
     }
-    link->second.address = {id, worker.info.address,
-                            worker.info.availability_zone};
+    // Most have not changed, and all are looked at whenever one has.
+    WorkerAddress& address = link->second.address;
+    if (is_new || address.address != worker.info.address) {
+      address = {id, worker.info.address, worker.info.availability_zone};
+    }
   }
 }
 
@@ -411,8 +414,8 @@
             .With("silent_ms",
                   std::chrono::floor<Millis>(now - link.last_contact))
             .With("runs", static_cast<int64_t>(worker->active.size())));
-    TellLostRuns(*worker, "lapsed");
-    link.lapsed_runs = LostRuns(*worker);
+    TellLostRuns(ledger, *worker, "lapsed");
+    link.lapsed_runs = LostRuns(ledger, *worker);
     Commit({scheduling::WorkerLapsed{id}}, [this, id = id](CommitOutcome) {
       const auto found = m_links.find(id);
       if (found != m_links.end()) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -345,7 +345,12 @@
                  const std::string& new_life = "");
   bool IsEndedByUs(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
+  template <typename Visitor>
+  void VisitRuns(const Ledger& ledger,
+                 const scheduling::Worker& worker,
+                 Visitor visit) const;
   std::vector<scheduling::LostRun> LostRuns(
+      const Ledger& ledger,
       const scheduling::Worker& worker) const;
   scheduling::LossTime WhenLost(const WorkerLink& link) const;
   scheduling::LossScope ScopeOf(
@@ -370,7 +375,9 @@
                      Records& records);
   void TellSuspects(const Ledger& ledger,
                     const scheduling::WorkerCrashed& crash);
-  void TellLostRuns(const scheduling::Worker& worker, const char* how) const;
+  void TellLostRuns(const Ledger& ledger,
+                    const scheduling::Worker& worker,
+                    const char* how) const;
   bool IsQuarantined(const Ledger& ledger,
                      const scheduling::Worker& worker) const;
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
