--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -273,12 +273,12 @@
   template <typename Asked>
   void RefuseConfirmed(const Asked& request, const ReplyDone& done) {
     ReadConfirmed(
-        [host = request.host, path = request.path,
+        [host = request.host, path = request.path, id = request.id,
          key = request.key](const Ledger& ledger) {
           const Admission admission =
               Admit(ledger, CountWaiting{host, path, key});
           if (admission.outcome == Outcome::kNoAccess) {
-            TellNoAccess(ledger, *admission.queue, key);
+            TellNoAccess(ledger, *admission.queue, key, id);
           }
           // Taken by now: as if asked again.
           return admission.outcome == Outcome::kOk ? Unavailable()
@@ -289,13 +289,14 @@
 
   static void TellNoAccess(const Ledger& ledger,
                            const scheduling::QueueSpec& queue,
-                           const std::string& key) {
+                           const std::string& key,
+                           const std::string& job = "") {
     DecisionLog::Get().Write(
-        DecisionLine("dispatch", "refuse", LineClass::kRequest)
+        DecisionLine("dispatch", "no-access", LineClass::kRequest)
+            .With("job", job)
             .With("queue", queue.name)
             .With("version", ledger.configuration().version)
-            .With("key", key.empty() ? "none" : key.substr(0, kShownKey))
-            .With("why", "unknown-key"));
+            .With("key", key.empty() ? "none" : key.substr(0, kShownKey)));
   }
 
   // Another organisation's job is not shown; nobody's is, to all that the queue
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -284,6 +284,7 @@
   void ReportLoad(const Ledger& ledger);
   void ReportWorkers(const Ledger& ledger);
   void ReportWaits(const Ledger& ledger);
+  static void ReportOrganisations(const Ledger& ledger);
 
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
--- a/packages/dispatch/src/reports.cc
+++ b/packages/dispatch/src/reports.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <functional>
 
 #include "laurelhall/base/decision_log.h"
 #include "leadership_p.h"
@@ -20,6 +21,8 @@
 // Jobs told of each second, the longest waiting first: what holds these up
 // holds up the others.
 constexpr size_t kMostWaits = 4;
+// Organisations told of each second, those with most at work first.
+constexpr size_t kMostOrganisations = 8;
 
 constexpr const char* kFitnessNames[] = {"usable", "not_reached", "silent",
                                          "lapsed", "draining",    "suspect",
@@ -66,6 +69,7 @@
   ReportLoad(ledger);
   ReportWorkers(ledger);
   ReportWaits(ledger);
+  ReportOrganisations(ledger);
 }
 
 // Whether the leader itself is the narrow place.
@@ -107,6 +111,31 @@
   }
 }
 
+// What organisations have at work, and whether a cap holds them.
+void Leadership::ReportOrganisations(const Ledger& ledger) {
+  std::vector<std::pair<int64_t, std::string>> busy;
+  for (const auto& [name, in_use] : ledger.in_use()) {
+    if (in_use.millicores > 0) {
+      busy.emplace_back(in_use.millicores, name);
+    }
+  }
+  const size_t told = std::min(kMostOrganisations, busy.size());
+  std::partial_sort(busy.begin(), busy.begin() + static_cast<ptrdiff_t>(told),
+                    busy.end(), std::greater<>());
+  for (size_t each = 0; each < told; ++each) {
+    const auto& [millicores, name] = busy[each];
+    const scheduling::OrganisationSpec* spec = ledger.keys().Find(name);
+    DecisionLine line("dispatch", "organisation");
+    line.With("organisation", name).With("millicores", millicores);
+    if (spec != nullptr) {
+      line.With("cap_millicores", spec->cap.millicores)
+          .With("weight", static_cast<int64_t>(spec->weight));
+    }
+    line.With("of", static_cast<uint64_t>(busy.size()));
+    DecisionLog::Get().Write(line);
+  }
+}
+
 // Jobs that could go on and have nothing at work, and why.
 void Leadership::ReportWaits(const Ledger& ledger) {
   const SteadyTime now = Now();
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -142,6 +142,11 @@
   /// filling tasks included.
   Resources InUseBy(const std::string& organisation) const;
 
+  /// As InUseBy(), of all that had runs since this ledger began.
+  const std::unordered_map<std::string, Resources>& in_use() const {
+    return m_in_use;
+  }
+
   /// Whether an organisation may start one more such task.
   ///
   /// @param planned What else of it is about to start.
--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -27,6 +27,7 @@
 constexpr Millis kStatePeriod{1'000};
 
 constexpr int64_t kBadRequest = 400;
+constexpr int64_t kNoAccess = 401;
 constexpr int64_t kNotFound = 404;
 constexpr int64_t kUnavailable = 503;
 constexpr int64_t kNoAnswer = 504;
@@ -41,6 +42,7 @@
 // kept it from its first start before what a later run had.
 constexpr std::array kJobRules{
     Row{"refused", "bad-request", &Story::BadRequest},
+    Row{"refused", "unknown-key", &Story::UnknownKey},
     Row{"refused", "unknown-queue", &Story::UnknownQueue},
     Row{"refused", "no-leader", &Story::NoLeader},
     Row{"refused", "not-answered", &Story::NotAnswered},
@@ -122,6 +124,7 @@
             "some of its group still run or are being committed"},
     Wording{"no-empty-worker",
             "workers went down under it, and none is without other tasks"},
+    Wording{"over-cap", "its organisation has at work all that it may have"},
     Wording{"none", "a worker would take it, it has only to be planned"},
 };
 
@@ -303,6 +306,21 @@
   return Verdict{answer, "The request was bad (status 400)."};
 }
 
+std::optional<Verdict> Story::UnknownKey() const {
+  const Line* answer = Refusal(kNoAccess);
+  if (answer == nullptr) {
+    return std::nullopt;
+  }
+  const Line* told = LastOwn("no-access");
+  if (told == nullptr) {
+    return Verdict{answer, "No configuration holds its key (status 401)."};
+  }
+  return Verdict{told, "Version " + std::to_string(told->Number("version")) +
+                           " holds no key " + told->Text("key") +
+                           " for queue " + told->Text("queue") +
+                           " (status 401)."};
+}
+
 std::optional<Verdict> Story::UnknownQueue() const {
   const Line* answer = Refusal(kNotFound);
   if (answer == nullptr) {
--- a/packages/trace/src/causes_p.h
+++ b/packages/trace/src/causes_p.h
@@ -28,6 +28,7 @@
 
   // Refused.
   std::optional<Verdict> BadRequest() const;
+  std::optional<Verdict> UnknownKey() const;
   std::optional<Verdict> UnknownQueue() const;
   std::optional<Verdict> NoLeader() const;
   std::optional<Verdict> NotAnswered() const;
--- a/packages/trace/tests/trace_test.cc
+++ b/packages/trace/tests/trace_test.cc
@@ -235,6 +235,15 @@
   CHECK(Says("steps: none"));
 }
 
+TEST_CASE_FIXTURE(TraceFixture, "Story, unknown key, names the version") {
+  Add("core-1", 1, "dispatch no-access",
+      R"("job":"j1","queue":"quotes","version":7,"key":"0a1b2c3d4e5f")");
+  Post(2, 401, 1);
+  CHECK(Verdict() == "refused unknown-key");
+  CHECK(Decided() == "core-1 dispatch no-access");
+  CHECK(Says("Version 7 holds no key 0a1b2c3d4e5f for queue quotes"));
+}
+
 TEST_CASE_FIXTURE(TraceFixture, "Story, no such queue, names the path") {
   Post(1, 404, 1);
   CHECK(Verdict() == "refused unknown-queue");
