Bench: what organisations and hosts that move cost a leader

Rows beside the plain one: jobs of 41 organisations under caps, and sixty lives a second that end as hosts are drained and moved, which showed in no bench.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -1,5 +1,7 @@
 // What a leader's decisions cost a start, without the network and the log: the
-// real Dispatcher over workers that answer at once, on a virtual clock.
+// real Dispatcher over workers that answer at once, on a virtual clock. Each
+// scene is a row: jobs of nobody, jobs of organisations under caps, and workers
+// whose lives end and begin as their hosts move.
 //
 // dispatch_bench [WORKERS] [STARTS_PER_SECOND]
 #include <cstdio>
@@ -30,6 +32,16 @@
 constexpr Millis kRunTime{900};
 constexpr uint32_t kTasksInJob = 13;
 
+struct Scene {
+  const char* name;
+  int organisations = 0;
+  int lives_per_second = 0;
+};
+
+constexpr Scene kScenes[] = {{"plain"},
+                             {"41 organisations under caps", 41},
+                             {"60 lives a second end", 0, 60}};
+
 double ProcessorSeconds() {
   timespec now{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
@@ -93,6 +105,14 @@
   void Hold(HoldOrder order, std::function<void(HoldReply)> done) override {
     ++looks;
     Worker& worker = m_workers[order.worker.id];
+    if (worker.is_over) {
+      Answer([done = std::move(done)] {
+        HoldReply reply;
+        reply.outcome = CallOutcome::kOtherLife;
+        done(reply);
+      });
+      return;
+    }
     while (!worker.ended.empty() &&
            worker.ended.front().number <= order.ends_seen) {
       worker.ended.pop_front();
@@ -111,6 +131,19 @@
 
   void Forget(const WorkerAddress&) override {}
 
+  /// Whether nothing runs there.
+  bool IsIdle(const std::string& id) const {
+    const auto found = m_workers.find(id);
+    return found != m_workers.end() && found->second.running.empty();
+  }
+
+  /// From now on another life answers in its place.
+  void EndLife(const std::string& id) {
+    Worker& worker = m_workers[id];
+    worker.is_over = true;
+    List(worker);
+  }
+
   uint64_t looks = 0;
 
  private:
@@ -124,6 +157,7 @@
     uint64_t next_end = 1;
     std::function<void(HoldReply)> look;
     uint64_t looks = 0;
+    bool is_over = false;
   };
 
   CallReply Reply() const {
@@ -149,7 +183,8 @@
       return;
     }
     HoldReply reply;
-    reply.outcome = CallOutcome::kDone;
+    reply.outcome =
+        worker.is_over ? CallOutcome::kOtherLife : CallOutcome::kDone;
     reply.clock = Reply().clock;
     for (const auto& [task, run] : worker.running) {
       reply.running.push_back({task, run.run, {}, 50, 0});
@@ -175,7 +210,11 @@
   return "pool-" + std::to_string(pool);
 }
 
-scheduling::Configuration MakeConfiguration() {
+std::string OrganisationName(uint64_t number) {
+  return "organisation-" + std::to_string(number);
+}
+
+scheduling::Configuration MakeConfiguration(const Scene& scene) {
   scheduling::Configuration configuration;
   configuration.version = 1;
   configuration.document = "{}";
@@ -185,24 +224,73 @@
                                     PoolName(pool), 0, 3, 1.6, Millis(600)});
     configuration.services.push_back({PoolName(pool)});
   }
+  for (int number = 0; number < scene.organisations; ++number) {
+    if (!configuration.identities) {
+      configuration.identities.emplace();
+    }
+    configuration.identities->organisations.push_back(
+        {OrganisationName(static_cast<uint64_t>(number)),
+         {},
+         1'000,
+         {4'000'000, 16'000'000, 0}});
+  }
   return configuration;
 }
 
-int Main(int workers, int starts_per_second) {
-  std::cout.setstate(std::ios::failbit);  // Decision lines are not the matter.
+scheduling::WorkerInfo MakeWorker(int host, int life) {
+  scheduling::WorkerInfo info;
+  info.id = "i-0123456789-" + std::to_string(host) + "-" + std::to_string(life);
+  info.address = "10.0.0." + std::to_string(host);
+  info.service = PoolName(host % kPools);
+  info.host = "m-" + std::to_string(host);
+  info.capacity = {32'000, 131'072, 0};
+  return info;
+}
+
+/// Ends lives of idle workers at a rate, as hosts that are drained and moved.
+class Turnover {
+ public:
+  Turnover(FakeLog& log, FakeWorkers& port, int workers, int per_second)
+      : m_log(log),
+        m_port(port),
+        m_lives(static_cast<size_t>(workers)),
+        m_per_step(per_second * 0.001) {}
+
+  void Step() {
+    m_due += m_per_step;
+    for (size_t tried = 0; m_due >= 1 && tried < m_lives.size(); ++tried) {
+      const size_t host = m_next++ % m_lives.size();
+      scheduling::WorkerInfo info =
+          MakeWorker(static_cast<int>(host), m_lives[host]);
+      if (!m_port.IsIdle(info.id)) {
+        continue;
+      }
+      info.is_draining = true;
+      m_log.ledger.Apply(scheduling::WorkerSeen{info});
+      m_port.EndLife(info.id);
+      m_log.ledger.Apply(scheduling::WorkerSeen{
+          MakeWorker(static_cast<int>(host), ++m_lives[host])});
+      m_due -= 1;
+    }
+  }
+
+ private:
+  FakeLog& m_log;
+  FakeWorkers& m_port;
+  std::vector<int> m_lives;  // How many each host had before.
+  double m_per_step;
+  double m_due = 0;
+  size_t m_next = 0;
+};
+
+void Play(int workers, int starts_per_second, const Scene& scene) {
   ManualTimerService timers;
   FakeLog log(timers);
   FakeWorkers port(timers);
   NoHosts hosts;
-  log.ledger.Apply(scheduling::ConfigurationSet{MakeConfiguration()});
+  log.ledger.Apply(scheduling::ConfigurationAdopted{MakeConfiguration(scene)});
   for (int i = 0; i < workers; ++i) {
-    scheduling::WorkerInfo info;
-    info.id = "i-0123456789-" + std::to_string(i);
-    info.address = "10.0.0." + std::to_string(i);
-    info.service = PoolName(i % kPools);
-    info.host = "m-" + std::to_string(i);
-    info.capacity = {32'000, 131'072, 0};
-    log.ledger.Apply(scheduling::WorkerSeen{info});
+    log.ledger.Apply(scheduling::WorkerSeen{MakeWorker(i, 0)});
   }
   DispatcherInit init;
   init.name = "control-1";
@@ -222,6 +310,7 @@
                                kTasksInJob * 0.001 *
                                static_cast<double>(kStep.count());
   std::uniform_real_distribution<double> chance(0, 1);
+  Turnover turnover(log, port, workers, scene.lives_per_second);
   uint64_t next_job = 0;
   double begun = 0;
   DispatchCounters first;
@@ -246,24 +335,38 @@
       step.depends_on = {0};
       spec.steps.push_back(step);
       const auto pool = static_cast<int>(next_job++ % kPools);
-      log.ledger.Apply(
-          scheduling::JobAccepted{id, "queue-" + std::to_string(pool),
-                                  PoolName(pool), WallNow(), spec});
+      scheduling::JobTaken taken;
+      taken.job = {id, "queue-" + std::to_string(pool), PoolName(pool),
+                   WallNow(), spec};
+      if (scene.organisations > 0) {
+        taken.organisation = OrganisationName(
+            next_job % static_cast<uint64_t>(scene.organisations));
+      }
+      log.ledger.Apply(taken);
     }
+    turnover.Step();
     timers.Advance(kStep);
   }
   const double spent = ProcessorSeconds() - begun;
   const auto starts =
       static_cast<double>(dispatcher.counters().starts - first.starts);
   std::printf(
-      "workers %d, starts/s %.0f, looks/s %.0f: %.1f us a start, the fakes' "
-      "own included\n",
-      workers, starts * 1000 / static_cast<double>(kMeasure.count()),
+      "%s: workers %d, starts/s %.0f, looks/s %.0f: %.1f us a start, the "
+      "fakes' own included\n",
+      scene.name, workers,
+      starts * 1000 / static_cast<double>(kMeasure.count()),
       static_cast<double>(port.looks - first_looks) * 1000 /
           static_cast<double>(kMeasure.count()),
       spent * 1e6 / starts);
   dispatcher.EndToLead();
   timers.Advance(kStep);
+}
+
+int Main(int workers, int starts_per_second) {
+  std::cout.setstate(std::ios::failbit);  // Decision lines are not the matter.
+  for (const Scene& scene : kScenes) {
+    Play(workers, starts_per_second, scene);
+  }
   return 0;
 }
 
