--- a/packages/base/include/laurelhall/base/timer_service.h
+++ b/packages/base/include/laurelhall/base/timer_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <mutex>
+#include <set>
+#include <unordered_map>
+#include <utility>
 
 #include "laurelhall/base/handle.h"
 #include "laurelhall/base/time.h"
@@ -56,7 +58,8 @@
   mutable std::mutex m_mutex;  // Guards all below.
   SteadyTime m_now{std::chrono::hours(1)};
   uint32_t m_next_index = 0;
-  std::map<uint32_t, Subscription> m_subscriptions;
+  std::unordered_map<uint32_t, Subscription> m_subscriptions;
+  std::set<std::pair<SteadyTime, uint32_t>> m_order;  // Due, then index.
 };
 
 }  // namespace laurelhall
--- a/packages/base/src/timer_service.cc
+++ b/packages/base/src/timer_service.cc
@@ -21,26 +21,26 @@
 
 void ManualTimerService::Cancel(TimerHandle timer) {
   const std::lock_guard lock(m_mutex);
-  m_subscriptions.erase(timer.index);
+  const auto found = m_subscriptions.find(timer.index);
+  if (found != m_subscriptions.end()) {
+    m_order.erase({found->second.due, timer.index});
+    m_subscriptions.erase(found);
+  }
 }
 
 void ManualTimerService::Advance(Millis by) {
   std::unique_lock lock(m_mutex);
   const SteadyTime target = m_now + by;
-  while (true) {
-    const auto next =
-        std::min_element(m_subscriptions.begin(), m_subscriptions.end(),
-                         [](const auto& a, const auto& b) {
-                           return a.second.due < b.second.due;
-                         });
-    if (next == m_subscriptions.end() || next->second.due > target) {
-      break;
-    }
-    m_now = std::max(m_now, next->second.due);
+  while (!m_order.empty() && m_order.begin()->first <= target) {
+    const auto [due, index] = *m_order.begin();
+    m_order.erase(m_order.begin());
+    m_now = std::max(m_now, due);
     const SteadyTime now = m_now;
+    const auto next = m_subscriptions.find(index);
     Callback callback = next->second.callback;
     if (next->second.period.count() > 0) {
       next->second.due += next->second.period;
+      m_order.emplace(next->second.due, index);
     } else {
       m_subscriptions.erase(next);
     }
@@ -58,6 +58,7 @@
   const std::lock_guard lock(m_mutex);
   const TimerHandle timer{m_next_index++};
   m_subscriptions[timer.index] = {m_now + delay, period, std::move(callback)};
+  m_order.emplace(m_now + delay, timer.index);
   return timer;
 }
 
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -260,38 +260,56 @@
   if (m_followed_workers == ledger.workers_version()) {
     return;
   }
-  m_followed_workers = ledger.workers_version();
-  for (auto link = m_links.begin(); link != m_links.end();) {
-    if (ledger.FindWorker(link->first) != nullptr) {
-      ++link;
-      continue;
+  const auto before =
+      std::exchange(m_followed_workers, ledger.workers_version());
+  const bool is_told =
+      before && ledger.VisitChangedWorkers(*before, [&](const std::string& id) {
+        FollowWorker(ledger, id);
+      });
+  if (is_told) {
+    return;
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, link] : m_links) {
+    if (ledger.FindWorker(id) == nullptr) {
+      gone.push_back(id);
     }
-    m_init.workers->Forget(link->second.address);
-    m_last_lives[link->first] = link->second.number;
-    link = m_links.erase(link);
+  }
+  for (const std::string& id : gone) {
+    FollowWorker(ledger, id);
   }
   for (const auto& [id, worker] : ledger.workers()) {
-    const auto [link, is_new] =
-        m_links.try_emplace(id, m_init.bounds.longest_lease, m_begun_at);
-    if (is_new) {
-      link->second.last_announced = Now();
-      link->second.born = worker.born;
-      const auto last = m_last_lives.find(id);
-      if (last != m_last_lives.end()) {
-        link->second.number = last->second + 1;
-      }
-    } else if (link->second.born == WallTime()) {
-      link->second.born = worker.born;
-    } else if (worker.born > link->second.born &&
-               !m_init.mutations.is_birth_ignored) {
-      BeginLife(ledger, id, link->second, worker.born);
+    FollowWorker(ledger, id);
+  }
+}
+
+void Leadership::FollowWorker(const Ledger& ledger, const std::string& id) {
+  const Worker* worker = ledger.FindWorker(id);
+  if (worker == nullptr) {
+    const auto link = m_links.find(id);
+    if (link != m_links.end()) {
+      m_init.workers->Forget(link->second.address);
+      m_last_lives[id] = link->second.number;
+      m_links.erase(link);
     }
-    // Most have not changed, and all are looked at whenever one has.
-    WorkerAddress& address = link->second.address;
-    if (is_new || address.address != worker.info.address) {
-      address = {id, worker.info.address, worker.info.availability_zone};
+    return;
+  }
+  const auto [found, is_new] =
+      m_links.try_emplace(id, m_init.bounds.longest_lease, m_begun_at);
+  WorkerLink& link = found->second;
+  if (is_new) {
+    link.last_announced = Now();
+    link.born = worker->born;
+    const auto last = m_last_lives.find(id);
+    if (last != m_last_lives.end()) {
+      link.number = last->second + 1;
     }
+  } else if (link.born == WallTime()) {
+    link.born = worker->born;
+  } else if (worker->born > link.born && !m_init.mutations.is_birth_ignored) {
+    BeginLife(ledger, id, link, worker->born);
   }
+  link.address = {id, worker->info.address, worker->info.availability_zone};
 }
 
 // Every committed run is tracked; those of an earlier leader are uncertain.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -256,6 +256,7 @@
 
   // leadership.cc: workers and runs.
   void FollowWorkers(const Ledger& ledger);
+  void FollowWorker(const Ledger& ledger, const std::string& id);
   void FollowRuns(const Ledger& ledger);
   void FollowJobs(const Ledger& ledger);
   Millis AgeOf(const scheduling::Job& job) const;
@@ -423,6 +424,10 @@
   // moves.cc: hosts between pools.
   void StepMoves(const Ledger& ledger);
   void FollowHosts(const Ledger& ledger);
+  void FollowHostOf(const scheduling::Worker& worker);
+  bool IsMoveOver(const Ledger& ledger,
+                  const std::string& host,
+                  const MoveTrack& track);
   void ListHosts(const std::string& page);
   void OnListed(const HostPage& page);
   void ChooseMoves(const Ledger& ledger);
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -87,23 +87,18 @@
   for (auto& [host, track] : m_moves) {
     StepMove(ledger, host, track);
   }
-  const size_t ended = std::erase_if(m_moves, [&](const auto& entry) {
-    const MoveTrack& track = entry.second;
-    const bool is_ordered = track.ordered_at != SteadyTime();
-    const HostState& state = m_inventory[entry.first];
-    if (!is_ordered) {
-      return !track.is_act_under_way &&
-             now - track.chosen_at > kLongestEmptying;
+  std::vector<std::string> ended;
+  for (const auto& [host, track] : m_moves) {
+    if (IsMoveOver(ledger, host, track)) {
+      ended.push_back(host);
+    }
+  }
+  for (const std::string& host : ended) {
+    m_moves.erase(host);
+    // What its worker says counts again.
+    for (const std::string& life : ledger.WorkersOn(host)) {
+      FollowHostOf(*ledger.FindWorker(life));
     }
-    const Worker* worker = WorkerOn(ledger, entry.first);
-    const bool is_back =
-        worker != nullptr && !track.life_before.IsSame(*worker);
-    // Its last life must be known to be over, or it seems still to be there.
-    const bool is_parked = IsSpare(ledger, state.pool) && worker == nullptr;
-    return is_back || is_parked || now - track.ordered_at > kLostOnTheWay;
-  });
-  if (ended > 0) {
-    m_followed_hosts.reset();  // What their workers say counts again.
   }
   if (now >= m_next_choice && !m_inventory.empty()) {
     m_next_choice = now + kChoicePeriod;
@@ -111,6 +106,21 @@
   }
 }
 
+bool Leadership::IsMoveOver(const Ledger& ledger,
+                            const std::string& host,
+                            const MoveTrack& track) {
+  if (track.ordered_at == SteadyTime()) {
+    return !track.is_act_under_way &&
+           Now() - track.chosen_at > kLongestEmptying;
+  }
+  const Worker* worker = WorkerOn(ledger, host);
+  const bool is_back = worker != nullptr && !track.life_before.IsSame(*worker);
+  // Its last life must be known to be over, or it seems still to be there.
+  const bool is_parked =
+      worker == nullptr && IsSpare(ledger, m_inventory[host].pool);
+  return is_back || is_parked || Now() - track.ordered_at > kLostOnTheWay;
+}
+
 void Leadership::ListHosts(const std::string& page) {
   m_init.hosts->List(page, [weak = weak_from_this()](const HostPage& listed) {
     if (const auto self = weak.lock()) {
@@ -148,26 +158,40 @@
   if (m_followed_hosts == ledger.workers_version()) {
     return;
   }
-  m_followed_hosts = ledger.workers_version();
+  const auto before = std::exchange(m_followed_hosts, ledger.workers_version());
+  const bool is_told =
+      before && ledger.VisitChangedWorkers(*before, [&](const std::string& id) {
+        const Worker* worker = ledger.FindWorker(id);
+        if (worker != nullptr) {
+          FollowHostOf(*worker);
+        }
+      });
+  if (is_told) {
+    return;
+  }
   for (const auto& [id, worker] : ledger.workers()) {
-    if (worker.info.host.empty()) {
-      continue;
-    }
-    const auto move = m_moves.find(worker.info.host);
-    if (move != m_moves.end() && move->second.life_before.IsSame(worker)) {
-      continue;
-    }
-    HostState& state = m_inventory[worker.info.host];
-    if (state.pool != worker.info.service) {
-      // One that is seen for the first time may long have been there: it may
-      // move at once, or a new leader would serve a rush by what is idle only
-      // after the least stay.
-      state.since = state.pool.empty() ? SteadyTime() : Now();
-      state.pool = worker.info.service;
-    }
-    state.is_up = true;
-    state.cores = static_cast<double>(worker.info.capacity.millicores) / 1000;
+    FollowHostOf(worker);
+  }
+}
+
+void Leadership::FollowHostOf(const Worker& worker) {
+  if (worker.info.host.empty()) {
+    return;
+  }
+  const auto move = m_moves.find(worker.info.host);
+  if (move != m_moves.end() && move->second.life_before.IsSame(worker)) {
+    return;
+  }
+  HostState& state = m_inventory[worker.info.host];
+  if (state.pool != worker.info.service) {
+    // One that is seen for the first time may long have been there: it may
+    // move at once, or a new leader would serve a rush by what is idle only
+    // after the least stay.
+    state.since = state.pool.empty() ? SteadyTime() : Now();
+    state.pool = worker.info.service;
   }
+  state.is_up = true;
+  state.cores = static_cast<double>(worker.info.capacity.millicores) / 1000;
 }
 
 std::map<std::string, Leadership::ServiceNeed> Leadership::NeededCores(
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -130,6 +131,14 @@
   /// so that what follows from them is worked out again only then.
   uint64_t workers_version() const { return m_workers_version; }
 
+  /// Visits the ids of all workers that changed, came or went since a version,
+  /// in order; one may come several times.
+  ///
+  /// @returns False, with none visited, when that is too long ago to tell.
+  bool VisitChangedWorkers(
+      uint64_t since,
+      const std::function<void(const std::string&)>& visit) const;
+
   /// Ids of the workers on a host: one, or several lives until the older ones
   /// are known to be over. None for an empty name.
   const std::set<std::string>& WorkersOn(const std::string& host) const;
@@ -207,6 +216,7 @@
   void FollowQueued(const Job& job);
   void FollowOpen(const Job& job);
   void Configure(Configuration configuration);
+  void NoteChange(const std::string& worker);
   void SetInfo(Worker& worker, const WorkerInfo& info);
   void LeaveHost(const WorkerInfo& info);
 
@@ -220,6 +230,7 @@
       m_queued;  // Ids of jobs that wait for their first start, by queue.
   Workers m_workers;
   uint64_t m_workers_version = 0;
+  std::deque<std::string> m_changed_workers;  // One a version, newest last.
   std::map<std::string, std::set<std::string>> m_workers_on;  // By host.
   std::map<uint64_t, WaveState> m_waves;
   std::unordered_map<std::string, WallTime> m_gone;  // Births, by id.
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -12,6 +12,9 @@
 // Ids of ended lives that are remembered, so that a late announcement does not
 // bring one back: the lives of some days at the coming size (477 a day).
 constexpr size_t kMaxGone = 2'000;
+// Changes of workers that are told one by one; after more, who follows them
+// looks at all. Between two ticks of a leader of a thousand there are a few.
+constexpr size_t kMaxChanges = 256;
 // Workers that went down under a task, though none is sure to be its fault.
 constexpr size_t kCrashesToSuspect = 2;
 
@@ -439,7 +442,7 @@
     return;
   }
   if (worker.born != WallTime()) {
-    ++m_workers_version;
+    NoteChange(id);
     ++worker.earlier_lives;
     worker.is_unjudged = true;
     worker.sequence = 0;
@@ -454,8 +457,30 @@
   worker.born = born;
 }
 
-void Ledger::SetInfo(Worker& worker, const WorkerInfo& info) {
+void Ledger::NoteChange(const std::string& worker) {
   ++m_workers_version;
+  m_changed_workers.push_back(worker);
+  if (m_changed_workers.size() > kMaxChanges) {
+    m_changed_workers.pop_front();
+  }
+}
+
+bool Ledger::VisitChangedWorkers(
+    uint64_t since,
+    const std::function<void(const std::string&)>& visit) const {
+  const uint64_t behind = m_workers_version - since;
+  if (since > m_workers_version || behind > m_changed_workers.size()) {
+    return false;
+  }
+  for (auto id = m_changed_workers.end() - static_cast<ptrdiff_t>(behind);
+       id != m_changed_workers.end(); ++id) {
+    visit(*id);
+  }
+  return true;
+}
+
+void Ledger::SetInfo(Worker& worker, const WorkerInfo& info) {
+  NoteChange(info.id);
   LeaveHost(worker.info);
   worker.info = info;
   if (!info.host.empty()) {
@@ -509,7 +534,7 @@
   Run(WorkerLapsed{record.worker});
   if (found != m_workers.end()) {
     CloseLapses(found->second);
-    ++m_workers_version;
+    NoteChange(record.worker);
     LeaveHost(found->second.info);
     m_workers.erase(found);
   }
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -241,6 +241,30 @@
   CHECK(ledger.CountQueued("quotes") == 0);
 }
 
+TEST_CASE_FIXTURE(
+    LedgerFixture,
+    "Ledger, workers change, are told one by one since a version") {
+  const uint64_t before = ledger.workers_version();
+  WorkerInfo info = ledger.FindWorker("w1")->info;
+  info.is_draining = true;
+  ledger.Apply(WorkerSeen{info});
+  ledger.Apply(WorkerGone{"w2"});
+  std::vector<std::string> changed;
+  const auto note = [&](const std::string& id) { changed.push_back(id); };
+  CHECK(ledger.VisitChangedWorkers(before, note));
+  CHECK(changed == std::vector<std::string>{"w1", "w2"});
+  changed.clear();
+  CHECK(ledger.VisitChangedWorkers(ledger.workers_version(), note));
+  CHECK(changed.empty());
+  const uint64_t saved_at = ledger.workers_version();
+  ledger.Load(ledger.Save());
+  CHECK_FALSE(ledger.VisitChangedWorkers(saved_at, note));
+  for (int change = 0; change < 300; ++change) {
+    ledger.Apply(WorkerSeen{info});
+  }
+  CHECK_FALSE(ledger.VisitChangedWorkers(saved_at + 1, note));
+}
+
 TEST_CASE_FIXTURE(LedgerFixture,
                   "Ledger, job cancelled before its first start, not counted") {
   Accept({Step(1)});
