--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -74,7 +74,7 @@
   bool is_lead_assumed = false;        ///< Acts without a quorum's recent word.
   bool is_relay_term_ignored = false;  ///< Takes results of an earlier term.
   bool is_handed_order_forgotten = false;  ///< A lost relay sent nothing.
-  bool is_birth_ignored = false;  ///< Any life under an id is the same.
+  bool is_birth_ignored = false;     ///< Any life under an id is the same.
   bool is_cap_planned_only = false;  ///< A planned start is sent over a cap.
 };
 
