--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -292,13 +292,20 @@
 TEST_CASE_FIXTURE(DispatcherFixture,
                   "Wave, all hosts of a service are due, persistent tasks are "
                   "soon at work again") {
-  StepSpec step = Step(5);
+  StepSpec step = Step(6);
   step.is_persistent = true;
+  step.spread_limit = 2;  // So that each host has two.
   step.may_miss = 1;
   world.Submit("a", {step});
   world.Advance(Millis(1'500));
-  world.OpenWave({"host-w0", "host-w1", "host-w2"});
-  std::vector<Millis> away(5, Millis(0));
+  // Enough others that three are chosen at once; persistent ones come first.
+  std::vector<std::string> due{"host-w0", "host-w1", "host-w2"};
+  for (int other = 0; other < 6; ++other) {
+    due.push_back("other-" + std::to_string(other));
+    world.AddWorker(due.back(), "other");
+  }
+  world.OpenWave(due);
+  std::vector<Millis> away(6, Millis(0));
   Millis longest{0};
   for (Millis at{0}; at < Millis(30'000); at += Millis(100)) {
     world.Advance(Millis(100));
@@ -310,7 +317,7 @@
     }
   }
   CHECK(longest <= Millis(3'000));
-  CHECK(world.ledger().FindJob("a")->active_runs == 5);
+  CHECK(world.ledger().FindJob("a")->active_runs == 6);
   CHECK(world.ledger().waves().at(1).is_done());
   CheckClean();
 }
