A wave gives a host back when a persistent task has no other place

Task 2 of an audit left its host at 7.6 s and found no usable worker ("evacuated":3 for twenty seconds); while it was away the other tasks of its step might not leave, so that no host became empty and none could take it, until the next rush brought hosts at 27 s. Ruled out: the wait of suspects for an empty worker, no worker had crashed under it.

A host whose tasks wait for one that has found no place for 0.5 s is left to its service for 3 s, one at a time.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -153,6 +153,14 @@
   SteadyTime next_try{};
   WorkerLife life_before;   ///< That the maintenance ends.
   SteadyTime down_since{};  ///< Zero: not ordered yet.
+  /// Its tasks wait for others that find no place; zero: they do not.
+  SteadyTime stuck_since{};
+};
+
+/// A host that a wave leaves to its service for a while.
+struct SparedHost {
+  std::string host;
+  SteadyTime until{};
 };
 
 /// A worker that went down lately.
@@ -417,6 +425,10 @@
                     const std::string& host,
                     HostActOutcome outcome);
   bool MayTakeAway(const Ledger& ledger, const scheduling::TaskId& task) const;
+  static bool WaitsForUnplaced(const Ledger& ledger,
+                               const scheduling::TaskId& task);
+  bool IsSpared(const std::string& host) const;
+  bool Spare(const std::string& host, const scheduling::Worker& worker);
 
   /// An act on a host, which goes out only while this host is sure to lead.
   HostAct MakeHostAct(const std::string& host);
@@ -483,6 +495,7 @@
   std::unordered_map<std::string, SteadyTime> m_seen_at;  // By open job.
   std::map<std::string, SteadyTime> m_over_at;            // By ended job.
   std::map<std::string, HostTrack> m_hosts;               // Under maintenance.
+  std::map<std::string, SparedHost> m_spared;             // By service.
   std::map<std::string, MoveTrack> m_moves;               // By host.
   std::map<std::string, HostState> m_inventory;           // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -27,6 +27,12 @@
 // Hosts being emptied beside those that are down, so that the next is ready
 // when one comes back.
 constexpr size_t kPreparedAhead = 1;
+// A persistent task that finds no place for so long has none: all that it may
+// go to are being emptied, or are full.
+constexpr Millis kNoPlace{500};
+// A host that is given back to its service for such a task stays for so long:
+// until the task is seen at work, and those that wait for it have left.
+constexpr Millis kSpared{3'000};
 // What a host is away for besides the maintenance itself: emptying before, an
 // announcement and a look after.
 constexpr Millis kAroundMaintenance{2'500};
@@ -132,7 +138,7 @@
   }
   std::vector<std::pair<double, std::string>> waiting;
   for (const auto& [host, stage] : wave.hosts) {
-    if (stage != WaveStage::kWaiting || IsEvacuated(host)) {
+    if (stage != WaveStage::kWaiting || IsEvacuated(host) || IsSpared(host)) {
       continue;
     }
     const Worker* worker = WorkerOn(ledger, host);
@@ -192,6 +198,40 @@
   return away < step.may_miss;
 }
 
+// Whether others of its step have no run: it waits for them, and they may be
+// waiting for its host.
+bool Leadership::WaitsForUnplaced(const Ledger& ledger, const TaskId& task) {
+  const Job& job = *ledger.FindJob(task.job);
+  const size_t first = job.IndexOf({task.job, task.occurrence, task.step, 0});
+  const uint32_t count = job.spec.steps[task.step].count;
+  return std::any_of(job.tasks.begin() + static_cast<ptrdiff_t>(first),
+                     job.tasks.begin() + static_cast<ptrdiff_t>(first + count),
+                     [](const auto& other) { return other.active.empty(); });
+}
+
+bool Leadership::IsSpared(const std::string& host) const {
+  return std::any_of(m_spared.begin(), m_spared.end(), [&](const auto& entry) {
+    return entry.second.host == host && Now() < entry.second.until;
+  });
+}
+
+// Gives a host that is being emptied back to its service, one at a time. Else a
+// wave that takes all hosts of a service would keep a task that has left one of
+// them from work, and the others from leaving.
+bool Leadership::Spare(const std::string& host, const Worker& worker) {
+  SparedHost& spared = m_spared[worker.info.service];
+  if (Now() < spared.until) {
+    return false;
+  }
+  spared = {host, Now() + kSpared};
+  DecisionLog::Get().Write(
+      DecisionLine("wave", "host-spared")
+          .With("host", host)
+          .With("service", worker.info.service)
+          .With("why", "a persistent task finds no other place"));
+  return true;
+}
+
 // Whether a wave will take a worker's host down: what lasts would have to leave
 // it again.
 bool Leadership::IsDueForMaintenance(const Ledger& ledger,
@@ -249,6 +289,7 @@
   }
   bool is_empty = true;
   bool is_persistent_left = false;
+  bool is_stuck = false;
   if (worker != nullptr) {
     for (const TaskId& id : worker->active) {
       const Job& job = *ledger.FindJob(id.job);
@@ -262,11 +303,21 @@
         }
         if (step.is_persistent && MayTakeAway(ledger, id)) {
           run->second.is_stop_wanted = true;
+        } else if (step.is_persistent) {
+          is_stuck = is_stuck || WaitsForUnplaced(ledger, id);
         }
         is_persistent_left = is_persistent_left || step.is_persistent;
       }
     }
   }
+  track.stuck_since = !is_stuck                           ? SteadyTime()
+                      : track.stuck_since == SteadyTime() ? now
+                                                          : track.stuck_since;
+  if (is_stuck && now - track.stuck_since > kNoPlace && Spare(host, *worker)) {
+    m_hosts.erase(host);
+    PlanSoon();
+    return;
+  }
   // Short work may be cut off in the end, persistent tasks never: each is
   // stopped by itself, when enough of its step are at work.
   const bool may_cut =
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -311,8 +311,8 @@
     world.Advance(Millis(100));
     const scheduling::Job& job = *world.ledger().FindJob("a");
     for (size_t task = 0; task < away.size(); ++task) {
-      away[task] = job.tasks[task].active.empty() ? away[task] + Millis(100)
-                                                  : Millis(0);
+      away[task] =
+          job.tasks[task].active.empty() ? away[task] + Millis(100) : Millis(0);
       longest = std::max(longest, away[task]);
     }
   }
