Tests of schedules share their steps and seeds

Step() stood in seven files, NumberOf() in four; both stand once, beside the world that they are played in.

--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <cstdlib>
 
 #include "world.h"
 
@@ -11,15 +10,6 @@
 using scheduling::JobState;
 using scheduling::StepSpec;
 
-StepSpec Step(uint32_t count, std::vector<uint32_t> after = {}) {
-  StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(500);
-  step.depends_on = std::move(after);
-  return step;
-}
-
 class DispatcherFixture {
  protected:
   DispatcherFixture() { world.AddWorkers(3); }
@@ -621,17 +611,10 @@
   return wrong;
 }
 
-uint64_t NumberOf(const char* variable, uint64_t usual) {
-  const char* wanted = std::getenv(variable);
-  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
-}
-
 // LAURELHALL_SEEDS plays more than the fixed set, from LAURELHALL_FIRST_SEED.
 TEST_CASE(
     "Dispatcher, seeded schedules of failures, nothing runs twice or is lost") {
-  const uint64_t first = NumberOf("LAURELHALL_FIRST_SEED", 1);
-  const uint64_t seeds = NumberOf("LAURELHALL_SEEDS", 40);
-  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const uint64_t seed : SeedsToPlay(40)) {
     for (const std::string& wrong : PlaySchedule(seed, {})) {
       FAIL_CHECK("seed ", seed, ": ", wrong);
     }
--- a/packages/dispatch/tests/incidents/crash_loop_test.cc
+++ b/packages/dispatch/tests/incidents/crash_loop_test.cc
@@ -14,11 +14,7 @@
 using scheduling::JobState;
 
 scheduling::StepSpec Tasks(uint32_t count) {
-  scheduling::StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(800);
-  return step;
+  return Step(count, {}, Millis(800));
 }
 
 // Six workers that are half full, and a job whose only task crashes each worker
--- a/packages/dispatch/tests/incidents/room_shrinks_test.cc
+++ b/packages/dispatch/tests/incidents/room_shrinks_test.cc
@@ -12,11 +12,7 @@
 namespace {
 
 scheduling::StepSpec Tasks(uint32_t count) {
-  scheduling::StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(800);
-  return step;
+  return Step(count, {}, Millis(800));
 }
 
 constexpr scheduling::Resources kSmall{1'000, 16'000, 0};
--- a/packages/dispatch/tests/incidents/worker_reborn_test.cc
+++ b/packages/dispatch/tests/incidents/worker_reborn_test.cc
@@ -12,14 +12,6 @@
 
 using scheduling::JobState;
 
-scheduling::StepSpec Tasks(uint32_t count) {
-  scheduling::StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(500);
-  return step;
-}
-
 // Three workers that have told of some ends each.
 class RebornWorkerFixture {
  protected:
@@ -34,7 +26,7 @@
 
   void Submit(uint32_t tasks) {
     m_jobs.push_back("job-" + std::to_string(m_jobs.size()));
-    world.Submit(m_jobs.back(), {Tasks(tasks)});
+    world.Submit(m_jobs.back(), {Step(tasks)});
   }
 
   void CheckAllDone() const {
--- a/packages/dispatch/tests/life_schedule_test.cc
+++ b/packages/dispatch/tests/life_schedule_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <deque>
 
 #include "world.h"
@@ -16,15 +15,6 @@
 constexpr int kWorkers = 8;
 constexpr RelayBounds kFewRelays{2, 3};
 
-scheduling::StepSpec Step(uint32_t count, std::vector<uint32_t> after = {}) {
-  scheduling::StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(500);
-  step.depends_on = std::move(after);
-  return step;
-}
-
 class LifeSchedule {
  public:
   LifeSchedule(uint64_t seed, const DispatchMutations& mutations)
@@ -193,17 +183,10 @@
   std::deque<std::string> m_cut;
 };
 
-uint64_t NumberOf(const char* variable, uint64_t usual) {
-  const char* wanted = std::getenv(variable);
-  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
-}
-
 // LAURELHALL_SEEDS plays more than the fixed set, from LAURELHALL_FIRST_SEED.
 TEST_CASE(
     "Dispatcher, seeded lives of workers, nothing runs twice or is lost") {
-  const uint64_t first = NumberOf("LAURELHALL_FIRST_SEED", 1);
-  const uint64_t seeds = NumberOf("LAURELHALL_SEEDS", 40);
-  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const uint64_t seed : SeedsToPlay(40)) {
     for (const std::string& wrong : LifeSchedule(seed, {}).Play()) {
       FAIL_CHECK("seed ", seed, ": ", wrong);
     }
--- a/packages/dispatch/tests/organisation_schedule_test.cc
+++ b/packages/dispatch/tests/organisation_schedule_test.cc
@@ -1,6 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <deque>
 
 #include "world.h"
@@ -17,17 +16,6 @@
 constexpr RelayBounds kFewRelays{2, 3};
 constexpr const char* kOrganisations[] = {"a", "b", "small"};
 
-scheduling::StepSpec Step(uint32_t count,
-                          Millis estimate,
-                          std::vector<uint32_t> after = {}) {
-  scheduling::StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = estimate;
-  step.depends_on = std::move(after);
-  return step;
-}
-
 class OrganisationSchedule {
  public:
   OrganisationSchedule(uint64_t seed, const DispatchMutations& mutations)
@@ -87,10 +75,9 @@
     const std::string id = organisation + "-" + std::to_string(round);
     // Some outlast a look at their worker.
     const Millis estimate(Pick(0, 2) == 0 ? 5'000 : Pick(300, 1'500));
-    m_world.SubmitFor(
-        organisation, id,
-        {Step(static_cast<uint32_t>(Pick(1, 16)), estimate),
-         Step(static_cast<uint32_t>(Pick(1, 4)), Millis(500), {0})});
+    m_world.SubmitFor(organisation, id,
+                      {Step(static_cast<uint32_t>(Pick(1, 16)), {}, estimate),
+                       Step(static_cast<uint32_t>(Pick(1, 4)), {0})});
     m_jobs.push_back(id);
   }
 
@@ -159,11 +146,6 @@
   std::deque<std::string> m_cut;
 };
 
-uint64_t NumberOf(const char* variable, uint64_t usual) {
-  const char* wanted = std::getenv(variable);
-  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
-}
-
 bool IsNoticed(const DispatchMutations& mutations) {
   for (uint64_t seed = 1; seed <= 60; ++seed) {
     for (const std::string& wrong :
@@ -179,9 +161,7 @@
 // LAURELHALL_SEEDS plays more than the fixed set, from LAURELHALL_FIRST_SEED.
 TEST_CASE(
     "Dispatcher, seeded caps and losses, no cap is passed, nobody starves") {
-  const uint64_t first = NumberOf("LAURELHALL_FIRST_SEED", 1);
-  const uint64_t seeds = NumberOf("LAURELHALL_SEEDS", 200);
-  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const uint64_t seed : SeedsToPlay(200)) {
     for (const std::string& wrong : OrganisationSchedule(seed, {}).Play()) {
       FAIL_CHECK("seed ", seed, ": ", wrong);
     }
--- a/packages/dispatch/tests/relay_test.cc
+++ b/packages/dispatch/tests/relay_test.cc
@@ -1,7 +1,5 @@
 #include <doctest/doctest.h>
 
-#include <cstdlib>
-
 #include "laurelhall/dispatch/request.h"
 #include "world.h"
 
@@ -15,15 +13,6 @@
 // for each two.
 constexpr RelayBounds kFew{2, 2};
 
-StepSpec Step(uint32_t count, std::vector<uint32_t> after = {}) {
-  StepSpec step;
-  step.count = count;
-  step.need = {1'000, 500, 0};
-  step.estimate = Millis(500);
-  step.depends_on = std::move(after);
-  return step;
-}
-
 class RelayFixture {
  protected:
   RelayFixture() {
@@ -183,17 +172,10 @@
   return wrong;
 }
 
-uint64_t NumberOf(const char* variable, uint64_t usual) {
-  const char* wanted = std::getenv(variable);
-  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
-}
-
 // LAURELHALL_SEEDS plays more than the fixed set, from LAURELHALL_FIRST_SEED.
 TEST_CASE(
     "Dispatcher, seeded failures of relays, nothing runs twice or is lost") {
-  const uint64_t first = NumberOf("LAURELHALL_FIRST_SEED", 1);
-  const uint64_t seeds = NumberOf("LAURELHALL_SEEDS", 40);
-  for (uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const uint64_t seed : SeedsToPlay(40)) {
     for (const std::string& wrong : PlayRelays(seed, {})) {
       FAIL_CHECK("seed ", seed, ": ", wrong);
     }
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -1,6 +1,8 @@
 #include "world.h"
 
 #include <algorithm>
+#include <cstdlib>
+#include <numeric>
 #include <utility>
 
 namespace laurelhall::dispatch {
@@ -21,6 +23,11 @@
 constexpr uint64_t kMostCrashes = 3;
 constexpr uint64_t kMostStartsAfter = 3;
 // A room that has shrunk counts so long later: contact and one announcement.
+uint64_t NumberOf(const char* variable, uint64_t usual) {
+  const char* wanted = std::getenv(variable);
+  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
 // A configuration that is replaced may be in force for so long.
 constexpr Millis kCapGrace{2'500};
 constexpr Millis kRoomGrace{4'500};
@@ -29,6 +36,23 @@
 
 }  // namespace
 
+scheduling::StepSpec Step(uint32_t count,
+                          std::vector<uint32_t> after,
+                          Millis estimate) {
+  scheduling::StepSpec step;
+  step.count = count;
+  step.need = {1'000, 500, 0};
+  step.estimate = estimate;
+  step.depends_on = std::move(after);
+  return step;
+}
+
+std::vector<uint64_t> SeedsToPlay(uint64_t usual) {
+  std::vector<uint64_t> seeds(NumberOf("LAURELHALL_SEEDS", usual));
+  std::iota(seeds.begin(), seeds.end(), NumberOf("LAURELHALL_FIRST_SEED", 1));
+  return seeds;
+}
+
 // --- Workers ----------------------------------------------------------------
 
 WorkerTime FakeWorker::Clock(SteadyTime now) const {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -14,6 +14,15 @@
 
 namespace laurelhall::dispatch {
 
+/// A step of like tasks of one processor each.
+scheduling::StepSpec Step(uint32_t count,
+                          std::vector<uint32_t> after = {},
+                          Millis estimate = Millis(500));
+
+/// The seeds that a test of schedules plays: as many as are usual, from 1 on,
+/// or LAURELHALL_SEEDS of them from LAURELHALL_FIRST_SEED.
+std::vector<uint64_t> SeedsToPlay(uint64_t usual);
+
 /// How the network treats orders; shares of them.
 struct Weather {
   double lost = 0;     ///< Never arrive.
