--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -310,9 +310,11 @@
       }
     }
   }
-  track.stuck_since = !is_stuck                           ? SteadyTime()
-                      : track.stuck_since == SteadyTime() ? now
-                                                          : track.stuck_since;
+  if (!is_stuck) {
+    track.stuck_since = SteadyTime();
+  } else if (track.stuck_since == SteadyTime()) {
+    track.stuck_since = now;
+  }
   if (is_stuck && now - track.stuck_since > kNoPlace && Spare(host, *worker)) {
     m_hosts.erase(host);
     PlanSoon();
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -216,6 +216,9 @@
   void FollowQueued(const Job& job);
   void FollowOpen(const Job& job);
   void Configure(Configuration configuration);
+  void Adopt(const Configuration& configuration);
+  /// Null when the job is known already.
+  Job* Accept(const JobAccepted& record);
   void NoteChange(const std::string& worker);
   void SetInfo(Worker& worker, const WorkerInfo& info);
   void LeaveHost(const WorkerInfo& info);
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -164,8 +164,16 @@
 }
 
 void Ledger::Run(const ConfigurationSet& record) {
-  if (record.configuration.version > m_configuration.version) {
-    Configure(record.configuration);
+  Adopt(record.configuration);
+}
+
+void Ledger::Run(const ConfigurationAdopted& record) {
+  Adopt(record.configuration);
+}
+
+void Ledger::Adopt(const Configuration& configuration) {
+  if (configuration.version > m_configuration.version) {
+    Configure(configuration);
   }
 }
 
@@ -178,24 +186,21 @@
   }
 }
 
-void Ledger::Run(const ConfigurationAdopted& record) {
-  Run(ConfigurationSet{record.configuration});
+void Ledger::Run(const JobAccepted& record) {
+  Accept(record);
 }
 
 void Ledger::Run(const JobTaken& record) {
-  if (m_jobs.contains(record.job.id)) {
-    return;
+  if (Job* job = Accept(record.job)) {
+    job->organisation = record.organisation;
+    job->is_excess = record.is_excess;
   }
-  Run(record.job);
-  Job& job = m_jobs.at(record.job.id);
-  job.organisation = record.organisation;
-  job.is_excess = record.is_excess;
 }
 
-void Ledger::Run(const JobAccepted& record) {
+Job* Ledger::Accept(const JobAccepted& record) {
   const auto [found, is_new] = m_jobs.try_emplace(record.id);
   if (!is_new) {
-    return;
+    return nullptr;
   }
   Job& job = found->second;
   job.id = record.id;
@@ -217,6 +222,7 @@
   }
   FollowQueued(job);
   FollowOpen(job);
+  return &job;
 }
 
 void Ledger::Run(const JobCancelled& record) {
@@ -320,12 +326,13 @@
   }
   task.active.erase(run);
   --job.active_runs;
+  const StepSpec& step = job.StepOf(index);
   if (!job.organisation.empty()) {
-    Subtract(m_in_use[job.organisation], job.StepOf(index).need);
+    Subtract(m_in_use[job.organisation], step.need);
   }
   const auto worker = m_workers.find(record.worker);
   if (worker != m_workers.end()) {
-    Vacate(worker->second, record.task, job.StepOf(index));
+    Vacate(worker->second, record.task, step);
   }
   if (!record.checkpoint.empty()) {
     task.checkpoint = record.checkpoint;
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -208,7 +208,8 @@
     Resources planned = reserved == m_planner.m_reserved_caps.end()
                             ? Resources()
                             : reserved->second;
-    for (uint32_t member = 1; step.is_gang && member < step.count; ++member) {
+    const uint32_t others = step.is_gang ? step.count - 1 : 0;
+    for (uint32_t member = 0; member < others; ++member) {
       Add(planned, step.need);
     }
     return !m_input.ledger.IsWithinCapOf(job.organisation, planned, step.need);
