Each stop of a persistent task tells why, and how many others are away

A stop that maintenance orders had no line, and 'not-needed' stood for a job that was cancelled, had failed, or had another run done: the hypotheses on a standing service that was given up could not be told apart by their lines. What ends a run, and the question whether it may, move to a file of their own.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -46,9 +46,6 @@
 // A job that an earlier leader took in is not taken to be older than this: all
 // that has waited so long is late alike, and a clock may be set wrong.
 constexpr Millis kOldestTaken{60'000};
-// A task whose progress stands still for so long, and twice its estimate, is
-// started again elsewhere.
-constexpr Millis kStalled{2'500};
 
 }  // namespace
 
@@ -353,63 +350,6 @@
   }
 }
 
-void Leadership::WantStops(const Ledger& ledger) {
-  for (auto& [key, track] : m_runs) {
-    if (track.is_stop_wanted) {
-      continue;
-    }
-    const Job* found = ledger.FindJob(key.task.job);
-    if (found == nullptr) {
-      continue;
-    }
-    const Job& job = *found;
-    const size_t index = job.IndexOf(key.task);
-    const Worker* worker = ledger.FindWorker(track.worker);
-    const bool is_needless = job.is_over() || job.tasks[index].is_done;
-    const bool is_leaving = worker != nullptr && worker->info.is_draining &&
-                            job.StepOf(index).is_persistent;
-    if (is_needless || is_leaving) {
-      track.is_stop_wanted = true;
-      DecisionLog::Get().Write(
-          DecisionLine("dispatch", "stop", LineClass::kTask)
-              .With("task", FormatTaskId(key.task))
-              .With("run", key.run)
-              .With("worker", track.worker)
-              .With("why", is_needless ? "not-needed" : "worker-leaves"));
-    }
-  }
-}
-
-void Leadership::StopStalled(const Ledger& ledger) {
-  const SteadyTime now = Now();
-  for (auto& [key, track] : m_runs) {
-    if (track.is_stop_wanted || !track.is_listed || track.percent >= 100) {
-      continue;
-    }
-    const Job* job = ledger.FindJob(key.task.job);
-    if (job == nullptr) {
-      continue;
-    }
-    const scheduling::StepSpec& step = job->spec.steps[key.task.step];
-    const auto link = m_links.find(track.worker);
-    const bool is_seen =
-        link != m_links.end() &&
-        link->second.last_listed - track.percent_since >=
-            std::max<SteadyTime::duration>(kStalled, 2 * step.estimate);
-    if (!is_seen || step.is_gang || step.is_filling) {
-      continue;
-    }
-    track.is_stop_wanted = true;
-    link->second.doubtful_until = now + kSilentIsGone;
-    DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
-                                 .With("task", FormatTaskId(key.task))
-                                 .With("run", key.run)
-                                 .With("worker", track.worker)
-                                 .With("percent", track.percent)
-                                 .With("why", "stands-still"));
-  }
-}
-
 void Leadership::Lapse(const Ledger& ledger) {
   const SteadyTime now = Now();
   for (auto& [id, link] : m_links) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -145,6 +145,27 @@
 /// A short name for a log line.
 const char* FitnessName(Fitness fitness);
 
+/// Why a run is to be stopped.
+enum class StopReason : uint8_t {
+  kDone,       ///< Another run of its task was.
+  kCancelled,  ///< Its job was.
+  kJobFailed,
+  kWorkerLeaves,
+  kMaintenance,
+  kStandsStill,
+  kStartNotAnswered,  ///< It may begin late, and is to run elsewhere.
+  kCount,
+};
+
+/// The other tasks of a persistent step.
+struct StepAway {
+  uint32_t away = 0;  ///< Not seen at work, whatever the cause.
+  uint32_t may_miss = 0;
+};
+
+/// A short name for a log line.
+const char* StopReasonName(StopReason reason);
+
 /// A host on its way through maintenance, as this leader sees it.
 struct HostTrack {
   uint64_t wave = 0;
@@ -271,8 +292,6 @@
   void MeasureLag();
   void PlanNow();
   void Flush();
-  void WantStops(const Ledger& ledger);
-  void StopStalled(const Ledger& ledger);
   void Lapse(const Ledger& ledger);
   void DropSilent(const Ledger& ledger, Records& records);
   void ForgetJobs(const Ledger& ledger, Records& records);
@@ -288,6 +307,21 @@
   scheduling::WorkerOutlook LookAt(const Ledger& ledger,
                                    const scheduling::Worker& worker) const;
 
+  // stops.cc: which runs are to end, and whether they may.
+  static void WantStop(const RunKey& key,
+                       RunTrack& track,
+                       StopReason reason,
+                       const std::optional<StepAway>& others = {});
+  void WantStops(const Ledger& ledger);
+  void StopStalled(const Ledger& ledger);
+  bool IsAtWork(const Ledger& ledger, const scheduling::TaskId& task) const;
+  /// None for a task that ends by itself.
+  std::optional<StepAway> OthersAway(const Ledger& ledger,
+                                     const scheduling::TaskId& task) const;
+  /// Whether a task may be stopped: of a persistent step, fewer others than may
+  /// miss are away.
+  bool MayTakeAway(const Ledger& ledger, const scheduling::TaskId& task) const;
+
   // reports.cc: what an engineer on call needs to tell causes apart.
   void Report(const Ledger& ledger);
   void ReportLoad(const Ledger& ledger);
@@ -424,7 +458,6 @@
   void OnMaintained(uint64_t wave,
                     const std::string& host,
                     HostActOutcome outcome);
-  bool MayTakeAway(const Ledger& ledger, const scheduling::TaskId& task) const;
   static bool WaitsForUnplaced(const Ledger& ledger,
                                const scheduling::TaskId& task);
   bool IsSpared(const std::string& host) const;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -251,12 +251,7 @@
   }
   if (track.may_be_on_its_way && !m_init.mutations.is_barring_skipped) {
     track.start = StartStage::kBarring;
-    track.is_stop_wanted = true;
-    DecisionLog::Get().Write(DecisionLine("dispatch", "stop")
-                                 .With("task", FormatTaskId(key.task))
-                                 .With("run", key.run)
-                                 .With("worker", track.worker)
-                                 .With("why", "start-not-answered"));
+    WantStop(key, track, StopReason::kStartNotAnswered);
     SendStop(key, track);
     return;
   }
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -14,10 +14,6 @@
 
 constexpr Millis kActRetry{300};
 constexpr Millis kSettles{80};
-// Longer than a busy worker's look takes while the leader is in time, far
-// shorter than the time after which a task counts as away. A leader that is
-// behind waits: what it has not seen lately may be away.
-constexpr Millis kFreshList{1'800};
 // A host that did not come back for so many times the usual counts as back, or
 // one lost host would stop its wave for good.
 constexpr int kLostAfterTimes = 3;
@@ -168,36 +164,6 @@
   }
 }
 
-// Whether a persistent task may be stopped: of its step, fewer than may miss
-// are away, counting all that are not seen at work.
-bool Leadership::MayTakeAway(const Ledger& ledger, const TaskId& task) const {
-  const Job& job = *ledger.FindJob(task.job);
-  const scheduling::StepSpec& step = job.spec.steps[task.step];
-  if (step.may_miss == 0) {
-    return true;
-  }
-  uint32_t away = 0;
-  for (uint32_t index = 0; index < step.count; ++index) {
-    if (index == task.index) {
-      continue;
-    }
-    const TaskId other{task.job, task.occurrence, task.step, index};
-    bool is_at_work = false;
-    for (const auto& active : job.tasks[job.IndexOf(other)].active) {
-      const auto track = m_runs.find({other, active.run});
-      const auto link = m_links.find(active.worker);
-      // What a silent worker listed last may be over long since.
-      const bool is_fresh = link != m_links.end() && !link->second.is_silent &&
-                            Now() - link->second.last_listed < kFreshList;
-      is_at_work = is_fresh && track != m_runs.end() &&
-                   track->second.is_listed && track->second.percent >= 100 &&
-                   !track->second.is_stop_wanted;
-    }
-    away += is_at_work ? 0 : 1;
-  }
-  return away < step.may_miss;
-}
-
 // Whether others of its step have no run: it waits for them, and they may be
 // waiting for its host.
 bool Leadership::WaitsForUnplaced(const Ledger& ledger, const TaskId& task) {
@@ -302,7 +268,8 @@
           continue;
         }
         if (step.is_persistent && MayTakeAway(ledger, id)) {
-          run->second.is_stop_wanted = true;
+          WantStop(run->first, run->second, StopReason::kMaintenance,
+                   OthersAway(ledger, id));
         } else if (step.is_persistent) {
           is_stuck = is_stuck || WaitsForUnplaced(ledger, id);
         }
