Failing test: a standing job is given up for crashes beside it

Fails on this code as on the platform: a persistent task that stands beside a crash every few seconds, or under changing leaders, is given up with the fifth worker, and the three sound tasks of its job are stopped within a tick; the same when one task of the job crashes its workers, or a short task of the job fails for good. The world now checks each stop of a persistent task against those of its step that are away.

--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -33,6 +33,8 @@
 constexpr Millis kRoomGrace{4'500};
 // By how much an order may be carried out late.
 constexpr Millis kLatest{12'000};
+// A persistent task counts as away when it was not at work for so long.
+constexpr Millis kNotice{4'500};
 
 }  // namespace
 
@@ -371,6 +373,9 @@
     Call(
         order.worker.id,
         [this, order, term = TermOf(order.fence)](FakeWorker& worker) {
+          if (!m_world.m_is_late) {
+            m_world.CheckStop(worker, order);
+          }
           const CallReply reply = worker.Stop(order, m_world.Now());
           if (reply.outcome == CallOutcome::kDone) {
             CheckTerm(worker, term);
@@ -1042,7 +1047,50 @@
     for (const auto& [id, worker] : m_workers) {
       worker->Step(Now());
     }
+    NoteAtWork();
+  }
+}
+
+void World::NoteAtWork() {
+  for (const auto& [id, worker] : m_workers) {
+    for (const auto& [task, run] : worker->runs()) {
+      if (run.is_persistent) {
+        m_at_work[task] = Now();
+        m_ended_by_order.erase(task);
+      }
+    }
+  }
+}
+
+bool World::IsAway(const TaskId& task) const {
+  const auto at_work = m_at_work.find(task);
+  return at_work == m_at_work.end() || m_ended_by_order.contains(task) ||
+         Now() - at_work->second >= kNotice;
+}
+
+// A persistent task may be ended only while fewer others of its step are away
+// than may be: by such an order, or for long for any cause.
+void World::CheckStop(const FakeWorker& worker, const StopOrder& order) {
+  const auto running = worker.runs().find(order.task);
+  const scheduling::Job* job = m_ledger.FindJob(order.task.job);
+  const bool ends_it = running != worker.runs().end() &&
+                       running->second.run == order.run &&
+                       running->second.is_persistent;
+  if (!ends_it || job->state == scheduling::JobState::kCancelled) {
+    return;
+  }
+  const scheduling::StepSpec& step = job->spec.steps[order.task.step];
+  uint32_t away = 0;
+  TaskId other = order.task;
+  for (other.index = 0; other.index < step.count; ++other.index) {
+    away += other.index != order.task.index && IsAway(other) ? 1 : 0;
+  }
+  if (step.may_miss > 0 && away >= step.may_miss) {
+    Violate(FormatTaskId(order.task) + " is ended by an order; " +
+            std::to_string(away) + " others of its step are away, and " +
+            std::to_string(step.may_miss) + " may be");
   }
+  m_ended_by_order.insert(order.task);
 }
 
 scheduling::JobState World::StateOf(const std::string& id) const {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -256,6 +256,9 @@
                   const StartOrder& order,
                   bool was_there);
   void CheckCap(const StartOrder& order);
+  void CheckStop(const FakeWorker& worker, const StopOrder& order);
+  bool IsAway(const scheduling::TaskId& task) const;
+  void NoteAtWork();
   scheduling::Resources CapInForce(const std::string& organisation) const;
   void Violate(const std::string& text);
   void CountStart(const std::string& task);
@@ -289,6 +292,10 @@
   std::map<std::string, uint64_t> m_crashes_of;    // By task.
   std::map<std::string, uint64_t> m_deaths_under;  // By task.
   std::map<std::string, uint64_t> m_starts_after_crashes;
+  /// Of persistent tasks: when one was at work last, and those that an order
+  /// ended since.
+  std::map<scheduling::TaskId, SteadyTime> m_at_work;
+  std::set<scheduling::TaskId> m_ended_by_order;
   std::map<std::string, uint64_t> m_newest_term;   // By worker.
   std::map<std::string, uint64_t> m_newest_fence;  // By host.
   std::vector<std::string> m_maintained;
