A task of a standing job is given up alone, and its job goes on

What callers saw: one task of a job crashed its workers, or was taken for it, and the sound tasks of the job were stopped with it, more at once than may be missed. Cause: the end of a job by fault ended its tasks by the path of a cancelled one, which asks for nothing. Now a job with tasks that last fails only when none of them may run any more; until then the task that was given up alone is not started again. The same where a short task of such a job fails for good.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -315,6 +315,7 @@
                      is_given_up ? LineClass::kDecision : LineClass::kTask)
             .With("job", job->id)
             .With("task", FormatTaskId(suspect.task))
+            .With("gives_up", job->is_standing() ? "task" : "job")
             .With("suspicion", SuspicionName(suspect.suspicion))
             .With("crashes", static_cast<uint64_t>(crashes))
             .With("workers_down", workers)
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -172,7 +172,9 @@
   const uint32_t count = job.spec.steps[task.step].count;
   return std::any_of(job.tasks.begin() + static_cast<ptrdiff_t>(first),
                      job.tasks.begin() + static_cast<ptrdiff_t>(first + count),
-                     [](const auto& other) { return other.active.empty(); });
+                     [](const auto& other) {
+                       return other.active.empty() && !other.is_given_up;
+                     });
 }
 
 bool Leadership::IsSpared(const std::string& host) const {
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -35,6 +35,7 @@
   uint32_t blame = 0;                ///< For all of them; see crash.h.
   /// Workers whose lease ran out under it, and that may have gone down.
   uint32_t open_lapses = 0;
+  bool is_given_up = false;  ///< Is not started again; its job goes on.
 
   /// Whether it is to start where nothing else runs.
   bool IsSuspect() const;
@@ -63,6 +64,7 @@
   uint32_t occurrence_size = 0;
 
   bool is_over() const { return state >= JobState::kSucceeded; }
+  bool is_standing() const;  ///< Whether some of its tasks last.
   size_t IndexOf(const TaskId& task) const;
   TaskId IdOf(size_t index) const;
   const StepSpec& StepOf(size_t index) const;
@@ -212,6 +214,7 @@
   void FinishTask(Job& job, size_t index);
   void CloseLapses(Worker& worker);
   void CountFailure(Job& job, size_t index, const std::string& worker);
+  void GiveUp(Job& job, size_t index);
   void SetState(Job& job, JobState state);
   void FollowQueued(const Job& job);
   void FollowOpen(const Job& job);
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -71,6 +71,11 @@
          task.index < spec.steps[task.step].count;
 }
 
+bool Job::is_standing() const {
+  return std::any_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) { return step.is_persistent; });
+}
+
 bool Task::IsSuspect() const {
   return blame > 0 || crashed.size() + open_lapses >= kCrashesToSuspect;
 }
@@ -377,6 +382,21 @@
   const bool is_final = !step.is_persistent && !counted.is_done &&
                         !job.is_over() && counted.failures >= most;
   if (is_final && job.tasks[index].active.empty()) {
+    GiveUp(job, index);
+  }
+}
+
+// A job fails as a whole, but for one with tasks that last: their users are
+// served as long as one of them may run.
+void Ledger::GiveUp(Job& job, size_t index) {
+  job.tasks[index].is_given_up = true;
+  bool may_serve = false;
+  for (size_t other = 0; job.is_standing() && other < job.tasks.size();
+       ++other) {
+    may_serve = may_serve || (job.StepOf(other).is_persistent &&
+                              !job.tasks[other].is_given_up);
+  }
+  if (!may_serve) {
     SetState(job, JobState::kFailed);
   }
 }
@@ -585,7 +605,7 @@
     task.blame += BlameOf(suspicion);
     if (!job.is_over() && !task.is_done &&
         IsGivenUp(task.crashed.size(), task.blame, suspicion)) {
-      SetState(job, JobState::kFailed);
+      GiveUp(job, job.IndexOf(id));
     }
   }
   CloseLapses(worker->second);
@@ -721,6 +741,7 @@
   std::vector<SavedOutlived> outlived;
   std::vector<WallTime> gone_births;  ///< As `gone`.
   std::vector<SavedOwner> owners;     ///< Of the jobs that are somebody's.
+  std::vector<TaskId> given_up;
 };
 
 template <typename Archive>
@@ -730,6 +751,7 @@
   archive.Later(value.crashes, value.lapses, value.words, value.outlived,
                 value.gone_births);
   archive.Later(value.configuration.identities, value.owners);
+  archive.Later(value.given_up);
 }
 
 }  // namespace
@@ -769,6 +791,9 @@
       if (!task.crashed.empty()) {
         saved.crashes.push_back({job.IdOf(index), task.crashed, task.blame});
       }
+      if (task.is_given_up) {
+        saved.given_up.push_back(job.IdOf(index));
+      }
       for (const ActiveRun& run : task.active) {
         if (run.is_outlived) {
           saved.outlived.push_back({job.IdOf(index), run.run});
@@ -815,6 +840,10 @@
     task.crashed = std::move(crashes.workers);
     task.blame = crashes.blame;
   }
+  for (const TaskId& id : saved.given_up) {
+    Job& job = m_jobs.at(id.job);
+    job.tasks[job.IndexOf(id)].is_given_up = true;
+  }
   for (const SavedWord& word : saved.words) {
     Worker& worker = m_workers[word.worker];
     worker.sequence = word.sequence;
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -763,7 +763,7 @@
     const Task& task = job.tasks[first + id.index];
     const bool is_reserved = candidate.has_reserved && m_reserved.contains(id);
     if (!task.is_done && task.active.empty() && !is_reserved &&
-        !task.IsHeldBack()) {
+        !task.is_given_up && !task.IsHeldBack()) {
       tasks.push_back(id.index);
     }
   }
@@ -819,7 +819,9 @@
   uint32_t reserved = 0;
   for (uint32_t index = 0; index < job.spec.steps[step].count; ++index) {
     const Task& task = job.tasks[first + index];
-    outlook.tasks += !task.is_done && task.active.empty() ? 1 : 0;
+    const bool waits =
+        !task.is_done && !task.is_given_up && task.active.empty();
+    outlook.tasks += waits ? 1 : 0;
     reserved += m_reserved.contains({job.id, occurrence, step, index}) ? 1 : 0;
   }
   std::vector<Candidate> candidates;
