Lost runs count by what is known of them, and time at work is kept

Cause: what was counted was a judgement, and evidence that is missing weighed wrongly both ways. A run that had worked for long under an earlier leader counted as one crash; a run whose host was moved after its worker had gone down counted as none.

Now the leader commits that a persistent or suspected run has worked for five seconds (RunProven): crashes before count no more, whoever leads then. A persistent task seen at work beside newer runs is excused. The ledger itself counts each run that ends with its worker and of which nobody has said why; only a worker that said that it left (WorkerLeft), or a host that was taken down while its worker was well, excuses it.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -156,24 +156,77 @@
   return runs;
 }
 
-// Whether its host was taken down, or it said that it would leave.
-bool Leadership::IsEndedByUs(const Ledger& ledger, const Worker& worker) const {
-  const std::string& host = worker.info.host;
-  const auto maintained = m_hosts.find(host);
-  const bool is_maintained = maintained != m_hosts.end() &&
-                             (maintained->second.is_act_under_way ||
-                              maintained->second.down_since != SteadyTime());
-  const auto moved = m_moves.find(host);
-  const bool is_moved =
-      moved != m_moves.end() && (moved->second.is_act_under_way ||
-                                 moved->second.ordered_at != SteadyTime());
-  const auto& lives = ledger.WorkersOn(host);
-  const bool has_changed_pool =
-      std::any_of(lives.begin(), lives.end(), [&](const std::string& life) {
-        return ledger.FindWorker(life)->info.service != worker.info.service;
-      });
-  return worker.info.is_draining || is_maintained || is_moved ||
-         has_changed_pool;
+// Whether its host was taken down while it was well.
+bool Leadership::IsTakenDown(const Worker& worker) const {
+  const SteadyTime lost_at = m_links.at(worker.info.id).lost_at;
+  const auto is_by = [&](const WorkerLife& life, SteadyTime acted_at) {
+    return acted_at != SteadyTime() && life.IsSame(worker) &&
+           (lost_at == SteadyTime() || lost_at >= acted_at);
+  };
+  const auto maintained = m_hosts.find(worker.info.host);
+  const auto moved = m_moves.find(worker.info.host);
+  return (maintained != m_hosts.end() &&
+          is_by(maintained->second.life_before, maintained->second.acted_at)) ||
+         (moved != m_moves.end() &&
+          is_by(moved->second.life_before, moved->second.acted_at));
+}
+
+// Whether it said that it would leave, or its host has been moved by whomever.
+// It may have gone down before all the same.
+bool Leadership::MayHaveLeft(const Ledger& ledger, const Worker& worker) const {
+  const auto& lives = ledger.WorkersOn(worker.info.host);
+  return worker.info.is_draining ||
+         std::any_of(lives.begin(), lives.end(), [&](const std::string& life) {
+           return ledger.FindWorker(life)->info.service != worker.info.service;
+         });
+}
+
+std::vector<CrashSuspect> Leadership::Judge(const Ledger& ledger,
+                                            const Worker& worker,
+                                            const std::vector<LostRun>& runs,
+                                            LossScope scope) const {
+  const bool is_taken_down = IsTakenDown(worker);
+  const bool may_have_left = MayHaveLeft(ledger, worker);
+  std::vector<LostRun> open;
+  std::vector<CrashSuspect> suspects;
+  for (const LostRun& run : runs) {
+    const bool is_at_work = run.seen_at_work >= scheduling::kSeenAtWork;
+    if (!run.may_have_started || is_taken_down ||
+        (may_have_left && is_at_work)) {
+      suspects.push_back({run.task, Suspicion::kExcused});
+    } else {
+      open.push_back(run);
+    }
+  }
+  const auto judged = scheduling::JudgeCrash(open, scope);
+  suspects.insert(suspects.end(), judged.begin(), judged.end());
+  return suspects;
+}
+
+// Commits what a look shows of runs that have worked for long, so that the next
+// leader knows it too. Only where it matters: for those that stand beside
+// others all day, and those that are suspected.
+void Leadership::ProveRuns(const Ledger& ledger,
+                           const HoldReply& reply,
+                           Records& records) {
+  for (const RunningRun& running : reply.running) {
+    const auto found = m_runs.find({running.task, running.run});
+    if (found == m_runs.end() || found->second.is_proof_under_way ||
+        found->second.SeenAtWork() < scheduling::kWorksWell) {
+      continue;
+    }
+    const Job* found_job = ledger.FindJob(running.task.job);
+    if (found_job == nullptr || !found_job->Holds(running.task)) {
+      continue;  // Not known: it is being stopped.
+    }
+    const Job& job = *found_job;
+    const Task& task = job.tasks[job.IndexOf(running.task)];
+    if (job.spec.steps[running.task.step].is_persistent ||
+        !task.crashed.empty()) {
+      found->second.is_proof_under_way = true;
+      records.emplace_back(scheduling::RunProven{running.task, running.run});
+    }
+  }
 }
 
 // What was at work there, and what its lease had run out on before.
@@ -198,11 +251,20 @@
     const bool may_have_started =
         track.start != StartStage::kRetry || track.may_be_on_its_way;
     const bool is_ours = track.begun_at != SteadyTime();
-    runs.push_back({key.task, may_have_started, track.SeenAtWork(),
-                    is_ours
-                        ? std::chrono::floor<Millis>(lost_by - track.begun_at)
-                        : Millis::max(),
-                    track.work_since != SteadyTime()});
+    LostRun& run = runs.emplace_back();
+    run.task = key.task;
+    run.may_have_started = may_have_started;
+    run.seen_at_work = track.SeenAtWork();
+    run.lived = is_ours ? std::chrono::floor<Millis>(lost_by - track.begun_at)
+                        : Millis::max();
+    run.has_started = track.work_since != SteadyTime();
+    const Job& job = *ledger.FindJob(key.task.job);
+    run.is_persistent = job.spec.steps[key.task.step].is_persistent;
+    const auto& active = job.tasks[job.IndexOf(key.task)].active;
+    run.is_proven =
+        std::any_of(active.begin(), active.end(), [&key](const auto& each) {
+          return each.run == key.run && each.is_proven;
+        });
   });
   return runs;
 }
@@ -268,7 +330,8 @@
                        Records& records) {
   scheduling::WorkerCrashed crash;
   crash.worker = worker.info.id;
-  if (IsEndedByUs(ledger, worker)) {
+  if (IsTakenDown(worker)) {
+    crash.suspects = Judge(ledger, worker, runs, LossScope::kUnknown);
     records.emplace_back(std::move(crash));
     return;
   }
@@ -281,7 +344,7 @@
   if (when) {
     m_lost_lives.push_back({worker.info.rack, worker.info.host, *when});
   }
-  crash.suspects = scheduling::JudgeCrash(runs, scope);
+  crash.suspects = Judge(ledger, worker, runs, scope);
   DecisionLog::Get().Write(
       DecisionLine("dispatch", "worker-crashed")
           .With("worker", crash.worker)
@@ -295,7 +358,8 @@
                               const scheduling::WorkerCrashed& crash) {
   for (const CrashSuspect& suspect : crash.suspects) {
     const Job* job = ledger.FindJob(suspect.task.job);
-    if (job == nullptr || job->is_over()) {
+    if (job == nullptr || job->is_over() ||
+        suspect.suspicion == Suspicion::kExcused) {
       continue;
     }
     const Task& task = job->tasks[job->IndexOf(suspect.task)];
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -559,7 +559,7 @@
   // It names no life: where there was an earlier one under the id, the word may
   // be that one's, come late. A life that means it has drained before.
   void Run(WorkerLeaves& request, const ReplyDone& done) {
-    scheduling::LifeEnded ended{request.id};
+    scheduling::WorkerLeft ended{request.id};
     bool may_be_late = false;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Worker* worker = ledger.FindWorker(request.id);
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -71,6 +71,7 @@
   uint32_t percent = 0;
   SteadyTime percent_since{};
   bool is_listed = false;
+  bool is_proof_under_way = false;
   SteadyTime work_since{};  ///< Its start was answered, or it was listed.
   SteadyTime work_until{};  ///< When it was listed last.
 
@@ -173,6 +174,7 @@
   bool is_act_under_way = false;
   SteadyTime next_try{};
   WorkerLife life_before;   ///< That the maintenance ends.
+  SteadyTime acted_at{};    ///< When its act went out; zero: not by us.
   SteadyTime down_since{};  ///< Zero: not ordered yet.
   /// Its tasks wait for others that find no place; zero: they do not.
   SteadyTime stuck_since{};
@@ -206,6 +208,7 @@
   SteadyTime next_try{};
   SteadyTime ordered_at{};  ///< Zero: being emptied.
   bool is_act_under_way = false;
+  SteadyTime acted_at{};  ///< When its act went out; zero: not yet.
   WorkerLife life_before;
 };
 
@@ -387,8 +390,17 @@
                  const char* why,
                  Records& records,
                  const std::string& new_life = "");
-  bool IsEndedByUs(const Ledger& ledger,
+  bool IsTakenDown(const scheduling::Worker& worker) const;
+  bool MayHaveLeft(const Ledger& ledger,
                    const scheduling::Worker& worker) const;
+  std::vector<scheduling::CrashSuspect> Judge(
+      const Ledger& ledger,
+      const scheduling::Worker& worker,
+      const std::vector<scheduling::LostRun>& runs,
+      scheduling::LossScope scope) const;
+  void ProveRuns(const Ledger& ledger,
+                 const HoldReply& reply,
+                 Records& records);
   template <typename Visitor>
   void VisitRuns(const Ledger& ledger,
                  const scheduling::Worker& worker,
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -460,6 +460,7 @@
   }
   track.life_before = LifeOf(worker);
   track.is_act_under_way = true;
+  track.acted_at = now;
   HostAct act = MakeHostAct(host);
   act.pool = track.to;
   WhenSure([this, act = std::move(act)] {
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -456,6 +456,7 @@
     }
     TakeEnds(ledger, worker, reply, records);
     TakeRunning(ledger, worker, reply);
+    ProveRuns(ledger, reply, records);
     FindMissing(ledger, worker, asked_at, reply, records);
     Pace(ledger, m_links.at(worker), reply);
     DropOlderLives(ledger, worker, records);
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -303,6 +303,7 @@
   }
   track.life_before = LifeOf(worker);
   track.is_act_under_way = true;
+  track.acted_at = now;
   if (wave.hosts.at(host) == WaveStage::kOrdered) {
     Maintain(wave.opened.wave, host);
     return;
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -17,6 +17,8 @@
   Millis seen_at_work{0};       ///< Zero: its worker never listed it.
   Millis lived{Millis::max()};  ///< From its start to the loss, at most.
   bool has_started = false;     ///< Its worker said so.
+  bool is_persistent = false;
+  bool is_proven = false;  ///< Had worked for long, whoever saw it.
 };
 
 /// A task under which so many workers went down is given up, whatever else was
@@ -26,6 +28,9 @@
 /// From then on a run no longer keeps other tasks off its worker.
 constexpr Millis kSeenAtWork{500};
 
+/// A run that has worked for so long does not crash the workers that start it.
+constexpr Millis kWorksWell{5'000};
+
 /// What else was lost with a worker.
 enum class LossScope : uint8_t {
   kWorker,
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -20,6 +20,8 @@
   uint32_t run = 0;
   std::string worker;
   bool is_outlived = false;  ///< Its worker has begun a new life since.
+  bool is_proven = false;    ///< Has worked too long to crash its worker.
+  bool is_judged = false;    ///< What its worker's end says of it is counted.
 };
 
 /// One task of one occurrence.
@@ -205,6 +207,8 @@
   void Run(const LifeEnded& record);
   void Run(const ConfigurationAdopted& record);
   void Run(const JobTaken& record);
+  void Run(const RunProven& record);
+  void Run(const WorkerLeft& record);
   void BeginLife(const std::string& id, Worker& worker, WallTime born);
   void Remember(const std::string& worker, WallTime born);
 
@@ -215,6 +219,12 @@
   void CloseLapses(Worker& worker);
   void CountFailure(Job& job, size_t index, const std::string& worker);
   void GiveUp(Job& job, size_t index);
+  void CountCrash(Job& job,
+                  size_t index,
+                  const std::string& worker,
+                  Suspicion suspicion);
+  void CountUnjudged(const std::string& id, const Worker& worker);
+  void EndLife(const std::string& id, WallTime born, bool may_have_crashed);
   void SetState(Job& job, JobState state);
   void FollowQueued(const Job& job);
   void FollowOpen(const Job& job);
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -90,8 +90,9 @@
   kCleared,  ///< It had worked well for long: earlier crashes count no more.
   kBystander,
   kSuspect,
-  kSole,    ///< Nothing else was there.
-  kPrompt,  ///< As kSole, and the worker went down as soon as it had started.
+  kSole,     ///< Nothing else was there.
+  kPrompt,   ///< As kSole, and the worker went down as soon as it had started.
+  kExcused,  ///< Something else ended it: counts for nothing.
   kCount,
 };
 
@@ -143,6 +144,20 @@
   bool is_excess = false;    ///< Beyond what its organisation is promised.
 };
 
+/// A run has worked for so long that it does not crash the workers that start
+/// it: what went down under its task before counts no more.
+struct RunProven {
+  TaskId task;
+  uint32_t run = 0;
+};
+
+/// As LifeEnded, of a worker that said that it would leave: what ran there to
+/// the end did not take it down.
+struct WorkerLeft {
+  std::string worker;
+  WallTime born{};  ///< Zero: not known.
+};
+
 /// New kinds go to the end: a kind is written as its place.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -160,7 +175,9 @@
                             WorkerReborn,
                             LifeEnded,
                             ConfigurationAdopted,
-                            JobTaken>;
+                            JobTaken,
+                            RunProven,
+                            WorkerLeft>;
 
 /// Encodes a batch of records for the log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -312,6 +329,16 @@
   archive(value.configuration, value.configuration.identities);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, RunProven& value) {
+  archive(value.task, value.run);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, WorkerLeft& value) {
+  archive(value.worker, value.born);
+}
+
 template <typename Archive>
 void Visit(Archive& archive, JobTaken& value) {
   archive(value.job, value.organisation, value.is_excess);
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -7,13 +7,11 @@
 
 namespace {
 
-// A run that has worked for so long does not crash the workers that start it.
-constexpr Millis kWorksWell{5'000};
 // A worker that goes down with one task alone may do so by chance; one that
 // does as soon as that was started, hardly.
 constexpr Millis kAtOnce{250};
 constexpr std::array<uint32_t, static_cast<size_t>(Suspicion::kCount)> kBlame{
-    0, 0, 1, 2, 3};
+    0, 0, 1, 2, 3, 0};
 constexpr uint32_t kBlameToConvict = 4;
 
 constexpr std::array<const char*, static_cast<size_t>(LossScope::kCount)>
@@ -42,8 +40,12 @@
   std::vector<CrashSuspect> suspects;
   for (const LostRun& run : started) {
     Suspicion suspicion = Suspicion::kBystander;
-    if (run.seen_at_work >= kWorksWell) {
+    if (run.is_proven || run.seen_at_work >= kWorksWell) {
       suspicion = Suspicion::kCleared;
+    } else if (run.is_persistent && !IsNew(run) && is_any_new) {
+      // It stands there all day, beside whatever is started: the new ones
+      // explain the loss.
+      suspicion = Suspicion::kExcused;
     } else if (!run.has_started) {
       suspicion = Suspicion::kBystander;
     } else if (scope == LossScope::kWorker && started.size() == 1 &&
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -535,11 +535,12 @@
   for (const TaskId& id : active) {
     Job& job = m_jobs.at(id.job);
     const size_t index = job.IndexOf(id);
-    const bool is_new = found->second.lapsed.insert(id).second;
-    job.tasks[index].open_lapses += is_new ? 1 : 0;
     const std::vector<ActiveRun> runs = job.tasks[index].active;
     for (const ActiveRun& run : runs) {
       if (run.worker == record.worker) {
+        const bool is_open = !run.is_proven && !run.is_judged &&
+                             found->second.lapsed.insert(id).second;
+        job.tasks[index].open_lapses += is_open ? 1 : 0;
         EndRun(job, index, {id, run.run, run.worker, RunEnd::kLapsed, {}});
       }
     }
@@ -553,19 +554,56 @@
 }
 
 void Ledger::Run(const LifeEnded& record) {
-  const auto found = m_workers.find(record.worker);
-  if (found != m_workers.end() && record.born != WallTime() &&
-      record.born < found->second.born) {
+  EndLife(record.worker, record.born, true);
+}
+
+void Ledger::Run(const WorkerLeft& record) {
+  EndLife(record.worker, record.born, false);
+}
+
+void Ledger::EndLife(const std::string& id,
+                     WallTime born,
+                     bool may_have_crashed) {
+  const auto found = m_workers.find(id);
+  if (found != m_workers.end() && born != WallTime() &&
+      born < found->second.born) {
     return;
   }
-  Run(WorkerLapsed{record.worker});
+  if (found != m_workers.end() && may_have_crashed) {
+    CountUnjudged(id, found->second);
+  }
+  Run(WorkerLapsed{id});
   if (found != m_workers.end()) {
     CloseLapses(found->second);
-    NoteChange(record.worker);
+    NoteChange(id);
     LeaveHost(found->second.info);
     m_workers.erase(found);
   }
-  Remember(record.worker, record.born);
+  Remember(id, born);
+}
+
+// Runs of which nobody has said why they ended with their worker count against
+// their tasks: the limit on starts holds without evidence.
+void Ledger::CountUnjudged(const std::string& id, const Worker& worker) {
+  std::vector<TaskId> unjudged(worker.lapsed.begin(), worker.lapsed.end());
+  for (const TaskId& task : worker.active) {
+    const Job& job = m_jobs.at(task.job);
+    const auto& active = job.tasks[job.IndexOf(task)].active;
+    const bool is_open =
+        std::any_of(active.begin(), active.end(), [&id](const ActiveRun& run) {
+          return run.worker == id && !run.is_proven && !run.is_judged;
+        });
+    if (is_open && !worker.lapsed.contains(task)) {
+      unjudged.push_back(task);
+    }
+  }
+  for (const TaskId& task : unjudged) {
+    const auto job = m_jobs.find(task.job);
+    if (job != m_jobs.end() && job->second.Holds(task)) {
+      CountCrash(job->second, job->second.IndexOf(task), id,
+                 Suspicion::kBystander);
+    }
+  }
 }
 
 void Ledger::Remember(const std::string& worker, WallTime born) {
@@ -595,20 +633,49 @@
       continue;
     }
     Job& job = found->second;
-    Task& task = job.tasks[job.IndexOf(id)];
-    if (suspicion == Suspicion::kCleared) {
+    const size_t index = job.IndexOf(id);
+    for (ActiveRun& run : job.tasks[index].active) {
+      run.is_judged = run.is_judged || run.worker == record.worker;
+    }
+    CountCrash(job, index, record.worker, suspicion);
+  }
+  CloseLapses(worker->second);
+}
+
+void Ledger::CountCrash(Job& job,
+                        size_t index,
+                        const std::string& worker,
+                        Suspicion suspicion) {
+  Task& task = job.tasks[index];
+  if (suspicion == Suspicion::kExcused) {
+    return;
+  }
+  if (suspicion == Suspicion::kCleared) {
+    task.crashed.clear();
+    task.blame = 0;
+    return;
+  }
+  task.crashed.push_back(worker);
+  task.blame += BlameOf(suspicion);
+  if (!job.is_over() && !task.is_done &&
+      IsGivenUp(task.crashed.size(), task.blame, suspicion)) {
+    GiveUp(job, index);
+  }
+}
+
+void Ledger::Run(const RunProven& record) {
+  const auto found = m_jobs.find(record.task.job);
+  if (found == m_jobs.end() || !found->second.Holds(record.task)) {
+    return;
+  }
+  Task& task = found->second.tasks[found->second.IndexOf(record.task)];
+  for (ActiveRun& run : task.active) {
+    if (run.run == record.run) {
+      run.is_proven = true;
       task.crashed.clear();
       task.blame = 0;
-      continue;
-    }
-    task.crashed.push_back(record.worker);
-    task.blame += BlameOf(suspicion);
-    if (!job.is_over() && !task.is_done &&
-        IsGivenUp(task.crashed.size(), task.blame, suspicion)) {
-      GiveUp(job, job.IndexOf(id));
     }
   }
-  CloseLapses(worker->second);
 }
 
 void Ledger::CloseLapses(Worker& worker) {
@@ -718,6 +785,18 @@
   archive(value.task, value.run);
 }
 
+struct SavedMarks {
+  TaskId task;
+  uint32_t run = 0;
+  bool is_proven = false;
+  bool is_judged = false;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedMarks& value) {
+  archive(value.task, value.run, value.is_proven, value.is_judged);
+}
+
 struct SavedOwner {
   std::string job;
   std::string organisation;
@@ -742,6 +821,7 @@
   std::vector<WallTime> gone_births;  ///< As `gone`.
   std::vector<SavedOwner> owners;     ///< Of the jobs that are somebody's.
   std::vector<TaskId> given_up;
+  std::vector<SavedMarks> marks;
 };
 
 template <typename Archive>
@@ -751,7 +831,7 @@
   archive.Later(value.crashes, value.lapses, value.words, value.outlived,
                 value.gone_births);
   archive.Later(value.configuration.identities, value.owners);
-  archive.Later(value.given_up);
+  archive.Later(value.given_up, value.marks);
 }
 
 }  // namespace
@@ -798,6 +878,10 @@
         if (run.is_outlived) {
           saved.outlived.push_back({job.IdOf(index), run.run});
         }
+        if (run.is_proven || run.is_judged) {
+          saved.marks.push_back(
+              {job.IdOf(index), run.run, run.is_proven, run.is_judged});
+        }
       }
     }
   }
@@ -857,6 +941,15 @@
       run.is_outlived = run.is_outlived || run.run == outlived.run;
     }
   }
+  for (const SavedMarks& marks : saved.marks) {
+    Job& job = m_jobs.at(marks.task.job);
+    for (ActiveRun& run : job.tasks[job.IndexOf(marks.task)].active) {
+      if (run.run == marks.run) {
+        run.is_proven = marks.is_proven;
+        run.is_judged = marks.is_judged;
+      }
+    }
+  }
   for (const SavedLapse& lapse : saved.lapses) {
     m_workers[lapse.worker].lapsed.insert(lapse.tasks.begin(),
                                           lapse.tasks.end());
--- a/packages/scheduling/src/record.cc
+++ b/packages/scheduling/src/record.cc
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::array<const char*, static_cast<size_t>(Suspicion::kCount)>
-    kSuspicionNames{"cleared", "bystander", "suspect", "sole", "prompt"};
+    kSuspicionNames{"cleared", "bystander", "suspect",
+                    "sole",    "prompt",    "excused"};
 
 }  // namespace
 
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -22,6 +22,37 @@
   return judged;
 }
 
+LostRun Seen(const std::string& job, Millis at_work) {
+  return {Id(job), true, at_work, Millis::max(), true};
+}
+
+LostRun Standing(const std::string& job, Millis at_work) {
+  LostRun run = Seen(job, at_work);
+  run.is_persistent = true;
+  return run;
+}
+
+TEST_CASE("Crash, persistent run at work beside new ones, is excused") {
+  const auto judged =
+      Judge({Standing("standing", Millis(900)), Seen("older", Millis(900)),
+             Seen("new", Millis(0))});
+  CHECK(judged.at("standing") == Suspicion::kExcused);
+  CHECK(judged.at("older") == Suspicion::kBystander);
+  CHECK(judged.at("new") == Suspicion::kSuspect);
+}
+
+TEST_CASE("Crash, persistent run at work and nothing newer, is suspected") {
+  const auto judged = Judge({Standing("standing", Millis(900))});
+  CHECK(judged.at("standing") == Suspicion::kSuspect);
+}
+
+TEST_CASE("Crash, run proven before its leader led, is cleared") {
+  LostRun run = Standing("standing", Millis(0));
+  run.is_proven = true;
+  CHECK(Judge({run}, LossScope::kUnknown).at("standing") ==
+        Suspicion::kCleared);
+}
+
 TEST_CASE("Crash, new runs beside older ones, the new ones are suspected") {
   const auto judged =
       Judge({{Id("new"), true, Millis(0), Millis::max(), true},
@@ -228,6 +259,69 @@
   CHECK(loaded.FindJob("a")->state == JobState::kFailed);
 }
 
+// Guards the limit on starts: nobody said why the run ended with its worker.
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, life ends without a judgement, its runs count") {
+  ledger.Apply(RunStarted{Id("a"), 1, "w1"});
+  ledger.Apply(WorkerCrashed{"w1", {}});
+  ledger.Apply(LifeEnded{"w1", {}});
+  CHECK(TaskOf("a").crashed == std::vector<std::string>{"w1"});
+  CHECK(TaskOf("a").blame == 0);
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, lease ran out and life ends without a judgement, "
+                  "its runs count once") {
+  ledger.Apply(RunStarted{Id("a"), 1, "w1"});
+  ledger.Apply(WorkerLapsed{"w1"});
+  ledger.Apply(LifeEnded{"w1", {}});
+  CHECK(TaskOf("a").crashed.size() == 1);
+  CHECK(TaskOf("a").open_lapses == 0);
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, life ends after a judgement, its runs count once") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  ledger.Apply(RunStarted{Id("b"), 1, "w2"});
+  ledger.Apply(WorkerCrashed{"w2", {{Id("b"), Suspicion::kExcused}}});
+  ledger.Apply(LifeEnded{"w2", {}});
+  CHECK(TaskOf("a").crashed.size() == 1);
+  CHECK(TaskOf("b").crashed.empty());
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, worker left by its own word, nothing counts") {
+  ledger.Apply(RunStarted{Id("a"), 1, "w1"});
+  ledger.Apply(WorkerLeft{"w1", {}});
+  CHECK(TaskOf("a").crashed.empty());
+  CHECK(TaskOf("a").active.empty());
+  CHECK(ledger.FindWorker("w1") == nullptr);
+}
+
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, run is proven, no crash counts, saved and loaded") {
+  Crash("a", 1, "w1", Suspicion::kSuspect);
+  ledger.Apply(RunStarted{Id("a"), 2, "w2"});
+  ledger.Apply(RunProven{Id("a"), 2});
+  CHECK(TaskOf("a").crashed.empty());
+  Ledger loaded;
+  loaded.Load(ledger.Save());
+  CHECK(loaded.Save() == ledger.Save());
+  loaded.Apply(LifeEnded{"w2", {}});
+  CHECK(loaded.FindJob("a")->tasks[0].crashed.empty());
+}
+
+TEST_CASE("Records of lives that end, written and read, mean the same") {
+  const auto records = DecodeRecords(EncodeRecords(
+      {RunProven{{"a", 0, 1, 2}, 3}, WorkerLeft{"w1", WallTime(Millis(5))}}));
+  const auto& proven = std::get<RunProven>(records.at(0));
+  CHECK(proven.task == TaskId{"a", 0, 1, 2});
+  CHECK(proven.run == 3);
+  const auto& left = std::get<WorkerLeft>(records.at(1));
+  CHECK(left.worker == "w1");
+  CHECK(left.born == WallTime(Millis(5)));
+}
+
 // What the version before crashes were counted wrote.
 TEST_CASE("Ledger, snapshot without crashes, is read") {
   Ledger ledger;
--- a/packages/scheduling/tests/organisation_test.cc
+++ b/packages/scheduling/tests/organisation_test.cc
@@ -146,8 +146,8 @@
   spec.steps.emplace_back().count = 1;
   ledger.Apply(JobAccepted{"j", "quotes", "teklif", WallTime(), spec});
   std::string text = ledger.Save();
-  // No identities, no owners, no tasks given up.
-  const std::string added = "0 0 0 ";
+  // No identities, no owners, no tasks given up, no marks.
+  const std::string added = "0 0 0 0 ";
   REQUIRE(text.ends_with(added));
   text.resize(text.size() - added.size());
   Ledger loaded;
