Suspects are tried alone on several workers, and never put together

What callers saw: sound jobs, and whole classes of requests, were given up in a rush with culprits among them. Cause: one worker at a time was cleared for suspects, and one that had waited for two seconds went beside others: 10 to 16 suspects on one worker, which went down with the next culprit among them.

From three workers on a suspect has nothing else beside it until it ends. A crash at the start of the only new run convicts it though older ones are there; a persistent task is given up by its fifth worker alone, as a conviction takes it from its users for good.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -372,7 +372,8 @@
     const uint32_t blame = task.blame + scheduling::BlameOf(suspect.suspicion);
     const bool is_given_up =
         suspect.suspicion != Suspicion::kCleared &&
-        scheduling::IsGivenUp(crashes, blame, suspect.suspicion);
+        scheduling::IsGivenUp(crashes, blame, suspect.suspicion,
+                              job->spec.steps[suspect.task.step].is_persistent);
     m_counters.given_up += is_given_up ? 1 : 0;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", is_given_up ? "give-up" : "suspect",
@@ -401,21 +402,40 @@
   });
 }
 
-// Until all suspects there have been seen at work.
+bool Leadership::IsSeenAtWork(const Ledger& ledger,
+                              const Worker& worker,
+                              const scheduling::TaskId& id) const {
+  const Job& job = *ledger.FindJob(id.job);
+  const auto& active = job.tasks[job.IndexOf(id)].active;
+  return std::all_of(active.begin(), active.end(), [&](const auto& run) {
+    const auto track = m_runs.find({id, run.run});
+    return run.worker != worker.info.id ||
+           (track != m_runs.end() &&
+            track->second.SeenAtWork() >= scheduling::kSeenAtWork);
+  });
+}
+
+// Until all suspects there have been seen at work, and those that nothing may
+// be put beside have ended.
 bool Leadership::IsQuarantined(const Ledger& ledger,
                                const Worker& worker) const {
-  return std::any_of(
-      worker.suspects.begin(), worker.suspects.end(),
-      [&](const scheduling::TaskId& id) {
-        const Job& job = *ledger.FindJob(id.job);
-        const auto& active = job.tasks[job.IndexOf(id)].active;
-        return std::any_of(active.begin(), active.end(), [&](const auto& run) {
-          const auto track = m_runs.find({id, run.run});
-          return run.worker == worker.info.id &&
-                 (track == m_runs.end() ||
-                  track->second.SeenAtWork() < scheduling::kSeenAtWork);
-        });
-      });
+  return std::any_of(worker.suspects.begin(), worker.suspects.end(),
+                     [&](const scheduling::TaskId& id) {
+                       const Job& job = *ledger.FindJob(id.job);
+                       const size_t index = job.IndexOf(id);
+                       const bool is_isolated =
+                           job.tasks[index].IsIsolated() &&
+                           !job.StepOf(index).is_persistent;
+                       return is_isolated || !IsSeenAtWork(ledger, worker, id);
+                     });
+}
+
+// Asked only of workers with nothing but suspects and what lasts.
+bool Leadership::IsSettled(const Ledger& ledger, const Worker& worker) const {
+  return std::all_of(worker.active.begin(), worker.active.end(),
+                     [&](const scheduling::TaskId& id) {
+                       return IsSeenAtWork(ledger, worker, id);
+                     });
 }
 
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -462,9 +462,12 @@
   const WorkerLink& link = m_links.at(worker.info.id);
   const bool is_doubtful =
       m_init.mechanisms.Has(Mechanism::kDoubt) && Now() < link.doubtful_until;
-  return {IsUsable(worker, link), is_doubtful,
-          IsDueForMaintenance(ledger, worker.info.host),
-          IsQuarantined(ledger, worker)};
+  return {
+      IsUsable(worker, link), is_doubtful,
+      IsDueForMaintenance(ledger, worker.info.host),
+      IsQuarantined(ledger, worker),
+      worker.active.size() <= worker.suspects.size() + worker.persistent_runs &&
+          IsSettled(ledger, worker)};
 }
 
 void Leadership::Plan(const Ledger& ledger, std::vector<RunStarted>& starts) {
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -434,8 +434,12 @@
   void TellLostRuns(const Ledger& ledger,
                     const scheduling::Worker& worker,
                     const char* how) const;
+  bool IsSeenAtWork(const Ledger& ledger,
+                    const scheduling::Worker& worker,
+                    const scheduling::TaskId& id) const;
   bool IsQuarantined(const Ledger& ledger,
                      const scheduling::Worker& worker) const;
+  bool IsSettled(const Ledger& ledger, const scheduling::Worker& worker) const;
   void Contact(WorkerLink& link, std::optional<scheduling::WorkerTime> clock);
   /// Whether this thread is short of processor time: its ticks come late.
   bool IsBehind() const { return m_tick_lag > kBehind; }
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -263,6 +263,9 @@
   scheduling::Resources CapInForce(const std::string& organisation) const;
   void Violate(const std::string& text);
   void CountStart(const std::string& task);
+  void Revive(const std::string& host,
+              const std::string& service = "teklif",
+              const std::string& rack = "");
   void NoteDeaths(const FakeWorker& worker);
   void CrashLater(const std::string& task, const std::string& worker);
 
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -54,8 +54,13 @@
 /// Whether a task is given up after so many workers went down under it.
 ///
 /// @param blame Of all of these together.
-/// @param last Of the last one. Thread-safe.
-bool IsGivenUp(size_t crashes, uint32_t blame, Suspicion last);
+/// @param last Of the last one.
+/// @param is_persistent One that lasts is given up by their number alone: its
+///   users lose it for good. Thread-safe.
+bool IsGivenUp(size_t crashes,
+               uint32_t blame,
+               Suspicion last,
+               bool is_persistent);
 
 /// When a worker was lost: after the one time, before the other.
 struct LossTime {
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -42,6 +42,10 @@
   /// Whether it is to start where nothing else runs.
   bool IsSuspect() const;
 
+  /// Whether so many workers may have gone down under it that nothing else may
+  /// be there until it has ended.
+  bool IsIsolated() const;
+
   /// Whether so many workers may have gone down under it that it must not start
   /// before more is known of them.
   bool IsHeldBack() const;
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -22,6 +22,7 @@
   /// A task that may crash it has just been started there: nothing is put
   /// beside it.
   bool is_quarantined = false;
+  bool is_settled = false;  ///< All that runs there was seen at work.
 };
 
 /// What a plan is made from.
@@ -169,13 +170,14 @@
                                                                         // run.
   std::unordered_map<std::string, Resources>
       m_reserved_caps;  // By organisation.
-  /// Workers on which a suspect's start is planned and not settled.
-  std::map<std::string, TaskId> m_reserved_suspects;
+  /// Suspects of which a start is planned and not settled, by worker.
+  std::map<std::string, std::set<TaskId>> m_reserved_suspects;
 
-  /// Workers that take no new task, so that a suspect finds one empty; by
+  /// Workers that take no new task, so that suspects find some empty; by
   /// service.
-  std::map<std::string, std::string> m_clearing;
-  std::map<std::string, std::string> m_cleared_before;  // By the last plan.
+  std::map<std::string, std::set<std::string>> m_clearing;
+  // By the last plan.
+  std::map<std::string, std::set<std::string>> m_cleared_before;
   /// Since when suspects have waited for an empty worker.
   std::map<TaskId, SteadyTime> m_suspects_waiting;
   std::map<TaskId, SteadyTime> m_suspects_waited;  // As of the last plan.
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -34,9 +34,16 @@
                [](const LostRun& run) { return run.may_have_started; });
   // A worker goes down soon after a culprit's start: what has been at work for
   // a while is suspected only where nothing newer is there.
-  const bool is_any_new = std::any_of(
+  const auto new_runs = std::count_if(
       started.begin(), started.end(),
       [](const LostRun& run) { return run.has_started && IsNew(run); });
+  const bool is_any_new = new_runs > 0;
+  // What was seen at work does not explain a loss at another one's start.
+  const bool is_one_new =
+      new_runs == 1 &&
+      std::all_of(started.begin(), started.end(), [](const LostRun& run) {
+        return !IsNew(run) || run.has_started;
+      });
   std::vector<CrashSuspect> suspects;
   for (const LostRun& run : started) {
     Suspicion suspicion = Suspicion::kBystander;
@@ -48,9 +55,12 @@
       suspicion = Suspicion::kExcused;
     } else if (!run.has_started) {
       suspicion = Suspicion::kBystander;
+    } else if (scope == LossScope::kWorker && is_one_new && IsNew(run) &&
+               run.lived < kAtOnce) {
+      suspicion = Suspicion::kPrompt;
     } else if (scope == LossScope::kWorker && started.size() == 1 &&
                IsNew(run)) {
-      suspicion = run.lived < kAtOnce ? Suspicion::kPrompt : Suspicion::kSole;
+      suspicion = Suspicion::kSole;
     } else if (scope < LossScope::kRack && (IsNew(run) || !is_any_new)) {
       suspicion = Suspicion::kSuspect;
     }
@@ -63,9 +73,12 @@
   return kBlame.at(static_cast<size_t>(suspicion));
 }
 
-bool IsGivenUp(size_t crashes, uint32_t blame, Suspicion last) {
+bool IsGivenUp(size_t crashes,
+               uint32_t blame,
+               Suspicion last,
+               bool is_persistent) {
   const bool is_convicted =
-      blame >= kBlameToConvict && last >= Suspicion::kSole;
+      !is_persistent && blame >= kBlameToConvict && last >= Suspicion::kSole;
   return crashes >= kMostCrashes || is_convicted;
 }
 
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMaxChanges = 256;
 // Workers that went down under a task, though none is sure to be its fault.
 constexpr size_t kCrashesToSuspect = 2;
+// From then on a further one beside others could be one too many.
+constexpr size_t kCrashesToIsolate = 3;
 
 // Fills what follows from a job's steps.
 void DeriveLayout(Job& job) {
@@ -80,6 +82,10 @@
   return blame > 0 || crashed.size() + open_lapses >= kCrashesToSuspect;
 }
 
+bool Task::IsIsolated() const {
+  return crashed.size() + open_lapses >= kCrashesToIsolate;
+}
+
 bool Task::IsHeldBack() const {
   return open_lapses > 0 && crashed.size() + open_lapses >= kMostCrashes;
 }
@@ -658,7 +664,8 @@
   task.crashed.push_back(worker);
   task.blame += BlameOf(suspicion);
   if (!job.is_over() && !task.is_done &&
-      IsGivenUp(task.crashed.size(), task.blame, suspicion)) {
+      IsGivenUp(task.crashed.size(), task.blame, suspicion,
+                job.StepOf(index).is_persistent)) {
     GiveUp(job, index);
   }
 }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -31,8 +31,13 @@
 // So long before that it goes first.
 constexpr Millis kLastCall{700};
 
-// A suspect that found no empty worker for so long starts beside others.
+// A suspect that found no empty worker for so long starts beside others, unless
+// another one is being tried: that tells before long which of them is sound.
 constexpr Millis kLongestClearing{2'000};
+// Each worker that is cleared serves so many suspects in their time; a third of
+// a service's workers at the most.
+constexpr size_t kSuspectsPerCleared = 4;
+constexpr size_t kWorkersPerCleared = 3;
 
 // Weights of what a place costs, in shares of an idle worker.
 constexpr double kFarFromData = 100;
@@ -378,53 +383,83 @@
            task.failures + 1 >= candidate.queue->max_attempts;
   }
 
+  // What may be on the worker that a task is put on.
+  enum class Company { kAnyone, kNobody };
+
   Place* Find(const Candidate& candidate,
               const StepSpec& step,
               uint32_t index,
               std::vector<Place>& places,
               const std::string& only_rack) {
+    const auto find = [&](Company company) {
+      return FindAmong(candidate, step, index, places, only_rack, company);
+    };
     if (!IsSuspect(candidate, index)) {
-      return FindAmong(candidate, step, index, places, only_rack, false);
-    }
-    Place* empty = nullptr;
-    if (HasEmpty(candidate, places)) {
-      empty = FindAmong(candidate, step, index, places, only_rack, true);
+      return find(Company::kAnyone);
     }
-    if (empty != nullptr ||
-        !HasWaitedForEmpty(candidate, step, index, places)) {
+    Place* empty =
+        HasEmpty(candidate, places) ? find(Company::kNobody) : nullptr;
+    if (empty != nullptr) {
       return empty;
     }
-    return FindAmong(candidate, step, index, places, only_rack, false);
+    if (step.is_persistent) {
+      return find(Company::kAnyone);  // Its users are not to wait.
+    }
+    const bool has_waited = HasWaitedForEmpty(candidate, step, index, places);
+    if (!has_waited || TaskOf(candidate, index).IsIsolated()) {
+      return nullptr;
+    }
+    return IsAnyTried(places) ? nullptr : find(Company::kAnyone);
+  }
+
+  static bool IsUnplanned(const Place& place) {
+    Resources left = place.worker->info.capacity;
+    Subtract(left, place.worker->used);
+    return place.planned.empty() && place.room == left;
   }
 
-  static bool IsEmpty(const Place& place) {
-    return place.worker->active.empty() && place.planned.empty() &&
-           place.room == place.worker->info.capacity;
+  // Whether a suspect would be the only new run there, and what it could take
+  // down is as little as may be: other suspects that have been tried, and what
+  // lasts. One that is isolated has no such suspects beside it.
+  bool IsForTrial(Place& place, bool is_isolated) const {
+    const Worker& worker = *place.worker;
+    const size_t tried = is_isolated ? 0 : worker.suspects.size();
+    const bool is_apart =
+        worker.active.size() <= worker.persistent_runs + tried;
+    return is_apart && IsUnplanned(place) && !HasNewSuspect(place) &&
+           (worker.active.empty() || OutlookOf(place).is_settled);
+  }
+
+  // Whether some suspect is at work that has not been seen to be sound.
+  bool IsAnyTried(std::vector<Place>& places) const {
+    return std::any_of(places.begin(), places.end(), [this](Place& place) {
+      return HasNewSuspect(place) || (!place.worker->suspects.empty() &&
+                                      OutlookOf(place).is_quarantined);
+    });
   }
 
   // No place becomes empty within a plan, so that many suspects cost one walk
   // once there is none.
-  bool HasEmpty(const Candidate& candidate, const std::vector<Place>& places) {
+  bool HasEmpty(const Candidate& candidate, std::vector<Place>& places) {
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
     if (m_without_empty.contains(service)) {
       return false;
     }
-    const bool has_empty = std::any_of(places.begin(), places.end(), IsEmpty);
+    const bool has_empty =
+        std::any_of(places.begin(), places.end(),
+                    [this](Place& place) { return IsForTrial(place, false); });
     if (!has_empty) {
       m_without_empty.insert(service);
     }
     return has_empty;
   }
 
-  // Whether a suspect goes beside other tasks: it has waited for so long, its
-  // users are not to wait, or no worker of the service will be empty.
+  // Whether a suspect goes beside other tasks: it has waited for so long, or no
+  // worker of the service will be empty.
   bool HasWaitedForEmpty(const Candidate& candidate,
                          const StepSpec& step,
                          uint32_t index,
                          std::vector<Place>& places) {
-    if (step.is_persistent) {
-      return true;
-    }
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
     const auto before = m_planner.m_suspects_waited.find(id);
@@ -436,37 +471,43 @@
            m_input.now - since > kLongestClearing;
   }
 
-  // Holds a worker of the service free of new tasks, the one with the fewest;
-  // false when none can become empty. One serves all suspects of a plan.
+  // Holds workers of the service free of new tasks, those with the fewest, and
+  // more the more suspects wait; false when none can become empty.
   bool Clears(const Candidate& candidate,
               const StepSpec& step,
               std::vector<Place>& places) {
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
-    if (m_planner.m_clearing.contains(service)) {
+    std::set<std::string>& clearing = m_planner.m_clearing[service];
+    const size_t waiting = ++m_waiting[service];
+    const size_t most = std::max<size_t>(1, places.size() / kWorkersPerCleared);
+    const size_t wanted = std::min(most, 1 + waiting / kSuspectsPerCleared);
+    if (clearing.size() >= wanted) {
       return true;
     }
-    const std::string before = ClearedFor(m_planner.m_cleared_before, service);
-    const auto is_being_cleared = [&](const Place& place) {
-      return place.worker->info.id == before;
+    const std::set<std::string>& before =
+        ClearedFor(m_planner.m_cleared_before, service);
+    const auto is_being_cleared = [&before](const Place& place) {
+      return before.contains(place.worker->info.id);
     };
     const Place* best = nullptr;
     for (Place& place : places) {
-      const bool may_empty = place.worker->persistent_runs == 0 &&
+      const bool may_empty = !clearing.contains(place.worker->info.id) &&
                              !place.has_persistent && !HasNewSuspect(place) &&
                              Fits(RoomOf(step), place.worker->info.capacity) &&
                              OutlookOf(place).is_usable &&
                              !OutlookOf(place).is_quarantined;
+      const auto cost = [&](const Place& of) {
+        return std::tuple(!is_being_cleared(of), of.worker->persistent_runs,
+                          of.worker->active.size());
+      };
       const bool is_better =
-          may_empty &&
-          (best == nullptr || is_being_cleared(place) ||
-           (!is_being_cleared(*best) &&
-            place.worker->active.size() < best->worker->active.size()));
+          may_empty && (best == nullptr || cost(place) < cost(*best));
       best = is_better ? &place : best;
     }
     if (best != nullptr) {
-      m_planner.m_clearing[service] = best->worker->info.id;
+      clearing.insert(best->worker->info.id);
     }
-    return best != nullptr;
+    return !clearing.empty();
   }
 
   // Whether a suspect's start there is planned and not settled.
@@ -476,13 +517,13 @@
             m_planner.m_reserved_suspects.contains(place.worker->info.id));
   }
 
-  // The worker that is cleared for a suspect of a service, of one plan; none:
-  // an empty name.
-  static std::string ClearedFor(
-      const std::map<std::string, std::string>& clearing,
+  // The workers that are cleared for the suspects of a service, of one plan.
+  static const std::set<std::string>& ClearedFor(
+      const std::map<std::string, std::set<std::string>>& clearing,
       const std::string& service) {
+    static const std::set<std::string> none;
     const auto found = clearing.find(service);
-    return found == clearing.end() ? std::string() : found->second;
+    return found == clearing.end() ? none : found->second;
   }
 
   Place* FindAmong(const Candidate& candidate,
@@ -490,20 +531,22 @@
                    uint32_t index,
                    std::vector<Place>& places,
                    const std::string& only_rack,
-                   bool is_alone) const {
+                   Company company) const {
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
     const Task& task = TaskOf(candidate, index);
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
     // Looked up once, not for each place of the plan.
-    const bool avoids_held = !task.IsSuspect();
-    const std::string cleared = ClearedFor(m_planner.m_clearing, service);
-    const std::string cleared_before =
-        ClearedFor(m_planner.m_cleared_before, service);
+    const bool avoids_cleared = !task.IsSuspect();
+    const auto& cleared = ClearedFor(m_planner.m_clearing, service);
+    const auto& before = ClearedFor(m_planner.m_cleared_before, service);
     const auto is_held = [&](const Place& place) {
       const std::string& id = place.worker->info.id;
-      return id == cleared || id == cleared_before || HasNewSuspect(place);
+      const bool is_cleared = cleared.contains(id) || before.contains(id);
+      return (avoids_cleared && is_cleared) || HasNewSuspect(place);
     };
+    const bool is_alone = company == Company::kNobody;
+    const bool is_isolated = task.IsIsolated() && !step.is_persistent;
     const bool waits_for_data =
         m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waits_since < kDataWaitRuns * step.estimate;
@@ -523,8 +566,8 @@
           !step.data_rack.empty() && info.rack != step.data_rack;
       if (!Fits(room, place.room) || !HasLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
-          (is_far && waits_for_data) || (is_alone && !IsEmpty(place)) ||
-          (avoids_held && is_held(place))) {
+          (is_far && waits_for_data) ||
+          (is_alone ? !IsForTrial(place, is_isolated) : is_held(place))) {
         continue;
       }
       double cost = is_far ? kFarFromData : 0;
@@ -533,7 +576,9 @@
       // the others can move as soon as another service needs them.
       const bool has_persistent =
           place.worker->persistent_runs > 0 || place.has_persistent;
-      cost -= gathers && has_persistent ? kGathers : 0;
+      // What may crash its worker stays away from them.
+      const double gather = is_alone ? kGathers : -kGathers;
+      cost += gathers && has_persistent ? gather : 0;
       const double used =
           1 - Share(place.room.millicores, info.capacity.millicores);
       cost += step.is_persistent || !gathers ? used : -used;
@@ -609,7 +654,7 @@
       Add(m_planner.m_reserved_caps[job.organisation], step.need);
     }
     if (job.tasks[job.IndexOf(start.task)].IsSuspect()) {
-      m_planner.m_reserved_suspects[start.worker] = start.task;
+      m_planner.m_reserved_suspects[start.worker].insert(start.task);
     }
   }
 
@@ -617,7 +662,8 @@
   const PlanInput& m_input;
   std::map<std::string, std::vector<Place>> m_places;       // By service.
   std::map<std::string, std::vector<Resources>> m_no_room;  // By service.
-  std::set<std::string> m_without_empty;  // Services, found to be so.
+  std::set<std::string> m_without_empty;    // Services, found to be so.
+  std::map<std::string, size_t> m_waiting;  // Suspects, by service.
 };
 
 // In the ledger's own order.
@@ -891,8 +937,11 @@
   m_reserved_steps.erase(found);
   m_reserved.erase(start.task);
   const auto suspect = m_reserved_suspects.find(start.worker);
-  if (suspect != m_reserved_suspects.end() && suspect->second == start.task) {
-    m_reserved_suspects.erase(suspect);
+  if (suspect != m_reserved_suspects.end()) {
+    suspect->second.erase(start.task);
+    if (suspect->second.empty()) {
+      m_reserved_suspects.erase(suspect);
+    }
   }
   const auto job = m_reserved_jobs.find(start.task.job);
   if (--job->second == 0) {
