A suspect's worker tries the next one while the look at it stands

Cause: a look at a worker waits for up to two seconds, and only a list showed that a suspect was sound, so one worker tried one suspect a second or less. While a look stands its worker has not gone down: after half a second the next suspect may start.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -254,7 +254,7 @@
     LostRun& run = runs.emplace_back();
     run.task = key.task;
     run.may_have_started = may_have_started;
-    run.seen_at_work = track.SeenAtWork();
+    run.seen_at_work = std::max(track.SeenAtWork(), WithoutEnd(link, track));
     run.lived = is_ours ? std::chrono::floor<Millis>(lost_by - track.begun_at)
                         : Millis::max();
     run.has_started = track.work_since != SteadyTime();
@@ -402,16 +402,35 @@
   });
 }
 
+// How long a run has lasted for sure: an end is told at once, and the worker
+// was heard of later than its start.
+Millis Leadership::WithoutEnd(const WorkerLink& link, const RunTrack& track) {
+  const bool has_started = track.work_since != SteadyTime();
+  return has_started
+             ? std::max(Millis(0), std::chrono::floor<Millis>(
+                                       link.last_contact - track.work_since))
+             : Millis(0);
+}
+
+// A look at a worker waits for seconds; while it stands, the worker has not
+// gone down under what it has started.
 bool Leadership::IsSeenAtWork(const Ledger& ledger,
                               const Worker& worker,
                               const scheduling::TaskId& id) const {
+  const WorkerLink& link = m_links.at(worker.info.id);
+  const bool is_well = !link.is_silent && link.lost_at == SteadyTime();
+  const auto is_at_work = [&](const RunTrack& track) {
+    const bool has_lasted = track.work_since != SteadyTime() &&
+                            Now() - track.work_since >= scheduling::kSeenAtWork;
+    return track.SeenAtWork() >= scheduling::kSeenAtWork ||
+           (is_well && has_lasted);
+  };
   const Job& job = *ledger.FindJob(id.job);
   const auto& active = job.tasks[job.IndexOf(id)].active;
   return std::all_of(active.begin(), active.end(), [&](const auto& run) {
     const auto track = m_runs.find({id, run.run});
     return run.worker != worker.info.id ||
-           (track != m_runs.end() &&
-            track->second.SeenAtWork() >= scheduling::kSeenAtWork);
+           (track != m_runs.end() && is_at_work(track->second));
   });
 }
 
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -434,6 +434,7 @@
   void TellLostRuns(const Ledger& ledger,
                     const scheduling::Worker& worker,
                     const char* how) const;
+  static Millis WithoutEnd(const WorkerLink& link, const RunTrack& track);
   bool IsSeenAtWork(const Ledger& ledger,
                     const scheduling::Worker& worker,
                     const scheduling::TaskId& id) const;
