A host with a persistent task is not taken down until that is told to have ended

What callers may see: a wave takes down a host whose persistent task it had asked to stop, though the order was lost and another task of the step has gone down since. Found by a test of a stop that is sent again late. Causes: a task that was to be stopped no longer counted as there, so that after five seconds its host was taken down as if it held short work; and a repeated stop was not asked anew. Now the question is asked each time that the order goes out, and a host with a persistent task stays up whatever was asked. Moves and maintenance look at all lives of a host, not at one of them.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -57,6 +57,18 @@
   kBarring,  ///< Is stopped before anything else is done about it.
 };
 
+/// Why a run is to be stopped.
+enum class StopReason : uint8_t {
+  kDone,       ///< Another run of its task was.
+  kCancelled,  ///< Its job was.
+  kJobFailed,
+  kWorkerLeaves,
+  kMaintenance,
+  kStandsStill,
+  kStartNotAnswered,  ///< It may begin late, and is to run elsewhere.
+  kCount,
+};
+
 /// What this leader knows of an active run beyond what is committed.
 struct RunTrack {
   std::string worker;
@@ -66,6 +78,7 @@
   SteadyTime begun_at{};
   SteadyTime settled_at{};  ///< A look after this must list it.
   bool is_stop_wanted = false;
+  StopReason stop_reason = StopReason::kDone;
   bool is_stop_under_way = false;
   bool is_stop_taken = false;
   uint32_t percent = 0;
@@ -146,18 +159,6 @@
 /// A short name for a log line.
 const char* FitnessName(Fitness fitness);
 
-/// Why a run is to be stopped.
-enum class StopReason : uint8_t {
-  kDone,       ///< Another run of its task was.
-  kCancelled,  ///< Its job was.
-  kJobFailed,
-  kWorkerLeaves,
-  kMaintenance,
-  kStandsStill,
-  kStartNotAnswered,  ///< It may begin late, and is to run elsewhere.
-  kCount,
-};
-
 /// The other tasks of a persistent step.
 struct StepAway {
   uint32_t away = 0;  ///< Not seen at work, whatever the cause.
@@ -315,6 +316,9 @@
                        RunTrack& track,
                        StopReason reason,
                        const std::optional<StepAway>& others = {});
+  bool IsStillToStop(const Ledger& ledger,
+                     const RunKey& key,
+                     const RunTrack& track) const;
   void WantStops(const Ledger& ledger);
   void StopStalled(const Ledger& ledger);
   bool IsAtWork(const Ledger& ledger, const scheduling::TaskId& task) const;
@@ -466,6 +470,13 @@
   void ChooseHosts(const Ledger& ledger, const scheduling::WaveState& wave);
   size_t CountDown(const scheduling::WaveState& wave,
                    const std::string& besides) const;
+  /// What is on a host that is to be maintained.
+  struct HostUse {
+    bool is_empty = true;
+    bool has_persistent = false;
+    bool is_stuck = false;  ///< Its tasks wait for others that find no place.
+  };
+  HostUse EmptyHost(const Ledger& ledger, const std::string& host);
   void StepHost(const Ledger& ledger,
                 const scheduling::WaveState& wave,
                 const std::string& host,
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -451,13 +451,16 @@
       now < track.next_try || now - track.chosen_at < kSettles) {
     return;
   }
-  const Worker* worker = WorkerOn(ledger, host);
+  const auto& lives = ledger.WorkersOn(host);
   const bool is_empty =
-      worker == nullptr ||
-      (worker->active.empty() && !m_planner.HasPlanned(worker->info.id));
+      std::all_of(lives.begin(), lives.end(), [&](const std::string& life) {
+        return ledger.FindWorker(life)->active.empty() &&
+               !m_planner.HasPlanned(life);
+      });
   if (!is_empty) {
     return;
   }
+  const Worker* worker = WorkerOn(ledger, host);
   track.life_before = LifeOf(worker);
   track.is_act_under_way = true;
   track.acted_at = now;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -81,7 +81,9 @@
     }
     if (track.is_stop_wanted && !track.is_stop_taken &&
         !track.is_stop_under_way) {
-      SendStop(key, track);
+      if (IsStillToStop(ledger, key, track)) {
+        SendStop(key, track);
+      }
     } else if (track.start == StartStage::kRetry && !track.is_stop_wanted) {
       SendStart(ledger, key, track);
     }
--- a/packages/dispatch/src/stops.cc
+++ b/packages/dispatch/src/stops.cc
@@ -49,6 +49,7 @@
                           StopReason reason,
                           const std::optional<StepAway>& others) {
   track.is_stop_wanted = true;
+  track.stop_reason = reason;
   DecisionLine line("dispatch", "stop",
                     others ? LineClass::kDecision : LineClass::kTask);
   line.With("task", FormatTaskId(key.task))
@@ -62,6 +63,16 @@
   DecisionLog::Get().Write(line);
 }
 
+// Asked each time that the order goes out: one that was lost is sent again
+// seconds later, when others may have gone down.
+bool Leadership::IsStillToStop(const Ledger& ledger,
+                               const RunKey& key,
+                               const RunTrack& track) const {
+  return track.stop_reason != StopReason::kMaintenance ||
+         ledger.FindJob(key.task.job) == nullptr ||
+         MayTakeAway(ledger, key.task);
+}
+
 void Leadership::WantStops(const Ledger& ledger) {
   for (auto& [key, track] : m_runs) {
     if (track.is_stop_wanted) {
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -227,6 +227,38 @@
   return down;
 }
 
+// Lets the persistent tasks of a host leave, as many as may be away, and tells
+// what is left there, of whichever life.
+Leadership::HostUse Leadership::EmptyHost(const Ledger& ledger,
+                                          const std::string& host) {
+  HostUse use;
+  for (const std::string& life : ledger.WorkersOn(host)) {
+    for (const TaskId& id : ledger.FindWorker(life)->active) {
+      const Job& job = *ledger.FindJob(id.job);
+      use.is_empty = false;
+      if (!job.spec.steps[id.step].is_persistent) {
+        continue;
+      }
+      // Also one that is to be stopped: until that is told it may be at work.
+      use.has_persistent = true;
+      for (const auto& active : job.tasks[job.IndexOf(id)].active) {
+        const auto run = m_runs.find({id, active.run});
+        if (active.worker != life || run == m_runs.end() ||
+            run->second.is_stop_wanted) {
+          continue;
+        }
+        if (MayTakeAway(ledger, id)) {
+          WantStop(run->first, run->second, StopReason::kMaintenance,
+                   OthersAway(ledger, id));
+        } else {
+          use.is_stuck = use.is_stuck || WaitsForUnplaced(ledger, id);
+        }
+      }
+    }
+  }
+  return use;
+}
+
 void Leadership::StepHost(const Ledger& ledger,
                           const scheduling::WaveState& wave,
                           const std::string& host,
@@ -255,36 +287,14 @@
   if (track.is_act_under_way || now < track.next_try) {
     return;
   }
-  bool is_empty = true;
-  bool is_persistent_left = false;
-  bool is_stuck = false;
-  if (worker != nullptr) {
-    for (const TaskId& id : worker->active) {
-      const Job& job = *ledger.FindJob(id.job);
-      const scheduling::StepSpec& step = job.spec.steps[id.step];
-      is_empty = false;
-      for (const auto& active : job.tasks[job.IndexOf(id)].active) {
-        const auto run = m_runs.find({id, active.run});
-        if (active.worker != worker->info.id || run == m_runs.end() ||
-            run->second.is_stop_wanted) {
-          continue;
-        }
-        if (step.is_persistent && MayTakeAway(ledger, id)) {
-          WantStop(run->first, run->second, StopReason::kMaintenance,
-                   OthersAway(ledger, id));
-        } else if (step.is_persistent) {
-          is_stuck = is_stuck || WaitsForUnplaced(ledger, id);
-        }
-        is_persistent_left = is_persistent_left || step.is_persistent;
-      }
-    }
-  }
-  if (!is_stuck) {
+  const HostUse use = EmptyHost(ledger, host);
+  if (!use.is_stuck) {
     track.stuck_since = SteadyTime();
   } else if (track.stuck_since == SteadyTime()) {
     track.stuck_since = now;
   }
-  if (is_stuck && now - track.stuck_since > kNoPlace && Spare(host, *worker)) {
+  if (use.is_stuck && now - track.stuck_since > kNoPlace &&
+      Spare(host, *worker)) {
     m_hosts.erase(host);
     PlanSoon();
     return;
@@ -292,12 +302,12 @@
   // Short work may be cut off in the end, persistent tasks never: each is
   // stopped by itself, when enough of its step are at work.
   const bool may_cut =
-      now - track.chosen_at > kLongestDrain && !is_persistent_left;
+      now - track.chosen_at > kLongestDrain && !use.has_persistent;
   // Starts that were under way when it was chosen are committed by then.
   const bool is_settled =
       now - track.chosen_at > kSettles &&
       (worker == nullptr || !m_planner.HasPlanned(worker->info.id));
-  if (!is_settled || (!is_empty && !may_cut) ||
+  if (!is_settled || (!use.is_empty && !may_cut) ||
       CountDown(wave, host) >= wave.opened.most_at_once) {
     return;
   }
--- a/packages/dispatch/tests/incidents/standing_service_test.cc
+++ b/packages/dispatch/tests/incidents/standing_service_test.cc
@@ -134,5 +134,24 @@
   CheckClean();
 }
 
+// Guards against a stop that is sent again seconds after it was decided, when
+// another task of its step has gone down.
+TEST_CASE_FIXTURE(StandingServiceFixture,
+                  "Wave, stop is not answered and another task goes down, the "
+                  "stop is held back") {
+  const scheduling::Job& watch = *world.ledger().FindJob("watch");
+  const std::string leaving = watch.tasks[0].active[0].worker;
+  world.weather.lost = 1;
+  world.OpenWave({world.ledger().FindWorker(leaving)->info.host});
+  world.Advance(Millis(300));
+  world.Crash(watch.tasks[1].active[0].worker, Millis(60'000));
+  world.Advance(Millis(4'700));
+  world.weather.lost = 0;
+  world.Advance(Millis(20'000));
+  CHECK(AtWork("watch") == 4);
+  CHECK(world.maintained().size() == 1);
+  CheckClean();
+}
+
 }  // namespace
 }  // namespace laurelhall::dispatch
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -583,6 +583,11 @@
     for (const auto& [id, worker] : m_world.m_ledger.workers()) {
       if (worker.info.host == host) {
         m_world.m_cut_off += m_world.m_workers.at(id)->runs().size();
+        for (const auto& [task, run] : m_world.m_workers.at(id)->runs()) {
+          if (run.is_persistent) {
+            m_world.CheckEnding(task);
+          }
+        }
         m_world.Cut(id, true);
         m_world.m_workers.at(id)->Die();
       }
@@ -1085,25 +1090,31 @@
 // than may be: by such an order, or for long for any cause.
 void World::CheckStop(const FakeWorker& worker, const StopOrder& order) {
   const auto running = worker.runs().find(order.task);
-  const scheduling::Job* job = m_ledger.FindJob(order.task.job);
   const bool ends_it = running != worker.runs().end() &&
                        running->second.run == order.run &&
                        running->second.is_persistent;
-  if (!ends_it || job->state == scheduling::JobState::kCancelled) {
+  if (ends_it) {
+    CheckEnding(order.task);
+  }
+}
+
+void World::CheckEnding(const TaskId& task) {
+  const scheduling::Job* job = m_ledger.FindJob(task.job);
+  if (job->state == scheduling::JobState::kCancelled) {
     return;
   }
-  const scheduling::StepSpec& step = job->spec.steps[order.task.step];
+  const scheduling::StepSpec& step = job->spec.steps[task.step];
   uint32_t away = 0;
-  TaskId other = order.task;
+  TaskId other = task;
   for (other.index = 0; other.index < step.count; ++other.index) {
-    away += other.index != order.task.index && IsAway(other) ? 1 : 0;
+    away += other.index != task.index && IsAway(other) ? 1 : 0;
   }
   if (step.may_miss > 0 && away >= step.may_miss) {
-    Violate(FormatTaskId(order.task) + " is ended by an order; " +
+    Violate(FormatTaskId(task) + " is ended by an order; " +
             std::to_string(away) + " others of its step are away, and " +
             std::to_string(step.may_miss) + " may be");
   }
-  m_ended_by_order.insert(order.task);
+  m_ended_by_order.insert(task);
 }
 
 scheduling::JobState World::StateOf(const std::string& id) const {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -258,6 +258,7 @@
                   bool was_there);
   void CheckCap(const StartOrder& order);
   void CheckStop(const FakeWorker& worker, const StopOrder& order);
+  void CheckEnding(const scheduling::TaskId& task);
   bool IsAway(const scheduling::TaskId& task) const;
   void NoteAtWork();
   scheduling::Resources CapInForce(const std::string& organisation) const;
