--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -26,7 +26,7 @@
 constexpr size_t kMostCrashes = 5;
 
 /// From then on a run no longer keeps other tasks off its worker.
-constexpr Millis kSeenAtWork{500};
+constexpr Millis kSeenAtWork{300};
 
 /// A run that has worked for so long does not crash the workers that start it.
 constexpr Millis kWorksWell{5'000};
