Trace names the workers under a given-up task of a job that goes on

A standing job that lost one task showed as at work: the line that gave the task up was read for failed jobs alone. Its verdict is short-of-a-task. The test failed before.

--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -51,6 +51,7 @@
     Row{"failed", "by-itself", &Story::FailedByItself},
     Row{"failed", "ends-not-told", &Story::FailedUntold},
     Row{"ended", "cancelled", &Story::Cancelled},
+    Row{"short-of-a-task", "workers-went-down", &Story::TaskGivenUp},
     Row{"lost-sight", "dropped-lines", &Story::DroppedLines},
     Row{"waiting", "told-by-the-leader", &Story::Waiting},
     Row{"waiting", "at-work", &Story::AtWork},
@@ -132,7 +133,7 @@
     Wording{"bystander", "others that may be to blame"},
     Wording{"suspect", "others as new as it"},
     Wording{"sole", "nothing else on it"},
-    Wording{"prompt", "nothing else on it, as soon as it had started"},
+    Wording{"prompt", "nothing else new on it, as soon as it had started"},
 };
 
 constexpr std::array kWorkerWords{
@@ -428,13 +429,21 @@
                  "Its caller cancelled it at " + Clock(cancel->time) + "."};
 }
 
-// A worker that also fails others' tasks is the cause, not the job.
 // A task crashed the workers that started it.
 std::optional<Verdict> Story::GivenUp() const {
+  return HasFailed() ? LastGiveUp() : std::nullopt;
+}
+
+// One of a job's tasks that last did; the others go on.
+std::optional<Verdict> Story::TaskGivenUp() const {
+  return m_over == nullptr ? LastGiveUp() : std::nullopt;
+}
+
+std::optional<Verdict> Story::LastGiveUp() const {
   const Line* given_up = Last([](const Line& line) {
     return line.is_own && Is(line, "dispatch", "give-up");
   });
-  if (!HasFailed() || given_up == nullptr) {
+  if (given_up == nullptr) {
     return std::nullopt;
   }
   return Verdict{
@@ -446,6 +455,7 @@
           WordsFor(kSuspicionWords, given_up->Text("suspicion")) + "."};
 }
 
+// A worker that also fails others' tasks is the cause, not the job.
 std::optional<Verdict> Story::FailedByWorkers() const {
   if (!HasFailed()) {
     return std::nullopt;
--- a/packages/trace/src/causes_p.h
+++ b/packages/trace/src/causes_p.h
@@ -39,6 +39,8 @@
   // Ended badly.
   std::optional<Verdict> Cancelled() const;
   std::optional<Verdict> GivenUp() const;
+  std::optional<Verdict> TaskGivenUp() const;
+  std::optional<Verdict> LastGiveUp() const;
   std::optional<Verdict> FailedByWorkers() const;
   std::optional<Verdict> FailedByItself() const;
   std::optional<Verdict> FailedUntold() const;
--- a/packages/trace/tests/trace_test.cc
+++ b/packages/trace/tests/trace_test.cc
@@ -325,6 +325,18 @@
   CHECK(Says("2 workers went down under it (w1 w4)"));
 }
 
+TEST_CASE_FIXTURE(TraceFixture,
+                  "Story, one task of a standing job was given up, names its "
+                  "workers") {
+  Accept();
+  Starts(20, 0, 1, 20);
+  Add("core-1", 900, "dispatch give-up",
+      R"("job":"j1","task":"j1.0.0.0","gives_up":"task",)"
+      R"("suspicion":"suspect","crashes":5,"workers_down":"w1 w2 w3 w4 w5")");
+  CHECK(Verdict() == "short-of-a-task workers-went-down");
+  CHECK(Says("5 workers went down under it (w1 w2 w3 w4 w5)"));
+}
+
 TEST_CASE_FIXTURE(TraceFixture,
                   "Story, a worker that fails all, is the cause") {
   Accept();
