--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -28,10 +28,11 @@
     """The quiet day with a day's own troubles."""
     text = quiet_day(site)
     for name in ("plan", "faults"):
-        own = re.search(rf"^{name} = \[\n(.*?)^\]\n", day.read_text(), re.M | re.S)
+        own = re.search(rf"^{name} = \[(.*?)\]\n", day.read_text(), re.M | re.S)
         text = re.sub(rf"^{name} = \[\]\n", "", text, flags=re.M)
         text = re.sub(rf"^{name} = \[\n.*?^\]\n", "", text, flags=re.M | re.S)
-        text = text.replace("\ntraffic = [", f"\n{name} = [\n{own.group(1)}]\ntraffic = [", 1)
+        if own is not None:
+            text = text.replace("\ntraffic = [", f"\n{name} = [{own.group(1)}]\ntraffic = [", 1)
     return re.sub(r'^name = ".*?"', f'name = "{day.stem}"', text, flags=re.M)
 
 
