A held back stop goes out once its job is cancelled

A stop for maintenance that is held back for the others of its step stayed so when the caller cancelled the job: the others end then, so that it never may.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -69,6 +69,9 @@
   kCount,
 };
 
+/// A short name for a log line.
+const char* StopReasonName(StopReason reason);
+
 /// What this leader knows of an active run beyond what is committed.
 struct RunTrack {
   std::string worker;
@@ -165,9 +168,6 @@
   uint32_t may_miss = 0;
 };
 
-/// A short name for a log line.
-const char* StopReasonName(StopReason reason);
-
 /// A host on its way through maintenance, as this leader sees it.
 struct HostTrack {
   uint64_t wave = 0;
--- a/packages/dispatch/src/stops.cc
+++ b/packages/dispatch/src/stops.cc
@@ -68,9 +68,9 @@
 bool Leadership::IsStillToStop(const Ledger& ledger,
                                const RunKey& key,
                                const RunTrack& track) const {
-  return track.stop_reason != StopReason::kMaintenance ||
-         ledger.FindJob(key.task.job) == nullptr ||
-         MayTakeAway(ledger, key.task);
+  const Job* job = ledger.FindJob(key.task.job);
+  return track.stop_reason != StopReason::kMaintenance || job == nullptr ||
+         job->is_over() || MayTakeAway(ledger, key.task);
 }
 
 void Leadership::WantStops(const Ledger& ledger) {
--- a/packages/dispatch/tests/incidents/standing_service_test.cc
+++ b/packages/dispatch/tests/incidents/standing_service_test.cc
@@ -153,5 +153,24 @@
   CheckClean();
 }
 
+// Guards against a stop that is held back for the others of its step, though
+// the caller has cancelled them all.
+TEST_CASE_FIXTURE(StandingServiceFixture,
+                  "Wave, stop is held back and the job is cancelled, all its "
+                  "tasks end") {
+  const scheduling::Job& watch = *world.ledger().FindJob("watch");
+  const std::string leaving = watch.tasks[0].active[0].worker;
+  world.weather.lost = 1;
+  world.OpenWave({world.ledger().FindWorker(leaving)->info.host});
+  world.Advance(Millis(300));
+  world.Crash(watch.tasks[1].active[0].worker, Millis(60'000));
+  world.Advance(Millis(1'000));
+  world.weather.lost = 0;
+  world.Cancel("watch");
+  world.Advance(Millis(3'000));
+  CHECK(world.worker(leaving).runs().count({"watch", 0, 0, 0}) == 0);
+  CheckClean();
+}
+
 }  // namespace
 }  // namespace laurelhall::dispatch
