--- a/packages/state/src/snapshot.cc
+++ b/packages/state/src/snapshot.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "read_json_p.h"
@@ -34,6 +35,10 @@
   if (end.at("t").as_string() != kEndTable) {
     ThrowBad("it is cut");
   }
+  const auto records = std::count(body.begin(), body.end(), '\n');
+  if (end.at("v").at("records").to_number<int64_t>() != records) {
+    ThrowBad("its number of records differs");
+  }
   if (end.at("v").at("hash").to_number<uint64_t>() != HashText(body)) {
     ThrowBad("its hash differs");
   }
--- a/packages/state/tests/machine_test.cc
+++ b/packages/state/tests/machine_test.cc
@@ -227,6 +227,20 @@
   CHECK(m_machine->Digest() == before);
 }
 
+// Guards against a count of records that nobody compared.
+TEST_CASE_FIXTURE(FullMachineFixture,
+                  "Machine, any byte of a snapshot's last line altered, "
+                  "throws") {
+  const std::string snapshot = m_machine->Save();
+  const size_t last_line = snapshot.rfind("{\"t\":\"end\"");
+  for (size_t at = last_line; at < snapshot.size(); ++at) {
+    std::string altered = snapshot;
+    altered[at] = static_cast<char>(altered[at] ^ 1);
+    CAPTURE(altered.substr(last_line));
+    CHECK_THROWS_AS(m_machine->Load(altered), std::exception);
+  }
+}
+
 TEST_CASE_FIXTURE(FullMachineFixture,
                   "Machine, entry applied twice or unreadable, throws") {
   const uint64_t before = m_machine->Digest();
