A worker that tries suspects stays free of new tasks, and suspects are not passed over

Causes, both in the planner: a worker that was trying a suspect lost its place among the cleared ones, so that new tasks filled it as soon as the suspect had lasted; and a new task that found no room beside cleared workers marked the service as full, for which the suspects behind it were passed over in that plan.

The planner's test of this load failed without either.

--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -63,6 +63,8 @@
   JobState state = JobState::kQueued;
   std::vector<Task> tasks;  ///< By occurrence, step and index.
 
+  /// Workers went down, or may have, under some task: there may be suspects.
+  bool has_crashes = false;
   uint32_t tasks_left = 0;  ///< Not done.
   uint32_t active_runs = 0;
   std::vector<uint32_t> step_left;    ///< Not done, by occurrence and step.
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -547,6 +547,7 @@
         const bool is_open = !run.is_proven && !run.is_judged &&
                              found->second.lapsed.insert(id).second;
         job.tasks[index].open_lapses += is_open ? 1 : 0;
+        job.has_crashes = job.has_crashes || is_open;
         EndRun(job, index, {id, run.run, run.worker, RunEnd::kLapsed, {}});
       }
     }
@@ -661,6 +662,7 @@
     task.blame = 0;
     return;
   }
+  job.has_crashes = true;
   task.crashed.push_back(worker);
   task.blame += BlameOf(suspicion);
   if (!job.is_over() && !task.is_done &&
@@ -928,6 +930,7 @@
   for (SavedCrashes& crashes : saved.crashes) {
     Job& job = m_jobs.at(crashes.task.job);
     Task& task = job.tasks[job.IndexOf(crashes.task)];
+    job.has_crashes = true;
     task.crashed = std::move(crashes.workers);
     task.blame = crashes.blame;
   }
@@ -963,6 +966,7 @@
     for (const TaskId& id : lapse.tasks) {
       const auto job = m_jobs.find(id.job);
       if (job != m_jobs.end()) {
+        job->second.has_crashes = true;
         ++job->second.tasks[job->second.IndexOf(id)].open_lapses;
       }
     }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -178,7 +178,10 @@
       return;
     }
     const Resources need = RoomOf(step);
-    if (IsKnownFull(candidate, need) || IsOverCap(*candidate.job, step)) {
+    // Workers that are full to others may be held for suspects.
+    const bool is_full =
+        !candidate.job->has_crashes && IsKnownFull(candidate, need);
+    if (is_full || IsOverCap(*candidate.job, step)) {
       return;
     }
     if (step.is_gang) {
@@ -491,11 +494,14 @@
     };
     const Place* best = nullptr;
     for (Place& place : places) {
-      const bool may_empty = !clearing.contains(place.worker->info.id) &&
-                             !place.has_persistent && !HasNewSuspect(place) &&
+      // One that tries a suspect stays cleared for the next.
+      const bool is_free = is_being_cleared(place) ||
+                           (!place.has_persistent && !HasNewSuspect(place) &&
+                            !OutlookOf(place).is_quarantined);
+      const bool may_empty = is_free &&
+                             !clearing.contains(place.worker->info.id) &&
                              Fits(RoomOf(step), place.worker->info.capacity) &&
-                             OutlookOf(place).is_usable &&
-                             !OutlookOf(place).is_quarantined;
+                             OutlookOf(place).is_usable;
       const auto cost = [&](const Place& of) {
         return std::tuple(!is_being_cleared(of), of.worker->persistent_runs,
                           of.worker->active.size());
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -189,7 +189,9 @@
                     [this](const Worker& worker) {
                       WorkerOutlook outlook;
                       outlook.is_usable = true;
-                      outlook.is_quarantined = !worker.suspects.empty();
+                      outlook.is_quarantined =
+                          !worker.suspects.empty() && !m_are_settled;
+                      outlook.is_settled = m_are_settled;
                       return outlook;
                     },
                     m_seen_at};
@@ -208,10 +210,11 @@
 
   Ledger ledger;
   Millis m_now{1'000};
+  std::unordered_map<std::string, SteadyTime> m_seen_at;
+  bool m_are_settled = false;
 
  private:
   Planner m_planner;
-  std::unordered_map<std::string, SteadyTime> m_seen_at;
 };
 
 TEST_CASE_FIXTURE(CrashLedgerFixture,
@@ -455,6 +458,45 @@
   CHECK(taken.size() == 12 - 4);  // A third is kept free.
 }
 
+// Pattern: a worker that has tried one of many suspects is filled with new
+// tasks, and another one has to be emptied for the next.
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, worker has tried a suspect and others wait, stays "
+                  "free of new tasks") {
+  m_now += Millis(100'000);  // The suspects are late, and go last.
+  for (const char* worker : {"w1", "w3"}) {
+    for (int job = 0; job < 4; ++job) {
+      const std::string id = "long-" + std::to_string(job) + worker;
+      Submit(id);
+      ledger.Apply(RunStarted{Id(id), 1, worker});
+    }
+  }
+  ledger.Apply(RunStarted{Id("a"), 1, "w2"});
+  ledger.Apply(RunStarted{Id("b"), 1, "w2"});
+  AddWorker("lost");
+  std::vector<CrashSuspect> suspects;
+  for (int job = 0; job < 6; ++job) {
+    Submit("suspect-" + std::to_string(job));
+    m_seen_at["suspect-" + std::to_string(job)] = SteadyTime();
+    suspects.push_back(
+        {Id("suspect-" + std::to_string(job)), Suspicion::kSuspect});
+    ledger.Apply(RunStarted{suspects.back().task, 1, "lost"});
+  }
+  ledger.Apply(WorkerCrashed{"lost", suspects});
+  ledger.Apply(WorkerGone{"lost"});
+  CHECK(Plan().empty());
+  ledger.Apply(RunEnded{Id("a"), 1, "w2", RunEnd::kDone, {}});
+  ledger.Apply(RunEnded{Id("b"), 1, "w2", RunEnd::kDone, {}});
+  CHECK(Plan().size() == 1);  // The first suspect, on w2.
+  CHECK(Plan().empty());
+  m_are_settled = true;
+  Submit("next");
+  m_seen_at["next"] = SteadyTime(m_now);
+  const auto starts = Plan();
+  CHECK(starts.size() == 1);
+  CHECK_FALSE(starts.contains("next"));
+}
+
 // Pattern: suspects that are put together after a while all go down with the
 // culprit among them.
 TEST_CASE_FIXTURE(CrashLedgerFixture,
