Two cases of a lost stop share their steps

Both lose a wave's stop of one task while the worker of another goes down; they differ in how long, and in what comes after. The steps stand once now. The same assertions and times; the test's seven cases and 17 assertions pass.

--- a/packages/dispatch/tests/incidents/standing_service_test.cc
+++ b/packages/dispatch/tests/incidents/standing_service_test.cc
@@ -37,6 +37,21 @@
     }
   }
 
+  // A wave asks the first task of "watch" to leave, and its orders are lost for
+  // a time, in which the worker of the second goes down. Returns the worker
+  // that is to be left.
+  std::string LoseStopOfFirstTask(Millis lost_for) {
+    const scheduling::Job& watch = *world.ledger().FindJob("watch");
+    const std::string leaving = watch.tasks[0].active[0].worker;
+    world.weather.lost = 1;
+    world.OpenWave({world.ledger().FindWorker(leaving)->info.host});
+    world.Advance(Millis(300));
+    world.Crash(watch.tasks[1].active[0].worker, Millis(60'000));
+    world.Advance(lost_for);
+    world.weather.lost = 0;
+    return leaving;
+  }
+
   uint32_t AtWork(const std::string& job) const {
     return world.ledger().FindJob(job)->active_runs;
   }
@@ -139,14 +154,7 @@
 TEST_CASE_FIXTURE(StandingServiceFixture,
                   "Wave, stop is not answered and another task goes down, the "
                   "stop is held back") {
-  const scheduling::Job& watch = *world.ledger().FindJob("watch");
-  const std::string leaving = watch.tasks[0].active[0].worker;
-  world.weather.lost = 1;
-  world.OpenWave({world.ledger().FindWorker(leaving)->info.host});
-  world.Advance(Millis(300));
-  world.Crash(watch.tasks[1].active[0].worker, Millis(60'000));
-  world.Advance(Millis(4'700));
-  world.weather.lost = 0;
+  LoseStopOfFirstTask(Millis(4'700));
   world.Advance(Millis(20'000));
   CHECK(AtWork("watch") == 4);
   CHECK(world.maintained().size() == 1);
@@ -158,14 +166,7 @@
 TEST_CASE_FIXTURE(StandingServiceFixture,
                   "Wave, stop is held back and the job is cancelled, all its "
                   "tasks end") {
-  const scheduling::Job& watch = *world.ledger().FindJob("watch");
-  const std::string leaving = watch.tasks[0].active[0].worker;
-  world.weather.lost = 1;
-  world.OpenWave({world.ledger().FindWorker(leaving)->info.host});
-  world.Advance(Millis(300));
-  world.Crash(watch.tasks[1].active[0].worker, Millis(60'000));
-  world.Advance(Millis(1'000));
-  world.weather.lost = 0;
+  const std::string leaving = LoseStopOfFirstTask(Millis(1'000));
   world.Cancel("watch");
   world.Advance(Millis(3'000));
   CHECK(world.worker(leaving).runs().count({"watch", 0, 0, 0}) == 0);
