Log when ends were last acknowledged to a lost incarnation

No line told when a hold call with a number had last been sent, so a call that was sent before the loss and delivered late could not be told from one that was sent after it.

`worker-gone` and `worker-reborn` now give that number and how long before it was sent. Both lines are rare; nothing is written for each hold call. No decision changes.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -63,6 +63,7 @@
     line.With("new_life", new_life);
   }
   line.With("runs", static_cast<uint64_t>(worker.active.size()));
+  AddAcknowledgement(link, line);
   DecisionLog::Get().Write(line);
   LogLostRuns(ledger, worker, "worker-gone");
   RecordCrash(ledger, worker, LostRuns(ledger, worker),
@@ -71,6 +72,18 @@
   records.emplace_back(scheduling::IncarnationEnded{worker.info.id, link.born});
 }
 
+// Adds when ends were last acknowledged to an incarnation, and up to which
+// number. After a restart, this shows whether the number may have reached the
+// next incarnation.
+void Leadership::AddAcknowledgement(const WorkerLink& link,
+                                    DecisionLine& line) const {
+  if (link.acknowledged_at != SteadyTime()) {
+    line.With("acknowledged", link.acknowledged)
+        .With("acknowledged_ms_ago",
+              std::chrono::floor<Millis>(Now() - link.acknowledged_at));
+  }
+}
+
 // Replaces the link of a worker that has restarted. Its clock, its lease and
 // the ends acknowledged to it belong to one incarnation. Orders to the new one
 // have a higher fence, so that no order meant for the previous incarnation is
@@ -80,15 +93,16 @@
                                   WorkerLink& link,
                                   WallTime born) {
   const Worker* known = ledger.FindWorker(worker);
-  DecisionLog::Get().Write(
-      DecisionLine("dispatch", "worker-reborn")
-          .With("worker", worker)
-          .With("born_ms", born.time_since_epoch().count())
-          .With("before_ms", link.born.time_since_epoch().count())
-          .With("ends_seen", link.ends_seen)
-          .With("runs", known == nullptr
-                            ? uint64_t{0}
-                            : static_cast<uint64_t>(known->active.size())));
+  DecisionLine line("dispatch", "worker-reborn");
+  line.With("worker", worker)
+      .With("born_ms", born.time_since_epoch().count())
+      .With("before_ms", link.born.time_since_epoch().count())
+      .With("ends_seen", link.ends_seen)
+      .With("runs", known == nullptr
+                        ? uint64_t{0}
+                        : static_cast<uint64_t>(known->active.size()));
+  AddAcknowledgement(link, line);
+  DecisionLog::Get().Write(line);
   WorkerLink next(m_init.bounds.longest_lease, Now());
   next.address = link.address;
   next.born = born;
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "laurelhall/base/decision_log.h"
 #include "laurelhall/dispatch/dispatcher.h"
 #include "laurelhall/scheduling/answer_time.h"
 #include "laurelhall/scheduling/crash.h"
@@ -173,7 +174,9 @@
   std::optional<ReportStamp> last_report;
   /// The worker's clock at `m_reports_since`.
   scheduling::WorkerTime clock_at_reports_since{0};
-  uint64_t ends_seen = 0;  ///< Number of the last end that is committed.
+  uint64_t ends_seen = 0;     ///< Number of the last end that is committed.
+  uint64_t acknowledged = 0;  ///< Number in the last acknowledgement of ends.
+  SteadyTime acknowledged_at{};  ///< When it was sent; zero: none was.
   /// Jobs with a failed run here since the last successful run.
   std::set<std::string> failed_jobs;
   SteadyTime doubtful_until{};
@@ -536,6 +539,7 @@
                    const std::vector<scheduling::LostRun>& runs,
                    const std::optional<scheduling::LossTime>& loss,
                    Records& records);
+  void AddAcknowledgement(const WorkerLink& link, DecisionLine& line) const;
   void BeginIncarnation(const Ledger& ledger,
                         const std::string& worker,
                         WorkerLink& link,
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -452,6 +452,10 @@
       is_same_incarnation || m_init.mutations.is_incarnation_ignored
           ? link.ends_seen
           : 0;
+  if (order.ends_seen > 0) {
+    link.acknowledged = order.ends_seen;
+    link.acknowledged_at = Now();
+  }
   order.wait = wait;
   order.timeout = wait + kHoldAnswerMargin + LeaderDelay();
   return order;
