Acknowledge ends only to an incarnation that is known to run

A worker forgets acknowledged ends, so a finished task whose end was forgotten unread is run again.

Cause: a hold call carried the number of committed ends whenever the worker had listed its runs within four seconds. Time alone decided. Forced without network, on the code before: - An order or a hold call is refused by kOtherIncarnation. The removal of the worker waits for a slow quorum, its link lives on and is polled each tick; the first poll after the restart carries the old number.

Ruled out as the only cause: a hold call that was sent before the loss and delivered late. A new leader starts with the number zero.

Now an incarnation counts as running for 200 ms after a hold call showed it. A failed or refused call and an announcement of a later incarnation end that at once, and answers that may have waited for a paused leader don't count. Otherwise the hold call acknowledges nothing, and the list that it brings is acknowledged at once by another one. So a leader whose commits or rounds take longer than 200 ms still acknowledges; with the bound alone it would not.

The simulated workers now apply an acknowledgement when the call arrives, as real ones do, and report one that is above what they have listed, in all schedules.

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -73,6 +73,10 @@
   Millis timeout{450};  ///< For the answer; time spent queued does not count.
 };
 
+/// A worker takes longer than this to restart, so an incarnation that answered
+/// within this time still runs.
+constexpr Millis kMinRestartTime{200};
+
 /// Extends a worker's lease and polls it for its running and ended runs.
 struct HoldOrder {
   WorkerAddress worker;
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -132,17 +132,13 @@
   return {CallOutcome::kDone, Clock(now)};
 }
 
-HoldReply FakeWorker::Hold(const HoldOrder& order, SteadyTime now) {
-  HoldReply reply;
-  reply.clock = Clock(now);
-  if (order.fence < m_fence) {
-    reply.outcome = CallOutcome::kFenced;
-    return reply;
+void FakeWorker::Acknowledge(const HoldOrder& order) {
+  if (m_is_dead || order.fence < m_fence) {
+    return;
+  }
+  if (order.ends_seen > m_last_listed_end && on_wrong_acknowledgement) {
+    on_wrong_acknowledgement(order.ends_seen, m_last_listed_end);
   }
-  m_fence = order.fence;
-  Extend(order.lease_end, now);
-  reply.outcome = CallOutcome::kDone;
-  reply.born = m_born;
   for (const EndedRun& ended : m_ended) {
     // Not if the lease has lapsed since: the task may then run again.
     if (ended.number <= order.ends_seen && ended.number > m_lapsed_ends &&
@@ -153,7 +149,21 @@
   std::erase_if(m_ended, [&](const EndedRun& ended) {
     return ended.number <= order.ends_seen;
   });
+}
+
+HoldReply FakeWorker::Hold(const HoldOrder& order, SteadyTime now) {
+  HoldReply reply;
+  reply.clock = Clock(now);
+  if (order.fence < m_fence) {
+    reply.outcome = CallOutcome::kFenced;
+    return reply;
+  }
+  m_fence = order.fence;
+  Extend(order.lease_end, now);
+  reply.outcome = CallOutcome::kDone;
+  reply.born = m_born;
   reply.ended = m_ended;
+  m_last_listed_end = m_next_end - 1;
   for (const auto& [task, run] : m_runs) {
     reply.running.push_back({task, run.run, "", run.PercentAt(now), 0});
   }
@@ -190,6 +200,7 @@
   m_lease_end = WorkerTime(0);
   m_fence = 0;
   m_next_end = 1;
+  m_last_listed_end = 0;
   m_lapsed_ends = 0;
   m_barred.clear();
   m_ended.clear();
@@ -443,6 +454,9 @@
     m_world.After(m_world.Delay(), [this, order,
                                     done = m_host.WhenAwake(m_host.WithTimeout(
                                         order.timeout, std::move(done)))] {
+      if (!IsCut(order.worker.id)) {
+        m_world.m_workers.at(order.worker.id)->Acknowledge(order);
+      }
       PollWorker(order, m_world.Now() + order.wait, done);
     });
   }
@@ -466,8 +480,12 @@
       m_world.After(Millis(600), [done] { done({}); });
       return;
     }
-    if (worker.is_dead()) {  // Its connections break.
-      m_world.After(m_world.Delay(), [done] { done({}); });
+    if (worker.is_dead()) {  // Its connections break, or a proxy answers.
+      HoldReply reply;
+      if (m_world.is_proxy_in_front) {
+        reply.outcome = CallOutcome::kOtherIncarnation;
+      }
+      m_world.After(m_world.Delay(), [done, reply] { done(reply); });
       return;
     }
     if (m_world.Now() < until && !worker.has_news(order.ends_seen)) {
@@ -490,9 +508,10 @@
       m_world.After(Millis(450), [done] { done({CallOutcome::kUnknown, {}}); });
     };
     if (worker.is_dead() && !IsCut(id)) {
-      m_world.After(m_world.Delay(), [done] {
-        done({CallOutcome::kNotReached, {}});
-      });
+      const CallOutcome outcome = m_world.is_proxy_in_front
+                                      ? CallOutcome::kOtherIncarnation
+                                      : CallOutcome::kNotReached;
+      m_world.After(m_world.Delay(), [done, outcome] { done({outcome, {}}); });
     } else if (IsCut(id) || m_world.Chance(call_faults.lost)) {
       time_out();
     } else if (m_world.Chance(call_faults.late)) {
@@ -877,6 +896,12 @@
   auto worker = std::make_unique<FakeWorker>(
       id, info.capacity, Millis(1'000 * static_cast<int>(m_workers.size())));
   worker->on_done = [this](const TaskId& task) { m_noted_done.insert(task); };
+  worker->on_wrong_acknowledgement = [this, id](uint64_t acknowledged,
+                                                uint64_t listed) {
+    AddViolation("end " + std::to_string(acknowledged) + " of " + id +
+                 " is acknowledged, but it has listed " +
+                 std::to_string(listed));
+  };
   worker->on_lapsed = [this](const TaskId& task, const FakeWorker::Run& run) {
     if (is_only_control_disturbed && run.is_persistent &&
         run.PercentAt(Now()) == 100) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -53,6 +53,9 @@
 
   CallReply Start(const StartOrder& order, const Run& run, SteadyTime now);
   CallReply Stop(const StopOrder& order, SteadyTime now);
+  /// Forgets the ends that a hold call acknowledges, when the call arrives. The
+  /// call is answered later, by Hold().
+  void Acknowledge(const HoldOrder& order);
   HoldReply Hold(const HoldOrder& order, SteadyTime now);
   void Step(SteadyTime now);
 
@@ -66,6 +69,10 @@
   std::function<void(const scheduling::TaskId&)> on_done;
   /// Called for each run that ends because the worker's lease has run out.
   std::function<void(const scheduling::TaskId&, const Run&)> on_lapsed;
+  /// Called for each acknowledgement of an end that this incarnation has not
+  /// listed, with the number of that end and of the last one that was listed.
+  std::function<void(uint64_t acknowledged, uint64_t listed)>
+      on_wrong_acknowledgement;
   scheduling::Resources Used() const;
   const scheduling::Resources& capacity() const { return m_capacity; }
 
@@ -100,6 +107,7 @@
   // not started.
   std::map<scheduling::TaskId, uint32_t> m_barred;
   std::vector<EndedRun> m_ended;
+  uint64_t m_last_listed_end = 0;
   uint64_t m_lapsed_ends = 0;  // Ends up to this number are before a lapse.
   bool m_is_dead = false;
   WallTime m_born{Millis(1)};
@@ -277,6 +285,9 @@
   /// The run time as a multiple of the estimate; if not 1, runs report
   /// progress.
   double run_time_factor = 1;
+  /// A proxy answers for workers that are down, so that calls to them are
+  /// refused by CallOutcome::kOtherIncarnation. Otherwise they fail.
+  bool is_proxy_in_front = false;
   /// The time that a persistent task takes to start up.
   Millis startup_time{0};
   /// Only the control hosts are disturbed, so a lease that lapses is checked
