Drop acknowledgements that were delayed by a relay

An acknowledgement that waited in a frozen relay reached the next incarnation of its worker; and an answer that waited there counted as if the worker had just sent it.

Cause: a relay carries out orders that are up to a second old, and the leader took the arrival of an answer for the time at which the worker gave it.

Now a hold call that was on its way for over 600 ms acknowledges nothing, and an answer that is older does not confirm its incarnation. An answer's age follows from the worker's clock, and is never more than that of its call. The bound is above the 400 ms for which the leader parks a relay's request, so that a relay short of processor time still passes acknowledgements on.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -570,7 +570,9 @@
   HoldOrder MakeHoldOrder(WorkerLink& link, Millis wait);
   bool IsConfirmed(const WorkerLink& link) const;
   bool HasStalled() const;
-  void Confirm(WorkerLink& link, SteadyTime asked_at) const;
+  void Confirm(WorkerLink& link,
+               SteadyTime asked_at,
+               const HoldReply& reply) const;
   static void DoubtAfter(CallOutcome outcome, WorkerLink& link);
   void RecordReply(WorkerLink& link, const CallReply& reply);
   void AcknowledgeAgain(WorkerLink& link, const HoldReply& reply);
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -467,9 +467,18 @@
          Now() - m_last_tick > kMinRestartTime + LeaderDelay();
 }
 
-// Records that an incarnation has answered a hold call.
-void Leadership::Confirm(WorkerLink& link, SteadyTime asked_at) const {
-  const bool may_be_old = HasStalled() || asked_at < m_stalled_until;
+// Records that an incarnation has answered a hold call. Called before the
+// answer's clock is observed.
+void Leadership::Confirm(WorkerLink& link,
+                         SteadyTime asked_at,
+                         const HoldReply& reply) const {
+  // The answer may have been delayed, but it is not older than the call.
+  const Millis since_call = std::chrono::floor<Millis>(Now() - asked_at);
+  const Millis age =
+      reply.clock ? std::min(since_call, link.clock.AgeOf(*reply.clock, Now()))
+                  : Millis(0);
+  const bool may_be_old = HasStalled() || asked_at < m_stalled_until ||
+                          age > kMaxTransitTime + LeaderDelay();
   link.confirmed_at = may_be_old ? SteadyTime() : Now();
 }
 
@@ -555,7 +564,7 @@
   if (reply.outcome == CallOutcome::kOtherIncarnation) {
     EndReplacedIncarnation(worker);
   } else if (reply.outcome == CallOutcome::kDone && reply.born == link.born) {
-    Confirm(link, asked_at);
+    Confirm(link, asked_at, reply);
     RecordContact(link, reply.clock);
   }
 }
@@ -645,7 +654,7 @@
   if (!CheckIncarnation(worker, link, reply)) {
     return;
   }
-  Confirm(link, asked_at);
+  Confirm(link, asked_at, reply);
   RecordContact(link, reply.clock);
   if (!link.is_restart_unassessed) {
     link.lapsed_runs.clear();  // The worker has not crashed.
--- a/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
+++ b/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
@@ -160,5 +160,30 @@
   CheckNoViolations();
 }
 
+// Guards against an acknowledgement that waits in a frozen relay. The relays
+// are frozen at any moment between two hold calls.
+TEST_CASE(
+    "OrderRelay, worker restarts while its relay is frozen, its next "
+    "incarnation gets no acknowledgement") {
+  constexpr RelayBounds kSmallBounds{2, 2};
+  constexpr size_t kRelays = 2;
+  for (Millis offset{0}; offset < Millis(2'200); offset += Millis(25)) {
+    World world(7, {}, kSmallBounds);
+    world.AddWorkers(4);
+    world.AddRelays(kRelays);
+    world.Advance(Millis(4'000));
+    world.Submit("a", {Step(16)});
+    world.Advance(Millis(1'500) + offset);
+    for (size_t relay = 0; relay < kRelays; ++relay) {
+      world.FreezeRelay(relay, Millis(700));
+    }
+    world.CrashAndRestart("w0", Millis(300), Millis(3'000));
+    world.Advance(Millis(3'000));
+    for (const std::string& violation : world.violations()) {
+      FAIL_CHECK("offset ", offset.count(), ": ", violation);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace laurelhall::dispatch
