--- a/packages/dispatch/src/order_relay.cc
+++ b/packages/dispatch/src/order_relay.cc
@@ -127,12 +127,11 @@
       }
       return;
     }
-    const auto age = std::chrono::floor<Millis>(m_init.boot_now() - asked_at);
+    const bool are_too_old = m_init.boot_now() - asked_at > kMaxOrderAge;
     for (RelayedOrder& order : batch.orders) {
-      if (age > kMaxOrderAge) {
+      if (are_too_old) {
         ReturnUnsent(order.number);
       } else {
-        DropOutdatedAcknowledgement(order, age);
         CarryOut(batch, order);
       }
     }
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -28,6 +28,11 @@
 constexpr Millis kHoldRetryDelay{200};
 // A lease is renewed once a third of it has passed.
 constexpr int kLeaseRenewalDivisor = 3;
+// A worker that last listed its runs within this time is taken to be the same
+// incarnation. After a crash, orders fail before the worker can have restarted,
+// carried out a late order and ended its run. A busy leader may take as long
+// from one list to the next hold call.
+constexpr Millis kSameIncarnationTime{4'000};
 // How long an answer to a hold call may take beyond the requested wait.
 constexpr Millis kHoldAnswerMargin{600};
 constexpr Millis kOrderRetryDelay{100};
@@ -254,8 +259,8 @@
             .With("term", m_term)
             .With("outcome", CallOutcomeName(reply.outcome)));
   }
-  if (link != m_links.end()) {
-    RecordReply(link->second, reply);
+  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherIncarnation) {
+    RecordContact(link->second, reply.clock);
   }
   switch (reply.outcome) {
     case CallOutcome::kDone:
@@ -389,8 +394,8 @@
     return;  // For an earlier incarnation.
   }
   track.is_stop_in_flight = false;
-  if (link != m_links.end()) {
-    RecordReply(link->second, reply);
+  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherIncarnation) {
+    RecordContact(link->second, reply.clock);
   }
   if (reply.outcome == CallOutcome::kDone ||
       reply.outcome == CallOutcome::kOldRun) {
@@ -441,9 +446,12 @@
   order.fence = FenceOf(link);
   // A new incarnation numbers its ended runs anew: its ends must not be
   // acknowledged by the numbers of the one before.
-  order.ends_seen = IsConfirmed(link) || m_init.mutations.is_incarnation_ignored
-                        ? link.ends_seen
-                        : 0;
+  const bool is_same_incarnation =
+      !link.is_silent && Now() - link.last_listed < kSameIncarnationTime;
+  order.ends_seen =
+      is_same_incarnation || m_init.mutations.is_incarnation_ignored
+          ? link.ends_seen
+          : 0;
   if (order.ends_seen > 0) {
     link.acknowledged = order.ends_seen;
     link.acknowledged_at = Now();
@@ -453,67 +461,6 @@
   return order;
 }
 
-// Whether the link's incarnation certainly still runs.
-bool Leadership::IsConfirmed(const WorkerLink& link) const {
-  return link.confirmed_at != SteadyTime() &&
-         Now() - link.confirmed_at < kMinRestartTime;
-}
-
-// Whether this thread has not run for so long that a worker may have restarted
-// after it sent an answer that is handled only now. Beyond the usual delay: a
-// thread that is always late would never confirm any incarnation.
-bool Leadership::HasStalled() const {
-  return m_last_tick != SteadyTime() &&
-         Now() - m_last_tick > kMinRestartTime + LeaderDelay();
-}
-
-// Records that an incarnation has answered a hold call. Called before the
-// answer's clock is observed.
-void Leadership::Confirm(WorkerLink& link,
-                         SteadyTime asked_at,
-                         const HoldReply& reply) const {
-  // The answer may have been delayed, but it is not older than the call.
-  const Millis since_call = std::chrono::floor<Millis>(Now() - asked_at);
-  const Millis age =
-      reply.clock ? std::min(since_call, link.clock.AgeOf(*reply.clock, Now()))
-                  : Millis(0);
-  const bool may_be_old = HasStalled() || asked_at < m_stalled_until ||
-                          age > kMaxTransitTime + LeaderDelay();
-  link.confirmed_at = may_be_old ? SteadyTime() : Now();
-}
-
-// A call that was not answered, or that another incarnation refused, shows that
-// the link's incarnation may have ended.
-void Leadership::DoubtAfter(CallOutcome outcome, WorkerLink& link) {
-  if (outcome == CallOutcome::kOtherIncarnation ||
-      outcome == CallOutcome::kNotReached || outcome == CallOutcome::kUnknown) {
-    link.confirmed_at = SteadyTime();
-  }
-}
-
-void Leadership::RecordReply(WorkerLink& link, const CallReply& reply) {
-  DoubtAfter(reply.outcome, link);
-  if (reply.outcome < CallOutcome::kOtherIncarnation) {
-    RecordContact(link, reply.clock);
-  }
-}
-
-// Repeats an acknowledgement that the worker has not received, or that was
-// withheld. Sent right after the list that shows it, since the incarnation may
-// no longer be confirmed when the next hold call is due: on a busy leader, the
-// lists would grow without limit.
-void Leadership::AcknowledgeAgain(WorkerLink& link, const HoldReply& reply) {
-  const bool is_due = std::any_of(
-      reply.ended.begin(), reply.ended.end(),
-      [&link](const EndedRun& end) { return end.number <= link.ends_seen; });
-  if (!is_due || !IsConfirmed(link)) {
-    return;
-  }
-  ++m_counters.holds;
-  // The next hold call handles the lists.
-  m_init.workers->Hold(MakeHoldOrder(link, Millis(0)), [](const HoldReply&) {});
-}
-
 // Whether the worker's lease may be extended. Leases count from the last moment
 // at which this host was sure to lead; one of longer ago would be over already.
 bool Leadership::MayExtendLease(const WorkerLink& link) const {
@@ -539,20 +486,19 @@
   link.is_renewal_under_way = true;
   link.next_renewal = Now() + kHoldRetryDelay;
   ++m_counters.holds;
-  m_init.workers->Hold(
-      MakeHoldOrder(link, Millis(0)),
-      [weak = weak_from_this(), worker, incarnation = link.number,
-       asked_at = Now()](const HoldReply& reply) {
-        if (const auto self = weak.lock()) {
-          self->OnLeaseRenewalReply(worker, incarnation, asked_at, reply);
-        }
-      });
+  m_init.workers->Hold(MakeHoldOrder(link, Millis(0)),
+                       [weak = weak_from_this(), worker,
+                        incarnation = link.number](const HoldReply& reply) {
+                         if (const auto self = weak.lock()) {
+                           self->OnLeaseRenewalReply(worker, incarnation,
+                                                     reply);
+                         }
+                       });
 }
 
 // Ignores the lists in the reply: the hold call in flight handles them.
 void Leadership::OnLeaseRenewalReply(const std::string& worker,
                                      uint64_t incarnation,
-                                     SteadyTime asked_at,
                                      const HoldReply& reply) {
   const auto found = m_links.find(worker);
   if (found == m_links.end() || found->second.number != incarnation) {
@@ -560,11 +506,9 @@
   }
   WorkerLink& link = found->second;
   link.is_renewal_under_way = false;
-  DoubtAfter(reply.outcome, link);
   if (reply.outcome == CallOutcome::kOtherIncarnation) {
     EndReplacedIncarnation(worker);
   } else if (reply.outcome == CallOutcome::kDone && reply.born == link.born) {
-    Confirm(link, asked_at, reply);
     RecordContact(link, reply.clock);
   }
 }
@@ -638,7 +582,6 @@
   }
   WorkerLink& link = found->second;
   link.is_hold_under_way = false;
-  DoubtAfter(reply.outcome, link);
   if (reply.outcome == CallOutcome::kOtherIncarnation) {
     EndReplacedIncarnation(worker);
     return;
@@ -654,7 +597,6 @@
   if (!CheckIncarnation(worker, link, reply)) {
     return;
   }
-  Confirm(link, asked_at, reply);
   RecordContact(link, reply.clock);
   if (!link.is_restart_unassessed) {
     link.lapsed_runs.clear();  // The worker has not crashed.
@@ -674,7 +616,6 @@
             .With("ended", static_cast<int64_t>(reply.ended.size())));
   }
   link.next_hold = Now() + kHoldInterval;
-  AcknowledgeAgain(link, reply);
   ProcessRunLists(worker, asked_at, reply);
 }
 
