Weighted shares of the organisations in a full pool

Cause: what was on time went by deadline, whoever asked. One organisation that sends several times its usual filled a pool with work of earlier deadlines, and all others came late behind it; weights counted at the door alone.

Change: while a pool lacks room for all that could start, its room is divided by weighted max-min over dominant shares (fair_shares.h), and in a class of urgency tasks that fit their organisation's part go first. A part can be smaller than a step or a task: an organisation that was below its part when it began a step may exceed it, as long as no other lacks more of its part than a task a worker. What is left goes in today's order in the same plan. Usage is the ledger's, kept by service and organisation as runs start and end, plus reservations; nothing is remembered. Without organisations, with room for all or with the mechanism "shares" off, the order is as before.

Not covered: a task that is larger than the holes that others leave is passed over, as before; nothing is held free for it.

--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -114,6 +114,10 @@
   int64_t persistent_millicores = 0;
 };
 
+/// What tasks that end by themselves take of a service's workers, by
+/// organisation; the empty name stands for none.
+using PoolUse = std::unordered_map<std::string, Resources>;
+
 /// A wave and the stage of each of its hosts.
 struct WaveState {
   WaveOpened opened;
@@ -181,6 +185,9 @@
     return m_in_use;
   }
 
+  /// What the active runs of a service's jobs take, without persistent tasks.
+  const PoolUse& PoolUseOf(const std::string& service) const;
+
   /// Whether an organisation may start another task within its cap.
   ///
   /// @param planned Resources of its runs that are about to start.
@@ -260,6 +267,9 @@
   void UpdateQueuedJobs(const Job& job);
   void UpdateOpenJobs(const Job& job);
   void SetConfiguration(Configuration configuration);
+  void RecountPoolUse();
+  void AddPoolUse(const Job& job, const StepSpec& step);
+  void SubtractPoolUse(const Job& job, const StepSpec& step);
   void SetConfigurationIfNewer(const Configuration& configuration);
   /// @returns Null when the job is already known.
   Job* AddJob(const JobAccepted& record);
@@ -271,6 +281,7 @@
   std::map<std::string, size_t> m_queue_index;  // By name.
   KeyRing m_keys;
   std::unordered_map<std::string, Resources> m_in_use;  // By organisation.
+  std::unordered_map<std::string, PoolUse> m_pool_use;  // By service.
   Jobs m_jobs;
   std::set<std::string> m_open_jobs;
   std::unordered_map<std::string, std::unordered_set<std::string>>
--- a/packages/scheduling/include/laurelhall/scheduling/mechanism.h
+++ b/packages/scheduling/include/laurelhall/scheduling/mechanism.h
@@ -29,6 +29,8 @@
   kLearnedTimes,   ///< Estimated run times are corrected by queue.
   kPacing,         ///< Filling tasks are slowed down beside serving ones.
   kRelays,         ///< Other hosts relay a leader's calls to many workers.
+  kShares,         ///< In a full pool, organisations below their parts go
+                   ///< first.
   kCount,
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -4,11 +4,13 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "laurelhall/scheduling/fair_shares.h"
 #include "laurelhall/scheduling/ledger.h"
 #include "laurelhall/scheduling/mechanism.h"
 
@@ -100,6 +102,10 @@
   /// The cost of the last plan.
   const PlanCost& cost() const { return m_cost; }
 
+  /// What the last plan divided, by service. Pools with room for all are not
+  /// divided.
+  const std::map<std::string, PoolShares>& shares() const { return m_shares; }
+
   /// Releases the reservation of a planned start, once the start is applied or
   /// will never be.
   void ReleaseReservation(const RunStarted& start);
@@ -138,6 +144,7 @@
  private:
   struct Candidate;
   class Placement;
+  enum class ShareLimit : uint8_t;
 
   std::vector<Candidate> CollectCandidates(const PlanInput& input) const;
   void AddCandidate(const PlanInput& input,
@@ -147,6 +154,18 @@
                     std::vector<Candidate>& out) const;
   void PromoteStarvedSuspects(SteadyTime now,
                               std::vector<Candidate>& candidates) const;
+  static void PlaceClass(std::span<Candidate> candidates,
+                         Placement& placement,
+                         std::vector<RunStarted>& out);
+  bool UsesShares(const Ledger& ledger) const;
+  void DivideFullPools(const Ledger& ledger,
+                       std::span<Candidate> candidates,
+                       Placement& placement);
+  void AddHolders(const Ledger& ledger,
+                  const std::string& service,
+                  PoolShares& pool) const;
+  static Resources Begun(const Candidate& candidate, uint32_t startable);
+  uint32_t CountStartableTasks(const Candidate& candidate) const;
   double RunTimeRatio(const std::string& queue) const;
   std::vector<uint32_t> StartableTasks(const Candidate& candidate) const;
   SteadyTime DeadlineOf(const QueueSpec* queue,
@@ -181,10 +200,13 @@
     Resources room;  // On its worker.
     Resources need;  // Of its organisation's cap.
     std::string organisation;
+    std::string service;  // Empty for a persistent task.
   };
   std::map<std::pair<TaskId, uint32_t>, Reservation> m_reservations;  // By run.
   /// What planned starts will take of each organisation's cap.
   std::unordered_map<std::string, Resources> m_reserved_of_cap;
+  /// What planned starts will take, without persistent tasks, by service.
+  std::unordered_map<std::string, PoolUse> m_reserved_in_pool;
   /// Suspects with a reservation, by worker.
   std::map<std::string, std::set<TaskId>> m_reserved_suspects;
 
@@ -197,6 +219,7 @@
   std::map<TaskId, SteadyTime> m_suspect_waits;
   std::map<TaskId, SteadyTime> m_previous_suspect_waits;  // At the last plan.
   std::map<std::string, SteadyTime> m_deferred;           // Until when, by job.
+  std::map<std::string, PoolShares> m_shares;  // Of the last plan, by service.
   /// Actual over estimated run time, by queue.
   std::map<std::string, double> m_run_time_ratios;
 };
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -131,6 +131,25 @@
   return found == m_in_use.end() ? Resources() : found->second;
 }
 
+const PoolUse& Ledger::PoolUseOf(const std::string& service) const {
+  static const PoolUse none;
+  const auto found = m_pool_use.find(service);
+  return found == m_pool_use.end() ? none : found->second;
+}
+
+void Ledger::AddPoolUse(const Job& job, const StepSpec& step) {
+  if (!step.is_persistent) {
+    Add(m_pool_use[ServiceOf(job)][job.organisation], ReservedResources(step));
+  }
+}
+
+void Ledger::SubtractPoolUse(const Job& job, const StepSpec& step) {
+  if (!step.is_persistent) {
+    Subtract(m_pool_use[ServiceOf(job)][job.organisation],
+             ReservedResources(step));
+  }
+}
+
 bool Ledger::IsWithinCapOf(const std::string& organisation,
                            const Resources& planned,
                            const Resources& need) const {
@@ -201,6 +220,23 @@
   for (size_t index = 0; index < m_configuration.queues.size(); ++index) {
     m_queue_index.try_emplace(m_configuration.queues[index].name, index);
   }
+  RecountPoolUse();
+}
+
+// A configuration may move a queue, and with it the runs of its jobs, to
+// another service.
+void Ledger::RecountPoolUse() {
+  m_pool_use.clear();
+  for (const std::string& id : m_open_jobs) {
+    const Job& job = m_jobs.at(id);
+    for (size_t index = 0; job.active_runs > 0 && index < job.tasks.size();
+         ++index) {
+      const size_t runs = job.tasks[index].active.size();
+      for (size_t run = 0; run < runs; ++run) {
+        AddPoolUse(job, job.StepOf(index));
+      }
+    }
+  }
 }
 
 void Ledger::ApplyRecord(const JobAccepted& record) {
@@ -301,6 +337,7 @@
   if (!job.organisation.empty()) {
     Add(m_in_use[job.organisation], step.need);
   }
+  AddPoolUse(job, step);
   Add(worker.used, reserved);
   if (step.is_persistent) {
     ++worker.persistent_runs;
@@ -351,6 +388,7 @@
   if (!job.organisation.empty()) {
     Subtract(m_in_use[job.organisation], step.need);
   }
+  SubtractPoolUse(job, step);
   const auto worker = m_workers.find(record.worker);
   if (worker != m_workers.end()) {
     ReleaseResources(worker->second, record.task, step);
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -147,12 +147,29 @@
   bool is_running = false;
   SteadyTime deadline{};
   SteadyTime waiting_since{};
+  PoolShares* shares = nullptr;  // Null: it takes no part in a division.
+  PoolShares::Claim claim = 0;
+  uint32_t first_task = 0;  // Earlier tasks had their turn in this plan.
+  BegunStep begun;
+
+  uint32_t TasksLeft() const {
+    const size_t base = occurrence * job->spec.steps.size();
+    return job->tasks_left_by_step[base + step];
+  }
+
+  const std::string& Service() const {
+    return queue == nullptr ? job->service : queue->service;
+  }
 
   auto Key() const {
     return std::tuple(urgency, !is_running, deadline, priority);
   }
 };
 
+// Whether tasks beyond their organisation's part wait for the others of their
+// class.
+enum class Planner::ShareLimit : uint8_t { kOwnPart, kNone };
+
 /// Assigns the tasks of candidates to workers within one plan.
 class Planner::Placement {
  public:
@@ -161,7 +178,7 @@
             const std::vector<Candidate>& candidates)
       : m_planner(planner), m_input(input) {
     for (const Candidate& candidate : candidates) {
-      const std::string& service = input.ledger.ServiceOf(*candidate.job);
+      const std::string& service = candidate.Service();
       if (!m_places_of.contains(service)) {
         m_places_of[service] = PlacesOf(service);
       }
@@ -173,8 +190,7 @@
   void Count(const Candidate& candidate, StartDiagnosis& diagnosis) {
     const Resources room =
         ReservedResources(candidate.job->spec.steps[candidate.step]);
-    const auto places =
-        m_places_of.find(m_input.ledger.ServiceOf(*candidate.job));
+    const auto places = m_places_of.find(candidate.Service());
     if (places == m_places_of.end()) {
       return;
     }
@@ -185,13 +201,38 @@
     }
   }
 
+  /// Room that tasks can take: on usable workers that have at least `smallest`.
+  /// Stops counting when it takes all of `wanted`.
+  Resources FreeRoom(const std::string& service,
+                     const Resources& smallest,
+                     const Resources& wanted) {
+    Resources free;
+    for (Place& place : m_places_of[service]) {
+      if (Fits(wanted, free)) {
+        break;
+      }
+      if (Fits(smallest, place.room) && StatusOf(place).is_usable) {
+        Add(free, place.room);
+      }
+    }
+    return free;
+  }
+
+  size_t CountWorkers(const std::string& service) const {
+    return m_places_of.at(service).size();
+  }
+
   /// Assigns as many of the step's tasks as can start to workers, and appends
   /// their starts to `out`.
-  void PlaceStep(const Candidate& candidate, std::vector<RunStarted>& out) {
+  ///
+  /// @returns Whether some wait because the organisation has its part.
+  bool PlaceStep(Candidate& candidate,
+                 ShareLimit limit,
+                 std::vector<RunStarted>& out) {
     const StepSpec& step = candidate.job->spec.steps[candidate.step];
-    auto places = m_places_of.find(m_input.ledger.ServiceOf(*candidate.job));
+    auto places = m_places_of.find(candidate.Service());
     if (places == m_places_of.end()) {
-      return;
+      return false;
     }
     const Resources need = ReservedResources(step);
     // A suspect may get a cordoned worker, which takes no other tasks: that
@@ -199,15 +240,25 @@
     const bool is_full =
         !candidate.job->may_have_suspects && IsKnownTooLarge(candidate, need);
     if (is_full || IsOverCap(*candidate.job, step)) {
-      return;
+      return false;
+    }
+    if (IsPutOff(candidate, limit)) {
+      return true;
     }
     if (step.is_gang) {
       PlaceGang(candidate, step, places->second, out);
-      return;
+      return false;
     }
     for (const uint32_t index : m_planner.StartableTasks(candidate)) {
+      if (index < candidate.first_task) {
+        continue;
+      }
       if (IsOverCap(*candidate.job, step)) {
-        return;
+        return false;
+      }
+      if (IsPutOff(candidate, limit)) {
+        candidate.first_task = index;
+        return true;
       }
       Place* place = FindPlace(candidate, step, index, places->second, {});
       if (place == nullptr && IsSuspect(candidate, index)) {
@@ -215,12 +266,13 @@
       }
       if (place == nullptr && !step.is_best_effort) {
         RememberTooLarge(candidate, step, index, need);
-        return;  // The other tasks of the step would find no place either.
+        return false;  // The other tasks would find no place either.
       }
       if (place != nullptr) {
         Assign(candidate, step, index, *place, out);
       }
     }
+    return false;
   }
 
   // Whether one more task would exceed the cap of the job's organisation. For a
@@ -253,6 +305,11 @@
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
+  static bool IsPutOff(const Candidate& candidate, ShareLimit limit) {
+    return limit == ShareLimit::kOwnPart && candidate.shares != nullptr &&
+           !candidate.shares->GoesFirst(candidate.claim, candidate.begun);
+  }
+
   static const Task& TaskOf(const Candidate& candidate, uint32_t index) {
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
@@ -267,8 +324,7 @@
   // service. This spares the steps behind it a search through all workers.
   bool IsKnownTooLarge(const Candidate& candidate,
                        const Resources& need) const {
-    const auto full =
-        m_too_large.find(m_input.ledger.ServiceOf(*candidate.job));
+    const auto full = m_too_large.find(candidate.Service());
     return full != m_too_large.end() &&
            std::any_of(
                full->second.begin(), full->second.end(),
@@ -287,7 +343,7 @@
         step.max_tasks_per_worker == 0 && !IsLastAttempt(candidate, task) &&
         !task.IsSuspect();
     if (is_unrestricted) {
-      m_too_large[m_input.ledger.ServiceOf(*candidate.job)].push_back(need);
+      m_too_large[candidate.Service()].push_back(need);
     }
   }
 
@@ -330,7 +386,7 @@
   }
 
   // Places all members of a gang, on one rack if it asks for that, or none.
-  void PlaceGang(const Candidate& candidate,
+  void PlaceGang(Candidate& candidate,
                  const StepSpec& step,
                  std::vector<Place>& places,
                  std::vector<RunStarted>& out) {
@@ -368,7 +424,7 @@
           place.planned.clear();
         }
         for (RunStarted& start : starts) {
-          Reserve(start, step);
+          Reserve(candidate, start, step);
           out.push_back(std::move(start));
         }
         return;
@@ -479,7 +535,7 @@
   // so that a negative result is kept for all further suspects of the service.
   bool HasPlaceForSuspect(const Candidate& candidate,
                           std::vector<Place>& places) {
-    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    const std::string& service = candidate.Service();
     if (m_without_empty_place.contains(service)) {
       return false;
     }
@@ -517,7 +573,7 @@
   bool CordonWorkers(const Candidate& candidate,
                      const StepSpec& step,
                      std::vector<Place>& places) {
-    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    const std::string& service = candidate.Service();
     std::set<std::string>& cordoned = m_planner.m_cordoned[service];
     const size_t waiting = ++m_waiting_suspects[service];
     const size_t most =
@@ -583,7 +639,7 @@
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
     const Task& task = TaskOf(candidate, index);
-    const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
+    const std::string& service = candidate.Service();
     // Looked up once rather than for each place.
     const bool avoids_cordoned = !task.IsSuspect();
     const auto& cordoned = CordonedFor(m_planner.m_cordoned, service);
@@ -658,7 +714,7 @@
     return best;
   }
 
-  void Assign(const Candidate& candidate,
+  void Assign(Candidate& candidate,
               const StepSpec& step,
               uint32_t index,
               Place& place,
@@ -671,7 +727,7 @@
     place.has_persistent = place.has_persistent || step.is_persistent;
     place.has_suspect = place.has_suspect || IsSuspect(candidate, index);
     if (is_reserved) {
-      Reserve(start, step);
+      Reserve(candidate, start, step);
     } else {
       ++place.planned[{candidate.job, StepKey(candidate)}];
     }
@@ -694,13 +750,25 @@
     return last + 1;
   }
 
-  void Reserve(const RunStarted& start, const StepSpec& step) {
+  void Reserve(Candidate& candidate,
+               const RunStarted& start,
+               const StepSpec& step) {
     m_planner.m_reserved_worker[start.task] = start.worker;
     ++m_planner.m_reserved_tasks[start.task.job];
-    Add(m_planner.m_reserved_room[start.worker], ReservedResources(step));
-    const Job& job = *m_input.ledger.FindJob(start.task.job);
+    const Job& job = *candidate.job;
+    const Resources room = ReservedResources(step);
+    const std::string& service = candidate.Service();
+    Add(m_planner.m_reserved_room[start.worker], room);
     m_planner.m_reservations[{start.task, start.run}] = {
-        ReservedResources(step), step.need, job.organisation};
+        room, step.need, job.organisation,
+        step.is_persistent ? std::string() : service};
+    if (!step.is_persistent) {
+      Add(m_planner.m_reserved_in_pool[service][job.organisation], room);
+    }
+    if (candidate.shares != nullptr) {
+      candidate.shares->Hold(candidate.claim, room);
+      Add(candidate.begun.held, room);
+    }
     if (!job.organisation.empty()) {
       Add(m_planner.m_reserved_of_cap[job.organisation], step.need);
     }
@@ -928,16 +996,131 @@
   m_cost = {candidates.size(), 0};
   m_previously_cordoned = std::exchange(m_cordoned, {});
   m_previous_suspect_waits = std::exchange(m_suspect_waits, {});
+  m_shares.clear();
   if (candidates.empty()) {
     return starts;
   }
   Placement placement(*this, input, candidates);
-  for (const Candidate& candidate : candidates) {
-    placement.PlaceStep(candidate, starts);
+  const auto shared = std::find_if(
+      candidates.begin(), candidates.end(), [](const Candidate& candidate) {
+        return candidate.urgency >= Urgency::kOnTime;
+      });
+  PlaceClass({candidates.begin(), shared}, placement, starts);
+  if (UsesShares(input.ledger)) {
+    DivideFullPools(input.ledger, {shared, candidates.end()}, placement);
+  }
+  for (auto first = shared; first != candidates.end();) {
+    const auto last = std::find_if(first, candidates.end(),
+                                   [first](const Candidate& candidate) {
+                                     return candidate.urgency != first->urgency;
+                                   });
+    PlaceClass({first, last}, placement, starts);
+    first = last;
   }
   return starts;
 }
 
+// What one organisation leaves of its part goes to the others of the class at
+// once.
+void Planner::PlaceClass(std::span<Candidate> candidates,
+                         Placement& placement,
+                         std::vector<RunStarted>& out) {
+  std::vector<Candidate*> beyond_part;
+  for (Candidate& candidate : candidates) {
+    if (placement.PlaceStep(candidate, ShareLimit::kOwnPart, out)) {
+      beyond_part.push_back(&candidate);
+    }
+  }
+  for (Candidate* candidate : beyond_part) {
+    placement.PlaceStep(*candidate, ShareLimit::kNone, out);
+  }
+}
+
+bool Planner::UsesShares(const Ledger& ledger) const {
+  const std::optional<IdentitySpec>& identities =
+      ledger.configuration().identities;
+  return m_mechanisms.Has(Mechanism::kShares) && identities &&
+         !identities->organisations.empty();
+}
+
+// Excess and hopeless work has no claim: it waits for all that is promised.
+void Planner::DivideFullPools(const Ledger& ledger,
+                              std::span<Candidate> candidates,
+                              Placement& placement) {
+  for (Candidate& candidate : candidates) {
+    if (candidate.urgency > Urgency::kLate) {
+      break;
+    }
+    const uint32_t tasks = CountStartableTasks(candidate);
+    if (tasks > 0) {
+      PoolShares& pool = m_shares[candidate.Service()];
+      const StepSpec& step = candidate.job->spec.steps[candidate.step];
+      candidate.shares = &pool;
+      candidate.claim = pool.ClaimOf(candidate.job->organisation);
+      pool.Want(candidate.claim, ReservedResources(step), tasks);
+      candidate.begun = {ReservedResources(step), Begun(candidate, tasks)};
+    }
+  }
+  for (auto& [service, pool] : m_shares) {
+    const Resources free =
+        placement.FreeRoom(service, pool.smallest(), pool.wanted());
+    if (!Fits(pool.wanted(), free)) {
+      AddHolders(ledger, service, pool);
+      pool.Divide(free, placement.CountWorkers(service));
+    }
+  }
+}
+
+// Adds what runs and what is being committed.
+void Planner::AddHolders(const Ledger& ledger,
+                         const std::string& service,
+                         PoolShares& pool) const {
+  const auto add = [&pool](const PoolUse& use) {
+    for (const auto& [organisation, held] : use) {
+      if (held != Resources()) {
+        pool.Hold(pool.ClaimOf(organisation), held);
+      }
+    }
+  };
+  add(ledger.PoolUseOf(service));
+  const auto reserved = m_reserved_in_pool.find(service);
+  if (reserved != m_reserved_in_pool.end()) {
+    add(reserved->second);
+  }
+  for (PoolShares::Claim claim = 0; claim < pool.shares().size(); ++claim) {
+    const OrganisationSpec* spec =
+        ledger.keys().Find(pool.shares()[claim].organisation);
+    if (spec != nullptr) {
+      pool.SetLimits(claim, spec->weight, spec->cap);
+    }
+  }
+}
+
+// What the tasks of a step hold that are not done.
+Resources Planner::Begun(const Candidate& candidate, uint32_t startable) {
+  const Job& job = *candidate.job;
+  const Resources need = ReservedResources(job.spec.steps[candidate.step]);
+  Resources begun;
+  for (uint32_t task = startable; task < candidate.TasksLeft(); ++task) {
+    Add(begun, need);
+  }
+  return begun;
+}
+
+// As many as StartableTasks() returns. Most steps wait as a whole, so that they
+// need no look at each task.
+uint32_t Planner::CountStartableTasks(const Candidate& candidate) const {
+  const Job& job = *candidate.job;
+  const StepSpec& step = job.spec.steps[candidate.step];
+  const bool is_untouched = job.active_runs == 0 &&
+                            !candidate.has_reservations &&
+                            !job.may_have_suspects;
+  const auto tasks =
+      is_untouched ? candidate.TasksLeft()
+                   : static_cast<uint32_t>(StartableTasks(candidate).size());
+  return step.is_gang && tasks < step.count ? 0 : tasks;
+}
+
 // Plans the step on a copy of the planner, which has the same reservations, so
 // that nothing is reserved here.
 StartDiagnosis Planner::DiagnoseStep(const PlanInput& input,
@@ -971,7 +1154,7 @@
   placement.Count(candidates.front(), diagnosis);
   const bool is_over_cap = placement.IsOverCap(job, spec);
   std::vector<RunStarted> starts;
-  placement.PlaceStep(candidates.front(), starts);
+  placement.PlaceStep(candidates.front(), ShareLimit::kNone, starts);
   if (m_deferred.contains(job.id)) {
     diagnosis.obstacle = StartObstacle::kDeferred;
   } else if (is_over_cap) {
@@ -1014,6 +1197,10 @@
   if (!reserved.organisation.empty()) {
     Subtract(m_reserved_of_cap[reserved.organisation], reserved.need);
   }
+  if (!reserved.service.empty()) {
+    Subtract(m_reserved_in_pool[reserved.service][reserved.organisation],
+             reserved.room);
+  }
   Resources& room = m_reserved_room[start.worker];
   Subtract(room, reserved.room);
   if (room == Resources()) {
