Infer nothing from a list of ended runs that may be cut off

Cause: a worker lists its ended runs a part at a time, and the leader ended each run of its own that an answer named neither as running nor as ended. The later parts brought the ends, as done; by then another run of the task had been started, so they were passed over and acknowledged all the same. Class of fault: absence from a part taken for absence from the whole.

While it is set, no run is ended or started again for not being listed, and no crash is recorded for the runs that an earlier incarnation is missing; the next part is asked for as soon as the ends are committed, without a wait, also by a leader whose ticks lag. A part that brings no new end is not asked for again at once. Through relays the flag is told behind the results, and only where one is set: an earlier leader can read all else, and its relay's word for a full list is refused by it until it is replaced.

Other places that conclude from absence, read for this: - running runs are listed in full; pacing and stops of unknown runs go by these - runs tracked against the ledger, and workers against it: whole tables; a list of changes that reaches back too short is answered by a full look - hosts listed page by page: a host that no page names is kept as it was, and a page that fails starts the list anew - announcements forwarded to the leader: when a message is full, the next goes at once; a worker counts as silent after 15 s without contact or word - results of relays are handed over in full; an order without one ends by its own timeout, as unknown

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -113,6 +113,8 @@
   WallTime born{};  ///< Start of the answering incarnation; zero: not told.
   std::vector<RunningRun> running;
   std::vector<EndedRun> ended;
+  /// Further runs may have ended: what `ended` does not list says nothing.
+  bool may_omit_ends = false;
 };
 
 /// Calls to workers.
--- a/packages/dispatch/include/laurelhall/dispatch/relayed.h
+++ b/packages/dispatch/include/laurelhall/dispatch/relayed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
 #include <variant>
 #include <vector>
@@ -37,6 +38,30 @@
   Millis took{0};  ///< As CallReply::took.
 };
 
+/// The numbers of the results with HoldReply::may_omit_ends. They are encoded
+/// behind the list of results, whose elements earlier versions must be able to
+/// read. Thread-safe.
+inline std::vector<uint64_t> NumbersOfOmittingLists(
+    const std::vector<RelayedResult>& results) {
+  std::vector<uint64_t> numbers;
+  for (const RelayedResult& result : results) {
+    if (result.reply.may_omit_ends) {
+      numbers.push_back(result.number);
+    }
+  }
+  return numbers;
+}
+
+/// Sets HoldReply::may_omit_ends in the results with these numbers. Thread-safe
+/// if `results` is not shared.
+inline void MarkOmittingLists(const std::vector<uint64_t>& numbers,
+                              std::vector<RelayedResult>& results) {
+  for (RelayedResult& result : results) {
+    result.reply.may_omit_ends = std::find(numbers.begin(), numbers.end(),
+                                           result.number) != numbers.end();
+  }
+}
+
 template <typename Archive>
 void Visit(Archive& archive, WorkerAddress& value) {
   archive(value.id, value.address, value.availability_zone);
--- a/packages/dispatch/include/laurelhall/dispatch/request.h
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -224,8 +224,11 @@
 
 template <typename Archive>
 void Visit(Archive& archive, RelayOrders& value) {
+  std::vector<uint64_t> omitting = NumbersOfOmittingLists(value.results);
   archive(value.relay, value.availability_zone, value.is_leaving,
           value.results);
+  archive.TrailingList(omitting);
+  MarkOmittingLists(omitting, value.results);
 }
 
 template <typename Archive>
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -154,6 +154,8 @@
   bool is_silent = false;              ///< The last hold call was not answered.
   /// A hold call is open, or the ends that it listed are being committed.
   bool is_hold_under_way = false;
+  /// The last list may have omitted ends: the next one is asked for at once.
+  bool has_more_ends = false;
   bool is_renewal_under_way = false;
   SteadyTime next_hold{};
   SteadyTime next_renewal{};
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -631,17 +631,23 @@
     RecordEndedRuns(ledger, worker, reply, records);
     UpdateRunningRuns(ledger, worker, reply);
     AddProvenRuns(ledger, reply, records);
-    EndMissingRuns(ledger, worker, asked_at, reply, records);
+    if (!reply.may_omit_ends) {
+      EndMissingRuns(ledger, worker, asked_at, reply, records);
+    }
     PaceFillingTasks(ledger, m_links.at(worker), reply);
     EndOlderWorkersOnHost(ledger, worker, records);
   });
   if (!m_links.contains(worker)) {
     return;
   }
-  uint64_t last_end = m_links.at(worker).ends_seen;
+  WorkerLink& link = m_links.at(worker);
+  uint64_t last_end = link.ends_seen;
   for (const EndedRun& ended : reply.ended) {
     last_end = std::max(last_end, ended.number);
   }
+  // A list without new ends is not asked for again at once: the worker has yet
+  // to hear that they were seen.
+  link.has_more_ends = reply.may_omit_ends && last_end > link.ends_seen;
   CommitEndedRuns(worker, last_end, std::move(records));
 }
 
@@ -887,6 +893,9 @@
       link.is_awaiting_first_list = false;
       PlanSoon();
     }
+    if (link.has_more_ends) {
+      SendHold(worker, link, Millis(0));
+    }
     return;
   }
   WorkerLink& link = m_links.at(worker);
@@ -918,7 +927,9 @@
       const bool is_hold_sent = m_init.mutations.is_end_acknowledged_early;
       if (outcome == CommitOutcome::kCommitted && !is_hold_sent) {
         link.ends_seen = std::max(link.ends_seen, last_end);
-        if (IsTickLagHigh()) {
+        if (link.has_more_ends) {
+          SendHold(worker, link, Millis(0));
+        } else if (IsTickLagHigh()) {
           // Meanwhile more runs end, and one request collects them all.
           link.next_hold = Now() + kHoldInterval;
         } else {
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -162,8 +162,13 @@
   Extend(order.lease_end, now);
   reply.outcome = CallOutcome::kDone;
   reply.born = m_born;
-  reply.ended = m_ended;
-  m_last_listed_end = m_next_end - 1;
+  const size_t listed = std::min(m_ended.size(), max_listed_ends);
+  reply.ended.assign(m_ended.begin(),
+                     m_ended.begin() + static_cast<ptrdiff_t>(listed));
+  reply.may_omit_ends = listed == max_listed_ends;
+  m_last_listed_end = std::max(
+      m_last_listed_end,
+      reply.may_omit_ends ? reply.ended.back().number : m_next_end - 1);
   for (const auto& [task, run] : m_runs) {
     reply.running.push_back({task, run.run, "", run.PercentAt(now), 0});
   }
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -59,6 +59,9 @@
   HoldReply Hold(const HoldOrder& order, SteadyTime now);
   void Step(SteadyTime now);
 
+  /// How many ended runs one answer lists at most.
+  size_t max_listed_ends = SIZE_MAX;
+
   const std::string& id() const { return m_id; }
   const std::map<scheduling::TaskId, Run>& runs() const { return m_runs; }
   bool has_news(uint64_t seen) const {
--- a/packages/scheduling/include/laurelhall/scheduling/codec.h
+++ b/packages/scheduling/include/laurelhall/scheduling/codec.h
@@ -41,6 +41,15 @@
     (Write(values), ...);
   }
 
+  /// Writes a list at the end of a text, which is left out if it is empty, so
+  /// that earlier versions can read a text without it.
+  template <typename T>
+  void TrailingList(std::vector<T>& values) {
+    if (!values.empty()) {
+      Write(values);
+    }
+  }
+
   /// Moves the encoded text out.
   std::string Take() { return std::move(m_text); }
 
@@ -125,6 +134,14 @@
     }
   }
 
+  /// Reads what Encoder::TrailingList() wrote.
+  template <typename T>
+  void TrailingList(std::vector<T>& values) {
+    if (!is_at_end()) {
+      Read(values);
+    }
+  }
+
   bool is_at_end() const { return m_text.empty(); }
 
  private:
