Scheduling: a gang whose worker crashed is tried as one suspect

Cause: each task of a gang that was lost with a worker became a suspect of its own and wanted an empty worker to itself. A gang starts whole or not at all, so one with more suspects than there were empty workers never started again. After one crash with two suspects on a small service, it also left the members that were not suspects as ordinary tasks, beside which others were put.

What callers saw: a job shown as running for good with nothing running and idle workers beside it (16 tasks of 2 cores on nine workers of 32 cores; 4 tasks of 9 cores on three). The log said not-allowed.

Change: a suspect among a gang's tasks makes all of them suspects (Job::IsSuspect, IsIsolated), and the gang is placed as one: its members share the fewest workers that are free for a suspect. If there are too few, it cordons as many as it needs, up to a third of the service, and after 2 s takes other room too where no suspect is being tried, as single suspects do. With three crashes it never shares and may cordon all that it needs. The runs of one gang on a worker count as a single run when its crash is judged, so a gang alone on its worker is evidence as plain as a single task. A gang that is given up for one task is given up whole; before, a persistent gang stayed open for good.

Ruled out: a worker for each member (the fault); one count of crashes for the whole gang (a sound gang on many workers would be given up for crashes that met different members).

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -289,6 +289,7 @@
     run.has_started = track.work_since != SteadyTime();
     const Job& job = *ledger.FindJob(key.task.job);
     run.is_persistent = job.spec.steps[key.task.step].is_persistent;
+    run.is_in_gang = job.spec.steps[key.task.step].is_gang;
     const auto& active = job.tasks[job.IndexOf(key.task)].active;
     run.is_proven =
         std::any_of(active.begin(), active.end(), [&key](const auto& each) {
@@ -478,7 +479,7 @@
                        const Job& job = *ledger.FindJob(id.job);
                        const size_t index = job.IndexOf(id);
                        const bool is_isolated =
-                           job.tasks[index].IsIsolated() &&
+                           job.IsIsolated(index) &&
                            !job.StepOf(index).is_persistent;
                        return is_isolated || !IsSeenAtWork(ledger, worker, id);
                      });
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -22,6 +22,7 @@
   bool has_started = false;  ///< Its worker confirmed the start.
   bool is_persistent = false;
   bool is_proven = false;  ///< See ActiveRun; also by an earlier leader.
+  bool is_in_gang = false;
 };
 
 /// A task is given up after so many workers crashed while it ran, even if other
@@ -48,7 +49,9 @@
 /// Lower-case name for logs. Thread-safe.
 const char* LossScopeName(LossScope scope);
 
-/// Assesses each run that may have started on a crashed worker. Thread-safe.
+/// Assesses each run that may have started on a crashed worker. The runs of one
+/// gang count as a single one, as they start together and are given up
+/// together. Thread-safe.
 std::vector<CrashSuspect> AssessCrash(const std::vector<LostRun>& runs,
                                       LossScope scope);
 
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -87,6 +87,12 @@
   bool IsStepReady(uint32_t occurrence, uint32_t step) const;
   /// Whether the id belongs to a task of this job.
   bool Holds(const TaskId& task) const;
+  /// As Task::IsSuspect(). The tasks of a gang start together, so it holds for
+  /// all of them if it holds for one.
+  bool IsSuspect(size_t index) const;
+  /// As Task::IsIsolated(), for all tasks of a gang if it holds for one. They
+  /// may share a worker.
+  bool IsIsolated(size_t index) const;
 };
 
 /// A worker and its committed runs.
@@ -101,7 +107,7 @@
   /// Resources of active runs; best-effort tasks count without processors.
   Resources used;
   std::set<TaskId> active;
-  /// Those of `active` for which Task::IsSuspect() held when they started.
+  /// Those of `active` for which Job::IsSuspect() held when they started.
   std::set<TaskId> suspects;
   /// Tasks that ran when its lease expired, until it is given work again. If
   /// the worker turns out to have crashed, these were running.
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -22,6 +22,14 @@
   return run.observed_run_time < kMinObservedRunTime;
 }
 
+// Whether two runs are the same one, or members of one gang.
+bool AreTogether(const LostRun& a, const LostRun& b) {
+  TaskId same_step = b.task;
+  same_step.index = a.task.index;
+  return a.task == b.task ||
+         (a.is_in_gang && b.is_in_gang && a.task == same_step);
+}
+
 }  // namespace
 
 const char* LossScopeName(LossScope scope) {
@@ -35,16 +43,22 @@
                [](const LostRun& run) { return run.may_have_started; });
   // A worker crashes soon after the start of the task that causes it. Runs that
   // were already observed for a while are suspected only if no run is newer.
-  const auto new_runs = std::count_if(
+  const auto newest = std::find_if(
       started.begin(), started.end(),
       [](const LostRun& run) { return run.has_started && IsNew(run); });
-  const bool has_new_run = new_runs > 0;
+  const bool has_new_run = newest != started.end();
+  const auto is_with_newest = [&](const LostRun& run) {
+    return AreTogether(run, *newest);
+  };
+  const bool is_alone =
+      has_new_run &&
+      std::all_of(started.begin(), started.end(), is_with_newest);
   // Runs that were already observed do not explain a loss right after the start
   // of another one.
   const bool is_only_one_new =
-      new_runs == 1 &&
-      std::all_of(started.begin(), started.end(), [](const LostRun& run) {
-        return !IsNew(run) || run.has_started;
+      has_new_run &&
+      std::all_of(started.begin(), started.end(), [&](const LostRun& run) {
+        return !IsNew(run) || is_with_newest(run);
       });
   std::vector<CrashSuspect> suspects;
   for (const LostRun& run : started) {
@@ -60,8 +74,7 @@
     } else if (scope == LossScope::kWorker && is_only_one_new && IsNew(run) &&
                run.max_time_since_start < kPromptCrashTime) {
       suspicion = Suspicion::kPrompt;
-    } else if (scope == LossScope::kWorker && started.size() == 1 &&
-               IsNew(run)) {
+    } else if (scope == LossScope::kWorker && is_alone && IsNew(run)) {
       suspicion = Suspicion::kSole;
     } else if (scope < LossScope::kRack && (IsNew(run) || !has_new_run)) {
       suspicion = Suspicion::kSuspect;
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -1,6 +1,7 @@
 #include "laurelhall/scheduling/ledger.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "laurelhall/scheduling/crash.h"
@@ -33,6 +34,15 @@
   }
 }
 
+// The tasks of a task's gang, or only the task itself.
+template <typename AnyJob>
+auto MembersOf(AnyJob& job, size_t index) {
+  const TaskId task = job.IdOf(index);
+  const StepSpec& step = job.spec.steps[task.step];
+  return std::span(job.tasks).subspan(step.is_gang ? index - task.index : index,
+                                      step.is_gang ? step.count : 1);
+}
+
 }  // namespace
 
 Resources ReservedResources(const StepSpec& step) {
@@ -76,6 +86,18 @@
          task.index < spec.steps[task.step].count;
 }
 
+bool Job::IsSuspect(size_t index) const {
+  const auto is_suspect = [](const Task& task) { return task.IsSuspect(); };
+  return may_have_suspects &&
+         std::ranges::any_of(MembersOf(*this, index), is_suspect);
+}
+
+bool Job::IsIsolated(size_t index) const {
+  const auto is_isolated = [](const Task& task) { return task.IsIsolated(); };
+  return may_have_suspects &&
+         std::ranges::any_of(MembersOf(*this, index), is_isolated);
+}
+
 bool Job::has_persistent_tasks() const {
   return std::any_of(spec.steps.begin(), spec.steps.end(),
                      [](const StepSpec& step) { return step.is_persistent; });
@@ -295,7 +317,7 @@
   const StepSpec& step = job.spec.steps[id.step];
   const Resources reserved = ReservedResources(step);
   worker.active.insert(id);
-  if (job.tasks[index].IsSuspect()) {
+  if (job.IsSuspect(index)) {
     worker.suspects.insert(id);
   }
   if (!job.organisation.empty()) {
@@ -372,11 +394,9 @@
   if (step.is_persistent || job.is_over()) {
     return;
   }
-  const size_t first = step.is_gang ? index - id.index : index;
-  const size_t count = step.is_gang ? step.count : 1;
-  for (size_t member = first; member < first + count; ++member) {
-    if (!job.tasks[member].is_done) {
-      job.tasks[member].is_done = true;
+  for (Task& member : MembersOf(job, index)) {
+    if (!member.is_done) {
+      member.is_done = true;
       --job.tasks_left;
       --job.tasks_left_by_step[id.occurrence * job.spec.steps.size() + id.step];
     }
@@ -403,10 +423,13 @@
   }
 }
 
-// Fails the whole job, unless it has another persistent task that may still run
-// and serve its users.
+// Gives up all tasks of a gang, which cannot work without one of them. Fails
+// the whole job, unless it has another persistent task that may still run and
+// serve its users.
 void Ledger::GiveUpTask(Job& job, size_t index) {
-  job.tasks[index].is_given_up = true;
+  for (Task& member : MembersOf(job, index)) {
+    member.is_given_up = true;
+  }
   bool has_persistent_left = false;
   for (size_t other = 0; job.has_persistent_tasks() && other < job.tasks.size();
        ++other) {
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -209,7 +209,7 @@
       if (IsOverCap(*candidate.job, step)) {
         return;
       }
-      Place* place = FindPlace(candidate, step, index, places->second, {});
+      Place* place = FindPlace(candidate, step, index, places->second);
       if (place == nullptr && IsSuspect(candidate, index)) {
         continue;  // Other tasks of the step may not need an empty worker.
       }
@@ -253,14 +253,24 @@
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
+  // Whether a worker may run other tasks beside the one that is placed.
+  enum class Sharing { kAllowed, kForbidden };
+
   static const Task& TaskOf(const Candidate& candidate, uint32_t index) {
-    const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
-                    index};
-    return candidate.job->tasks[candidate.job->IndexOf(id)];
+    return candidate.job->tasks[IndexOf(candidate, index)];
+  }
+
+  static size_t IndexOf(const Candidate& candidate, uint32_t index) {
+    return candidate.job->IndexOf(
+        {candidate.job->id, candidate.occurrence, candidate.step, index});
   }
 
   static bool IsSuspect(const Candidate& candidate, uint32_t index) {
-    return TaskOf(candidate, index).IsSuspect();
+    return candidate.job->IsSuspect(IndexOf(candidate, index));
+  }
+
+  static bool IsIsolated(const Candidate& candidate, uint32_t index) {
+    return candidate.job->IsIsolated(IndexOf(candidate, index));
   }
 
   // Whether a task of this plan that needs no more found no room in the
@@ -329,7 +339,30 @@
     return (static_cast<uint64_t>(candidate.occurrence) << 32) | candidate.step;
   }
 
-  // Places all members of a gang, on one rack if it asks for that, or none.
+  // The racks to try for a gang, in this order. The empty name stands for any
+  // rack.
+  std::vector<std::string> RacksForGang(
+      const Candidate& candidate,
+      const StepSpec& step,
+      const std::vector<Place>& places) const {
+    if (!step.is_same_rack) {
+      return {""};
+    }
+    std::set<std::string> names;
+    for (const Place& place : places) {
+      names.insert(place.worker->info.rack);
+    }
+    std::vector<std::string> racks(names.rbegin(), names.rend());
+    if (m_input.now - candidate.waiting_since >
+        kDataRackWaitFactor * step.estimate) {
+      racks.emplace_back();
+    }
+    return racks;
+  }
+
+  // Places all members of a gang, on one rack if it asks for that, or none. A
+  // gang with a suspect is tried as a whole: its members share workers on which
+  // no other task is at risk.
   void PlaceGang(const Candidate& candidate,
                  const StepSpec& step,
                  std::vector<Place>& places,
@@ -339,24 +372,62 @@
       return;
     }
     RemoveUnusable(places);
-    std::set<std::string> racks{""};
-    if (step.is_same_rack) {
-      racks.clear();
-      for (const Place& place : places) {
-        racks.insert(place.worker->info.rack);
-      }
-      if (m_input.now - candidate.waiting_since >
-          kDataRackWaitFactor * step.estimate) {
-        racks.insert("");
+    if (!IsSuspect(candidate, 0)) {
+      PlaceMembers(candidate, step, tasks, places, Sharing::kAllowed, out);
+      return;
+    }
+    const bool is_placed =
+        PlaceMembers(candidate, step, tasks, places, Sharing::kForbidden, out);
+    if (!is_placed && MaySuspectGangShare(candidate, step, places)) {
+      PlaceMembers(candidate, step, tasks, places, Sharing::kAllowed, out);
+    }
+  }
+
+  // Whether a gang with a suspect need no longer wait for empty workers.
+  bool MaySuspectGangShare(const Candidate& candidate,
+                           const StepSpec& step,
+                           std::vector<Place>& places) {
+    if (step.is_persistent) {
+      return true;  // A service must not wait for a worker.
+    }
+    const bool has_waited = RecordWaitForEmpty(candidate, step, 0, places,
+                                               WorkersForGang(step, places));
+    return has_waited && !IsIsolated(candidate, 0) &&
+           !IsSuspectUnproven(places);
+  }
+
+  // How many workers take all members of a gang if they are empty.
+  static size_t WorkersForGang(const StepSpec& step,
+                               const std::vector<Place>& places) {
+    const Resources need = ReservedResources(step);
+    const uint32_t limit =
+        step.max_tasks_per_worker > 0 ? step.max_tasks_per_worker : step.count;
+    uint32_t most = 1;  // Members on one worker.
+    for (const Place& place : places) {
+      Resources left = place.worker->info.capacity;
+      uint32_t members = 0;
+      for (; members < limit && Fits(need, left); ++members) {
+        Subtract(left, need);
       }
+      most = std::max(most, members);
     }
-    // The empty name stands for any rack. It sorts first, so that the reverse
-    // order tries it last.
-    for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
+    return (step.count + most - 1) / most;
+  }
+
+  // Places all members of a gang on the first rack that takes them, or none.
+  // Returns whether it did.
+  bool PlaceMembers(const Candidate& candidate,
+                    const StepSpec& step,
+                    const std::vector<uint32_t>& tasks,
+                    std::vector<Place>& places,
+                    Sharing sharing,
+                    std::vector<RunStarted>& out) {
+    for (const std::string& rack : RacksForGang(candidate, step, places)) {
       std::vector<Place> trial = places;
       std::vector<RunStarted> starts;
       for (const uint32_t index : tasks) {
-        Place* place = FindPlace(candidate, step, index, trial, *rack);
+        Place* place =
+            FindPlaceForMember(candidate, step, index, trial, rack, sharing);
         if (place == nullptr) {
           break;
         }
@@ -371,9 +442,29 @@
           Reserve(start, step);
           out.push_back(std::move(start));
         }
-        return;
+        return true;
       }
     }
+    return false;
+  }
+
+  // The best place for a member of a gang; null if there is none. A suspect
+  // goes beside other tasks only where no empty worker is left.
+  Place* FindPlaceForMember(const Candidate& candidate,
+                            const StepSpec& step,
+                            uint32_t index,
+                            std::vector<Place>& places,
+                            const std::string& only_rack,
+                            Sharing sharing) const {
+    Place* empty = IsSuspect(candidate, index)
+                       ? FindCheapestPlace(candidate, step, index, places,
+                                           only_rack, Sharing::kForbidden)
+                       : nullptr;
+    if (empty != nullptr || sharing == Sharing::kForbidden) {
+      return empty;
+    }
+    return FindCheapestPlace(candidate, step, index, places, only_rack,
+                             sharing);
   }
 
   /// Counts the tasks of the candidate's step on a worker: active, reserved,
@@ -413,19 +504,14 @@
            task.failures + 1 >= candidate.queue->max_attempts;
   }
 
-  // Whether a worker may run other tasks beside the one that is placed.
-  enum class Sharing { kAllowed, kForbidden };
-
   // The best place for a task, with the rules for suspects; null if there is
   // none, or if the task is to wait for an empty worker.
   Place* FindPlace(const Candidate& candidate,
                    const StepSpec& step,
                    uint32_t index,
-                   std::vector<Place>& places,
-                   const std::string& only_rack) {
+                   std::vector<Place>& places) {
     const auto find = [&](Sharing sharing) {
-      return FindCheapestPlace(candidate, step, index, places, only_rack,
-                               sharing);
+      return FindCheapestPlace(candidate, step, index, places, {}, sharing);
     };
     if (!IsSuspect(candidate, index)) {
       return find(Sharing::kAllowed);
@@ -439,8 +525,9 @@
     if (step.is_persistent) {
       return find(Sharing::kAllowed);  // A service must not wait for a worker.
     }
-    const bool has_waited = RecordWaitForEmpty(candidate, step, index, places);
-    if (!has_waited || TaskOf(candidate, index).IsIsolated()) {
+    const bool has_waited =
+        RecordWaitForEmpty(candidate, step, index, places, 1);
+    if (!has_waited || IsIsolated(candidate, index)) {
       return nullptr;
     }
     return IsSuspectUnproven(places) ? nullptr : find(Sharing::kAllowed);
@@ -492,13 +579,20 @@
     return has_empty;
   }
 
-  // Records that a suspect waits for an empty worker. Returns whether it need
-  // wait no longer: it has waited for long enough, or no worker can become
-  // empty.
+  // Whether this plan puts other members of the candidate's gang on a worker.
+  static bool IsTakenByGang(const Candidate& candidate, const Place& place) {
+    return !place.planned.empty() &&
+           place.planned.contains({candidate.job, StepKey(candidate)});
+  }
+
+  // Records that a suspect, or a gang with one, waits for so many empty
+  // workers. Returns whether it need wait no longer: it has waited for long
+  // enough, or no worker can become empty.
   bool RecordWaitForEmpty(const Candidate& candidate,
                           const StepSpec& step,
                           uint32_t index,
-                          std::vector<Place>& places) {
+                          std::vector<Place>& places,
+                          size_t workers) {
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
     const auto before = m_planner.m_previous_suspect_waits.find(id);
@@ -506,27 +600,41 @@
                                  ? m_input.now
                                  : before->second;
     m_planner.m_suspect_waits[id] = since;
-    return !CordonWorkers(candidate, step, places) ||
+    return !CordonWorkers(candidate, step, index, places, workers) ||
            m_input.now - since > kMaxWaitForEmptyWorker;
   }
 
-  // Cordons one more worker of the service if the number of waiting suspects
-  // calls for it: one that was cordoned by the last plan if possible, else the
-  // one with the fewest persistent runs, then the fewest runs. Returns false if
-  // none is cordoned and none can be.
+  // Cordons up to `workers` more workers of the service, as far as the number
+  // of waiting suspects calls for it. Returns false if none is cordoned and
+  // none can be.
   bool CordonWorkers(const Candidate& candidate,
                      const StepSpec& step,
-                     std::vector<Place>& places) {
+                     uint32_t index,
+                     std::vector<Place>& places,
+                     size_t workers) {
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
-    std::set<std::string>& cordoned = m_planner.m_cordoned[service];
-    const size_t waiting = ++m_waiting_suspects[service];
+    const std::set<std::string>& cordoned = m_planner.m_cordoned[service];
+    size_t& waiting = m_waiting_suspects[service];
+    waiting += 1 + (workers - 1) * kSuspectsPerCordonedWorker;
+    // An isolated gang never shares a worker, so it gets all that it needs.
     const size_t most =
-        std::max<size_t>(1, places.size() / kWorkersPerCordonedWorker);
+        std::max({size_t{1}, places.size() / kWorkersPerCordonedWorker,
+                  IsIsolated(candidate, index) ? workers : 0});
     const size_t wanted =
         std::min(most, 1 + waiting / kSuspectsPerCordonedWorker);
-    if (cordoned.size() >= wanted) {
-      return true;
+    for (size_t more = 0; more < workers && cordoned.size() < wanted; ++more) {
+      CordonWorker(service, step, places);
     }
+    return !cordoned.empty();
+  }
+
+  // Cordons one more worker of the service: one that was cordoned by the last
+  // plan if possible, else the one with the fewest persistent runs, then the
+  // fewest runs.
+  void CordonWorker(const std::string& service,
+                    const StepSpec& step,
+                    std::vector<Place>& places) {
+    std::set<std::string>& cordoned = m_planner.m_cordoned[service];
     const std::set<std::string>& before =
         CordonedFor(m_planner.m_previously_cordoned, service);
     const auto was_cordoned = [&before](const Place& place) {
@@ -553,7 +661,6 @@
     if (best != nullptr) {
       cordoned.insert(best->worker->info.id);
     }
-    return !cordoned.empty();
   }
 
   // Whether a suspect has a reservation on a worker, or this plan puts one
@@ -585,7 +692,7 @@
     const Task& task = TaskOf(candidate, index);
     const std::string& service = m_input.ledger.ServiceOf(*candidate.job);
     // Looked up once rather than for each place.
-    const bool avoids_cordoned = !task.IsSuspect();
+    const bool avoids_cordoned = !IsSuspect(candidate, index);
     const auto& cordoned = CordonedFor(m_planner.m_cordoned, service);
     const auto& before = CordonedFor(m_planner.m_previously_cordoned, service);
     const auto is_held = [&](const Place& place) {
@@ -594,7 +701,12 @@
       return (avoids_cordoned && is_cordoned) || HasNewSuspect(place);
     };
     const bool is_alone = sharing == Sharing::kForbidden;
-    const bool is_isolated = task.IsIsolated() && !step.is_persistent;
+    const bool is_isolated =
+        IsIsolated(candidate, index) && !step.is_persistent;
+    const auto is_empty = [&](Place& place) {
+      return IsTakenByGang(candidate, place) ||
+             IsFreeForSuspect(place, is_isolated);
+    };
     const bool waits_for_data =
         m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waiting_since <
@@ -616,7 +728,7 @@
       if (!Fits(room, place.room) || !MatchesLabel(info, step.required_label) ||
           (!only_rack.empty() && info.rack != only_rack) ||
           (is_other_rack && waits_for_data) ||
-          (is_alone ? !IsFreeForSuspect(place, is_isolated) : is_held(place))) {
+          (is_alone ? !is_empty(place) : is_held(place))) {
         continue;
       }
       double cost = is_other_rack ? kOtherRackCost : 0;
@@ -704,7 +816,7 @@
     if (!job.organisation.empty()) {
       Add(m_planner.m_reserved_of_cap[job.organisation], step.need);
     }
-    if (job.tasks[job.IndexOf(start.task)].IsSuspect()) {
+    if (job.IsSuspect(job.IndexOf(start.task))) {
       m_planner.m_reserved_suspects[start.worker].insert(start.task);
     }
   }
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -81,6 +81,38 @@
   CHECK(later.at("a") == Suspicion::kSole);
 }
 
+LostRun RunOfGang(const std::string& job, uint32_t index) {
+  LostRun run{{job, 0, 0, index}, true, Millis(0), Millis(20), true};
+  run.is_in_gang = true;
+  return run;
+}
+
+TEST_CASE("Crash, only runs of one gang, they count as a single run") {
+  std::vector<LostRun> runs{RunOfGang("gang", 0), RunOfGang("gang", 1)};
+  CHECK(Assess(runs).at("gang") == Suspicion::kPrompt);
+  for (LostRun& run : runs) {
+    run.max_time_since_start = Millis(400);
+  }
+  CHECK(Assess(runs).at("gang") == Suspicion::kSole);
+}
+
+TEST_CASE("Crash, gang beside another new run, both are only suspected") {
+  LostRun other{TaskOfJob("other"), true, Millis(0), Millis(20), true};
+  auto assessed = Assess({RunOfGang("gang", 0), RunOfGang("gang", 1), other});
+  CHECK(assessed.at("gang") == Suspicion::kSuspect);
+  CHECK(assessed.at("other") == Suspicion::kSuspect);
+  other.has_started = false;
+  assessed = Assess({RunOfGang("gang", 0), RunOfGang("gang", 1), other});
+  CHECK(assessed.at("gang") == Suspicion::kSuspect);
+}
+
+TEST_CASE("Crash, gang beside an observed run, explains a prompt crash") {
+  const auto assessed = Assess({RunOfGang("gang", 0), RunOfGang("gang", 1),
+                                RunObservedFor("older", Millis(900))});
+  CHECK(assessed.at("gang") == Suspicion::kPrompt);
+  CHECK(assessed.at("older") == Suspicion::kBystander);
+}
+
 TEST_CASE("Crash, other runs cannot have started, the run is the sole one") {
   const auto assessed =
       Assess({{TaskOfJob("a"), true, Millis(0), Millis::max(), true},
@@ -236,6 +268,27 @@
   CHECK(TaskOf("a").crashed == std::vector<std::string>{"w1", "w2", "w3"});
 }
 
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Ledger, member of a persistent gang is given up, the whole "
+                  "gang is") {
+  JobSpec spec;
+  StepSpec step;
+  step.count = 2;
+  step.need = {1'000, 500, 0};
+  step.is_gang = true;
+  step.is_persistent = true;
+  spec.steps.push_back(step);
+  ledger.Apply(JobAccepted{"gang", "quotes", "teklif", WallTime(), spec});
+  for (uint32_t run = 1; run <= kMaxCrashesPerTask; ++run) {
+    CHECK(ledger.FindJob("gang")->state != JobState::kFailed);
+    const std::string worker = "worker-" + std::to_string(run);
+    AddWorker(worker);
+    Crash("gang", run, worker, Suspicion::kSuspect);
+  }
+  CHECK(ledger.FindJob("gang")->state == JobState::kFailed);
+  CHECK(ledger.FindJob("gang")->tasks[1].is_given_up);
+}
+
 TEST_CASE_FIXTURE(CrashLedgerFixture,
                   "Ledger, task is cleared by a crash, earlier crashes are "
                   "dropped") {
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/planner.h"
@@ -634,5 +635,204 @@
   CHECK(CountOf(starts, "rush") == 2);
 }
 
+// Large workers, and a gang that is lost with some of them.
+class SuspectGangFixture : public PlannerFixture {
+ protected:
+  void AddLargeWorkers(int count) {
+    for (int worker = 1; worker <= count; ++worker) {
+      AddLargeWorker("w" + std::to_string(worker));
+    }
+  }
+
+  void AddLargeWorker(const std::string& id) {
+    WorkerInfo info;
+    info.id = id;
+    info.service = "teklif";
+    info.capacity = {32'000, 64'000, 0};
+    ledger.Apply(WorkerSeen{info});
+    statuses[id] = {true, false};
+  }
+
+  static StepSpec Tasks(uint32_t count, int64_t millicores) {
+    StepSpec step = Step(count);
+    step.need = {millicores, 500, 0};
+    return step;
+  }
+
+  static StepSpec Gang(uint32_t count, int64_t millicores) {
+    StepSpec gang = Tasks(count, millicores);
+    gang.is_gang = true;
+    return gang;
+  }
+
+  /// Crashes a worker and adds a new one for it; the members of a gang that run
+  /// elsewhere end with it.
+  void Crash(const std::string& worker) {
+    WorkerCrashed crash{worker, {}};
+    for (const TaskId& task : ledger.FindWorker(worker)->active) {
+      crash.suspects.push_back({task, Suspicion::kSuspect});
+    }
+    ledger.Apply(crash);
+    ledger.Apply(IncarnationEnded{worker, WallTime()});
+    EndRuns("gang", RunEnd::kStopped);
+    AddLargeWorker(worker + "'");
+  }
+
+  void EndRuns(const std::string& job, RunEnd end) {
+    const Job& of = *ledger.FindJob(job);
+    for (size_t index = 0; index < of.tasks.size(); ++index) {
+      const std::vector<ActiveRun> runs = of.tasks[index].active;
+      for (const ActiveRun& run : runs) {
+        ledger.Apply(RunEnded{of.IdOf(index), run.run, run.worker, end, {}});
+      }
+    }
+  }
+
+  std::set<std::string> WorkersOf(const std::string& job) const {
+    std::set<std::string> workers;
+    for (const Task& task : ledger.FindJob(job)->tasks) {
+      for (const ActiveRun& run : task.active) {
+        workers.insert(run.worker);
+      }
+    }
+    return workers;
+  }
+
+  /// Starts a task of another job on each worker.
+  void FillWithBystanders(int64_t millicores) {
+    Accept("bystanders",
+           Tasks(static_cast<uint32_t>(ledger.workers().size()), millicores));
+    uint32_t index = 0;
+    for (const auto& [id, worker] : ledger.workers()) {
+      ledger.Apply(RunStarted{{"bystanders", 0, 0, index++}, 1, id});
+    }
+  }
+};
+
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, gang lost with its worker, starts again at once on "
+                  "one empty worker") {
+  AddLargeWorkers(9);
+  Accept("gang", Gang(16, 2'000));
+  Commit(Plan());
+  REQUIRE(WorkersOf("gang").size() == 1);
+  Crash(*WorkersOf("gang").begin());
+  const std::vector<RunStarted> starts = Plan();
+  CHECK(starts.size() == 16);
+  Commit(starts);
+  CHECK(WorkersOf("gang").size() == 1);
+}
+
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, gang lost on one of three workers, starts again at "
+                  "once") {
+  AddLargeWorkers(3);
+  Accept("gang", Gang(4, 9'000));
+  Commit(Plan());
+  REQUIRE(WorkersOf("gang").size() == 2);
+  Crash(ledger.FindJob("gang")->tasks[0].active[0].worker);
+  CHECK(Plan().size() == 4);
+}
+
+TEST_CASE_FIXTURE(
+    SuspectGangFixture,
+    "Planner, suspect gang, starts beside no task of another job") {
+  AddLargeWorkers(3);
+  Accept("gang", Gang(4, 9'000));
+  Commit(Plan());
+  Crash(*WorkersOf("gang").begin());
+  // The smaller one fits on every worker beside the gang.
+  Accept("other", Tasks(1, 1'000));
+  first_seen_at["other"] = now - Millis(100);
+  Commit(Plan());
+  REQUIRE(WorkersOf("gang").size() == 2);
+  for (const std::string& worker : WorkersOf("other")) {
+    CHECK_FALSE(WorkersOf("gang").contains(worker));
+  }
+}
+
+// One member was lost, the other ran on a worker that did not crash.
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, one member is a suspect, nothing is put beside the "
+                  "others either") {
+  AddLargeWorkers(2);
+  Accept("gang", Gang(2, 20'000));
+  Commit(Plan());
+  Crash("w1");
+  const std::vector<RunStarted> starts = Plan();
+  REQUIRE(starts.size() == 2);
+  Accept("other", Tasks(4, 1'000));
+  CHECK(Plan().empty());  // While the starts are being committed.
+  Commit(starts);
+  for (const auto& [id, worker] : ledger.workers()) {
+    CHECK(worker.suspects.size() == 1);
+  }
+}
+
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, no worker is empty, suspect gang waits two seconds "
+                  "and starts beside others") {
+  AddLargeWorkers(6);
+  Accept("gang", Gang(16, 2'000));
+  Commit(Plan());
+  Crash(*WorkersOf("gang").begin());
+  FillWithBystanders(16'000);
+  CHECK(Plan().empty());
+  now += Millis(1'900);
+  CHECK(Plan().empty());
+  now += Millis(200);
+  CHECK(Plan().size() == 16);
+}
+
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, a suspect is being tried, gang does not start "
+                  "beside others") {
+  AddLargeWorkers(6);
+  Accept("gang", Gang(16, 2'000));
+  Commit(Plan());
+  const std::string crashed = *WorkersOf("gang").begin();
+  Crash(crashed);
+  FillWithBystanders(16'000);
+  Accept("suspect", Step(1));
+  const std::string first = crashed == "w1" ? "w2" : "w1";
+  const std::string second = crashed == "w3" ? "w4" : "w3";
+  const TaskId suspect{"suspect", 0, 0, 0};
+  ledger.Apply(RunStarted{suspect, 1, first});
+  ledger.Apply(WorkerCrashed{first, {{suspect, Suspicion::kSuspect}}});
+  ledger.Apply(RunEnded{suspect, 1, first, RunEnd::kLapsed, {}});
+  ledger.Apply(RunStarted{suspect, 2, second});
+  statuses[second].is_quarantined = true;
+  CHECK(Plan().empty());
+  now += Millis(2'100);
+  CHECK(Plan().empty());
+  statuses[second].is_quarantined = false;
+  CHECK(Plan().size() == 16);
+}
+
+TEST_CASE_FIXTURE(SuspectGangFixture,
+                  "Planner, gang with three crashes, gets as many emptied "
+                  "workers as it needs") {
+  AddLargeWorkers(3);
+  Accept("gang", Gang(4, 10'000));
+  for (int crash = 0; crash < 3; ++crash) {
+    Commit(Plan());
+    REQUIRE_FALSE(WorkersOf("gang").empty());
+    Crash(ledger.FindJob("gang")->tasks[0].active[0].worker);
+  }
+  FillWithBystanders(16'000);
+  CHECK(Plan().empty());
+  now += Millis(10'000);
+  CHECK(Plan().empty());
+  Accept("more", Tasks(9, 8'000));
+  // Two workers are held for the gang, the third takes two more tasks.
+  Commit(Plan());
+  CHECK(WorkersOf("more").size() == 1);
+  EndRuns("bystanders", RunEnd::kDone);
+  const std::vector<RunStarted> starts = Plan();
+  CHECK(std::count_if(starts.begin(), starts.end(), [](const auto& start) {
+          return start.task.job == "gang";
+        }) == 4);
+}
+
 }  // namespace
 }  // namespace laurelhall::scheduling
