Storage: a store that failed can be opened again

Cause: a store refused everything after its first failed write, sync or rename, for as long as its object lived, and nothing but a new process could read the folder again.

Change: LogStore::Reopen() closes the files, recovers the folder by the code that a start uses, and goes on; it refuses a folder that no longer holds this host's identity, before it writes anything there. StoreInUseError tells a folder that another process holds.

Ruled out: to sync the same descriptor again, as a failed sync has lost its pages.

The check that a second opener is refused now asks for StoreInUseError, a kind of StoreFailedError: stricter than before.

Before: no way to open it.

--- a/packages/storage/include/laurelhall/storage/log_store.h
+++ b/packages/storage/include/laurelhall/storage/log_store.h
@@ -16,11 +16,17 @@
   using std::runtime_error::runtime_error;
 };
 
-/// A write or sync failed; the store takes nothing more (pages may be lost).
+/// A write or sync failed; the store takes nothing more (pages may be lost)
+/// until it is opened again.
 class StoreFailedError : public std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
+/// Another process holds the folder.
+class StoreInUseError : public StoreFailedError {
+  using StoreFailedError::StoreFailedError;
+};
+
 /// Where the store writes, replaceable so that tests bring faults about.
 class FileSystem;
 
@@ -32,6 +38,9 @@
   std::optional<consensus::Snapshot> snapshot;
   std::vector<consensus::Entry> entries;  ///< After the snapshot.
   uint64_t torn_bytes = 0;                ///< Cut off the tail after a crash.
+
+  /// Where the log ends: at its last entry, else at the snapshot, else at zero.
+  consensus::EntryPosition last() const;
 };
 
 struct LogStoreInit {
@@ -44,16 +53,26 @@
 /// The durable half of a control host: log segments, hard state, snapshots.
 ///
 /// @remarks Not thread-safe: one thread writes. After a StoreFailedError each
-///   further call throws it again. A lock file keeps a second process out.
+///   further call throws it again, until Reopen() succeeds. A lock file keeps a
+///   second process out.
 class LogStore {
  public:
   /// Opens or creates the folder and recovers what is in it.
   ///
   /// @throws CorruptionError naming file and offset; StoreFailedError when
-  ///   the folder cannot be used or another process holds it.
+  ///   the folder cannot be used; StoreInUseError when another process holds
+  ///   it.
   explicit LogStore(const LogStoreInit& init);
   ~LogStore();
 
+  /// Closes all files and recovers what the folder holds, as a new process
+  /// would; what was buffered or failed to sync counts only if it is found.
+  ///
+  /// @returns What was recovered; TakeRecovered() has nothing more.
+  /// @throws StoreFailedError while the disk refuses, CorruptionError also when
+  ///   the folder lost its identity. The store stays failed then.
+  Recovered Reopen();
+
   /// What was recovered; valid until TakeRecovered() moves it out.
   Recovered TakeRecovered();
 
--- a/packages/storage/src/log_store.cc
+++ b/packages/storage/src/log_store.cc
@@ -33,6 +33,15 @@
 
 }  // namespace
 
+consensus::EntryPosition Recovered::last() const {
+  if (!entries.empty()) {
+    return {entries.back().index, entries.back().term};
+  }
+  return snapshot ? consensus::EntryPosition{snapshot->meta.index,
+                                             snapshot->meta.term}
+                  : consensus::EntryPosition{};
+}
+
 class LogStore::Impl {
  public:
   explicit Impl(const LogStoreInit& init)
@@ -43,7 +52,21 @@
         m_snapshots(m_files, m_folder) {
     m_files.CreateFolder(m_folder);
     m_lock = m_files.Lock(m_folder / kLockFile);
-    Recover(MakeIdentity(init.identity_seed));
+    Adopt(Recovery(m_files, m_folder).Run(MakeIdentity(init.identity_seed)));
+  }
+
+  Recovered Reopen() {
+    m_failure = "storage failed: it is not open again";
+    m_file.reset();
+    m_buffer.Clear();
+    RecoveryResult result = Recovery(m_files, m_folder).Run({});
+    if (result.recovered.identity != m_identity) {
+      throw CorruptionError(m_folder.string() +
+                            ": the folder no longer holds this identity");
+    }
+    Adopt(std::move(result));
+    m_failure.clear();
+    return TakeRecovered();
   }
 
   Recovered TakeRecovered() { return std::move(m_recovered); }
@@ -101,8 +124,7 @@
   }
 
  private:
-  void Recover(consensus::NodeId new_identity) {
-    RecoveryResult result = Recovery(m_files, m_folder).Run(new_identity);
+  void Adopt(RecoveryResult result) {
     m_recovered = std::move(result.recovered);
     m_identity = m_recovered.identity;
     m_positions = std::move(result.positions);
@@ -110,9 +132,8 @@
     m_next_sequence = result.highest_sequence + 1;
     m_hard_state = m_recovered.hard_state;
     m_snapshot_bytes = m_snapshots.disk_bytes();
-    if (m_recovered.snapshot) {
-      m_snapshot_index = m_recovered.snapshot->meta.index;
-    }
+    m_snapshot_index =
+        m_recovered.snapshot ? m_recovered.snapshot->meta.index : 0;
     MarkSynced();
     const bool is_last_empty = !m_segments.empty() && !result.is_log_reset &&
                                m_segments.back().bytes == kSegmentHeaderBytes;
@@ -269,6 +290,9 @@
   try {
     m_impl = std::make_unique<Impl>(init);
   } catch (const std::system_error& error) {
+    if (error.code() == std::errc::resource_unavailable_try_again) {
+      throw StoreInUseError(std::string("storage is in use: ") + error.what());
+    }
     throw StoreFailedError(std::string("storage cannot be used: ") +
                            error.what());
   }
@@ -276,6 +300,15 @@
 
 LogStore::~LogStore() = default;
 
+Recovered LogStore::Reopen() {
+  try {
+    return m_impl->Reopen();
+  } catch (const std::system_error& error) {
+    throw StoreFailedError(std::string("storage cannot be opened again: ") +
+                           error.what());
+  }
+}
+
 Recovered LogStore::TakeRecovered() {
   return m_impl->TakeRecovered();
 }
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -327,6 +327,62 @@
   CHECK(recovered.torn_bytes == 200);
 }
 
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, disk refuses for a while, reopened once it takes "
+                  "writes") {
+  auto store = Open();
+  const consensus::NodeId identity = store->TakeRecovered().identity;
+  Fill(*store, 1, 3);
+  store->SaveHardState({3, {7}, 2});
+  store->Sync();
+  m_files.LimitSpace(200);
+  store->SaveHardState({4, {8}, 2});
+  store->Append({MakeEntry(4, 5000)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  m_files.LimitSpace(0);
+  CHECK_THROWS_AS(store->Reopen(), StoreFailedError);
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  m_files.ClearFaults();
+  const Recovered recovered = store->Reopen();
+  CHECK(recovered.identity == identity);
+  CHECK_FALSE(recovered.is_new);
+  const consensus::HardState voted{3, {7}, 2};
+  CHECK(recovered.hard_state == voted);
+  CHECK(recovered.entries.size() == 3);
+  Fill(*store, 4, 6);
+  store.reset();
+  CHECK(Open()->TakeRecovered().entries.size() == 6);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, sync lost pages, reopened, what it returns "
+                  "survives a crash") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  m_files.FailSync(1);
+  store->Append({MakeEntry(4, 5000)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  const size_t entries = store->Reopen().entries.size();
+  store.reset();
+  m_files.Crash();
+  CHECK(Open()->TakeRecovered().entries.size() == entries);
+}
+
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, folder emptied under it, not reopened as new") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  m_files.FailSync(1);
+  store->Append({MakeEntry(4, 10)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  for (const std::string& file : m_files.List(kFolder)) {
+    m_files.Remove(std::filesystem::path(kFolder) / file);
+  }
+  CHECK_THROWS_AS(store->Reopen(), CorruptionError);
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  CHECK(m_files.List(kFolder).empty());
+}
+
 TEST_CASE_FIXTURE(DamageFixture, "LogStore, entry out of order, refused") {
   auto store = Open();
   Fill(*store, 1, 3);
@@ -358,7 +414,7 @@
     identity = recovered.identity;
     DamageFixture::Fill(store, 1, 5);
     store.SaveSnapshot(MakeSnapshot(3));
-    CHECK_THROWS_AS(LogStore{m_init}, StoreFailedError);
+    CHECK_THROWS_AS(LogStore{m_init}, StoreInUseError);
   }
   const Recovered recovered = LogStore(m_init).TakeRecovered();
   CHECK_FALSE(recovered.is_new);
--- a/packages/storage/tests/log_store_model_test.cc
+++ b/packages/storage/tests/log_store_model_test.cc
@@ -59,12 +59,17 @@
   return state;
 }
 
+/// What follows a failed call while the process lives on.
+enum class AfterFailure { kRestart, kReopen };
+
 /// One run: random calls, faults and crashes, each recovery compared with
 /// the states that the model allows.
 class Schedule {
  public:
-  Schedule(uint64_t seed, FaultMutations mutations)
-      : m_random(seed), m_files(seed * 7 + 1) {
+  Schedule(uint64_t seed,
+           FaultMutations mutations,
+           AfterFailure after_failure = AfterFailure::kRestart)
+      : m_random(seed), m_files(seed * 7 + 1), m_after_failure(after_failure) {
     m_files.mutations() = mutations;
     m_seed = seed;
   }
@@ -83,6 +88,7 @@
   }
 
   int recoveries() const { return m_recoveries; }
+  int reopenings() const { return m_reopenings; }
 
  private:
   uint64_t Pick(uint64_t bound) { return m_random() % bound; }
@@ -92,16 +98,32 @@
       ArmFault();
     }
     try {
-      if (m_store) {
+      if (m_is_failed) {
+        Reopen();
+      } else if (m_store) {
         Act();
       } else {
         Open();
       }
     } catch (const StoreFailedError&) {
       CheckStaysFailed();
-      m_store.reset();
-      CrashOrRestart();
+      m_is_failed = m_store != nullptr && !m_is_power_lost &&
+                    m_after_failure == AfterFailure::kReopen;
+      if (!m_is_failed) {
+        m_store.reset();
+        CrashOrRestart();
+      }
+    }
+  }
+
+  /// The disk may still refuse.
+  void Reopen() {
+    if (Pick(3) == 0) {
+      m_files.ClearFaults();
     }
+    CheckRecovered(m_store->Reopen());
+    m_is_failed = false;
+    ++m_reopenings;
   }
 
   void ArmFault() {
@@ -279,7 +301,10 @@
   std::vector<ModelState> m_history{ModelState{}};  // From the last sync on.
   consensus::Term m_term = 1;
   bool m_is_power_lost = false;
+  const AfterFailure m_after_failure;
+  bool m_is_failed = false;  // And to be opened again.
   int m_recoveries = 0;
+  int m_reopenings = 0;
   std::string m_wrong;
 };
 
@@ -311,6 +336,20 @@
   MESSAGE("schedules: " << SeedCount() << ", recoveries: " << recoveries);
 }
 
+TEST_CASE_FIXTURE(QuietFixture,
+                  "LogStore, seeded faults and reopenings, recovers a synced "
+                  "prefix") {
+  int reopenings = 0;
+  for (int seed = 1; seed <= SeedCount(); ++seed) {
+    CAPTURE(seed);
+    Schedule schedule(seed, {}, AfterFailure::kReopen);
+    CHECK(schedule.Run() == "");
+    reopenings += schedule.reopenings();
+  }
+  MESSAGE("schedules: " << SeedCount() << ", reopenings: " << reopenings);
+  CHECK(reopenings > 0);
+}
+
 TEST_CASE_FIXTURE(QuietFixture,
                   "LogStore, file syncs skipped, the schedules find it") {
   FaultMutations mutations;
