Control: a host whose disk refused writes takes its place again

Cause: HostLoop::Fail dropped the consensus node for the rest of the process's life at the first failed write; the daemon only logged it.

What callers saw: each moment in which a disk refused writes took one control host out of the quorum for good. After three of them in turn, two of five voted, and nothing was accepted, started or answered any more.

Change: a store that failed takes its host out of the quorum at once, as before, and is opened again after 0.7 s and then every 1 to 2.5 s. The node is made anew of what the disk holds, by the code that the start uses. Damaged bytes and failures of the state machine still take the host out for good. Operators see laurelhall_control_store_failures_total, and store_unfit from the third failure in ten minutes on or once one lasts a minute.

Before: a control host lost for each such moment.

--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -48,8 +48,8 @@
   bool guards_zones = true;
   /// Runs beside the log; null: none. Outlives the host.
   scheduling::LogService* schedule = nullptr;
-  /// Told once when the store has failed and the host votes no more; called
-  /// on the host's loop, must not block.
+  /// Told each time that the host leaves the quorum because its store failed;
+  /// called on the host's loop, must not block.
   std::function<void(const std::string&)> on_store_failed;
 };
 
@@ -66,6 +66,7 @@
   uint64_t commits = 0;   ///< Entries applied.
   uint64_t commands = 0;  ///< Commands in groups proposed here.
   uint64_t disk_syncs = 0;
+  uint64_t store_failures = 0;  ///< Times that the open store failed.
   DurationCounts sync_times;    ///< Of the disk, from a batch's write on.
   DurationCounts commit_times;  ///< Leader: from a proposal to its results.
   DurationCounts tick_lags;     ///< By how much the loop's ticks came late.
@@ -82,7 +83,8 @@
   consensus::Status consensus;
   uint64_t applied = 0;
   uint64_t disk_bytes = 0;
-  bool is_store_failed = false;
+  bool is_store_failed = false;  ///< Out of the quorum until it is open again.
+  bool is_store_unfit = false;   ///< The disk fails too often or for too long.
   std::string leader_name;
   std::string leader_address;
   bool is_waiting = false;  ///< Not a member of any membership known to it.
--- a/packages/control/src/applier.cc
+++ b/packages/control/src/applier.cc
@@ -1,5 +1,6 @@
 #include "applier_p.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace laurelhall::control {
@@ -66,6 +67,16 @@
   Start();
 }
 
+void Applier::DropUninstalled() {
+  const auto first = std::find_if(
+      m_items.begin(), m_items.end(),
+      [](const Item& item) { return item.snapshot && !item.is_installed; });
+  for (auto item = first; item != m_items.end(); ++item) {
+    m_backlog_bytes -= BytesOf(item->entries);
+  }
+  m_items.erase(first, m_items.end());
+}
+
 Applier::Item Applier::TakeNext() {
   Item item = std::move(m_items.front());
   m_items.pop_front();
@@ -89,28 +100,37 @@
   }
   m_is_busy = true;
   auto item = std::make_shared<Item>(TakeNext());
-  m_thread.TryPost(
-      [item, this, mailbox = m_loop.mailbox, &machine = m_machine] {
-        auto outcome = std::make_shared<Outcome>(Apply(machine, *item));
-        mailbox->Post([outcome, this] { Done(std::move(*outcome)); });
-      });
+  m_thread.TryPost([item, this, mailbox = m_loop.mailbox, &machine = m_machine,
+                    applied = m_applied] {
+    auto outcome = std::make_shared<Outcome>(Apply(machine, *item, applied));
+    mailbox->Post([outcome, this] { Done(std::move(*outcome)); });
+  });
 }
 
-Applier::Outcome Applier::Apply(state::Machine& machine, const Item& item) {
+Applier::Outcome Applier::Apply(state::Machine& machine,
+                                const Item& item,
+                                consensus::Index applied) {
   Outcome outcome;
+  outcome.applied = applied;
   try {
+    if (item.snapshot && item.snapshot->meta.index <= applied) {
+      return outcome;
+    }
     if (item.snapshot) {
       machine.Load(item.snapshot->data);
       outcome.applied = item.snapshot->meta.index;
       return outcome;
     }
     for (const consensus::Entry& entry : item.entries) {
-      AppliedEntry applied{{entry.index, entry.term}, {}};
+      if (entry.index <= outcome.applied) {
+        continue;
+      }
+      AppliedEntry done{{entry.index, entry.term}, {}};
       if (entry.kind == consensus::EntryKind::kCommand) {
-        applied.results = machine.Apply(entry.index, entry.payload);
+        done.results = machine.Apply(entry.index, entry.payload);
       }
       outcome.applied = entry.index;
-      outcome.entries.push_back(std::move(applied));
+      outcome.entries.push_back(std::move(done));
     }
     if (item.is_save_due) {
       outcome.saved = std::make_unique<std::string>(machine.Save());
--- a/packages/control/src/applier_p.h
+++ b/packages/control/src/applier_p.h
@@ -41,7 +41,7 @@
           uint64_t snapshot_every,
           Events events);
 
-  /// Queues committed entries.
+  /// Queues committed entries; those that are applied already are passed over.
   void Add(std::vector<consensus::Entry> entries);
 
   /// Queues a received snapshot; what follows waits until Installed().
@@ -50,6 +50,10 @@
   /// The oldest queued snapshot is durable and may be loaded.
   void Installed();
 
+  /// Forgets snapshots that were not installed, with all that follows: the log
+  /// goes on from what the disk holds.
+  void DropUninstalled();
+
   consensus::Index applied() const { return m_applied; }
   uint64_t backlog_bytes() const { return m_backlog_bytes; }
 
@@ -67,7 +71,9 @@
     std::string error;
   };
 
-  static Outcome Apply(state::Machine& machine, const Item& item);
+  static Outcome Apply(state::Machine& machine,
+                       const Item& item,
+                       consensus::Index applied);
   Item TakeNext();
   void Start();
   void Done(Outcome outcome);
--- a/packages/control/src/disk_writer.cc
+++ b/packages/control/src/disk_writer.cc
@@ -94,6 +94,14 @@
   }
 }
 
+void DiskWriter::Resume(consensus::EntryPosition last,
+                        const consensus::HardState& hard_state) {
+  m_pending = DiskBatch();
+  m_last = last;
+  m_offered = hard_state;
+  m_is_failed = false;
+}
+
 void DiskWriter::Start() {
   DiskBatch batch = std::exchange(m_pending, DiskBatch());
   batch.last = m_last;
--- a/packages/control/src/disk_writer_p.h
+++ b/packages/control/src/disk_writer_p.h
@@ -59,6 +59,13 @@
   /// Saves a snapshot of this host's own state.
   void SaveSnapshot(consensus::Snapshot snapshot);
 
+  /// Goes on after a failure, once the store is open again.
+  ///
+  /// @param last Of the log that was recovered.
+  /// @pre What was given before is given up.
+  void Resume(consensus::EntryPosition last,
+              const consensus::HardState& hard_state);
+
   /// Whether a sync is under way.
   bool is_busy() const { return m_is_busy; }
 
--- a/packages/control/src/host_join.cc
+++ b/packages/control/src/host_join.cc
@@ -35,7 +35,7 @@
 }
 
 bool HostLoop::IsWaiting() const {
-  return !m_is_failed && !m_is_adopting && m_status.last == 0 &&
+  return !IsOut() && !m_is_adopting && m_status.last == 0 &&
          !m_status.membership.members.contains(m_self);
 }
 
--- a/packages/control/src/host_loop.cc
+++ b/packages/control/src/host_loop.cc
@@ -41,6 +41,16 @@
   return hello;
 }
 
+std::optional<consensus::Membership> FirstMembership(
+    const std::vector<consensus::Entry>& entries) {
+  const bool is_first =
+      !entries.empty() && entries.front().index == 1 &&
+      entries.front().kind == consensus::EntryKind::kMembership;
+  return is_first ? std::optional(
+                        consensus::DecodeMembership(entries.front().payload))
+                  : std::nullopt;
+}
+
 }  // namespace
 
 HostParts::HostParts(const ControlHostInit& host_init,
@@ -67,7 +77,6 @@
       m_parts(parts),
       m_address(std::move(address)),
       m_self(recovered.identity),
-      m_recovered_hard_state(recovered.hard_state),
       m_peers(m_loop,
               MakeEnvelope(parts.init, m_address),
               parts.init.filter,
@@ -80,31 +89,19 @@
         return m_node && m_node->RequestRead(context, Now());
       }),
       m_bootstrap(BootstrapSelf(parts.init, m_self), parts.init.first_members),
+      m_retry(m_self.value),
       m_tasks(*this) {
-  consensus::NodeInit init = NodeDefaults();
-  consensus::EntryPosition last;
   consensus::Index applied = 0;
   if (recovered.snapshot) {
     m_parts.machine.Load(recovered.snapshot->data);
-    init.snapshot = recovered.snapshot->meta;
-    last = {init.snapshot->index, init.snapshot->term};
-    applied = last.index;
+    applied = recovered.snapshot->meta.index;
   }
-  if (!recovered.entries.empty()) {
-    const consensus::Entry& first = recovered.entries.front();
-    if (first.index == 1 && first.kind == consensus::EntryKind::kMembership) {
-      m_first_membership = consensus::DecodeMembership(first.payload);
-    }
-    last = {recovered.entries.back().index, recovered.entries.back().term};
-  }
-  init.hard_state = recovered.hard_state;
-  init.log = std::move(recovered.entries);
   m_writer = std::make_unique<DiskWriter>(
-      m_loop, parts.disk, parts.store, last, recovered.hard_state,
+      m_loop, parts.disk, parts.store, recovered.last(), recovered.hard_state,
       DiskWriter::Events{[this](DiskBatch batch, bool is_all) {
                            OnSynced(std::move(batch), is_all);
                          },
-                         [this](const std::string& why) { Fail(why); }});
+                         [this](const std::string& why) { StoreFailed(why); }});
   m_applier = std::make_unique<Applier>(
       m_loop, parts.apply, parts.machine, applied, parts.init.snapshot_every,
       Applier::Events{[this](const std::vector<AppliedEntry>& entries) {
@@ -114,11 +111,7 @@
                         OnSaved(index, std::move(data));
                       },
                       [this](const std::string& why) { Fail(why); }});
-  MakeNode(std::move(init));
-  if (recovered.snapshot) {
-    m_node->Compact(std::move(*recovered.snapshot));
-  }
-  Advance();
+  MakeNode(std::move(recovered));
   m_tasks.add(RunEvery(m_loop.timer, kTick, [this] { Tick(); }));
 }
 
@@ -145,6 +138,22 @@
   m_peers.SetMembership(m_status.membership);
 }
 
+void HostLoop::MakeNode(storage::Recovered recovered) {
+  consensus::NodeInit init = NodeDefaults();
+  m_recovered_hard_state = recovered.hard_state;
+  m_first_membership = FirstMembership(recovered.entries);
+  init.hard_state = recovered.hard_state;
+  init.log = std::move(recovered.entries);
+  if (recovered.snapshot) {
+    init.snapshot = recovered.snapshot->meta;
+  }
+  MakeNode(std::move(init));
+  if (recovered.snapshot) {
+    m_node->Compact(std::move(*recovered.snapshot));
+  }
+  Advance();
+}
+
 // A late tick tells a loop that does not get to run from a disk or a peer that
 // is slow.
 void HostLoop::CountTickLag(SteadyTime now) {
@@ -161,6 +170,7 @@
 void HostLoop::Tick() {
   const SteadyTime now = Now();
   CountTickLag(now);
+  FollowFitness(now);
   if (m_node) {
     m_node->Tick(now);
     Advance();
@@ -236,7 +246,7 @@
       ++m_counters.snapshots;
     }
   }
-  if (m_is_failed) {
+  if (IsOut()) {
     return;
   }
   m_peers.Send(std::move(batch.messages));
@@ -272,7 +282,8 @@
     m_writer->SaveSnapshot({m_node->MetaAt(index), std::move(data)});
   } catch (const std::invalid_argument&) {
     PartLog("control")->info(
-        "The snapshot at {} is not saved: a newer one was installed.", index);
+        "The snapshot at {} is not saved: the log does not hold that entry.",
+        index);
   }
 }
 
@@ -282,14 +293,7 @@
   }
   m_is_failed = true;
   PartLog("control")->critical("This host votes no more: {}.", why);
-  m_node.reset();
-  m_status.role = consensus::Role::kFollower;
-  m_status.leader = consensus::NodeId();
-  FollowRole();
-  Publish();
-  if (m_parts.init.on_store_failed) {
-    m_parts.init.on_store_failed(why);
-  }
+  LeaveQuorum(why);
 }
 
 void HostLoop::Submit(std::vector<state::Command> commands,
@@ -382,7 +386,8 @@
   status.consensus = m_status;
   status.applied = m_applier->applied();
   status.disk_bytes = m_writer->disk_bytes();
-  status.is_store_failed = m_is_failed;
+  status.is_store_failed = IsOut();
+  status.is_store_unfit = m_is_unfit;
   const auto leader = m_status.membership.members.find(m_status.leader);
   if (leader != m_status.membership.members.end()) {
     status.leader_name = leader->second.name;
@@ -397,6 +402,7 @@
         m_status.membership, SilentMembers(m_status, m_leads_since, Now()));
   }
   m_counters.commands = m_submits.commands();
+  m_counters.store_failures = m_retry.failures();
   m_counters.disk_syncs = m_writer->syncs();
   m_counters.sync_times = m_writer->sync_times();
   m_counters.commit_times = m_submits.commit_times();
--- a/packages/control/src/host_loop_p.h
+++ b/packages/control/src/host_loop_p.h
@@ -11,6 +11,7 @@
 #include "disk_writer_p.h"
 #include "laurelhall/control/control_host.h"
 #include "laurelhall/storage/log_store.h"
+#include "laurelhall/storage/store_retry.h"
 #include "leader_sync_p.h"
 #include "peer_links_p.h"
 #include "read_rounds_p.h"
@@ -120,6 +121,7 @@
 
   // host_loop.cc: the node.
   void MakeNode(consensus::NodeInit init);
+  void MakeNode(storage::Recovered recovered);
   consensus::NodeInit NodeDefaults() const;
   void CountTickLag(SteadyTime now);
   void Tick();
@@ -128,6 +130,15 @@
   void OnApplied(const std::vector<AppliedEntry>& entries);
   void OnSaved(consensus::Index index, std::string data);
   void Fail(const std::string& why);
+
+  // host_store.cc: a disk that fails and comes back.
+  void StoreFailed(const std::string& why);
+  void ReopenLater(Millis wait);
+  void Reopen();
+  void Reopened(storage::Recovered recovered);
+  void LeaveQuorum(const std::string& why);
+  void FollowFitness(SteadyTime now);
+  bool IsOut() const { return m_is_failed || m_retry.is_failed(); }
   void ScheduleSubmits();
   void ScheduleReads();
   void FlushSubmits();
@@ -191,14 +202,16 @@
   std::map<std::string, WaitingHost> m_waiting;  // By name.
 
   consensus::Status m_status;  // As of the last Advance().
-  bool m_is_failed = false;
+  bool m_is_failed = false;    // For good.
+  storage::StoreRetry m_retry;
+  bool m_is_unfit = false;  // As of the last Tick().
   bool m_is_submit_scheduled = false;
   bool m_is_read_scheduled = false;
   SteadyTime m_next_hello{};
   SteadyTime m_next_publish{};
   SteadyTime m_ticked_at = Now();
-  Millis m_last_lag{0};  // Of the last tick.
-  const SteadyTime m_started_at = Now();
+  Millis m_last_lag{0};             // Of the last tick.
+  SteadyTime m_started_at = Now();  // Of the node.
 
   // For AskLeader(), by address: what the leader holds back must not end the
   // connections of the log.
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -186,10 +186,6 @@
       init.first_members.push_back(
           {peer.address, peer.availability_zone, peer.name, true});
     }
-    init.on_store_failed = [](const std::string& text) {
-      PartLog("daemon")->critical(
-          "The store failed, this host votes no more: {}.", text);
-    };
     init.admits_newcomers = m_settings.admits_newcomers;
     init.guards_zones = m_settings.guards_zones;
     if (!m_settings.scheduling_address.empty()) {
@@ -279,7 +275,8 @@
           {"term", control.consensus.term},
           {"applied", control.applied},
           {"waits_for", control.waits_for},
-          {"store_failed", control.is_store_failed}};
+          {"store_failed", control.is_store_failed},
+          {"store_unfit", control.is_store_unfit}};
     }
     return boost::json::serialize(status);
   }
--- a/packages/daemon/src/metrics.cc
+++ b/packages/daemon/src/metrics.cc
@@ -142,14 +142,21 @@
              static_cast<double>(status.applied));
   page.Gauge("laurelhall_control_disk_bytes", "Bytes in the data folder.",
              static_cast<double>(status.disk_bytes));
-  page.Gauge("laurelhall_control_store_failed", "1 once the store has failed.",
+  page.Gauge("laurelhall_control_store_failed",
+             "1 while the store has failed and is not open again.",
              status.is_store_failed ? 1 : 0);
+  page.Gauge("laurelhall_control_store_unfit",
+             "1 while the disk fails too often or for too long.",
+             status.is_store_unfit ? 1 : 0);
   page.Gauge("laurelhall_control_zones_at_risk",
              "Zones whose loss loses the quorum.",
              static_cast<double>(status.zones_at_risk.size()));
   const control::ControlCounters& counters = status.counters;
   page.Counter("laurelhall_control_commands_total", "Commands proposed.",
                static_cast<double>(counters.commands));
+  page.Counter("laurelhall_control_store_failures_total",
+               "Times that the open store failed.",
+               static_cast<double>(counters.store_failures));
   page.Counter("laurelhall_control_syncs_total", "Disk syncs.",
                static_cast<double>(counters.disk_syncs));
   page.Histogram("laurelhall_control_sync_seconds",
