Daemon: a start whose store can't be opened yet waits for it

Cause: a data folder that couldn't be used at the start ended the daemon with exit code 3, to be started again at once by its supervisor.

Change: the start tries again in the same process, by the same growing and jittered waits as a running host, and ends with exit code 0 when it is told to stop meanwhile. A folder that another process holds, damaged bytes and bad settings still end it. No port is open while it waits.

Ruled out: to open the operators' port first: the daemon's parts are made in one piece, with the control host among the first.

Tests: a daemon whose folder is out of reach starts from it, with its identity, once it is back; another ends when told to. The first was seen to fail with the exit put back (no "next try" in the log, the process gone).

--- a/packages/daemon/src/run_daemon.cc
+++ b/packages/daemon/src/run_daemon.cc
@@ -6,10 +6,14 @@
 #include <cxxopts.hpp>
 #include <exception>
 #include <iostream>
+#include <memory>
+#include <random>
 
 #include "daemon_p.h"
 #include "laurelhall/base/decision_log.h"
 #include "laurelhall/base/log.h"
+#include "laurelhall/storage/log_store.h"
+#include "laurelhall/storage/store_retry.h"
 
 namespace laurelhall::daemon {
 namespace {
@@ -41,13 +45,58 @@
   std::_Exit(exit_code);
 }
 
+/// Whether a stopping signal comes within a time.
+bool IsStoppedWithin(const sigset_t& signals, Millis wait) {
+  const auto end = std::chrono::steady_clock::now() + wait;
+  while (true) {
+    const auto left =
+        std::chrono::ceil<Millis>(end - std::chrono::steady_clock::now());
+    if (left <= Millis(0)) {
+      return false;
+    }
+    const auto whole = std::chrono::floor<Seconds>(left);
+    const timespec time{
+        static_cast<time_t>(whole.count()),
+        static_cast<long>(std::chrono::nanoseconds(left - whole).count())};
+    const int signal_number = sigtimedwait(&signals, nullptr, &time);
+    if (signal_number > 0 && signal_number != SIGHUP) {
+      return true;
+    }
+  }
+}
+
+// A disk may refuse for a while: an end would only be followed by a next start
+// that finds it so.
+std::unique_ptr<Daemon> StartDaemon(const settings::DaemonSettings& settings,
+                                    const sigset_t& signals,
+                                    storage::FileSystem* files) {
+  storage::StoreRetry retry(std::random_device{}());
+  while (true) {
+    try {
+      return std::make_unique<Daemon>(settings, files);
+    } catch (const storage::StoreInUseError&) {
+      throw;
+    } catch (const storage::StoreFailedError& error) {
+      const Millis wait = retry.is_failed()
+                              ? retry.StillFailed()
+                              : retry.Failed(std::chrono::steady_clock::now());
+      PartLog("daemon")->critical(
+          "The store cannot be opened, next try in {} ms: {}.", wait.count(),
+          error.what());
+      if (IsStoppedWithin(signals, wait)) {
+        EndAtOnce(kExitOk);
+      }
+    }
+  }
+}
+
 // Ends the process; throws when the daemon cannot start.
 [[noreturn]] void RunUntilSignal(const settings::DaemonSettings& settings,
                                  const std::string& file,
                                  storage::FileSystem* files) {
   const auto log = PartLog("daemon");
   const sigset_t signals = BlockStopSignals();
-  Daemon daemon(settings, files);
+  const std::unique_ptr<Daemon> daemon = StartDaemon(settings, signals, files);
   log->info("{} runs.", settings.name);
   DecisionLog::Get().Write(
       DecisionLine("daemon", "start").With("name", settings.name));
@@ -55,10 +104,10 @@
   while (sigwait(&signals, &signal_number) != 0 || signal_number == SIGHUP) {
     DecisionLog::Get().Write(
         DecisionLine("daemon", "reload").With("name", settings.name));
-    daemon.Reload(file);
+    daemon->Reload(file);
   }
   log->info("{} stops gracefully.", settings.name);
-  const bool is_finished = daemon.Drain();
+  const bool is_finished = daemon->Drain();
   if (!is_finished) {
     log->warn("{} cuts off what the grace did not suffice for.", settings.name);
   }
