Let a worker that was only silent come back after it was forgotten

Cause: a worker that is silent for 15 s is ended in the ledger, and each later announcement of an ended incarnation was taken for one that had been delayed. The ledger did not know why an incarnation had ended. Class of fault: silence taken for an end.

Now the ledger keeps the cause with each ended incarnation (silent, replaced, maintained, moved, left, or not known), by a new record, WorkerEnded. One that was silent may announce itself again. It is given work once it answers a hold call, as any other, so a late announcement of a crashed one brings back a name that is never used and is gone again after 15 s. What IsGone protects stays: - an announcement with a lower sequence than the last one that was applied is from before the silence - an earlier incarnation under the id stays gone - once another worker registers on the host, the silent one counts as replaced for good, unless its start time shows that it is the later one - a stop by maintenance, move, or notice is final, also where it is learnt after the silence Fences go on rising over the return (the number of the incarnation in this term, the term after), so late orders of the time before are refused. Ends that the worker lists from before are dealt with as after any lapse: a task that was done and not started elsewhere counts as done, any other end of a lapsed run is acknowledged and changes nothing.

Crash is no cause of its own: a crash is seen as silence, or as a later incarnation. A silent worker's tasks are still counted as possible causes of a crash when it is forgotten; that is as before.

A member of the earlier version can't read the new record, as with each kind that was added before.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -52,6 +52,7 @@
 // suspected tasks, then the end itself.
 void Leadership::EndWorker(const Ledger& ledger,
                            const Worker& worker,
+                           scheduling::WorkerEndCause cause,
                            const char* why,
                            Records& records,
                            const std::string& new_life) {
@@ -69,7 +70,8 @@
   RecordCrash(ledger, worker, LostRuns(ledger, worker),
               link.is_reached ? std::optional(LossTimeOf(link)) : std::nullopt,
               records);
-  records.emplace_back(scheduling::IncarnationEnded{worker.info.id, link.born});
+  records.emplace_back(
+      scheduling::WorkerEnded{worker.info.id, link.born, cause});
 }
 
 // Adds when ends were last acknowledged to an incarnation, and up to which
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -695,11 +695,13 @@
     bool is_known = false;
     bool is_service_known = true;
     bool is_outdated = false;
+    std::optional<scheduling::WorkerEndCause> ended;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Worker* worker = ledger.FindWorker(info.id);
       is_outdated =
           ledger.IsOutdated(info.id, request.born, request.sequence) ||
-          ledger.IsGone(info.id, request.born);
+          ledger.IsGone(info.id, request.born, request.sequence);
+      ended = ledger.EndCauseOf(info.id);
       is_service_known = worker != nullptr || HasService(ledger, info.service);
       const bool is_known_incarnation =
           worker != nullptr &&
@@ -729,16 +731,19 @@
       done(MakeReply(Outcome::kOk));
       return;
     }
-    DecisionLog::Get().Write(
-        DecisionLine("dispatch", "worker", LineClass::kRequest)
-            .With("worker", info.id)
-            .With("address", info.address)
-            .With("service", info.service)
-            .With("host", info.host)
-            .With("state", info.is_draining ? "draining" : "ready")
-            .With("millicores", info.capacity.millicores)
-            .With("sequence", request.sequence)
-            .With("born_ms", request.born.time_since_epoch().count()));
+    DecisionLine line("dispatch", "worker", LineClass::kRequest);
+    line.With("worker", info.id)
+        .With("address", info.address)
+        .With("service", info.service)
+        .With("host", info.host)
+        .With("state", info.is_draining ? "draining" : "ready")
+        .With("millicores", info.capacity.millicores)
+        .With("sequence", request.sequence)
+        .With("born_ms", request.born.time_since_epoch().count());
+    if (ended) {
+      line.With("ended_before", scheduling::WorkerEndCauseName(*ended));
+    }
+    DecisionLog::Get().Write(line);
     m_leadership->OnReportPending(info.id, word);
     const auto is_committed = [weak = weak_from_this(), id = info.id, word,
                                done, term = m_leadership->term()](
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -494,7 +494,8 @@
         std::max({link.last_contact, link.last_announced, m_begun_at});
     if (worker != nullptr && worker->active.empty() &&
         !link.is_removal_under_way && now - last_heard > kSilenceTimeout) {
-      EndWorker(ledger, *worker, "silent", records);
+      EndWorker(ledger, *worker, scheduling::WorkerEndCause::kSilent, "silent",
+                records);
     }
   }
 }
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -504,12 +504,15 @@
   void CommitEndedRuns(const std::string& worker,
                        uint64_t last_end,
                        Records records);
-  void EndIncarnation(const WorkerIncarnation& incarnation, const char* why);
+  void EndIncarnation(const WorkerIncarnation& incarnation,
+                      scheduling::WorkerEndCause cause,
+                      const char* why);
   void EndReplacedIncarnation(const std::string& worker);
 
   // crashes.cc: lost workers and their runs.
   void EndWorker(const Ledger& ledger,
                  const scheduling::Worker& worker,
+                 scheduling::WorkerEndCause cause,
                  const char* why,
                  Records& records,
                  const std::string& new_life = "");
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -515,7 +515,8 @@
     HostState& state = m_inventory[host];
     state.pool = track.to;
     state.since = Now();
-    EndIncarnation(track.incarnation_before, "its host is moved");
+    EndIncarnation(track.incarnation_before, scheduling::WorkerEndCause::kMoved,
+                   "its host is moved");
     PlanSoon();
   } else if (outcome == HostActOutcome::kRefused) {
     m_refused_moves.insert({host, track.to});
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -10,6 +10,7 @@
 using scheduling::RunEnd;
 using scheduling::Task;
 using scheduling::Worker;
+using scheduling::WorkerEndCause;
 
 namespace {
 
@@ -666,8 +667,8 @@
         link.last_contact >= m_links.at(worker).first_contact) {
       continue;
     }
-    EndWorker(ledger, *ledger.FindWorker(id), "another worker runs on its host",
-              records, worker);
+    EndWorker(ledger, *ledger.FindWorker(id), WorkerEndCause::kReplaced,
+              "another worker runs on its host", records, worker);
   }
 }
 
@@ -942,6 +943,7 @@
 }
 
 void Leadership::EndIncarnation(const WorkerIncarnation& incarnation,
+                                WorkerEndCause cause,
                                 const char* why) {
   Records records;
   m_log.Read([&](const Ledger& ledger) {
@@ -950,7 +952,7 @@
     const Worker* worker = ledger.FindWorker(incarnation.id);
     if (link != m_links.end() && !link->second.is_removal_under_way &&
         worker != nullptr && incarnation.IsSame(*worker)) {
-      EndWorker(ledger, *worker, why, records);
+      EndWorker(ledger, *worker, cause, why, records);
     }
   });
   if (!records.empty()) {
@@ -961,7 +963,8 @@
 void Leadership::EndReplacedIncarnation(const std::string& worker) {
   const auto link = m_links.find(worker);
   if (link != m_links.end()) {
-    EndIncarnation({worker, link->second.born}, "another incarnation answers");
+    EndIncarnation({worker, link->second.born}, WorkerEndCause::kReplaced,
+                   "another incarnation answers");
   }
 }
 
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -386,7 +386,9 @@
   if (outcome == HostActOutcome::kDone) {
     track.down_since = Now();
     // Taking the host down ended the incarnation of its worker.
-    EndIncarnation(track.incarnation_before, "its host is maintained");
+    EndIncarnation(track.incarnation_before,
+                   scheduling::WorkerEndCause::kMaintained,
+                   "its host is maintained");
   } else if (outcome == HostActOutcome::kRefused) {
     // The host no longer exists, so there is nothing to maintain.
     Commit({scheduling::WaveHostStageSet{wave, host, WaveStage::kDone}},
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -114,6 +115,15 @@
   int64_t persistent_millicores = 0;
 };
 
+/// The last incarnation of a worker that has ended.
+struct EndedWorker {
+  WallTime born{};  ///< Zero: not reported.
+  WorkerEndCause cause = WorkerEndCause::kUnknown;
+  std::string host;       ///< Empty: not known.
+  uint64_t sequence = 0;  ///< Of its last announcement that was applied.
+  uint32_t earlier_incarnations = 0;  ///< As Worker::earlier_incarnations.
+};
+
 /// A wave and the stage of each of its hosts.
 struct WaveState {
   WaveOpened opened;
@@ -199,9 +209,17 @@
                   WallTime born,
                   uint64_t sequence) const;
 
-  /// Whether an incarnation of a worker is known to have ended. Without `born`:
-  /// whether any is.
-  bool IsGone(const std::string& worker, WallTime born = {}) const;
+  /// Whether an incarnation of a worker has ended for good. Without `born`:
+  /// whether any has. One that was only silent may announce itself again, until
+  /// a later incarnation registers on its host.
+  ///
+  /// @param sequence That of its announcement; zero: not reported.
+  bool IsGone(const std::string& worker,
+              WallTime born = {},
+              uint64_t sequence = 0) const;
+
+  /// Why the last incarnation of a worker ended. None: it has not ended.
+  std::optional<WorkerEndCause> EndCauseOf(const std::string& worker) const;
 
   /// The service whose workers run the job under the current configuration.
   const std::string& ServiceOf(const Job& job) const;
@@ -234,10 +252,12 @@
   void ApplyRecord(const OrganisationJobAccepted& record);
   void ApplyRecord(const RunProven& record);
   void ApplyRecord(const WorkerLeft& record);
+  void ApplyRecord(const WorkerEnded& record);
   void BeginWorkerIncarnation(const std::string& id,
                               Worker& worker,
                               WallTime born);
-  void AddEndedWorker(const std::string& worker, WallTime born);
+  void AddEndedWorker(const std::string& worker, const EndedWorker& ended);
+  void ReplaceSilentWorkersOn(const WorkerInfo& info, WallTime born);
 
   void ReserveResources(Worker& worker, const Job& job, size_t index);
   static void ReleaseResources(Worker& worker,
@@ -255,7 +275,7 @@
   void CountUnassessedRuns(const std::string& id, const Worker& worker);
   void EndWorkerIncarnation(const std::string& id,
                             WallTime born,
-                            bool may_have_crashed);
+                            WorkerEndCause cause);
   void SetState(Job& job, JobState state);
   void UpdateQueuedJobs(const Job& job);
   void UpdateOpenJobs(const Job& job);
@@ -280,7 +300,7 @@
   std::deque<std::string> m_changed_workers;  // One per version, oldest first.
   std::map<std::string, std::set<std::string>> m_workers_by_host;  // By host.
   std::map<uint64_t, WaveState> m_waves;
-  std::unordered_map<std::string, WallTime> m_ended_workers;  // Start times.
+  std::unordered_map<std::string, EndedWorker> m_ended_workers;  // By worker.
   std::deque<std::string> m_ended_order;  // Oldest first, for eviction.
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -137,7 +137,7 @@
 };
 
 /// Like WorkerGone, for one incarnation: a later one under the same id is not
-/// affected.
+/// affected. Written by earlier versions; see WorkerEnded.
 struct IncarnationEnded {
   std::string worker;
   WallTime born{};  ///< Start time of the incarnation; zero: not known.
@@ -169,6 +169,27 @@
   WallTime born{};  ///< Start time of the incarnation; zero: not known.
 };
 
+/// Why an incarnation of a worker ended.
+enum class WorkerEndCause : uint8_t {
+  kUnknown,     ///< Recorded by an earlier version.
+  kSilent,      ///< It was not heard of for long. It may still run.
+  kReplaced,    ///< A later incarnation answers, or registered on its host.
+  kMaintained,  ///< Its host was taken down for maintenance.
+  kMoved,       ///< Its host was moved to another pool.
+  kLeft,        ///< It announced its shutdown.
+  kCount,
+};
+
+/// Lower-case name for logs. Thread-safe.
+const char* WorkerEndCauseName(WorkerEndCause cause);
+
+/// Like IncarnationEnded, with the cause.
+struct WorkerEnded {
+  std::string worker;
+  WallTime born{};  ///< Start time of the incarnation; zero: not known.
+  WorkerEndCause cause = WorkerEndCause::kUnknown;
+};
+
 /// A kind is encoded as its index: append new kinds at the end.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -188,7 +209,8 @@
                             ConfigurationWithIdentitiesSet,
                             OrganisationJobAccepted,
                             RunProven,
-                            WorkerLeft>;
+                            WorkerLeft,
+                            WorkerEnded>;
 
 /// Encodes a batch of records for the replicated log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -352,6 +374,11 @@
   archive(value.worker, value.born);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, WorkerEnded& value) {
+  archive(value.worker, value.born, value.cause);
+}
+
 template <typename Archive>
 void Visit(Archive& archive, OrganisationJobAccepted& value) {
   archive(value.job, value.organisation, value.is_excess);
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -169,10 +169,25 @@
   return known != nullptr && sequence != 0 && sequence < known->sequence;
 }
 
-bool Ledger::IsGone(const std::string& worker, WallTime born) const {
-  const auto ended = m_ended_workers.find(worker);
-  return ended != m_ended_workers.end() &&
-         (born == WallTime() || born <= ended->second);
+bool Ledger::IsGone(const std::string& worker,
+                    WallTime born,
+                    uint64_t sequence) const {
+  const auto found = m_ended_workers.find(worker);
+  if (found == m_ended_workers.end()) {
+    return false;
+  }
+  const EndedWorker& ended = found->second;
+  if (ended.cause == WorkerEndCause::kSilent && born == ended.born) {
+    return sequence != 0 && sequence < ended.sequence;  // It came late.
+  }
+  return born == WallTime() || born <= ended.born;
+}
+
+std::optional<WorkerEndCause> Ledger::EndCauseOf(
+    const std::string& worker) const {
+  const auto found = m_ended_workers.find(worker);
+  return found == m_ended_workers.end() ? std::nullopt
+                                        : std::optional(found->second.cause);
 }
 
 const std::string& Ledger::ServiceOf(const Job& job) const {
@@ -463,14 +478,21 @@
 
 void Ledger::ApplyRecord(const WorkerAnnounced& record) {
   const std::string& id = record.info.id;
-  if (IsGone(id, record.born) || IsOutdated(id, record.born, record.sequence)) {
+  if (IsGone(id, record.born, record.sequence) ||
+      IsOutdated(id, record.born, record.sequence)) {
     return;
   }
   Worker& worker = m_workers[id];
-  if (m_ended_workers.erase(id) > 0) {
+  const auto ended = m_ended_workers.find(id);
+  if (ended != m_ended_workers.end()) {
+    const bool has_returned = ended->second.cause == WorkerEndCause::kSilent &&
+                              ended->second.born == record.born;
+    worker.earlier_incarnations =
+        ended->second.earlier_incarnations + (has_returned ? 0 : 1);
+    m_ended_workers.erase(ended);
     std::erase(m_ended_order, id);
-    ++worker.earlier_incarnations;
   }
+  ReplaceSilentWorkersOn(record.info, record.born);
   BeginWorkerIncarnation(id, worker, record.born);
   ApplyRecord(WorkerSeen{record.info});
   worker.sequence = record.sequence;
@@ -483,6 +505,21 @@
   }
 }
 
+// A host runs one worker at a time: those that fell silent there before do not
+// come back, however late their announcements arrive.
+void Ledger::ReplaceSilentWorkersOn(const WorkerInfo& info, WallTime born) {
+  if (info.host.empty() || WorkersOn(info.host).contains(info.id)) {
+    return;
+  }
+  for (auto& [id, ended] : m_ended_workers) {
+    const bool is_later = born != WallTime() && born < ended.born;
+    if (ended.cause == WorkerEndCause::kSilent && ended.host == info.host &&
+        id != info.id && !is_later) {
+      ended.cause = WorkerEndCause::kReplaced;
+    }
+  }
+}
+
 void Ledger::BeginWorkerIncarnation(const std::string& id,
                                     Worker& worker,
                                     WallTime born) {
@@ -577,32 +614,42 @@
 }
 
 void Ledger::ApplyRecord(const IncarnationEnded& record) {
-  EndWorkerIncarnation(record.worker, record.born, true);
+  EndWorkerIncarnation(record.worker, record.born, WorkerEndCause::kUnknown);
 }
 
 void Ledger::ApplyRecord(const WorkerLeft& record) {
-  EndWorkerIncarnation(record.worker, record.born, false);
+  EndWorkerIncarnation(record.worker, record.born, WorkerEndCause::kLeft);
+}
+
+void Ledger::ApplyRecord(const WorkerEnded& record) {
+  EndWorkerIncarnation(record.worker, record.born, record.cause);
 }
 
 void Ledger::EndWorkerIncarnation(const std::string& id,
                                   WallTime born,
-                                  bool may_have_crashed) {
+                                  WorkerEndCause cause) {
+  EndedWorker ended;
+  ended.born = born;
+  ended.cause = cause;
   const auto found = m_workers.find(id);
   if (found != m_workers.end() && born != WallTime() &&
       born < found->second.born) {
     return;
   }
-  if (found != m_workers.end() && may_have_crashed) {
+  if (found != m_workers.end() && cause != WorkerEndCause::kLeft) {
     CountUnassessedRuns(id, found->second);
   }
   ApplyRecord(WorkerLapsed{id});
   if (found != m_workers.end()) {
+    ended.host = found->second.info.host;
+    ended.sequence = found->second.sequence;
+    ended.earlier_incarnations = found->second.earlier_incarnations;
     ClearLapses(found->second);
     RecordWorkerChange(id);
     RemoveFromHost(found->second.info);
     m_workers.erase(found);
   }
-  AddEndedWorker(id, born);
+  AddEndedWorker(id, ended);
 }
 
 // Counts a crash, without blame, for each run on an ended worker that was not
@@ -630,10 +677,18 @@
   }
 }
 
-void Ledger::AddEndedWorker(const std::string& worker, WallTime born) {
-  const auto [ended, is_new] = m_ended_workers.try_emplace(worker, born);
-  ended->second = std::max(ended->second, born);
+void Ledger::AddEndedWorker(const std::string& worker,
+                            const EndedWorker& ended) {
+  const auto [known, is_new] = m_ended_workers.try_emplace(worker, ended);
   if (!is_new) {
+    // A silent one that is then known to have ended does not come back.
+    const bool is_final = known->second.cause == WorkerEndCause::kSilent &&
+                          ended.born == known->second.born;
+    if (ended.born > known->second.born) {
+      known->second = ended;
+    } else if (is_final) {
+      known->second.cause = ended.cause;
+    }
     return;
   }
   m_ended_order.push_back(worker);
@@ -834,6 +889,20 @@
   archive(value.job, value.organisation, value.is_excess);
 }
 
+struct SavedEnd {
+  std::string worker;
+  WorkerEndCause cause = WorkerEndCause::kUnknown;
+  std::string host;
+  uint64_t sequence = 0;
+  uint32_t earlier_incarnations = 0;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedEnd& value) {
+  archive(value.worker, value.cause, value.host, value.sequence,
+          value.earlier_incarnations);
+}
+
 struct SavedLedger {
   Configuration configuration;
   std::vector<Job> jobs;
@@ -845,6 +914,7 @@
   std::vector<SavedIncarnation> incarnations;
   std::vector<SavedSupersededRun> superseded_runs;
   std::vector<WallTime> ended_start_times;  ///< Parallel to ended_workers.
+  std::vector<SavedEnd> ends;  ///< Of ended_workers, where the cause is known.
   std::vector<SavedJobOwner> owners;  ///< Of jobs that have an organisation.
   std::vector<TaskId> given_up;
   std::vector<SavedRunFlags> run_flags;
@@ -858,6 +928,7 @@
                          value.superseded_runs, value.ended_start_times);
   archive.TrailingFields(value.configuration.identities, value.owners);
   archive.TrailingFields(value.given_up, value.run_flags);
+  archive.TrailingFields(value.ends);
 }
 
 }  // namespace
@@ -887,7 +958,12 @@
   }
   saved.ended_workers.assign(m_ended_order.begin(), m_ended_order.end());
   for (const std::string& id : saved.ended_workers) {
-    saved.ended_start_times.push_back(m_ended_workers.at(id));
+    const EndedWorker& ended = m_ended_workers.at(id);
+    saved.ended_start_times.push_back(ended.born);
+    if (ended.cause != WorkerEndCause::kUnknown) {
+      saved.ends.push_back({id, ended.cause, ended.host, ended.sequence,
+                            ended.earlier_incarnations});
+    }
   }
   for (const Job& job : saved.jobs) {
     if (!job.organisation.empty()) {
@@ -1007,10 +1083,17 @@
   }
   saved.ended_start_times.resize(saved.ended_workers.size());
   for (size_t index = 0; index < saved.ended_workers.size(); ++index) {
-    m_ended_workers[saved.ended_workers[index]] =
+    m_ended_workers[saved.ended_workers[index]].born =
         saved.ended_start_times[index];
     m_ended_order.push_back(saved.ended_workers[index]);
   }
+  for (SavedEnd& end : saved.ends) {
+    EndedWorker& ended = m_ended_workers[end.worker];
+    ended.cause = end.cause;
+    ended.host = std::move(end.host);
+    ended.sequence = end.sequence;
+    ended.earlier_incarnations = end.earlier_incarnations;
+  }
 }
 
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/record.cc
+++ b/packages/scheduling/src/record.cc
@@ -10,8 +10,16 @@
     kSuspicionNames{"cleared", "bystander", "suspect",
                     "sole",    "prompt",    "excused"};
 
+constexpr std::array<const char*, static_cast<size_t>(WorkerEndCause::kCount)>
+    kWorkerEndCauseNames{"unknown",    "silent", "replaced",
+                         "maintained", "moved",  "left"};
+
 }  // namespace
 
+const char* WorkerEndCauseName(WorkerEndCause cause) {
+  return kWorkerEndCauseNames.at(static_cast<size_t>(cause));
+}
+
 const char* SuspicionName(Suspicion suspicion) {
   return kSuspicionNames.at(static_cast<size_t>(suspicion));
 }
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -183,6 +183,142 @@
   CHECK(ledger.FindWorker("w1") == nullptr);
 }
 
+class EndedWorkerFixture : public LedgerFixture {
+ protected:
+  EndedWorkerFixture() { Announce("w8", "h8", 4); }
+
+  void Announce(const std::string& id,
+                const std::string& host,
+                uint64_t sequence,
+                WallTime born = WallTime(Millis(20))) {
+    WorkerInfo info = ledger.FindWorker("w1")->info;
+    info.id = id;
+    info.host = host;
+    ledger.Apply(WorkerAnnounced{info, sequence, born});
+  }
+
+  void End(WorkerEndCause cause, WallTime born = WallTime(Millis(20))) {
+    ledger.Apply(WorkerEnded{"w8", born, cause});
+    REQUIRE(ledger.FindWorker("w8") == nullptr);
+  }
+
+  bool IsKnown(const std::string& id) {
+    return ledger.FindWorker(id) != nullptr;
+  }
+};
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, silent worker announces itself again, is known") {
+  End(WorkerEndCause::kSilent);
+  CHECK(ledger.EndCauseOf("w8") == WorkerEndCause::kSilent);
+  Announce("w8", "h8", 5);
+  CHECK(IsKnown("w8"));
+  CHECK(ledger.EndCauseOf("w8") == std::nullopt);
+  CHECK(ledger.FindWorker("w8")->earlier_incarnations == 0);
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, announcement from before the silence, ignored") {
+  End(WorkerEndCause::kSilent);
+  Announce("w8", "h8", 3);
+  CHECK_FALSE(IsKnown("w8"));
+  Announce("w8", "h8", 9, WallTime(Millis(10)));  // An earlier incarnation.
+  CHECK_FALSE(IsKnown("w8"));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, worker ended for another cause, stays ended") {
+  for (const auto cause : {WorkerEndCause::kUnknown, WorkerEndCause::kReplaced,
+                           WorkerEndCause::kMaintained, WorkerEndCause::kMoved,
+                           WorkerEndCause::kLeft}) {
+    CAPTURE(WorkerEndCauseName(cause));
+    Announce("w8", "h8", 4);
+    End(cause);
+    Announce("w8", "h8", 5);
+    CHECK_FALSE(IsKnown("w8"));
+    // For the next cause.
+    Announce("w8", "h8", 1, WallTime(Millis(21)));
+    CHECK(IsKnown("w8"));
+    ledger = Ledger();
+    WorkerInfo info;
+    info.id = "w1";
+    ledger.Apply(WorkerSeen{info});
+  }
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, another worker registered on the host of a silent "
+                  "one, stays ended") {
+  End(WorkerEndCause::kSilent);
+  Announce("w9", "h8", 1, WallTime(Millis(30)));
+  CHECK(ledger.EndCauseOf("w8") == WorkerEndCause::kReplaced);
+  Announce("w8", "h8", 5);
+  CHECK_FALSE(IsKnown("w8"));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, earlier worker of the host of a silent one comes "
+                  "late, may come back") {
+  End(WorkerEndCause::kSilent);
+  Announce("w7", "h8", 1, WallTime(Millis(10)));
+  Announce("w9", "h9", 1, WallTime(Millis(30)));  // On another host.
+  Announce("w8", "h8", 5);
+  CHECK(IsKnown("w8"));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, silent worker is then known to have ended, stays "
+                  "ended") {
+  End(WorkerEndCause::kSilent);
+  End(WorkerEndCause::kMaintained);
+  Announce("w8", "h8", 5);
+  CHECK_FALSE(IsKnown("w8"));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, worker without a start time falls silent, is known "
+                  "again") {
+  Announce("w7", "h7", 2, WallTime());
+  ledger.Apply(WorkerEnded{"w7", WallTime(), WorkerEndCause::kSilent});
+  Announce("w7", "h7", 1, WallTime());
+  CHECK_FALSE(IsKnown("w7"));
+  Announce("w7", "h7", 3, WallTime());
+  CHECK(IsKnown("w7"));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, causes of ends saved and loaded, kept") {
+  End(WorkerEndCause::kSilent);
+  Ledger loaded;
+  loaded.Load(ledger.Save());
+  CHECK(loaded.Save() == ledger.Save());
+  CHECK(loaded.EndCauseOf("w8") == WorkerEndCause::kSilent);
+  CHECK(loaded.IsGone("w8", WallTime(Millis(20)), 3));
+  CHECK_FALSE(loaded.IsGone("w8", WallTime(Millis(20)), 5));
+}
+
+TEST_CASE_FIXTURE(EndedWorkerFixture,
+                  "Ledger, snapshot of an earlier version, its ended workers "
+                  "stay ended") {
+  ledger.Apply(IncarnationEnded{"w8", WallTime(Millis(20))});
+  std::string text = ledger.Save();
+  REQUIRE(text.ends_with("0 "));  // No causes are known.
+  text.resize(text.size() - 2);
+  Ledger loaded;
+  loaded.Load(text);
+  CHECK(loaded.IsGone("w8", WallTime(Millis(20)), 5));
+  CHECK(loaded.Save() == ledger.Save());
+}
+
+TEST_CASE("Records, end of a worker with its cause, encoded and decoded") {
+  const auto records = DecodeRecords(EncodeRecords(
+      {WorkerEnded{"w1", WallTime(Millis(5)), WorkerEndCause::kMoved}}));
+  const auto& ended = std::get<WorkerEnded>(records.at(0));
+  CHECK(ended.worker == "w1");
+  CHECK(ended.born == WallTime(Millis(5)));
+  CHECK(ended.cause == WorkerEndCause::kMoved);
+}
+
 TEST_CASE_FIXTURE(LedgerFixture,
                   "Ledger, configuration of an equal version, ignored") {
   Configuration other;
