Let a repeated order on a host end only the worker that its first try meant

Cause: a maintenance is carried out and its answers are lost; the host's next worker registers; the repeat is answered, as done before, and the leader ended the worker that it had looked up for the repeat, which was the new one.

Now the incarnation that an order ends is looked up once, for the first try that may have been carried out, and kept while answers are missing. A leader that takes over an order of an earlier one does not know whom that one meant: it ends nobody, and a worker that is down is found by its silence, or by the next worker on its host.

Tests: incident_repeated_host_order_test, three of five cases failed with the look-up at each try: the next worker under a new id, under the same id, and after a change of leaders. The fourth guards the end of the right one. The fifth, of moves, did not fail without the change: the next worker has tasks at once, and a host that has some is not ordered again.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -215,8 +215,10 @@
   SteadyTime chosen_at{};
   bool is_act_under_way = false;
   SteadyTime next_try{};
-  WorkerIncarnation
-      incarnation_before;   ///< The incarnation that the maintenance ends.
+  /// The incarnation that the maintenance ends. It stays that of the first
+  /// order that may have been carried out. Empty: none, or not known.
+  WorkerIncarnation incarnation_before;
+  bool may_be_carried_out = false;  ///< An order was not answered.
   SteadyTime acted_at{};    ///< When this leader sent the order, or zero.
   SteadyTime down_since{};  ///< Zero until the order was carried out.
   /// Since when its tasks wait for others that find no place, or zero.
@@ -252,7 +254,10 @@
   SteadyTime ordered_at{};  ///< When it was moved; zero while it is drained.
   bool is_act_under_way = false;
   SteadyTime acted_at{};  ///< When the order was sent; zero: not yet.
+  /// The incarnation that the move ends. It stays that of the first order that
+  /// may have been carried out. Empty: none.
   WorkerIncarnation incarnation_before;
+  bool may_be_carried_out = false;  ///< An order was not answered.
 };
 
 /// Schedules jobs during one term of this control host as leader.
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -482,9 +482,11 @@
     return;
   }
   const Worker* worker = WorkerOn(ledger, host);
-  track.incarnation_before = IncarnationOf(worker);
+  if (!track.may_be_carried_out) {
+    track.incarnation_before = IncarnationOf(worker);
+    track.acted_at = now;
+  }
   track.is_act_under_way = true;
-  track.acted_at = now;
   HostAct act = MakeHostAct(host);
   act.pool = track.to;
   RunUnderLeaderLease([this, act = std::move(act)] {
@@ -505,6 +507,8 @@
   HostMove& track = found->second;
   track.is_act_under_way = false;
   track.next_try = Now() + kMoveRetry;
+  track.may_be_carried_out =
+      track.may_be_carried_out || outcome == HostActOutcome::kUnknown;
   DecisionLog::Get().Write(DecisionLine("pools", "moved")
                                .With("host", host)
                                .With("to", track.to)
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -114,7 +114,13 @@
     if (track != m_hosts.end()) {
       chosen += track->second.wave == number ? 1 : 0;
     } else if (stage == WaveStage::kOrdered) {
-      m_hosts[host] = {number, Now(), false, Now(), {}, {}};
+      HostMaintenance& adopted = m_hosts[host];
+      adopted.wave = number;
+      adopted.chosen_at = Now();
+      adopted.next_try = Now();
+      // Whom that order meant is not known: what runs there now may have come
+      // after it.
+      adopted.may_be_carried_out = true;
       ++chosen;
     }
   }
@@ -159,7 +165,10 @@
     if (chosen >= at_once + kDrainedAhead) {
       return;
     }
-    m_hosts[host] = {number, Now(), false, Now(), {}, {}};
+    HostMaintenance& track = m_hosts[host];
+    track.wave = number;
+    track.chosen_at = Now();
+    track.next_try = Now();
     ++chosen;
     DecisionLog::Get().Write(
         DecisionLine("wave", "host-chosen")
@@ -323,9 +332,11 @@
       CountHostsDown(wave, host) >= wave.opened.most_at_once) {
     return;
   }
-  track.incarnation_before = IncarnationOf(worker);
+  if (!track.may_be_carried_out) {
+    track.incarnation_before = IncarnationOf(worker);
+    track.acted_at = now;
+  }
   track.is_act_under_way = true;
-  track.acted_at = now;
   if (wave.hosts.at(host) == WaveStage::kOrdered) {
     Maintain(wave.opened.wave, host);
     return;
@@ -383,6 +394,8 @@
   HostMaintenance& track = found->second;
   track.is_act_under_way = false;
   track.next_try = Now() + kActionRetry;
+  track.may_be_carried_out =
+      track.may_be_carried_out || outcome == HostActOutcome::kUnknown;
   if (outcome == HostActOutcome::kDone) {
     track.down_since = Now();
     // Taking the host down ended the incarnation of its worker.
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -580,8 +580,12 @@
     if (RefuseIfMayNotSend(act, done)) {
       return;
     }
-    m_world.After(m_world.ActDelay(), [this, act, done] {
+    m_world.After(m_world.ActDelay(), [this, act, done = MayLose(done)] {
       CheckFence(act);
+      if (!m_world.m_done_acts.insert({act.host, act.wave}).second) {
+        done(HostActOutcome::kDone);  // Done by an earlier order.
+        return;
+      }
       m_world.m_maintained.push_back(act.host);
       if (m_world.keeps_worker_ids) {
         RestartWorkers(act.host);
@@ -600,8 +604,13 @@
     if (RefuseIfMayNotSend(act, done)) {
       return;
     }
-    m_world.After(m_world.ActDelay(), [this, act, done] {
+    m_world.After(m_world.ActDelay(), [this, act, done = MayLose(done)] {
       CheckFence(act);
+      std::string& pool = m_world.m_pools[act.host];
+      if (std::exchange(pool, act.pool) == act.pool) {
+        done(HostActOutcome::kDone);  // Done by an earlier order.
+        return;
+      }
       m_world.m_moved.emplace_back(act.host, act.pool);
       EndWorkers(act.host);
       done(HostActOutcome::kDone);
@@ -627,6 +636,18 @@
     return true;
   }
 
+  // The answer comes as one to a call that timed out while answers are lost.
+  std::function<void(HostActOutcome)> MayLose(
+      std::function<void(HostActOutcome)> done) {
+    if (m_world.lost_host_answers == 0) {
+      return done;
+    }
+    --m_world.lost_host_answers;
+    return [this, done = std::move(done)](HostActOutcome) {
+      m_world.After(Millis(600), [done] { done(HostActOutcome::kUnknown); });
+    };
+  }
+
   // The platform need not check fences, so an old one must not be sent.
   void CheckFence(const HostAct& act) {
     uint64_t& newest = m_world.m_newest_fence[act.host];
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -282,6 +282,9 @@
   std::map<std::string, Millis> crashing;
   Millis crash_pause{3'000};
   double same_id_share = 0;  ///< Probability that such a worker keeps its id.
+  /// How many answers to coming orders on hosts are lost. The orders are
+  /// carried out.
+  int lost_host_answers = 0;
   bool keeps_worker_ids = false;  ///< Workers keep their id over maintenance.
   scheduling::Resources capacity{4'000, 16'000,
                                  0};  ///< Of workers added later.
@@ -386,6 +389,8 @@
   std::map<std::string, uint64_t> m_newest_term;   // By worker.
   std::map<std::string, uint64_t> m_newest_fence;  // By host.
   std::vector<std::string> m_maintained;
+  std::set<std::pair<std::string, uint64_t>> m_done_acts;  // Host and wave.
+  std::map<std::string, std::string> m_pools;  // Where moved hosts are.
   std::vector<std::pair<std::string, std::string>> m_moved;
 };
 
