Log how full pools are divided; note on shares

Once a second, a line for each pool that lacked room in the last plan tells who is beyond and below its part. A list of all services is built with one look-up each rather than two.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -438,6 +438,7 @@
   void ReportWorkers(const Ledger& ledger);
   void ReportWaits(const Ledger& ledger);
   static void ReportOrganisations(const Ledger& ledger);
+  void ReportShares() const;
 
   // orders.cc: calls to workers.
   void SendOrders(const Ledger& ledger);
--- a/packages/dispatch/src/reports.cc
+++ b/packages/dispatch/src/reports.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 
 #include "laurelhall/base/decision_log.h"
@@ -24,6 +25,9 @@
 constexpr size_t kMaxReportedWaits = 4;
 // Organisations reported each second, those with the most cores in use first.
 constexpr size_t kMaxReportedOrganisations = 8;
+// Organisations named for each full pool, those furthest from their parts
+// first.
+constexpr size_t kMaxReportedShares = 8;
 
 constexpr const char* kEligibilityNames[] = {
     "usable",  "not_reached", "silent", "lapsed",    "draining",
@@ -34,6 +38,32 @@
 using EligibilityCounts =
     std::array<uint64_t, static_cast<size_t>(Eligibility::kCount)>;
 
+// Formats as "NAME:HELD/PART", in thousandths of the pool.
+std::string FormatShare(const scheduling::OrganisationShare& share) {
+  const auto thousandths = [](double part) {
+    return std::to_string(std::lround(part * 1'000));
+  };
+  return share.organisation + ":" + thousandths(share.used) + "/" +
+         thousandths(share.part);
+}
+
+// The organisations that are beyond or below their parts.
+std::string FormatShares(std::vector<scheduling::OrganisationShare> shares) {
+  const auto gap = [](const scheduling::OrganisationShare& share) {
+    return std::abs(share.used - share.part);
+  };
+  const size_t count = std::min(kMaxReportedShares, shares.size());
+  std::partial_sort(
+      shares.begin(), shares.begin() + static_cast<ptrdiff_t>(count),
+      shares.end(),
+      [&gap](const auto& a, const auto& b) { return gap(a) > gap(b); });
+  std::string text;
+  for (size_t index = 0; index < count; ++index) {
+    text += (index == 0 ? "" : " ") + FormatShare(shares[index]);
+  }
+  return text;
+}
+
 // A zero count for each value of an enumeration.
 template <typename Kind>
 std::vector<NamedCount> ZeroCounts(const char* (*name)(Kind)) {
@@ -72,6 +102,7 @@
   ReportWorkers(ledger);
   ReportWaits(ledger);
   ReportOrganisations(ledger);
+  ReportShares();
 }
 
 // Shows whether the leader itself is the bottleneck.
@@ -142,6 +173,26 @@
   }
 }
 
+// Shows how the last plan divided the pools that were full.
+void Leadership::ReportShares() const {
+  for (const auto& [service, pool] : m_planner.shares()) {
+    if (!pool.is_divided()) {
+      continue;
+    }
+    const std::vector<scheduling::OrganisationShare>& shares = pool.shares();
+    const auto below = std::count_if(
+        shares.begin(), shares.end(),
+        [](const auto& share) { return share.used < share.part; });
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "shares")
+            .With("service", service)
+            .With("wanted_millicores", pool.wanted().millicores)
+            .With("below", static_cast<uint64_t>(below))
+            .With("of", static_cast<uint64_t>(shares.size()))
+            .With("held_of_part", FormatShares(shares)));
+  }
+}
+
 // Shows open jobs that have nothing at work, and why.
 void Leadership::ReportWaits(const Ledger& ledger) {
   const SteadyTime now = Now();
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -145,6 +145,13 @@
   struct Candidate;
   class Placement;
   enum class ShareLimit : uint8_t;
+  /// What a step that takes part in the division of its pool has to do with it.
+  struct ShareOfStep {
+    PoolShares* pool = nullptr;
+    PoolShares::Claim claim = 0;
+    BegunStep begun;
+    uint32_t first_task = 0;  // Earlier tasks had their turn in this plan.
+  };
 
   std::vector<Candidate> CollectCandidates(const PlanInput& input) const;
   void AddCandidate(const PlanInput& input,
@@ -161,10 +168,10 @@
   void DivideFullPools(const Ledger& ledger,
                        std::span<Candidate> candidates,
                        Placement& placement);
+  void CollectClaims(std::span<Candidate> candidates);
   void AddHolders(const Ledger& ledger,
                   const std::string& service,
                   PoolShares& pool) const;
-  static Resources Begun(const Candidate& candidate, uint32_t startable);
   uint32_t CountStartableTasks(const Candidate& candidate) const;
   double RunTimeRatio(const std::string& queue) const;
   std::vector<uint32_t> StartableTasks(const Candidate& candidate) const;
@@ -220,6 +227,7 @@
   std::map<TaskId, SteadyTime> m_previous_suspect_waits;  // At the last plan.
   std::map<std::string, SteadyTime> m_deferred;           // Until when, by job.
   std::map<std::string, PoolShares> m_shares;  // Of the last plan, by service.
+  std::vector<ShareOfStep> m_shares_of_steps;  // Used within a plan only.
   /// Actual over estimated run time, by queue.
   std::map<std::string, double> m_run_time_ratios;
 };
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -147,10 +147,8 @@
   bool is_running = false;
   SteadyTime deadline{};
   SteadyTime waiting_since{};
-  PoolShares* shares = nullptr;  // Null: it takes no part in a division.
-  PoolShares::Claim claim = 0;
-  uint32_t first_task = 0;  // Earlier tasks had their turn in this plan.
-  BegunStep begun;
+  // Null: it takes no part in a division.
+  ShareOfStep* share = nullptr;
 
   uint32_t TasksLeft() const {
     const size_t base = occurrence * job->spec.steps.size();
@@ -179,8 +177,9 @@
       : m_planner(planner), m_input(input) {
     for (const Candidate& candidate : candidates) {
       const std::string& service = candidate.Service();
-      if (!m_places_of.contains(service)) {
-        m_places_of[service] = PlacesOf(service);
+      const auto [places, is_new] = m_places_of.try_emplace(service);
+      if (is_new) {
+        places->second = PlacesOf(service);
       }
     }
   }
@@ -226,7 +225,7 @@
   /// their starts to `out`.
   ///
   /// @returns Whether some wait because the organisation has its part.
-  bool PlaceStep(Candidate& candidate,
+  bool PlaceStep(const Candidate& candidate,
                  ShareLimit limit,
                  std::vector<RunStarted>& out) {
     const StepSpec& step = candidate.job->spec.steps[candidate.step];
@@ -250,14 +249,14 @@
       return false;
     }
     for (const uint32_t index : m_planner.StartableTasks(candidate)) {
-      if (index < candidate.first_task) {
+      if (candidate.share != nullptr && index < candidate.share->first_task) {
         continue;
       }
       if (IsOverCap(*candidate.job, step)) {
         return false;
       }
       if (IsPutOff(candidate, limit)) {
-        candidate.first_task = index;
+        candidate.share->first_task = index;
         return true;
       }
       Place* place = FindPlace(candidate, step, index, places->second, {});
@@ -306,8 +305,9 @@
   };
 
   static bool IsPutOff(const Candidate& candidate, ShareLimit limit) {
-    return limit == ShareLimit::kOwnPart && candidate.shares != nullptr &&
-           !candidate.shares->GoesFirst(candidate.claim, candidate.begun);
+    const ShareOfStep* share = candidate.share;
+    return limit == ShareLimit::kOwnPart && share != nullptr &&
+           !share->pool->GoesFirst(share->claim, share->begun);
   }
 
   static const Task& TaskOf(const Candidate& candidate, uint32_t index) {
@@ -386,7 +386,7 @@
   }
 
   // Places all members of a gang, on one rack if it asks for that, or none.
-  void PlaceGang(Candidate& candidate,
+  void PlaceGang(const Candidate& candidate,
                  const StepSpec& step,
                  std::vector<Place>& places,
                  std::vector<RunStarted>& out) {
@@ -714,7 +714,7 @@
     return best;
   }
 
-  void Assign(Candidate& candidate,
+  void Assign(const Candidate& candidate,
               const StepSpec& step,
               uint32_t index,
               Place& place,
@@ -750,7 +750,7 @@
     return last + 1;
   }
 
-  void Reserve(Candidate& candidate,
+  void Reserve(const Candidate& candidate,
                const RunStarted& start,
                const StepSpec& step) {
     m_planner.m_reserved_worker[start.task] = start.worker;
@@ -765,9 +765,9 @@
     if (!step.is_persistent) {
       Add(m_planner.m_reserved_in_pool[service][job.organisation], room);
     }
-    if (candidate.shares != nullptr) {
-      candidate.shares->Hold(candidate.claim, room);
-      Add(candidate.begun.held, room);
+    if (candidate.share != nullptr) {
+      candidate.share->pool->Hold(candidate.share->claim, room);
+      Add(candidate.share->begun.held, room);
     }
     if (!job.organisation.empty()) {
       Add(m_planner.m_reserved_of_cap[job.organisation], step.need);
@@ -1047,20 +1047,7 @@
 void Planner::DivideFullPools(const Ledger& ledger,
                               std::span<Candidate> candidates,
                               Placement& placement) {
-  for (Candidate& candidate : candidates) {
-    if (candidate.urgency > Urgency::kLate) {
-      break;
-    }
-    const uint32_t tasks = CountStartableTasks(candidate);
-    if (tasks > 0) {
-      PoolShares& pool = m_shares[candidate.Service()];
-      const StepSpec& step = candidate.job->spec.steps[candidate.step];
-      candidate.shares = &pool;
-      candidate.claim = pool.ClaimOf(candidate.job->organisation);
-      pool.Want(candidate.claim, ReservedResources(step), tasks);
-      candidate.begun = {ReservedResources(step), Begun(candidate, tasks)};
-    }
-  }
+  CollectClaims(candidates);
   for (auto& [service, pool] : m_shares) {
     const Resources free =
         placement.FreeRoom(service, pool.smallest(), pool.wanted());
@@ -1071,6 +1058,42 @@
   }
 }
 
+void Planner::CollectClaims(std::span<Candidate> candidates) {
+  m_shares_of_steps.clear();
+  m_shares_of_steps.reserve(candidates.size());  // Candidates point to them.
+  // Compares addresses, as there are many steps of few services.
+  boost::container::small_vector<std::pair<const std::string*, PoolShares*>, 16>
+      pools;
+  const auto pool_of = [&](const std::string& service) {
+    for (const auto& [name, pool] : pools) {
+      if (name == &service) {
+        return pool;
+      }
+    }
+    return pools.emplace_back(&service, &m_shares[service]).second;
+  };
+  for (Candidate& candidate : candidates) {
+    if (candidate.urgency > Urgency::kLate) {
+      break;
+    }
+    const uint32_t tasks = CountStartableTasks(candidate);
+    if (tasks == 0) {
+      continue;
+    }
+    const Resources need =
+        ReservedResources(candidate.job->spec.steps[candidate.step]);
+    ShareOfStep& share = m_shares_of_steps.emplace_back();
+    share.pool = pool_of(candidate.Service());
+    share.claim = share.pool->ClaimOf(candidate.job->organisation);
+    share.begun.need = need;
+    for (uint32_t task = tasks; task < candidate.TasksLeft(); ++task) {
+      Add(share.begun.held, need);
+    }
+    share.pool->Want(share.claim, need, tasks);
+    candidate.share = &share;
+  }
+}
+
 // Adds what runs and what is being committed.
 void Planner::AddHolders(const Ledger& ledger,
                          const std::string& service,
@@ -1096,17 +1119,6 @@
   }
 }
 
-// What the tasks of a step hold that are not done.
-Resources Planner::Begun(const Candidate& candidate, uint32_t startable) {
-  const Job& job = *candidate.job;
-  const Resources need = ReservedResources(job.spec.steps[candidate.step]);
-  Resources begun;
-  for (uint32_t task = startable; task < candidate.TasksLeft(); ++task) {
-    Add(begun, need);
-  }
-  return begun;
-}
-
 // As many as StartableTasks() returns. Most steps wait as a whole, so that they
 // need no look at each task.
 uint32_t Planner::CountStartableTasks(const Candidate& candidate) const {
