--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -17,9 +17,9 @@
     "get-wave",        "relay-orders",      "tell-heard-workers"};
 static_assert(kKindNames.size() == std::variant_size_v<dispatch::Request>);
 
-constexpr std::array<const char*, 8> kOutcomeNames{
-    "ok",          "no-queue", "no-job",    "not-found",
-    "unavailable", "unknown",  "no-access", "conflict"};
+constexpr std::array<const char*, 9> kOutcomeNames{
+    "ok",      "no-queue",  "no-job",   "not-found", "unavailable",
+    "unknown", "no-access", "conflict", "overloaded"};
 static_assert(kOutcomeNames.size() ==
               static_cast<size_t>(dispatch::Outcome::kCount));
 
--- a/packages/dispatch/include/laurelhall/dispatch/request.h
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -128,6 +128,7 @@
   kUnknown,      ///< May have been carried out; a retry is safe.
   kNoAccess,     ///< The configuration in force has no such key for the queue.
   kConflict,     ///< Another organisation has a job of this id.
+  kOverloaded,   ///< Not accepted, as the job could not be done in time.
   kCount,
 };
 
@@ -141,8 +142,8 @@
   /// ForwardAnnouncementsReply.
   std::string document;
   bool is_wave_done = false;
-  /// With kUnavailable, how long to wait before a retry; zero if the caller may
-  /// choose.
+  /// With kUnavailable and kOverloaded, how long to wait before a retry; zero
+  /// if the caller may choose.
   Millis retry_after{0};
 };
 
