Dispatch: a repeated submission gets the outcome of the first one

An entry host repeats a submission whose first try got no answer.

The leader now keeps the submissions that it has put into a batch: a repeat by the same key, or for the same organisation, waits for the outcome of the first one. Another key's submission of the same id is judged by itself: no stranger learns of a job, and two organisations no longer both hear of success for one id.

An entry host passes on a refusal (no key, no queue, overload) only if no earlier try may have been carried out. Otherwise it goes on asking, and the outcome is unknown in the end.

Ruled out: fingerprints of former keys in the ledger, which would make a removed key work for repeats without a bound on the time.

Seen to fail on the code before: "Dispatcher, key taken away between two tries", "Dispatcher, key taken away after the commit" (401 instead of the first one's outcome), "Remote, refusal after an unanswered try" (each of the three refusals passed on).

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <utility>
 
+#include "hand_ins_p.h"
 #include "laurelhall/base/decision_log.h"
 #include "leadership_p.h"
 #include "relay_pool_p.h"
@@ -118,6 +119,7 @@
         DecisionLine("dispatch", "leads").With("term", term));
     m_relays.Begin(term);
     m_rates = {};
+    m_hand_ins->Clear();
     DispatcherInit init = m_init;
     init.workers = &m_relays;
     m_leadership = std::make_shared<Leadership>(init, *m_log, term, m_counters);
@@ -275,7 +277,8 @@
   // kOk, kNoQueue, kNoAccess, or kUnavailable before the first configuration.
   struct Admission {
     Outcome outcome = Outcome::kUnavailable;
-    const scheduling::QueueSpec* queue = nullptr;  // With kOk and kNoAccess.
+    // With kOk and kNoAccess. Valid during the read of the ledger.
+    const scheduling::QueueSpec* queue = nullptr;
     std::string organisation;
   };
 
@@ -360,44 +363,99 @@
     return reply;
   }
 
-  void Run(SubmitJob& request, const ReplyDone& done) {
-    scheduling::OrganisationJobAccepted taken;
-    Outcome outcome = Outcome::kOk;
+  // What the ledger says of a submission.
+  struct Judgement {
+    Outcome outcome = Outcome::kUnavailable;  // As in Admission.
+    std::string organisation;
+    std::string queue;
+    std::string service;
     bool is_known = false;
+    bool is_own = false;  // With is_known.
     double promised_rate = 0;
+  };
+
+  Judgement Judge(const SubmitJob& request) const {
+    Judgement judged;
     m_log->Read([&](const Ledger& ledger) {
-      const Admission admission = Admit(ledger, request);
-      outcome = admission.outcome;
-      if (outcome != Outcome::kOk) {
-        return;
-      }
-      is_known = ledger.FindJob(request.id) != nullptr;
-      if (is_known &&
-          FindOwnJob(ledger, request.id, admission.organisation) == nullptr) {
-        outcome = Outcome::kConflict;
+      Admission admission = Admit(ledger, request);
+      judged.outcome = admission.outcome;
+      judged.organisation = std::move(admission.organisation);
+      if (admission.queue != nullptr) {
+        judged.queue = admission.queue->name;
+        judged.service = admission.queue->service;
       }
-      taken.job.queue = admission.queue->name;
-      taken.job.service = admission.queue->service;
-      taken.organisation = admission.organisation;
-      const auto* spec = ledger.keys().Find(taken.organisation);
-      promised_rate = spec == nullptr ? 0 : spec->weight;
+      judged.is_known = ledger.FindJob(request.id) != nullptr;
+      judged.is_own =
+          FindOwnJob(ledger, request.id, judged.organisation) != nullptr;
+      const auto* spec = ledger.keys().Find(judged.organisation);
+      judged.promised_rate = spec == nullptr ? 0 : spec->weight;
     });
-    // A removed queue accepts nothing, not even the repeat of a known job.
-    if (outcome == Outcome::kConflict ||
-        (outcome == Outcome::kOk && is_known)) {
-      done(MakeReply(outcome));
+    return judged;
+  }
+
+  // A repeated submission gets the outcome of the first one, also if its key or
+  // queue was removed between the two: the entry host that repeats it must not
+  // tell its caller that the job is refused, when it runs.
+  bool AnswerRepeat(const SubmitJob& request,
+                    const Judgement& judged,
+                    const HandIns::Caller& caller,
+                    const ReplyDone& done) {
+    const bool is_accepted = judged.outcome == Outcome::kOk;
+    switch (m_hand_ins->Find(request.id, caller, done, m_init.timers->Now())) {
+      case HandIns::Found::kJoined:
+        return true;
+      case HandIns::Found::kAccepted:
+        done(MakeReply(Outcome::kOk));
+        return true;
+      case HandIns::Found::kUnknown:
+        if (!is_accepted) {
+          done(MakeReply(judged.is_known ? Outcome::kOk : Outcome::kUnknown));
+        }
+        return !is_accepted;
+      case HandIns::Found::kOfAnother:
+        if (is_accepted) {
+          done(Unavailable());
+        }
+        return is_accepted;
+      default:
+        return false;
+    }
+  }
+
+  void Run(SubmitJob& request, const ReplyDone& done) {
+    const Judgement judged = Judge(request);
+    HandIns::Caller caller{request.key, {}};
+    if (judged.outcome == Outcome::kOk) {
+      caller.organisation = judged.organisation;
+    }
+    if (AnswerRepeat(request, judged, caller, done)) {
       return;
     }
-    if (outcome != Outcome::kOk) {
+    if (judged.outcome != Outcome::kOk) {
       RefuseConfirmed(request, done);
       return;
     }
+    if (judged.is_known) {
+      done(MakeReply(judged.is_own ? Outcome::kOk : Outcome::kConflict));
+      return;
+    }
+    Accept(request, judged, caller, done);
+  }
+
+  void Accept(SubmitJob& request,
+              const Judgement& judged,
+              const HandIns::Caller& caller,
+              const ReplyDone& done) {
+    scheduling::OrganisationJobAccepted taken;
+    taken.job.queue = judged.queue;
+    taken.job.service = judged.service;
+    taken.organisation = judged.organisation;
     taken.job.id = request.id;
     taken.job.at = m_init.wall_now();
     taken.job.spec = std::move(request.spec);
-    taken.is_excess =
-        promised_rate > 0 && m_rates.IsExcess(taken.organisation, promised_rate,
-                                              m_init.timers->Now());
+    taken.is_excess = judged.promised_rate > 0 &&
+                      m_rates.IsExcess(taken.organisation, judged.promised_rate,
+                                       m_init.timers->Now());
     ++m_counters.jobs;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "accept", LineClass::kRequest)
@@ -407,7 +465,11 @@
             .With("organisation", taken.organisation)
             .With("excess", taken.is_excess ? 1 : 0)
             .With("term", m_leadership->term()));
-    Commit(std::move(taken), done);
+    m_hand_ins->Begin(request.id, caller, done);
+    Commit(std::move(taken), [hand_ins = m_hand_ins, id = request.id,
+                              timers = m_init.timers](const Reply& reply) {
+      hand_ins->Settle(id, reply, timers->Now());
+    });
   }
 
   void Run(GetJob& request, const ReplyDone& done) {
@@ -862,6 +924,8 @@
   // after an answer.
   SteadyTime m_unanswered_since{};
   DispatchCounters m_counters;
+  // Commits hold it too: who waits is answered also when this object is gone.
+  std::shared_ptr<HandIns> m_hand_ins = std::make_shared<HandIns>();
   scheduling::JobRateLimiter m_rates;  // Since this host began to lead.
 
   std::atomic<bool> m_is_leading{false};
--- a/packages/dispatch/src/remote.cc
+++ b/packages/dispatch/src/remote.cc
@@ -187,6 +187,23 @@
         took, is_answered ? AdmittedOutcome::kAnswered : unanswered, now);
   }
 
+  // Whether the last try's outcome is that of the request. A refusal is not, if
+  // an earlier try may have been carried out: it was judged by other keys,
+  // queues and load.
+  static bool IsFinal(const PendingRequest& pending, Outcome outcome) {
+    switch (outcome) {
+      case Outcome::kUnknown:
+      case Outcome::kUnavailable:
+        return false;
+      case Outcome::kNoQueue:
+      case Outcome::kNoAccess:
+      case Outcome::kOverloaded:
+        return pending.is_read_only || !pending.may_have_run;
+      default:
+        return true;
+    }
+  }
+
   void OnAnswer(const std::shared_ptr<PendingRequest>& pending,
                 const std::optional<std::string>& text,
                 bool may_have_run) {
@@ -210,8 +227,7 @@
     }
     pending->may_have_run =
         pending->may_have_run || reply.outcome == Outcome::kUnknown;
-    const bool is_final = reply.outcome != Outcome::kUnknown &&
-                          reply.outcome != Outcome::kUnavailable;
+    const bool is_final = IsFinal(*pending, reply.outcome);
     const SteadyTime now = m_init.timers->Now();
     if (!is_final && now + kRetryDelay < pending->give_up_at) {
       m_init.timers->SubscribeOnce(
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -225,6 +225,64 @@
         Outcome::kOk);
 }
 
+// A leader that stands still while a submission waits to be committed, and the
+// entry host repeats it.
+class RepeatedSubmissionFixture : public KeyedQueueFixture {
+ protected:
+  void Send(const std::string& key, Outcome& outcome) {
+    scheduling::JobSpec spec;
+    spec.steps = {Step(1)};
+    world.Send(SubmitJob{"q", "/q/job", "job", spec, key},
+               [&outcome](const Reply& reply) { outcome = reply.outcome; });
+    world.Advance(Millis(5));  // It is in the batch, which is not flushed yet.
+  }
+
+  Outcome first = Outcome::kCount;
+  Outcome second = Outcome::kCount;
+};
+
+// Guards against a caller that is told that its job was refused, when it runs.
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, key taken away between two tries, the second "
+                  "gets the outcome of the first") {
+  Send("key-a", first);
+  Identify({{"b", "key-b"}});
+  Send("key-a", second);
+  world.PauseLeader(Millis(800));
+  world.Advance(Millis(1'000));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kOk);
+  CHECK(world.starts() == 1);
+}
+
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, key taken away after the commit, a repeat soon "
+                  "after is accepted and a later one refused") {
+  Send("key-a", first);
+  world.Advance(Millis(100));
+  Identify({{"b", "key-b"}});
+  Send("key-a", second);
+  world.Advance(Millis(2'000));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kOk);
+  Send("key-a", second);
+  world.Advance(Millis(100));
+  CHECK(second == Outcome::kNoAccess);
+}
+
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, id of another's submission, shows nothing of "
+                  "it") {
+  Send("key-a", first);
+  Send("key-x", second);
+  world.Advance(Millis(500));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kNoAccess);
+  Send("key-x", second);
+  world.Advance(Millis(100));
+  CHECK(second == Outcome::kNoAccess);
+}
+
 // A host that does not lead can't refuse a key: a request is refused only after
 // a quorum has confirmed that the configuration is the newest.
 TEST_CASE_FIXTURE(KeyedQueueFixture,
--- a/packages/dispatch/tests/remote_test.cc
+++ b/packages/dispatch/tests/remote_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <utility>
 
 namespace laurelhall::dispatch {
 namespace {
@@ -20,6 +21,11 @@
     init.ask = [this](const scheduling::LeaderRequest& request, auto done) {
       ++request_count;
       read_count += request.is_query ? 1 : 0;
+      if (std::exchange(is_first_try_lost, false)) {
+        timers.SubscribeOnce(Millis(200),
+                             [done](SteadyTime) { done(std::nullopt, true); });
+        return;
+      }
       if (answer) {
         done(scheduling::Encode(Reply(*answer)), false);
         return;
@@ -50,6 +56,7 @@
 
   ManualTimerService timers;
   std::optional<Reply> answer;
+  bool is_first_try_lost = false;  ///< Sent, and not answered.
   int request_count = 0;
   int read_count = 0;
   Outcome outcome = Outcome::kCount;
@@ -94,6 +101,43 @@
   CHECK(read_count == 1);
 }
 
+// Guards against a caller that is told that its job was refused, when its first
+// try is carried out after all.
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, refusal after an unanswered try, the outcome is "
+                  "unknown") {
+  for (const Outcome refusal :
+       {Outcome::kNoAccess, Outcome::kNoQueue, Outcome::kOverloaded}) {
+    CAPTURE(static_cast<int>(refusal));
+    is_first_try_lost = true;
+    answer = Reply();
+    answer->outcome = refusal;
+    Ask(SubmitJob{"q", "/q/a", "a", {}});
+    CHECK(outcome == Outcome::kUnknown);
+  }
+}
+
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, refusal of the only try or of a read, passed on") {
+  answer = Reply();
+  answer->outcome = Outcome::kOverloaded;
+  CHECK(Ask(SubmitJob{"q", "/q/a", "a", {}}) == 0);
+  CHECK(outcome == Outcome::kOverloaded);
+  is_first_try_lost = true;
+  answer->outcome = Outcome::kNoAccess;
+  Ask(GetJob{"q", "/q/a", "a"});
+  CHECK(outcome == Outcome::kNoAccess);
+}
+
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, job accepted after an unanswered try, passed on") {
+  is_first_try_lost = true;
+  answer = Reply();
+  answer->outcome = Outcome::kOk;
+  Ask(SubmitJob{"q", "/q/a", "a", {}});
+  CHECK(outcome == Outcome::kOk);
+}
+
 // Guards against probes that add to the leader's load without need.
 TEST_CASE_FIXTURE(RemoteFixture, "Remote, callers are answered, no probe") {
   answer = Reply();
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -1127,6 +1127,10 @@
   return AskHost(m_leader, std::move(request));
 }
 
+void World::Send(Request request, ReplyDone done) {
+  m_hosts[m_leader]->dispatcher->Ask(std::move(request), std::move(done));
+}
+
 Reply World::AskFollower(Request request) {
   return AskHost(1 - m_leader, std::move(request));
 }
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -179,6 +179,10 @@
   /// reply.
   Reply Ask(Request request);
 
+  /// Sends a request to the leader. `done` may be called during a later
+  /// Advance().
+  void Send(Request request, ReplyDone done);
+
   /// As Ask(), for the control host that does not lead.
   Reply AskFollower(Request request);
 
