Admission: a job that can't be in time by its organisation's share is refused

Under a rush of one organisation all jobs were accepted, and earliest deadline first made nearly all of them late, also those of organisations that sent their usual.

Within a job's slack (its objective less its critical path, with learned run times) its pool does cores * efficiency * slack of work. That is divided among the organisations by weighted max-min fairness; the claim of another one is its open work and what it is expected to submit within the slack. The job is admitted if its organisation's part covers the open work that goes before it. Jobs above the guaranteed rate get what all promised work leaves. Always admitted: persistent and timed jobs, jobs of no organisation, the first job of an organisation in a pool, and all jobs while the capacity is not known.

A refused job is answered 429 with a time to come back: later than that of the organisation's jobs refused before, at the rate at which its work is done, and after 5 s at the most. It is refused until then, and goes before new ones from then on, as far as refused jobs come back at all. A refusal waits for a confirmed read, and a job that is under way, or of unknown outcome, is never refused. A refused job gives its place in the guaranteed rate back.

The leader refreshes the figures with the choice of moves each 150 ms, in the walk over the open jobs that is made there anyway.

Not tested yet: the wiring to the dispatcher.

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -38,6 +38,9 @@
     Total{"unanswered_orders", &DispatchCounters::unknown_calls},
     Total{"worker_crashes", &DispatchCounters::crashes},
     Total{"jobs_given_up", &DispatchCounters::given_up},
+    Total{"jobs_refused_beyond_share", &DispatchCounters::refused_beyond_share},
+    Total{"jobs_refused_excess", &DispatchCounters::refused_excess},
+    Total{"jobs_refused_too_early", &DispatchCounters::refused_too_early},
 };
 
 using GaugeFamily = prometheus::Family<prometheus::Gauge>;
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -48,6 +48,10 @@
   uint64_t unknown_calls = 0;
   uint64_t crashes = 0;   ///< Workers that went down without announcing it.
   uint64_t given_up = 0;  ///< Jobs ended because a task crashes its workers.
+  /// Submissions refused because the job would be late, by verdict.
+  uint64_t refused_beyond_share = 0;
+  uint64_t refused_excess = 0;
+  uint64_t refused_too_early = 0;
 };
 
 /// A count labelled with the name of what is counted.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -45,6 +45,7 @@
 constexpr Millis kForwardMaxAge{3'000};
 // After this time without an answer of a leader this host may be cut off.
 constexpr Millis kCutOffTimeout{2'000};
+constexpr Millis kAdmissionLogPeriod{1'000};
 // Digits of a key's fingerprint in a log line, enough to distinguish keys.
 constexpr size_t kLoggedKeyDigits = 12;
 
@@ -173,6 +174,7 @@
       const auto leadership = m_leadership;
       m_relays.Tick(leadership->LeaderDelay());
       leadership->Tick();
+      LogAdmission();
       PublishCounters();
     } else {
       ForwardToLeader();
@@ -372,6 +374,8 @@
     bool is_known = false;
     bool is_own = false;  // With is_known.
     double promised_rate = 0;
+    bool is_admission_on = false;
+    scheduling::JobForecast forecast;  // With is_admission_on.
   };
 
   Judgement Judge(const SubmitJob& request) const {
@@ -389,6 +393,12 @@
           FindOwnJob(ledger, request.id, judged.organisation) != nullptr;
       const auto* spec = ledger.keys().Find(judged.organisation);
       judged.promised_rate = spec == nullptr ? 0 : spec->weight;
+      judged.is_admission_on =
+          judged.outcome == Outcome::kOk && m_leadership->IsAdmissionOn(ledger);
+      if (judged.is_admission_on) {
+        judged.forecast =
+            m_leadership->Forecast(request.spec, *admission.queue);
+      }
     });
     return judged;
   }
@@ -398,10 +408,10 @@
   // tell its caller that the job is refused, when it runs.
   bool AnswerRepeat(const SubmitJob& request,
                     const Judgement& judged,
-                    const HandIns::Caller& caller,
+                    HandIns::Found found,
                     const ReplyDone& done) {
     const bool is_accepted = judged.outcome == Outcome::kOk;
-    switch (m_hand_ins->Find(request.id, caller, done, m_init.timers->Now())) {
+    switch (found) {
       case HandIns::Found::kJoined:
         return true;
       case HandIns::Found::kAccepted:
@@ -428,7 +438,9 @@
     if (judged.outcome == Outcome::kOk) {
       caller.organisation = judged.organisation;
     }
-    if (AnswerRepeat(request, judged, caller, done)) {
+    const HandIns::Found found =
+        m_hand_ins->Find(request.id, caller, done, m_init.timers->Now());
+    if (AnswerRepeat(request, judged, found, done)) {
       return;
     }
     if (judged.outcome != Outcome::kOk) {
@@ -439,11 +451,104 @@
       done(MakeReply(judged.is_own ? Outcome::kOk : Outcome::kConflict));
       return;
     }
-    Accept(request, judged, caller, done);
+    const bool is_excess = CountsAsExcess(judged);
+    const scheduling::AdmissionRequest asked =
+        MakeAdmissionRequest(request, judged, is_excess);
+    // A job that may have been accepted can't be refused.
+    if (judged.is_admission_on && found != HandIns::Found::kUnknown) {
+      const scheduling::Decision decision =
+          m_leadership->admission().Decide(asked, m_init.timers->Now());
+      if (!decision.is_admitted()) {
+        RefuseLate(asked, caller, decision, done);
+        return;
+      }
+    }
+    Accept(request, judged, asked, caller, done);
+  }
+
+  bool CountsAsExcess(const Judgement& judged) {
+    return judged.promised_rate > 0 &&
+           m_rates.IsExcess(judged.organisation, judged.promised_rate,
+                            m_init.timers->Now());
+  }
+
+  static scheduling::AdmissionRequest MakeAdmissionRequest(
+      const SubmitJob& request,
+      const Judgement& judged,
+      bool is_excess) {
+    const auto& steps = request.spec.steps;
+    const bool is_short =
+        !request.spec.is_timed &&
+        std::none_of(steps.begin(), steps.end(),
+                     [](const auto& step) { return step.is_persistent; });
+    return {request.id,
+            judged.organisation,
+            judged.promised_rate,
+            judged.service,
+            is_short,
+            is_excess,
+            judged.forecast.work,
+            judged.forecast.critical_path,
+            judged.forecast.objective};
+  }
+
+  void CountRefusal(const scheduling::AdmissionRequest& asked,
+                    const scheduling::Decision& decision) {
+    using scheduling::Verdict;
+    const bool is_too_early = decision.verdict == Verdict::kTooEarly;
+    ++(is_too_early ? m_counters.refused_too_early
+       : decision.verdict == Verdict::kExcess
+           ? m_counters.refused_excess
+           : m_counters.refused_beyond_share);
+    ++m_refused_since_log;
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "overloaded", LineClass::kRequest)
+            .With("job", asked.job)
+            .With("organisation", asked.organisation)
+            .With("pool", asked.pool)
+            .With("why", scheduling::VerdictName(decision.verdict))
+            .With("open_core_ms", static_cast<int64_t>(decision.ahead))
+            .With("part_core_ms", static_cast<int64_t>(decision.part))
+            .With("slack_ms", decision.slack)
+            .With("retry_after_ms", decision.retry_after));
+  }
+
+  // Refuses a job only after a confirmed read: another leader may have accepted
+  // it. What is accepted meanwhile decides.
+  void RefuseLate(const scheduling::AdmissionRequest& asked,
+                  const HandIns::Caller& caller,
+                  const scheduling::Decision& decision,
+                  const ReplyDone& done) {
+    if (!asked.is_excess) {
+      m_rates.Refund(asked.organisation);
+    }
+    CountRefusal(asked, decision);
+    auto refuse = [asked, decision](const Ledger& ledger) {
+      if (ledger.FindJob(asked.job) != nullptr) {
+        const bool is_own =
+            FindOwnJob(ledger, asked.job, asked.organisation) != nullptr;
+        return MakeReply(is_own ? Outcome::kOk : Outcome::kConflict);
+      }
+      Reply reply = MakeReply(Outcome::kOverloaded);
+      reply.retry_after = decision.retry_after;
+      return reply;
+    };
+    ReadConfirmed(
+        std::move(refuse), [hand_ins = m_hand_ins, asked, caller,
+                            timers = m_init.timers, done](const Reply& reply) {
+          const bool is_joined =
+              reply.outcome == Outcome::kOverloaded &&
+              hand_ins->Find(asked.job, caller, done, timers->Now()) ==
+                  HandIns::Found::kJoined;
+          if (!is_joined) {
+            done(reply);
+          }
+        });
   }
 
   void Accept(SubmitJob& request,
               const Judgement& judged,
+              const scheduling::AdmissionRequest& asked,
               const HandIns::Caller& caller,
               const ReplyDone& done) {
     scheduling::OrganisationJobAccepted taken;
@@ -453,9 +558,7 @@
     taken.job.id = request.id;
     taken.job.at = m_init.wall_now();
     taken.job.spec = std::move(request.spec);
-    taken.is_excess = judged.promised_rate > 0 &&
-                      m_rates.IsExcess(taken.organisation, judged.promised_rate,
-                                       m_init.timers->Now());
+    taken.is_excess = asked.is_excess;
     ++m_counters.jobs;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "accept", LineClass::kRequest)
@@ -466,12 +569,38 @@
             .With("excess", taken.is_excess ? 1 : 0)
             .With("term", m_leadership->term()));
     m_hand_ins->Begin(request.id, caller, done);
-    Commit(std::move(taken), [hand_ins = m_hand_ins, id = request.id,
-                              timers = m_init.timers](const Reply& reply) {
-      hand_ins->Settle(id, reply, timers->Now());
+    Commit(std::move(taken), [weak = weak_from_this(), hand_ins = m_hand_ins,
+                              asked, is_counted = judged.is_admission_on,
+                              timers = m_init.timers,
+                              term = m_leadership->term()](const Reply& reply) {
+      const auto self = weak.lock();
+      if (is_counted && self != nullptr && self->m_leadership != nullptr &&
+          self->m_leadership->term() == term) {
+        self->m_leadership->admission().Settle(asked,
+                                               reply.outcome == Outcome::kOk);
+      }
+      hand_ins->Settle(asked.job, reply, timers->Now());
     });
   }
 
+  // Counts show whether jobs are refused when the lines about single jobs are
+  // dropped.
+  void LogAdmission() {
+    const SteadyTime now = m_init.timers->Now();
+    if (now < m_next_admission_log) {
+      return;
+    }
+    m_next_admission_log = now + kAdmissionLogPeriod;
+    const uint64_t accepted =
+        m_counters.jobs - std::exchange(m_logged_jobs, m_counters.jobs);
+    const uint64_t refused = std::exchange(m_refused_since_log, 0);
+    if (refused > 0) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "admission")
+                                   .With("accepted", accepted)
+                                   .With("refused", refused));
+    }
+  }
+
   void Run(GetJob& request, const ReplyDone& done) {
     // The state of an ended job is final, so it needs no confirmed read.
     Reply known;
@@ -924,6 +1053,9 @@
   // after an answer.
   SteadyTime m_unanswered_since{};
   DispatchCounters m_counters;
+  uint64_t m_refused_since_log = 0;
+  uint64_t m_logged_jobs = 0;  // Accepted jobs that were logged.
+  SteadyTime m_next_admission_log{};
   // Commits hold it too: who waits is answered also when this object is gone.
   std::shared_ptr<HandIns> m_hand_ins = std::make_shared<HandIns>();
   scheduling::JobRateLimiter m_rates;  // Since this host began to lead.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -13,6 +13,7 @@
 
 #include "laurelhall/base/decision_log.h"
 #include "laurelhall/dispatch/dispatcher.h"
+#include "laurelhall/scheduling/admission.h"
 #include "laurelhall/scheduling/answer_time.h"
 #include "laurelhall/scheduling/crash.h"
 #include "laurelhall/scheduling/demand.h"
@@ -296,6 +297,15 @@
     return std::min(3 * m_tick_lag, kMaxLeaderDelay);
   }
 
+  /// Decides whether a submitted job is accepted.
+  scheduling::Admission& admission() { return m_admission; }
+  /// Whether submitted jobs are to be decided on.
+  bool IsAdmissionOn(const scheduling::Ledger& ledger) const;
+  scheduling::JobForecast Forecast(const scheduling::JobSpec& spec,
+                                   const scheduling::QueueSpec& queue) const {
+    return m_planner.Forecast(spec, queue);
+  }
+
   uint64_t term() const { return m_term; }
   const SchedulerStatus& scheduler_status() const { return m_scheduler_status; }
 
@@ -646,7 +656,10 @@
     double expected = 0;
     double persistent = 0;
   };
-  std::map<std::string, ServiceNeed> NeededCores(const Ledger& ledger) const;
+  using PoolLoads = std::map<std::string, scheduling::PoolLoad>;  // By service.
+  /// @param loads Gets the open work of each service, if it is not null.
+  std::map<std::string, ServiceNeed> NeededCores(const Ledger& ledger,
+                                                 PoolLoads* loads) const;
   scheduling::PoolMoveLimits MakePoolWeights(
       const std::vector<scheduling::PoolDemand>& pools);
   size_t MaxNewMoves(const Ledger& ledger) const;
@@ -656,6 +669,13 @@
   void OnMoved(const std::string& host, HostActOutcome outcome);
   bool IsSparePool(const Ledger& ledger, const std::string& pool) const;
 
+  // pool_loads.cc: the load of pools, for admission.
+  static void AddOpenWork(const Ledger& ledger,
+                          const scheduling::Job& job,
+                          const scheduling::PendingWork& pending,
+                          PoolLoads& loads);
+  void UpdateAdmission(const Ledger& ledger, PoolLoads loads);
+
   const scheduling::Worker* WorkerOn(const Ledger& ledger,
                                      const std::string& host) const;
   bool IsBeingEvacuated(const std::string& host) const {
@@ -693,6 +713,7 @@
   std::map<std::string, HostState> m_inventory;          // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
   scheduling::DemandMeter m_demand;
+  scheduling::Admission m_admission;
   /// Falling peaks of the cores that all services need, oldest first.
   std::deque<std::pair<SteadyTime, double>> m_peak_needs;
   std::map<std::string, SteadyTime>
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -206,7 +206,8 @@
 }
 
 std::map<std::string, Leadership::ServiceNeed> Leadership::NeededCores(
-    const Ledger& ledger) const {
+    const Ledger& ledger,
+    PoolLoads* loads) const {
   const SteadyTime now = Now();
   std::map<std::string, ServiceNeed> needs;
   for (const std::string& id : ledger.open_jobs()) {
@@ -224,6 +225,9 @@
                                           waiting.left * kQueueTimeShare));
     needs[ledger.ServiceOf(job)].current +=
         waiting.core_milliseconds / static_cast<double>(within.count());
+    if (loads != nullptr) {
+      AddOpenWork(ledger, job, waiting, *loads);
+    }
   }
   for (const auto& [id, worker] : ledger.workers()) {
     const auto persistent =
@@ -387,7 +391,13 @@
 }
 
 void Leadership::ChooseMoves(const Ledger& ledger) {
-  const std::map<std::string, ServiceNeed> needs = NeededCores(ledger);
+  PoolLoads loads;
+  const bool is_admission_on = IsAdmissionOn(ledger);
+  const std::map<std::string, ServiceNeed> needs =
+      NeededCores(ledger, is_admission_on ? &loads : nullptr);
+  if (is_admission_on) {
+    UpdateAdmission(ledger, std::move(loads));
+  }
   const std::map<std::string, uint32_t> persistent =
       MinHostsForPersistentTasks(ledger);
   std::vector<PoolDemand> pools;
--- a/packages/scheduling/include/laurelhall/scheduling/mechanism.h
+++ b/packages/scheduling/include/laurelhall/scheduling/mechanism.h
@@ -29,6 +29,8 @@
   kLearnedTimes,   ///< Estimated run times are corrected by queue.
   kPacing,         ///< Filling tasks are slowed down beside serving ones.
   kRelays,         ///< Other hosts relay a leader's calls to many workers.
+  kAdmission,      ///< Jobs that can't be in time by their organisation's share
+                   ///< are refused.
   kCount,
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/organisation.h
+++ b/packages/scheduling/include/laurelhall/scheduling/organisation.h
@@ -66,6 +66,9 @@
                 double jobs_per_second,
                 SteadyTime now);
 
+  /// Takes back a job that did not exceed the rate, as it was not accepted.
+  void Refund(const std::string& organisation);
+
  private:
   struct TokenBucket {
     double tokens = 0;
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -41,14 +41,23 @@
   const std::unordered_map<std::string, SteadyTime>& first_seen_at;
 };
 
-/// The work of a job that is not running yet, without persistent tasks.
+/// The work of a job that is not done yet, without persistent tasks.
 struct PendingWork {
-  double core_milliseconds = 0;  ///< In core-milliseconds.
-  Millis left{0};                ///< Time until the job should be done.
+  double core_milliseconds = 0;
+  /// Of tasks that run, by their whole run time.
+  double running_core_milliseconds = 0;
+  Millis left{0};  ///< Time until the job should be done.
   /// The job can no longer be done in time to be of use to its caller.
   bool is_hopeless = false;
 };
 
+/// What a submitted job is expected to take.
+struct JobForecast {
+  double work = 0;  ///< In core-milliseconds, without persistent tasks.
+  Millis critical_path{0};
+  Millis objective{0};  ///< From its submission until it should be done.
+};
+
 /// Why the next plan would start no task of a step that is ready to go on.
 enum class StartObstacle : uint8_t {
   kNone,            ///< Nothing: the next plan can start it.
@@ -122,6 +131,9 @@
   /// tasks.
   double EstimatedWork(const Job& job) const;
 
+  /// The same for a job that is not accepted yet.
+  JobForecast Forecast(const JobSpec& spec, const QueueSpec& queue) const;
+
   /// Learns from a task of a queue how long it took compared with its estimate.
   void Learn(const std::string& queue, Millis estimate, Millis taken);
 
--- a/packages/scheduling/src/organisation.cc
+++ b/packages/scheduling/src/organisation.cc
@@ -76,4 +76,11 @@
   return false;
 }
 
+void JobRateLimiter::Refund(const std::string& organisation) {
+  const auto bucket = m_buckets.find(organisation);
+  if (bucket != m_buckets.end()) {
+    bucket->second.tokens += 1;
+  }
+}
+
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -781,6 +781,32 @@
   return work * RunTimeRatio(job.queue);
 }
 
+JobForecast Planner::Forecast(const JobSpec& spec,
+                              const QueueSpec& queue) const {
+  JobForecast forecast;
+  Millis chain{0};
+  Millis longest{0};
+  std::vector<Millis> path;  // To the end of each step.
+  for (const StepSpec& step : spec.steps) {
+    Millis before{0};
+    for (const uint32_t earlier : step.depends_on) {
+      before = std::max(before, path.at(earlier));
+    }
+    path.push_back(before + step.estimate);
+    longest = std::max(longest, path.back());
+    chain += step.estimate;
+    if (!step.is_persistent) {
+      forecast.work += CoreMilliseconds(step) * step.count;
+    }
+  }
+  const double ratio = RunTimeRatio(queue.name);
+  forecast.work *= ratio;
+  forecast.critical_path = Scaled(longest, ratio);
+  forecast.objective =
+      Scaled(chain, ratio * queue.stretch) + queue.target_latency;
+  return forecast;
+}
+
 PendingWork Planner::Waiting(const Ledger& ledger,
                              const Job& job,
                              SteadyTime first_seen_at,
@@ -789,11 +815,14 @@
   for (size_t index = 0; index < job.tasks.size(); ++index) {
     const StepSpec& step = job.StepOf(index);
     const Task& task = job.tasks[index];
-    if (!task.is_done && task.active.empty() && !step.is_persistent) {
-      waiting.core_milliseconds += CoreMilliseconds(step);
+    if (!task.is_done && !step.is_persistent) {
+      double& work = task.active.empty() ? waiting.core_milliseconds
+                                         : waiting.running_core_milliseconds;
+      work += CoreMilliseconds(step);
     }
   }
   waiting.core_milliseconds *= RunTimeRatio(job.queue);
+  waiting.running_core_milliseconds *= RunTimeRatio(job.queue);
   const SteadyTime deadline =
       DeadlineOf(ledger.FindQueueByName(job.queue), job, first_seen_at);
   const SteadyTime limit =
