--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -17,9 +17,9 @@
     "get-wave",        "relay-orders",      "tell-heard-workers"};
 static_assert(kKindNames.size() == std::variant_size_v<dispatch::Request>);
 
-constexpr std::array<const char*, 8> kOutcomeNames{
-    "ok",          "no-queue", "no-job",    "not-found",
-    "unavailable", "unknown",  "no-access", "conflict"};
+constexpr std::array<const char*, 9> kOutcomeNames{
+    "ok",      "no-queue",  "no-job",   "not-found", "unavailable",
+    "unknown", "no-access", "conflict", "overloaded"};
 static_assert(kOutcomeNames.size() ==
               static_cast<size_t>(dispatch::Outcome::kCount));
 
@@ -38,6 +38,9 @@
     Total{"unanswered_orders", &DispatchCounters::unknown_calls},
     Total{"worker_crashes", &DispatchCounters::crashes},
     Total{"jobs_given_up", &DispatchCounters::given_up},
+    Total{"jobs_refused_beyond_share", &DispatchCounters::refused_beyond_share},
+    Total{"jobs_refused_excess", &DispatchCounters::refused_excess},
+    Total{"jobs_refused_too_early", &DispatchCounters::refused_too_early},
 };
 
 using GaugeFamily = prometheus::Family<prometheus::Gauge>;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <utility>
 
+#include "hand_ins_p.h"
 #include "laurelhall/base/decision_log.h"
 #include "leadership_p.h"
 #include "relay_pool_p.h"
@@ -44,6 +45,7 @@
 constexpr Millis kForwardMaxAge{3'000};
 // After this time without an answer of a leader this host may be cut off.
 constexpr Millis kCutOffTimeout{2'000};
+constexpr Millis kAdmissionLogPeriod{1'000};
 // Digits of a key's fingerprint in a log line, enough to distinguish keys.
 constexpr size_t kLoggedKeyDigits = 12;
 
@@ -118,6 +120,7 @@
         DecisionLine("dispatch", "leads").With("term", term));
     m_relays.Begin(term);
     m_rates = {};
+    m_hand_ins->Clear();
     DispatcherInit init = m_init;
     init.workers = &m_relays;
     m_leadership = std::make_shared<Leadership>(init, *m_log, term, m_counters);
@@ -171,6 +174,7 @@
       const auto leadership = m_leadership;
       m_relays.Tick(leadership->LeaderDelay());
       leadership->Tick();
+      LogAdmission();
       PublishCounters();
     } else {
       ForwardToLeader();
@@ -275,7 +279,8 @@
   // kOk, kNoQueue, kNoAccess, or kUnavailable before the first configuration.
   struct Admission {
     Outcome outcome = Outcome::kUnavailable;
-    const scheduling::QueueSpec* queue = nullptr;  // With kOk and kNoAccess.
+    // With kOk and kNoAccess. Valid during the read of the ledger.
+    const scheduling::QueueSpec* queue = nullptr;
     std::string organisation;
   };
 
@@ -360,44 +365,203 @@
     return reply;
   }
 
-  void Run(SubmitJob& request, const ReplyDone& done) {
-    scheduling::OrganisationJobAccepted taken;
-    Outcome outcome = Outcome::kOk;
+  // What the ledger says of a submission.
+  struct Judgement {
+    Outcome outcome = Outcome::kUnavailable;  // As in Admission.
+    std::string organisation;
+    std::string queue;
+    std::string service;
     bool is_known = false;
+    bool is_own = false;  // With is_known.
     double promised_rate = 0;
+    bool is_admission_on = false;
+    scheduling::JobForecast forecast;  // With is_admission_on.
+  };
+
+  Judgement Judge(const SubmitJob& request) const {
+    Judgement judged;
     m_log->Read([&](const Ledger& ledger) {
-      const Admission admission = Admit(ledger, request);
-      outcome = admission.outcome;
-      if (outcome != Outcome::kOk) {
-        return;
+      Admission admission = Admit(ledger, request);
+      judged.outcome = admission.outcome;
+      judged.organisation = std::move(admission.organisation);
+      if (admission.queue != nullptr) {
+        judged.queue = admission.queue->name;
+        judged.service = admission.queue->service;
       }
-      is_known = ledger.FindJob(request.id) != nullptr;
-      if (is_known &&
-          FindOwnJob(ledger, request.id, admission.organisation) == nullptr) {
-        outcome = Outcome::kConflict;
+      judged.is_known = ledger.FindJob(request.id) != nullptr;
+      judged.is_own =
+          FindOwnJob(ledger, request.id, judged.organisation) != nullptr;
+      const auto* spec = ledger.keys().Find(judged.organisation);
+      judged.promised_rate = spec == nullptr ? 0 : spec->weight;
+      judged.is_admission_on =
+          judged.outcome == Outcome::kOk && m_leadership->IsAdmissionOn(ledger);
+      if (judged.is_admission_on) {
+        judged.forecast =
+            m_leadership->Forecast(request.spec, *admission.queue);
       }
-      taken.job.queue = admission.queue->name;
-      taken.job.service = admission.queue->service;
-      taken.organisation = admission.organisation;
-      const auto* spec = ledger.keys().Find(taken.organisation);
-      promised_rate = spec == nullptr ? 0 : spec->weight;
     });
-    // A removed queue accepts nothing, not even the repeat of a known job.
-    if (outcome == Outcome::kConflict ||
-        (outcome == Outcome::kOk && is_known)) {
-      done(MakeReply(outcome));
+    return judged;
+  }
+
+  // A repeated submission gets the outcome of the first one, also if its key or
+  // queue was removed between the two: the entry host that repeats it must not
+  // tell its caller that the job is refused, when it runs.
+  bool AnswerRepeat(const SubmitJob& request,
+                    const Judgement& judged,
+                    HandIns::Found found,
+                    const ReplyDone& done) {
+    const bool is_accepted = judged.outcome == Outcome::kOk;
+    switch (found) {
+      case HandIns::Found::kJoined:
+        return true;
+      case HandIns::Found::kAccepted:
+        done(MakeReply(Outcome::kOk));
+        return true;
+      case HandIns::Found::kUnknown:
+        if (!is_accepted) {
+          done(MakeReply(judged.is_known ? Outcome::kOk : Outcome::kUnknown));
+        }
+        return !is_accepted;
+      case HandIns::Found::kOfAnother:
+        if (is_accepted) {
+          done(Unavailable());
+        }
+        return is_accepted;
+      default:
+        return false;
+    }
+  }
+
+  void Run(SubmitJob& request, const ReplyDone& done) {
+    const Judgement judged = Judge(request);
+    HandIns::Caller caller{request.key, {}};
+    if (judged.outcome == Outcome::kOk) {
+      caller.organisation = judged.organisation;
+    }
+    const HandIns::Found found =
+        m_hand_ins->Find(request.id, caller, done, m_init.timers->Now());
+    if (AnswerRepeat(request, judged, found, done)) {
       return;
     }
-    if (outcome != Outcome::kOk) {
+    if (judged.outcome != Outcome::kOk) {
       RefuseConfirmed(request, done);
       return;
     }
+    if (judged.is_known) {
+      done(MakeReply(judged.is_own ? Outcome::kOk : Outcome::kConflict));
+      return;
+    }
+    const bool is_excess = CountsAsExcess(judged);
+    const scheduling::AdmissionRequest asked =
+        MakeAdmissionRequest(request, judged, is_excess);
+    // A job that may have been accepted can't be refused.
+    if (judged.is_admission_on && found != HandIns::Found::kUnknown) {
+      const scheduling::Decision decision =
+          m_leadership->admission().Decide(asked, m_init.timers->Now());
+      if (!decision.is_admitted()) {
+        RefuseLate(asked, caller, decision, done);
+        return;
+      }
+    }
+    Accept(request, judged, asked, caller, done);
+  }
+
+  bool CountsAsExcess(const Judgement& judged) {
+    return judged.promised_rate > 0 &&
+           m_rates.IsExcess(judged.organisation, judged.promised_rate,
+                            m_init.timers->Now());
+  }
+
+  static scheduling::AdmissionRequest MakeAdmissionRequest(
+      const SubmitJob& request,
+      const Judgement& judged,
+      bool is_excess) {
+    const auto& steps = request.spec.steps;
+    const bool is_short =
+        !request.spec.is_timed &&
+        std::none_of(steps.begin(), steps.end(),
+                     [](const auto& step) { return step.is_persistent; });
+    return {request.id,
+            judged.organisation,
+            judged.promised_rate,
+            judged.service,
+            is_short,
+            is_excess,
+            judged.forecast.work,
+            judged.forecast.critical_path,
+            judged.forecast.objective};
+  }
+
+  void CountRefusal(const scheduling::AdmissionRequest& asked,
+                    const scheduling::Decision& decision) {
+    using scheduling::Verdict;
+    const bool is_too_early = decision.verdict == Verdict::kTooEarly;
+    ++(is_too_early ? m_counters.refused_too_early
+       : decision.verdict == Verdict::kExcess
+           ? m_counters.refused_excess
+           : m_counters.refused_beyond_share);
+    ++m_refused_since_log;
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "overloaded", LineClass::kRequest)
+            .With("job", asked.job)
+            .With("organisation", asked.organisation)
+            .With("pool", asked.pool)
+            .With("why", scheduling::VerdictName(decision.verdict))
+            .With("open_core_ms", static_cast<int64_t>(decision.ahead))
+            .With("part_core_ms", static_cast<int64_t>(decision.part))
+            .With("slack_ms", decision.slack)
+            .With("retry_after_ms", decision.retry_after));
+  }
+
+  // Refuses a job only after a confirmed read: another leader may have accepted
+  // it. What is accepted meanwhile decides.
+  void RefuseLate(const scheduling::AdmissionRequest& asked,
+                  const HandIns::Caller& caller,
+                  const scheduling::Decision& decision,
+                  const ReplyDone& done) {
+    if (!asked.is_excess) {
+      m_rates.Refund(asked.organisation);
+    }
+    if (!decision.is_repeat) {
+      m_leadership->CountRefusedDemand(asked.pool, asked.work);
+    }
+    CountRefusal(asked, decision);
+    auto refuse = [asked, decision](const Ledger& ledger) {
+      if (ledger.FindJob(asked.job) != nullptr) {
+        const bool is_own =
+            FindOwnJob(ledger, asked.job, asked.organisation) != nullptr;
+        return MakeReply(is_own ? Outcome::kOk : Outcome::kConflict);
+      }
+      Reply reply = MakeReply(Outcome::kOverloaded);
+      reply.retry_after = decision.retry_after;
+      return reply;
+    };
+    ReadConfirmed(
+        std::move(refuse), [hand_ins = m_hand_ins, asked, caller,
+                            timers = m_init.timers, done](const Reply& reply) {
+          const bool is_joined =
+              reply.outcome == Outcome::kOverloaded &&
+              hand_ins->Find(asked.job, caller, done, timers->Now()) ==
+                  HandIns::Found::kJoined;
+          if (!is_joined) {
+            done(reply);
+          }
+        });
+  }
+
+  void Accept(SubmitJob& request,
+              const Judgement& judged,
+              const scheduling::AdmissionRequest& asked,
+              const HandIns::Caller& caller,
+              const ReplyDone& done) {
+    scheduling::OrganisationJobAccepted taken;
+    taken.job.queue = judged.queue;
+    taken.job.service = judged.service;
+    taken.organisation = judged.organisation;
     taken.job.id = request.id;
     taken.job.at = m_init.wall_now();
     taken.job.spec = std::move(request.spec);
-    taken.is_excess =
-        promised_rate > 0 && m_rates.IsExcess(taken.organisation, promised_rate,
-                                              m_init.timers->Now());
+    taken.is_excess = asked.is_excess;
     ++m_counters.jobs;
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "accept", LineClass::kRequest)
@@ -407,7 +571,37 @@
             .With("organisation", taken.organisation)
             .With("excess", taken.is_excess ? 1 : 0)
             .With("term", m_leadership->term()));
-    Commit(std::move(taken), done);
+    m_hand_ins->Begin(request.id, caller, done);
+    Commit(std::move(taken), [weak = weak_from_this(), hand_ins = m_hand_ins,
+                              asked, is_counted = judged.is_admission_on,
+                              timers = m_init.timers,
+                              term = m_leadership->term()](const Reply& reply) {
+      const auto self = weak.lock();
+      if (is_counted && self != nullptr && self->m_leadership != nullptr &&
+          self->m_leadership->term() == term) {
+        self->m_leadership->admission().Settle(asked,
+                                               reply.outcome == Outcome::kOk);
+      }
+      hand_ins->Settle(asked.job, reply, timers->Now());
+    });
+  }
+
+  // Counts show whether jobs are refused when the lines about single jobs are
+  // dropped.
+  void LogAdmission() {
+    const SteadyTime now = m_init.timers->Now();
+    if (now < m_next_admission_log) {
+      return;
+    }
+    m_next_admission_log = now + kAdmissionLogPeriod;
+    const uint64_t accepted =
+        m_counters.jobs - std::exchange(m_logged_jobs, m_counters.jobs);
+    const uint64_t refused = std::exchange(m_refused_since_log, 0);
+    if (refused > 0) {
+      DecisionLog::Get().Write(DecisionLine("dispatch", "admission")
+                                   .With("accepted", accepted)
+                                   .With("refused", refused));
+    }
   }
 
   void Run(GetJob& request, const ReplyDone& done) {
@@ -867,6 +1061,11 @@
   // after an answer.
   SteadyTime m_unanswered_since{};
   DispatchCounters m_counters;
+  uint64_t m_refused_since_log = 0;
+  uint64_t m_logged_jobs = 0;  // Accepted jobs that were logged.
+  SteadyTime m_next_admission_log{};
+  // Commits hold it too: who waits is answered also when this object is gone.
+  std::shared_ptr<HandIns> m_hand_ins = std::make_shared<HandIns>();
   scheduling::JobRateLimiter m_rates;  // Since this host began to lead.
 
   std::atomic<bool> m_is_leading{false};
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 #include "world.h"
 
@@ -225,6 +227,176 @@
         Outcome::kOk);
 }
 
+// A leader that stands still while a submission waits to be committed, and the
+// entry host repeats it.
+class RepeatedSubmissionFixture : public KeyedQueueFixture {
+ protected:
+  void Send(const std::string& key, Outcome& outcome) {
+    scheduling::JobSpec spec;
+    spec.steps = {Step(1)};
+    world.Send(SubmitJob{"q", "/q/job", "job", spec, key},
+               [&outcome](const Reply& reply) { outcome = reply.outcome; });
+    world.Advance(Millis(5));  // It is in the batch, which is not flushed yet.
+  }
+
+  Outcome first = Outcome::kCount;
+  Outcome second = Outcome::kCount;
+};
+
+// Guards against a caller that is told that its job was refused, when it runs.
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, key taken away between two tries, the second "
+                  "gets the outcome of the first") {
+  Send("key-a", first);
+  Identify({{"b", "key-b"}});
+  Send("key-a", second);
+  world.PauseLeader(Millis(800));
+  world.Advance(Millis(1'000));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kOk);
+  CHECK(world.starts() == 1);
+}
+
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, key taken away after the commit, a repeat soon "
+                  "after is accepted and a later one refused") {
+  Send("key-a", first);
+  world.Advance(Millis(100));
+  Identify({{"b", "key-b"}});
+  Send("key-a", second);
+  world.Advance(Millis(2'000));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kOk);
+  Send("key-a", second);
+  world.Advance(Millis(100));
+  CHECK(second == Outcome::kNoAccess);
+}
+
+TEST_CASE_FIXTURE(RepeatedSubmissionFixture,
+                  "Dispatcher, id of another's submission, shows nothing of "
+                  "it") {
+  Send("key-a", first);
+  Send("key-x", second);
+  world.Advance(Millis(500));
+  CHECK(first == Outcome::kOk);
+  CHECK(second == Outcome::kNoAccess);
+  Send("key-x", second);
+  world.Advance(Millis(100));
+  CHECK(second == Outcome::kNoAccess);
+}
+
+// 12 cores, which do some 9 s of work within the slack of a job of 2 s of work.
+class AdmissionFixture : public KeyedQueueFixture {
+ protected:
+  AdmissionFixture() { world.Advance(Millis(1'000)); }
+
+  void Submit(const std::string& id,
+              const std::string& key = "key-a",
+              bool is_persistent = false) {
+    scheduling::JobSpec spec;
+    spec.steps = {Step(4)};
+    spec.steps[0].is_persistent = is_persistent;
+    world.Send(SubmitJob{"q", "/q/" + id, id, spec, key},
+               [this, id](const Reply& reply) { replies[id] = reply; });
+    world.Advance(Millis(5));
+  }
+
+  int Count(Outcome outcome) const {
+    return static_cast<int>(std::count_if(
+        replies.begin(), replies.end(), [outcome](const auto& entry) {
+          return entry.second.outcome == outcome;
+        }));
+  }
+
+  void Rush() {
+    for (int job = 0; job < 20; ++job) {
+      Submit("rush-" + std::to_string(job));
+    }
+    world.Advance(Millis(100));
+  }
+
+  std::map<std::string, Reply> replies;
+};
+
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Dispatcher, organisation submits more than is done in time, "
+                  "the rest is refused and never runs") {
+  Rush();
+  CHECK(Count(Outcome::kOk) >= 4);
+  CHECK(Count(Outcome::kOk) <= 8);
+  CHECK(Count(Outcome::kOk) + Count(Outcome::kOverloaded) == 20);
+  CHECK(replies["rush-19"].retry_after > Millis(0));
+  Submit("other", "key-b");
+  Submit("persistent", "key-a", true);
+  world.Advance(Millis(100));
+  CHECK(replies["other"].outcome == Outcome::kOk);
+  CHECK(replies["persistent"].outcome == Outcome::kOk);
+  world.Advance(Millis(5'000));
+  for (const auto& [id, reply] : replies) {
+    const bool is_known = world.ledger().FindJob(id) != nullptr;
+    CHECK(is_known == (reply.outcome == Outcome::kOk));
+  }
+  CheckNoViolations();
+}
+
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Dispatcher, refused job comes back in time, is accepted") {
+  Rush();
+  REQUIRE(replies["rush-19"].outcome == Outcome::kOverloaded);
+  world.Advance(replies["rush-19"].retry_after);
+  Submit("rush-19");
+  world.Advance(Millis(3'000));
+  CHECK(replies["rush-19"].outcome == Outcome::kOk);
+  CHECK(world.StateOf("rush-19") == JobState::kSucceeded);
+}
+
+// Guards against a refusal by a leader that another one has replaced.
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Dispatcher, leader without a quorum, refuses no job for "
+                  "load") {
+  Rush();
+  const int refused = Count(Outcome::kOverloaded);
+  REQUIRE(refused > 0);
+  world.ElectOtherLeader(Millis(60'000));
+  for (int job = 0; job < 10; ++job) {
+    Submit("late-" + std::to_string(job));
+  }
+  world.Advance(Millis(100));
+  CHECK(Count(Outcome::kOverloaded) == refused);
+}
+
+// Guards against a pool that stays small because the work that it refuses is
+// not seen.
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Dispatcher, pool refuses jobs, idle hosts of another pool "
+                  "move to it") {
+  scheduling::Configuration configuration = world.ledger().configuration();
+  configuration.services.push_back({"enerji"});
+  ++configuration.version;
+  world.Configure(configuration);
+  for (int host = 0; host < 12; ++host) {
+    world.AddWorker("other-" + std::to_string(host), "enerji");
+  }
+  world.Advance(Millis(10'000));
+  Rush();
+  world.Advance(Millis(2'000));
+  CHECK(world.moved().size() >= 8);
+}
+
+// Guards against a repeat that is refused while the first try is committed.
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Dispatcher, job under way is repeated in a rush, not "
+                  "refused") {
+  world.SlowCommits(Millis(200));
+  for (int job = 0; job < 20; ++job) {
+    Submit("rush-" + std::to_string(job));
+  }
+  Submit("rush-0");
+  world.Advance(Millis(1'000));
+  CHECK(replies["rush-0"].outcome == Outcome::kOk);
+  CHECK(Count(Outcome::kOverloaded) > 0);
+}
+
 // A host that does not lead can't refuse a key: a request is refused only after
 // a quorum has confirmed that the configuration is the newest.
 TEST_CASE_FIXTURE(KeyedQueueFixture,
--- a/packages/scheduling/include/laurelhall/scheduling/mechanism.h
+++ b/packages/scheduling/include/laurelhall/scheduling/mechanism.h
@@ -31,6 +31,8 @@
   kRelays,         ///< Other hosts relay a leader's calls to many workers.
   kShares,         ///< In a full pool, organisations below their parts go
                    ///< first.
+  kAdmission,      ///< Jobs that can't be in time by their organisation's share
+                   ///< are refused.
   kCount,
 };
 
