Net: a call that is given up takes its bytes along

Cause: a call that timed out or was cancelled closed its connection in order, so that the kernel went on to deliver what was written and not yet taken: with a cut of the network until long after it.

What callers saw: a leader that was cut off as it sent an order for a host was followed by another one, which ordered the same host; after the cut the held-up bytes of the first arrived, the lower fence after the higher one.

Change: Stream::Reset() closes with SO_LINGER of zero. ClientConnection::End uses it while a call is under way whose request was handed to the kernel: time over, closed by its lane, broken or too long an answer. All other ends stay as they were: connections between calls, those answered before their write was known to be over, unread ones of the server. Looked through for it: HttpLane (a failed call, closed then once more; Close() with a call under way), HttpLanes, Fetch, the attempts of entry hosts (a stranger's answer closes after its call, in order), calls to workers; HttpServer calls Close() and CloseGracefully() only, so answers are never cut.

Ruled out: to have it on from the connect on, which would reset idle connections too.

Tests: on loopback an endpoint that doesn't read; a call to it times out, or is closed.

Not covered: a process that ends with a call under way; the kernel goes on to deliver its bytes.

--- a/packages/net/include/laurelhall/net/http.h
+++ b/packages/net/include/laurelhall/net/http.h
@@ -185,7 +185,8 @@
   /// Whether the connection may carry another request.
   virtual bool is_reusable() const = 0;
 
-  /// Closes at once; a running call ends with kBroken.
+  /// Closes at once; a running call ends with kBroken, and what of its request
+  /// is still under way does not arrive any more.
   virtual void Close() = 0;
 };
 
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -293,6 +293,12 @@
 
   void End(HttpFailure failure) {
     StopTimer();
+    // A request that was given up must not come to the endpoint later, when its
+    // caller may long have done something else.
+    const bool is_given_up = m_call != nullptr && m_call->has_written;
+    if (is_given_up && m_stream != nullptr) {
+      m_stream->Reset();
+    }
     CloseStream();
     if (m_on_connected != nullptr) {
       std::exchange(m_on_connected, nullptr)(false);
--- a/packages/net/src/stream.cc
+++ b/packages/net/src/stream.cc
@@ -140,6 +140,18 @@
     }
   }
 
+  void Reset() override {
+    if (socket().is_open()) {
+      ErrorCode error;
+      socket().set_option(asio::socket_base::linger(true, 0), error);
+      if (error) {
+        PartLog("net")->warn("A connection is closed, but not reset: {}.",
+                             error.message());
+      }
+    }
+    Close();
+  }
+
   void CloseGracefully(std::function<void()> closed) override {
     m_on_closed = std::move(closed);
     ErrorCode ignored;
--- a/packages/net/src/stream_p.h
+++ b/packages/net/src/stream_p.h
@@ -36,9 +36,13 @@
   /// Writes both texts in order. One write at a time.
   virtual void Write(std::string head, std::string body, Done done) = 0;
 
-  /// Ends what is pending with an error.
+  /// Ends what is pending with an error; what was written is still delivered.
   virtual void Close() = 0;
 
+  /// Closes so that the other side gets nothing more of what was written: bytes
+  /// that a broken network holds up die with the connection.
+  virtual void Reset() = 0;
+
   /// Sends the end of the stream, then reads away what still comes for a
   /// short while, so that an answer is not lost to a reset.
   ///
--- a/packages/net/tests/http_client_test.cc
+++ b/packages/net/tests/http_client_test.cc
@@ -237,6 +237,64 @@
   endpoint.join();
 }
 
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, call times out on an endpoint that does not "
+                  "read, what was under way dies") {
+  const RawListener listener;
+  const auto connection = Connect(listener.address());
+  const RawSocket socket = listener.Accept();
+  const HttpResult result = SendBody(
+      *connection, std::string(kOverBuffers, 'x'), nullptr, Millis(300));
+  CHECK(result.failure == HttpFailure::kTimeout);
+  CHECK(result.may_have_sent);
+  const size_t arrived = socket.Unread();
+  REQUIRE(arrived > 0);
+  CHECK(socket.ReadAll().size() <= arrived);
+  CHECK(socket.is_reset());
+}
+
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, closed with a call under way, what was "
+                  "under way dies") {
+  const RawListener listener;
+  const auto connection = Connect(listener.address());
+  const RawSocket socket = listener.Accept();
+  std::thread canceller([&] {
+    while (socket.Unread() == 0) {
+      std::this_thread::yield();
+    }
+    connection->Close();
+  });
+  const HttpResult result =
+      SendBody(*connection, std::string(kOverBuffers, 'x'));
+  canceller.join();
+  CHECK(result.failure == HttpFailure::kBroken);
+  const size_t arrived = socket.Unread();
+  CHECK(socket.ReadAll().size() <= arrived);
+  CHECK(socket.is_reset());
+}
+
+TEST_CASE_FIXTURE(ClientFixture,
+                  "HttpConnection, closed between calls, ends in order") {
+  const RawListener listener;
+  auto connection = Connect(listener.address());
+  const RawSocket socket = listener.Accept();
+  std::thread endpoint([&] {
+    socket.ReadUntil("body");
+    socket.Write(kEmptyAnswer);
+  });
+  CHECK(Send(*connection).failure == HttpFailure::kNone);
+  endpoint.join();
+  SUBCASE("Closed") {
+    connection->Close();
+  }
+  SUBCASE("Dropped") {
+    connection.reset();
+  }
+  CHECK(socket.ReadAll().empty());
+  CHECK_FALSE(socket.is_reset());
+}
+
 TEST_CASE_FIXTURE(ClientFixture,
                   "Fetch, served by HttpServer, gives the answer") {
   FunctionHandler handler([](std::shared_ptr<HttpExchange> exchange) {
--- a/packages/net/tests/net_fixture_p.h
+++ b/packages/net/tests/net_fixture_p.h
@@ -2,11 +2,13 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -95,6 +97,7 @@
       searched = bytes.size() - std::min(bytes.size(), end.size());
       const ssize_t count = recv(m_fd, buffer, sizeof(buffer), 0);
       if (count <= 0) {
+        m_is_reset = count < 0 && errno == ECONNRESET;
         break;
       }
       bytes.append(buffer, static_cast<size_t>(count));
@@ -103,8 +106,19 @@
   }
   std::string ReadAll() const { return ReadUntil({}); }
 
+  /// Bytes that have come and are not read yet.
+  size_t Unread() const {
+    int count = 0;
+    ioctl(m_fd, FIONREAD, &count);
+    return static_cast<size_t>(count);
+  }
+
+  /// Whether reading has come to a reset by the other side.
+  bool is_reset() const { return m_is_reset; }
+
  private:
   int m_fd;
+  mutable bool m_is_reset = false;
 };
 
 /// A listening socket that plays an endpoint byte by byte.
