--- a/packages/storage/src/recovery.cc
+++ b/packages/storage/src/recovery.cc
@@ -300,6 +300,7 @@
     m_snapshots.SetAside(damaged);
     log->warn("snapshot {} is damaged, the log covers for it.", damaged.file);
   }
+  m_snapshots.RemoveUnfinished();  // First, as the disk may be full.
   MendLastSegment();
   RemoveUnusedSegments();
   m_files.SyncFolder(m_folder);
--- a/packages/storage/src/snapshot_file.cc
+++ b/packages/storage/src/snapshot_file.cc
@@ -137,6 +137,14 @@
   return bytes;
 }
 
+void SnapshotFolder::RemoveUnfinished() {
+  for (const std::string& file : m_files.List(m_folder)) {
+    if (file.ends_with(kTemporarySuffix)) {
+      m_files.Remove(m_folder / file);
+    }
+  }
+}
+
 void SnapshotFolder::RemoveOld() {
   const std::vector<SnapshotName> names = List();
   for (size_t i = 0; i + kKeptSnapshots < names.size(); ++i) {
--- a/packages/storage/src/snapshot_file_p.h
+++ b/packages/storage/src/snapshot_file_p.h
@@ -38,6 +38,9 @@
   /// Removes all but the latest two and what earlier writes left behind.
   void RemoveOld();
 
+  /// Removes what writes that were cut off left behind.
+  void RemoveUnfinished();
+
   uint64_t disk_bytes() const;
 
  private:
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -354,6 +354,23 @@
   CHECK(Open()->TakeRecovered().entries.size() == 6);
 }
 
+TEST_CASE_FIXTURE(
+    DamageFixture,
+    "LogStore, disk full within a snapshot, reopened without what "
+    "is left of it") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  const size_t files = m_files.List(kFolder).size();
+  m_files.LimitSpace(20);
+  CHECK_THROWS_AS(store->SaveSnapshot(MakeSnapshot(3)), StoreFailedError);
+  CHECK(m_files.List(kFolder).size() == files + 1);
+  m_files.ClearFaults();
+  CHECK(store->Reopen().entries.size() == 3);
+  for (const std::string& file : m_files.List(kFolder)) {
+    CHECK_FALSE(file.ends_with(".tmp"));
+  }
+}
+
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, sync lost pages, reopened, what it returns "
                   "survives a crash") {
