Wait for the rack of the data by a setting

Cause: the planner supposed that a task takes three times as long away from its data, and waited twice its estimate for the rack. Where it takes twice as long, half of that wait was lost.

Change: scheduling.remote_data_factor (default 3, the wait as before) says how many times as long; a task, or a gang that asks for one rack, waits (factor - 1) times its estimate.

Tests: a planner with factor 1.5 starts elsewhere after half the estimate; seen to fail with the factor of 3 put back. The key and its findings are checked in settings_test.

--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "laurelhall/base/timer_service.h"
 #include "laurelhall/dispatch/ports.h"
 #include "laurelhall/dispatch/request.h"
+#include "laurelhall/scheduling/data_locality.h"
 #include "laurelhall/scheduling/log_service.h"
 #include "laurelhall/scheduling/mechanism.h"
 
@@ -22,6 +23,8 @@
   /// How long a leader may act after a quorum confirmed it: the log's shortest
   /// election timeout, 600 ms, less a margin for clock and rounding errors.
   Millis leader_lease{500};
+  /// How many times as long a task takes away from the rack of its data.
+  double remote_data_factor = scheduling::kDefaultRemoteDataFactor;
 };
 
 /// When calls to workers are made by relays, and by how many of them.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -69,7 +69,7 @@
       m_reports_since(m_begun_at),
       m_counters(counters),
       m_leader_lease(init.bounds.leader_lease),
-      m_planner(init.mechanisms),
+      m_planner(init.mechanisms, init.bounds.remote_data_factor),
       m_demand(init.mechanisms) {}
 
 void Leadership::ConfirmLeadership() {
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "laurelhall/scheduling/data_locality.h"
 #include "laurelhall/scheduling/fair_shares.h"
 #include "laurelhall/scheduling/ledger.h"
 #include "laurelhall/scheduling/mechanism.h"
@@ -93,8 +94,11 @@
 ///   no task is planned twice while its start is being committed.
 class Planner {
  public:
-  explicit Planner(const MechanismSet& mechanisms = {})
-      : m_mechanisms(mechanisms) {}
+  /// @param remote_data_factor How many times as long a task takes away from
+  ///   the rack of its data, or a gang that asks for one rack on several.
+  explicit Planner(const MechanismSet& mechanisms = {},
+                   double remote_data_factor = kDefaultRemoteDataFactor)
+      : m_mechanisms(mechanisms), m_remote_data_factor(remote_data_factor) {}
 
   /// Returns the starts to commit now, in order, and reserves their room.
   std::vector<RunStarted> Plan(const PlanInput& input);
@@ -192,6 +196,7 @@
                                               const std::string& service);
 
   MechanismSet m_mechanisms;
+  double m_remote_data_factor;
   PlanCost m_cost;
   /// The ledger and its workers_version() that m_workers_of was built from.
   std::pair<const Ledger*, uint64_t> m_workers_source{nullptr, 0};
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -21,11 +21,6 @@
 // factor, does not fit before its deadline. Estimates are off by about half: a
 // smaller factor would require a clearer miss.
 constexpr double kRemainingTimeFactor = 1.0;
-// A task waits this many times its estimated run time for a worker on the rack
-// of its data, as on another rack it takes three times as long. A gang waits as
-// long for one rack that takes all of its members.
-constexpr int kDataRackWaitFactor = 2;
-
 // Steps of a job for which the critical path is computed without an
 // allocation, because each plan computes it for every waiting step.
 constexpr size_t kInlineSteps = 8;
@@ -402,7 +397,7 @@
         racks.insert(place.worker->info.rack);
       }
       if (m_input.now - candidate.waiting_since >
-          kDataRackWaitFactor * step.estimate) {
+          LongestRackWait(step, m_planner.m_remote_data_factor)) {
         racks.insert("");
       }
     }
@@ -654,7 +649,7 @@
     const bool waits_for_data =
         m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
         m_input.now - candidate.waiting_since <
-            kDataRackWaitFactor * step.estimate;
+            LongestRackWait(step, m_planner.m_remote_data_factor);
     const bool packs_tasks = m_planner.m_mechanisms.Has(Mechanism::kGathering);
     const Resources room = ReservedResources(step);
     const bool is_last_attempt = IsLastAttempt(candidate, task);
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -89,6 +89,23 @@
   CHECK(Plan().empty());
 }
 
+TEST_CASE_FIXTURE(PlannerFixture,
+                  "Planner, rack of the data is full, waits by the factor") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  StepSpec near = Step(4);
+  near.data_rack = "r1";
+  Accept("first", near);
+  Commit(Plan());
+  near.count = 1;
+  Accept("second", near);
+  planner = Planner({}, 1.5);
+  now += Millis(399);
+  CHECK(Plan().empty());
+  now += Millis(1);
+  CHECK(Plan().size() == 1);
+}
+
 TEST_CASE_FIXTURE(PlannerFixture,
                   "Planner, workers without room, status is not queried") {
   AddWorker("w1");
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -155,6 +155,15 @@
   }
 }
 
+void ReadRemoteDataFactor(const json::value& value, Target target) {
+  const double factor = value.is_number() ? value.to_number<double>() : 0;
+  if (factor >= 1) {
+    target.settings.dispatch_bounds.remote_data_factor = factor;
+  } else {
+    target.findings.Add(target.place, "expected a number of at least 1");
+  }
+}
+
 void ReadMechanism(const json::value& value, Target target) {
   const json::string* text = value.if_string();
   const auto mechanism =
@@ -266,6 +275,7 @@
         &ReadBound<&dispatch::DispatchBounds::maintenance>},
     Key{"scheduling.job_memory",
         &ReadBound<&dispatch::DispatchBounds::job_memory>},
+    Key{"scheduling.remote_data_factor", &ReadRemoteDataFactor},
     Key{"scheduling.without", &ReadMechanisms},
     Key{"control.data_folder", &ReadText<&DaemonSettings::data_folder>},
     Key{"control.may_bootstrap", &ReadBoolean<&DaemonSettings::may_bootstrap>},
--- a/packages/settings/tests/daemon_settings_test.cc
+++ b/packages/settings/tests/daemon_settings_test.cc
@@ -209,6 +209,25 @@
   CHECK(FindingsOf(of_relay("10.0.0.4:72")).size() == 2);
 }
 
+TEST_CASE_FIXTURE(
+    DaemonSettingsFixture,
+    "ParseDaemonSettings, remote data factor, a number of at least 1") {
+  const auto with_factor = [](const std::string& factor) {
+    std::string text = kControlFile;
+    text.insert(text.rfind('}'), ", \"remote_data_factor\": " + factor);
+    return text +
+           R"(, "trusted_network": {"inner": true, "scheduling": true}})";
+  };
+  const auto factor_of = [](const std::string& text) {
+    return ParseDaemonSettings(text, "d.json")
+        .dispatch_bounds.remote_data_factor;
+  };
+  CHECK(factor_of(with_factor("1.5")) == 1.5);
+  CHECK(factor_of(with_factor("2")) == 2);
+  CHECK(FindingsOf(with_factor("0.9")).size() == 1);
+  CHECK(FindingsOf(with_factor("\"2\"")).size() == 1);
+}
+
 TEST_CASE_FIXTURE(
     DaemonSettingsFixture,
     "ParseDaemonSettings, mechanisms left out, named ones alone") {
