--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -21,11 +21,6 @@
 // factor, does not fit before its deadline. Estimates are off by about half: a
 // smaller factor would require a clearer miss.
 constexpr double kRemainingTimeFactor = 1.0;
-// A task waits this many times its estimated run time for a worker on the rack
-// of its data, as on another rack it takes three times as long. A gang waits as
-// long for one rack that takes all of its members.
-constexpr int kDataRackWaitFactor = 2;
-
 // Steps of a job for which the critical path is computed without an
 // allocation, because each plan computes it for every waiting step.
 constexpr size_t kInlineSteps = 8;
@@ -244,10 +239,12 @@
     if (IsPutOff(candidate, limit)) {
       return true;
     }
+    CollectRackQueues(candidate, step, places->second);
     if (step.is_gang) {
       PlaceGang(candidate, step, places->second, out);
       return false;
     }
+    bool is_rack_full = false;
     for (const uint32_t index : m_planner.StartableTasks(candidate)) {
       if (candidate.share != nullptr && index < candidate.share->first_task) {
         continue;
@@ -259,10 +256,20 @@
         candidate.share->first_task = index;
         return true;
       }
+      if (is_rack_full && !IsSuspect(candidate, index) &&
+          WaitsForData(candidate, step)) {
+        m_rack_queues[candidate.Service()].AddTask(step.data_rack, step);
+        continue;
+      }
       Place* place = FindPlace(candidate, step, index, places->second);
       if (place == nullptr && IsSuspect(candidate, index)) {
         continue;  // Other tasks of the step may not need an empty worker.
       }
+      if (place == nullptr && WaitsForData(candidate, step)) {
+        is_rack_full = true;
+        m_rack_queues[candidate.Service()].AddTask(step.data_rack, step);
+        continue;  // With enough of them waiting, the others go elsewhere.
+      }
       if (place == nullptr && !step.is_best_effort) {
         RememberTooLarge(candidate, step, index, need);
         return false;  // The other tasks would find no place either.
@@ -304,6 +311,38 @@
     std::map<std::pair<const Job*, uint64_t>, uint32_t> planned;
   };
 
+  // Finds the processors of the racks, once for each service.
+  void CollectRackQueues(const Candidate& candidate,
+                         const StepSpec& step,
+                         std::vector<Place>& places) {
+    const std::string& service = candidate.Service();
+    if (step.data_rack.empty() || m_rack_queues.contains(service)) {
+      return;
+    }
+    RackQueues& queues = m_rack_queues[service];
+    for (Place& place : places) {
+      const Worker& worker = *place.worker;
+      if (StatusOf(place).is_usable) {
+        queues.AddWorker(worker.info.rack, worker.info.capacity.millicores -
+                                               worker.persistent_millicores);
+      }
+    }
+  }
+
+  // Whether a task had better wait for the rack of its data, if that is full.
+  bool WaitsForData(const Candidate& candidate, const StepSpec& step) const {
+    if (step.data_rack.empty() ||
+        !m_planner.m_mechanisms.Has(Mechanism::kDataWait)) {
+      return false;
+    }
+    const Millis longest =
+        LongestRackWait(step, m_planner.m_remote_data_factor);
+    const auto queues = m_rack_queues.find(candidate.Service());
+    return m_input.now - candidate.waiting_since < longest &&
+           queues != m_rack_queues.end() &&
+           queues->second.IsServedWithin(step.data_rack, longest);
+  }
+
   static bool IsPutOff(const Candidate& candidate, ShareLimit limit) {
     const ShareOfStep* share = candidate.share;
     return limit == ShareLimit::kOwnPart && share != nullptr &&
@@ -410,7 +449,7 @@
     }
     std::vector<std::string> racks(names.rbegin(), names.rend());
     if (m_input.now - candidate.waiting_since >
-        kDataRackWaitFactor * step.estimate) {
+        LongestRackWait(step, m_planner.m_remote_data_factor)) {
       racks.emplace_back();
     }
     return racks;
@@ -428,14 +467,22 @@
       return;
     }
     RemoveUnusable(places);
+    bool is_placed = false;
     if (!IsSuspect(candidate, 0)) {
-      PlaceMembers(candidate, step, tasks, places, Sharing::kAllowed, out);
-      return;
+      is_placed =
+          PlaceMembers(candidate, step, tasks, places, Sharing::kAllowed, out);
+    } else {
+      is_placed = PlaceMembers(candidate, step, tasks, places,
+                               Sharing::kForbidden, out);
+      if (!is_placed && MaySuspectGangShare(candidate, step, places)) {
+        is_placed = PlaceMembers(candidate, step, tasks, places,
+                                 Sharing::kAllowed, out);
+      }
     }
-    const bool is_placed =
-        PlaceMembers(candidate, step, tasks, places, Sharing::kForbidden, out);
-    if (!is_placed && MaySuspectGangShare(candidate, step, places)) {
-      PlaceMembers(candidate, step, tasks, places, Sharing::kAllowed, out);
+    if (!is_placed && WaitsForData(candidate, step)) {
+      for (size_t member = 0; member < tasks.size(); ++member) {
+        m_rack_queues[candidate.Service()].AddTask(step.data_rack, step);
+      }
     }
   }
 
@@ -763,10 +810,7 @@
       return IsTakenByGang(candidate, place) ||
              IsFreeForSuspect(place, is_isolated);
     };
-    const bool waits_for_data =
-        m_planner.m_mechanisms.Has(Mechanism::kDataWait) &&
-        m_input.now - candidate.waiting_since <
-            kDataRackWaitFactor * step.estimate;
+    const bool waits_for_data = WaitsForData(candidate, step);
     const bool packs_tasks = m_planner.m_mechanisms.Has(Mechanism::kGathering);
     const Resources room = ReservedResources(step);
     const bool is_last_attempt = IsLastAttempt(candidate, task);
@@ -893,6 +937,7 @@
   const PlanInput& m_input;
   std::map<std::string, std::vector<Place>> m_places_of;      // By service.
   std::map<std::string, std::vector<Resources>> m_too_large;  // By service.
+  std::map<std::string, RackQueues> m_rack_queues;            // By service.
   // Services in which no worker is free for a suspect.
   std::set<std::string> m_without_empty_place;
   std::map<std::string, size_t> m_waiting_suspects;  // Counts, by service.
