Admission: refused jobs keep no new ones out; only ready work is waiting

Two faults, seen in a trial of the module (2,240 cores, one organisation of weight 181 at seven times its usual for two seconds):

- Refused jobs that are due to come back go before new ones.
The organisation's claim left them out, so that its part, which is never more than the claim, could not cover what went before a new job: in the 10 s at its usual rate after the rush 148 of 180 jobs were admitted, at a third of the capacity.
- Work counted as waiting although its step waited for another one, so that the efficiency of a pool with few jobs was learned as 0.53.
Only tasks that could start count now.

--- a/packages/dispatch/src/pool_loads.cc
+++ b/packages/dispatch/src/pool_loads.cc
@@ -39,7 +39,7 @@
   PoolLoad& load = loads[ledger.ServiceOf(job)];
   // Work that is of no use any more goes behind all other.
   const double waiting = pending.is_hopeless ? 0 : pending.core_milliseconds;
-  load.waiting_work += waiting;
+  load.ready_work += pending.is_hopeless ? 0 : pending.ready_core_milliseconds;
   const auto [entry, is_first] = load.open.try_emplace(job.organisation);
   scheduling::OpenWork& open = entry->second;
   if (is_first) {
--- a/packages/scheduling/include/laurelhall/scheduling/admission.h
+++ b/packages/scheduling/include/laurelhall/scheduling/admission.h
@@ -37,7 +37,7 @@
   double usable_cores = 0;  ///< For short work, without persistent tasks.
   double busy_cores = 0;    ///< With short work.
   std::vector<ArrivingCores> arriving;
-  double waiting_work = 0;  ///< Work that no worker runs yet.
+  double ready_work = 0;  ///< Work that could start and does not run yet.
   /// The open work by organisation, that of jobs of none under the empty name,
   /// without jobs that can't be of use any more. Running tasks count with the
   /// part that is left.
@@ -146,7 +146,7 @@
                                SteadyTime now);
   static double PartOf(const Pool& pool,
                        const AdmissionRequest& request,
-                       Millis slack,
+                       const Decision& decision,
                        SteadyTime now);
   static void AdvanceReturns(Tenant& tenant, SteadyTime now);
   static void ForgetRefusal(Tenant& tenant, const std::string& job);
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -44,6 +44,7 @@
 /// The work of a job that is not done yet, without persistent tasks.
 struct PendingWork {
   double core_milliseconds = 0;
+  double ready_core_milliseconds = 0;  ///< The part of it that could start.
   /// Of tasks that run, by their whole run time.
   double running_core_milliseconds = 0;
   Millis left{0};  ///< Time until the job should be done.
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -60,7 +60,7 @@
   }
   const bool is_work_waiting =
       load.usable_cores > 0 &&
-      load.waiting_work >= load.usable_cores * Milliseconds(kMinWaitingTime);
+      load.ready_work >= load.usable_cores * Milliseconds(kMinWaitingTime);
   if (load.is_known && is_work_waiting) {
     const double seen =
         std::clamp(load.busy_cores / load.usable_cores, kMinEfficiency, 1.0);
@@ -107,11 +107,11 @@
         std::chrono::ceil<Millis>(refused->second.back_at - now);
     return decision;
   }
-  decision.part = PartOf(pool, request, decision.slack, now);
   decision.ahead = request.is_excess ? open.excess : open.promised;
   if (!is_back) {
     decision.ahead += tenant.due_work * tenant.return_share;
   }
+  decision.part = PartOf(pool, request, decision, now);
   if (decision.part > 0 && decision.ahead <= decision.part) {
     Admit(tenant, request, now);
     return decision;
@@ -169,9 +169,9 @@
 // promised work or, if the job is excess, for its excess work.
 double Admission::PartOf(const Pool& pool,
                          const AdmissionRequest& request,
-                         Millis slack,
+                         const Decision& decision,
                          SteadyTime now) {
-  double capacity = CapacityWithin(pool, slack);
+  double capacity = CapacityWithin(pool, decision.slack);
   const auto of_none = pool.load.open.find("");
   if (of_none != pool.load.open.end()) {
     capacity -= of_none->second.total();
@@ -180,13 +180,14 @@
   size_t own = 0;
   for (const auto& [organisation, tenant] : pool.tenants) {
     const OpenWork open = OpenOf(pool, organisation, tenant);
-    const bool is_own = organisation == request.organisation;
-    const double arriving = ArrivingWithin(tenant, slack, now);
-    double demand = open.promised + (is_own ? request.work : arriving);
+    const double arriving = ArrivingWithin(tenant, decision.slack, now);
     if (request.is_excess) {
       capacity -= open.promised + arriving;
-      demand = open.excess + (is_own ? request.work : 0);
     }
+    const bool is_own = organisation == request.organisation;
+    const double others =
+        request.is_excess ? open.excess : open.promised + arriving;
+    const double demand = is_own ? decision.ahead + request.work : others;
     own = is_own ? claims.size() : own;
     claims.push_back({tenant.weight, demand});
   }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -812,17 +812,31 @@
                              SteadyTime first_seen_at,
                              SteadyTime now) const {
   PendingWork waiting;
+  const StepSpec* last_step = nullptr;
+  bool is_ready = false;
   for (size_t index = 0; index < job.tasks.size(); ++index) {
     const StepSpec& step = job.StepOf(index);
     const Task& task = job.tasks[index];
-    if (!task.is_done && !step.is_persistent) {
-      double& work = task.active.empty() ? waiting.core_milliseconds
-                                         : waiting.running_core_milliseconds;
-      work += CoreMilliseconds(step);
+    if (task.is_done || step.is_persistent) {
+      continue;
+    }
+    const double work = CoreMilliseconds(step);
+    if (!task.active.empty()) {
+      waiting.running_core_milliseconds += work;
+      continue;
+    }
+    if (std::exchange(last_step, &step) != &step) {
+      is_ready =
+          job.IsStepReady(static_cast<uint32_t>(index / job.occurrence_size),
+                          static_cast<uint32_t>(&step - job.spec.steps.data()));
     }
+    waiting.core_milliseconds += work;
+    waiting.ready_core_milliseconds += is_ready ? work : 0;
   }
-  waiting.core_milliseconds *= RunTimeRatio(job.queue);
-  waiting.running_core_milliseconds *= RunTimeRatio(job.queue);
+  const double ratio = RunTimeRatio(job.queue);
+  waiting.core_milliseconds *= ratio;
+  waiting.ready_core_milliseconds *= ratio;
+  waiting.running_core_milliseconds *= ratio;
   const SteadyTime deadline =
       DeadlineOf(ledger.FindQueueByName(job.queue), job, first_seen_at);
   const SteadyTime limit =
--- a/packages/scheduling/tests/admission_test.cc
+++ b/packages/scheduling/tests/admission_test.cc
@@ -91,7 +91,7 @@
     for (const Job& job : m_open) {
       double waiting = (job.steps_left - 1) * kStepWork +
                        job.tasks_to_start * kTaskCores * 640;
-      load.waiting_work += waiting;
+      load.ready_work += job.tasks_to_start * kTaskCores * 640;
       const double running =
           static_cast<double>(job.ends.size()) * kTaskCores * 320;
       OpenWork& open = load.open[job.request.organisation];
@@ -295,6 +295,29 @@
   CHECK(back.late == 0);
 }
 
+// Guards against refused jobs that keep new ones out when the rush is over.
+TEST_CASE(
+    "Admission, large organisation rushes for two seconds, all of its "
+    "jobs are admitted in the end") {
+  PoolSimulation pool(2'240);
+  pool.Add("large", 181, 17.5);
+  for (const double weight : {27, 18, 12, 9, 7, 6, 5, 4, 3, 3, 2, 2, 1, 1}) {
+    pool.Add("other-" + std::to_string(pool.senders.size()), weight,
+             weight * 17.5 / 181);
+  }
+  pool.Run(Millis(4'000));
+  pool.Of("large").jobs_per_second = 122;
+  pool.Run(Millis(2'000));
+  CHECK(pool.Of("large").admitted < 0.95 * pool.Of("large").sent);
+  pool.Of("large").jobs_per_second = 17.5;
+  pool.Run(Millis(14'000));
+  for (const Sender& sender : pool.senders) {
+    CAPTURE(sender.name);
+    CHECK(sender.admitted >= sender.sent - 1);
+    CHECK(sender.late == 0);
+  }
+}
+
 TEST_CASE(
     "Admission, tasks take only a part of the cores, what is admitted is "
     "in time") {
@@ -421,6 +444,5 @@
   admission.Settle(request, false);
   CHECK(Decide("3").is_admitted());
 }
-
 }  // namespace
 }  // namespace laurelhall::scheduling
