Admission: a pool whose capacity is known stays known in the term

While many hosts move to a pool, their workers are in the ledger but not reached for some moments. More than a fifth of them made the pool's capacity unknown, and everything was admitted in the middle of a rush.

--- a/packages/scheduling/include/laurelhall/scheduling/admission.h
+++ b/packages/scheduling/include/laurelhall/scheduling/admission.h
@@ -32,7 +32,7 @@
 
 /// A pool as measured by the leader.
 struct PoolLoad {
-  /// Most of its workers were reached. Otherwise its capacity is not known.
+  /// Most of its workers were reached. Until then, its capacity is not known.
   bool is_known = false;
   double usable_cores = 0;  ///< For short work, without persistent tasks.
   double busy_cores = 0;    ///< With short work.
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -66,6 +66,8 @@
         std::clamp(load.busy_cores / load.usable_cores, kMinEfficiency, 1.0);
     pool.efficiency += kEfficiencyLearningRate * (seen - pool.efficiency);
   }
+  // Workers that come later are reached one by one.
+  load.is_known = load.is_known || pool.load.is_known;
   pool.load = std::move(load);
   for (const auto& [organisation, open] : pool.load.open) {
     if (!organisation.empty()) {
--- a/packages/scheduling/tests/admission_test.cc
+++ b/packages/scheduling/tests/admission_test.cc
@@ -434,6 +434,18 @@
   CHECK(early.retry_after == first - Millis(50));
 }
 
+// Guards against a pool that admits everything while new hosts arrive.
+TEST_CASE_FIXTURE(AdmissionFixture,
+                  "Admission, many new workers are not reached yet, the pool "
+                  "stays known") {
+  Open(1'000'000);
+  PoolLoad load;
+  load.usable_cores = 100;
+  load.open["a"] = {1, 1'000'000, 0};
+  admission.Update("pool", load, now);
+  CHECK_FALSE(Decide().is_admitted());
+}
+
 TEST_CASE_FIXTURE(AdmissionFixture,
                   "Admission, admitted job is not committed, its work is "
                   "forgotten") {
