Pools keep hosts for the start of their next rush

Cause: services that rush one after the other, with guaranteed rates for organisations. A pool that rushed took hosts beyond what its work could use (headroom of 1.8 on arrivals) until the others were left with the hosts that their persistent tasks pin, 21 to 34 of 62 to 85; each met its own rush with these, and hosts need 2 to 3 s to come back.

Change: each pool has a floor, the share of its rush's demand that lets its jobs wait no longer than their slack until hosts arrive (1 - slack / time of a move), of the highest demand seen, for a service without a rush of the largest seen elsewhere; together at most half of all cores. Work that waits may take a pool below its floor, headroom and forecasts may not, and idle hosts go back to pools below theirs. Mechanism "floors"; only where organisations are configured.

Tests: without floors the donor gives 6 hosts in place of 2; the floors' arithmetic; the peak that the demand meter keeps.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -449,6 +449,10 @@
       m_demand.RecordArrival(ledger.ServiceOf(job),
                              m_planner.EstimatedWork(job), Now());
     }
+    if (!job.has_persistent_tasks() && !job.spec.is_timed) {
+      m_pool_floors.RecordSlack(ledger.ServiceOf(job),
+                                m_planner.Slack(ledger, job));
+    }
   }
 }
 
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -18,6 +18,7 @@
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/leader_lease.h"
 #include "laurelhall/scheduling/planner.h"
+#include "laurelhall/scheduling/pool_floors.h"
 #include "laurelhall/scheduling/pools.h"
 #include "laurelhall/scheduling/worker_clock.h"
 #include "pacing_p.h"
@@ -642,11 +643,13 @@
   /// Cores that a service needs for present and arriving short work, for
   /// short work that is expected, and for its persistent tasks.
   struct ServiceNeed {
+    double pressing = 0;  // As current, without headroom.
     double current = 0;
     double expected = 0;
     double persistent = 0;
   };
   std::map<std::string, ServiceNeed> NeededCores(const Ledger& ledger) const;
+  std::map<std::string, double> FloorCores(const Ledger& ledger) const;
   scheduling::PoolMoveLimits MakePoolWeights(
       const std::vector<scheduling::PoolDemand>& pools);
   size_t MaxNewMoves(const Ledger& ledger) const;
@@ -693,6 +696,7 @@
   std::map<std::string, HostState> m_inventory;          // By host.
   std::set<std::pair<std::string, std::string>> m_refused_moves;
   scheduling::DemandMeter m_demand;
+  scheduling::PoolFloors m_pool_floors;
   /// Falling peaks of the cores that all services need, oldest first.
   std::deque<std::pair<SteadyTime, double>> m_peak_needs;
   std::map<std::string, SteadyTime>
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -240,9 +240,10 @@
     // The greater of present and arriving work, as present work was counted as
     // arriving before.
     ServiceNeed& need = needs[service.name];
+    const double arriving = m_demand.RecentDemand(service.name, now);
+    need.pressing = std::max(need.current * present_headroom, arriving);
     need.current =
-        std::max(need.current * present_headroom,
-                 m_demand.RecentDemand(service.name, now) * arriving_headroom);
+        std::max(need.current * present_headroom, arriving * arriving_headroom);
     // The need at the time at which a host that is chosen now can serve.
     need.expected =
         arriving_headroom *
@@ -252,6 +253,28 @@
   return needs;
 }
 
+// What the pools keep for their next rushes, their persistent tasks aside. Only
+// where organisations have guaranteed rates, which hold from the first second
+// of a rush on.
+std::map<std::string, double> Leadership::FloorCores(
+    const Ledger& ledger) const {
+  if (!m_init.mechanisms.Has(Mechanism::kFloors) ||
+      !ledger.configuration().identities) {
+    return {};
+  }
+  std::vector<scheduling::RushHistory> histories;
+  for (const auto& service : ledger.configuration().services) {
+    if (!service.is_spare) {
+      histories.push_back({service.name, m_demand.PeakDemand(service.name)});
+    }
+  }
+  double all_cores = 0;
+  for (const auto& [host, state] : m_inventory) {
+    all_cores += state.cores;
+  }
+  return m_pool_floors.Compute(histories, all_cores, kMaxMoveTime);
+}
+
 Millis Leadership::EstimateDrainTime(const Ledger& ledger,
                                      const Worker& worker) const {
   Millis longest{0};
@@ -377,6 +400,7 @@
           .With("service", pool.service)
           .With("needed_cores", static_cast<int64_t>(pool.needed_cores))
           .With("expected_cores", static_cast<int64_t>(pool.expected_cores))
+          .With("floor_cores", static_cast<int64_t>(pool.floor_cores))
           .With("cores", static_cast<int64_t>(cores))
           .With("busy_cores", static_cast<int64_t>(busy))
           .With("movable_hosts", movable)
@@ -390,14 +414,21 @@
   const std::map<std::string, ServiceNeed> needs = NeededCores(ledger);
   const std::map<std::string, uint32_t> persistent =
       MinHostsForPersistentTasks(ledger);
+  const std::map<std::string, double> floors = FloorCores(ledger);
   std::vector<PoolDemand> pools;
   for (const auto& service : ledger.configuration().services) {
     const ServiceNeed& need = needs.at(service.name);
     const auto hosts = persistent.find(service.name);
-    pools.push_back({service.name, service.is_spare,
-                     need.current + need.persistent,
-                     need.expected + need.persistent,
-                     hosts == persistent.end() ? 0 : hosts->second});
+    const auto floor = floors.find(service.name);
+    PoolDemand& pool = pools.emplace_back();
+    pool.service = service.name;
+    pool.is_spare = service.is_spare;
+    pool.pressing_cores = need.pressing + need.persistent;
+    pool.needed_cores = need.current + need.persistent;
+    pool.expected_cores = need.expected + need.persistent;
+    pool.min_hosts = hosts == persistent.end() ? 0 : hosts->second;
+    pool.floor_cores =
+        floor == floors.end() ? 0 : floor->second + need.persistent;
   }
   std::vector<PoolHost> hosts;
   for (const auto& [host, state] : m_inventory) {
--- a/packages/scheduling/include/laurelhall/scheduling/demand.h
+++ b/packages/scheduling/include/laurelhall/scheduling/demand.h
@@ -31,6 +31,10 @@
   /// bins of 250 ms) keeps busy.
   double RecentDemand(const std::string& service, SteadyTime now) const;
 
+  /// The highest number of cores that arriving work kept busy, as a mean over
+  /// two seconds, within the recorded history.
+  double PeakDemand(const std::string& service) const;
+
   /// The number of cores that the work expected around `now + ahead` needs;
   /// zero if neither turns nor a period are recognised.
   double Expected(const std::string& service,
--- a/packages/scheduling/include/laurelhall/scheduling/mechanism.h
+++ b/packages/scheduling/include/laurelhall/scheduling/mechanism.h
@@ -29,6 +29,7 @@
   kLearnedTimes,   ///< Estimated run times are corrected by queue.
   kPacing,         ///< Filling tasks are slowed down beside serving ones.
   kRelays,         ///< Other hosts relay a leader's calls to many workers.
+  kFloors,         ///< Pools keep hosts for the start of their next rush.
   kCount,
 };
 
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -114,6 +114,9 @@
                       SteadyTime first_seen_at,
                       SteadyTime now) const;
 
+  /// How long a job may wait in all and still be done by its deadline.
+  Millis Slack(const Ledger& ledger, const Job& job) const;
+
   /// The expected run time of a task of a job's step: the estimate, corrected
   /// by what was learned of the queue.
   Millis EstimatedRunTime(const Job& job, uint32_t step) const;
--- a/packages/scheduling/include/laurelhall/scheduling/pools.h
+++ b/packages/scheduling/include/laurelhall/scheduling/pools.h
@@ -12,9 +12,11 @@
 struct PoolDemand {
   std::string service;
   bool is_spare = false;      ///< For parked hosts, which serve nobody.
+  double pressing_cores = 0;  ///< For the work at hand, without headroom.
   double needed_cores = 0;    ///< For the work at hand and what arrives.
   double expected_cores = 0;  ///< Once a move would be done; 0: unknown.
   uint32_t min_hosts = 0;     ///< To spread its persistent tasks over.
+  double floor_cores = 0;     ///< Kept for the start of its next rush.
 };
 
 /// A host as an input of PlanMoves().
@@ -67,7 +69,8 @@
 ///   the lowest coverage (cores held per core needed), from the spare pool if
 ///   possible, else from a service with high coverage, as long as the donor
 ///   stays better covered than the receiver becomes. Expected demand takes no
-///   host that is needed now.
+///   host that is needed now, and a pool is taken below its floor only by work
+///   that waits elsewhere.
 std::vector<PoolMove> PlanMoves(const std::vector<PoolDemand>& pools,
                                 std::vector<PoolHost> hosts,
                                 const PoolMoveLimits& weights,
--- a/packages/scheduling/src/demand.cc
+++ b/packages/scheduling/src/demand.cc
@@ -12,6 +12,8 @@
 constexpr Millis kBin{250};
 // The current rate is taken over this many bins, the unfinished one included.
 constexpr int64_t kRateBins = 3;
+// A peak is a mean over this many bins: about as long as a host takes to move.
+constexpr int64_t kPeakBins = 8;
 // Bounds of the period in bins. Hosts cannot follow a period that is shorter
 // than a few of their moves. Longer periods are not worth their memory: at the
 // planned fleet size, these already take 480 bins for each of 68 services.
@@ -82,6 +84,24 @@
          static_cast<double>(std::max(span, kBin).count());
 }
 
+double DemandMeter::PeakDemand(const std::string& service) const {
+  const auto found = m_bins_of.find(service);
+  if (found == m_bins_of.end()) {
+    return 0;
+  }
+  const auto size = static_cast<int64_t>(found->second.size());
+  double peak = 0;
+  double sum = 0;
+  for (int64_t bin = 0; bin < size; ++bin) {
+    sum += found->second[static_cast<size_t>(bin)];
+    if (bin >= kPeakBins) {
+      sum -= found->second[static_cast<size_t>(bin - kPeakBins)];
+    }
+    peak = std::max(peak, sum);
+  }
+  return peak / static_cast<double>((kPeakBins * kBin).count());
+}
+
 double DemandMeter::Expected(const std::string& service,
                              SteadyTime now,
                              Millis ahead) const {
--- a/packages/scheduling/src/mechanism.cc
+++ b/packages/scheduling/src/mechanism.cc
@@ -10,7 +10,7 @@
     kNames{"turns",          "period",         "parking",   "headroom",
            "least-stay",     "emptying-limit", "gathering", "doubt",
            "hopeless-order", "last-call",      "data-wait", "learned-times",
-           "pacing",         "relays"};
+           "pacing",         "relays",         "floors"};
 
 }  // namespace
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -804,6 +804,14 @@
   return waiting;
 }
 
+Millis Planner::Slack(const Ledger& ledger, const Job& job) const {
+  const QueueSpec* queue = ledger.FindQueueByName(job.queue);
+  const SteadyTime now{};
+  const Millis work =
+      Scaled(RemainingCriticalPath(job, 0), RunTimeRatio(job.queue));
+  return std::chrono::floor<Millis>(DeadlineOf(queue, job, now) - now) - work;
+}
+
 Millis Planner::EstimatedRunTime(const Job& job, uint32_t step) const {
   return Scaled(job.spec.steps[step].estimate, RunTimeRatio(job.queue));
 }
--- a/packages/scheduling/src/pools.cc
+++ b/packages/scheduling/src/pools.cc
@@ -27,9 +27,13 @@
         m_spare_pool = pool.service;
         continue;
       }
+      const bool has_floors = pool.floor_cores > 0;
+      m_pressing[pool.service] =
+          has_floors ? pool.pressing_cores : pool.needed_cores;
       m_needed_now[pool.service] = pool.needed_cores;
       m_needed_soon[pool.service] =
-          std::max(pool.needed_cores, pool.expected_cores);
+          std::max({pool.needed_cores, pool.expected_cores, pool.floor_cores});
+      m_floors[pool.service] = pool.floor_cores;
       m_min_hosts[pool.service] = std::max(pool.min_hosts, weights.min_hosts);
     }
     for (PoolHost& host : hosts) {
@@ -49,6 +53,9 @@
 
   std::vector<PoolMove> Plan() {
     std::vector<PoolMove> moves;
+    m_needed = &m_pressing;
+    while (moves.size() < m_weights.max_moves && MoveToLeastCovered(moves)) {
+    }
     m_needed = &m_needed_now;
     while (moves.size() < m_weights.max_moves && MoveToLeastCovered(moves)) {
     }
@@ -141,6 +148,11 @@
     }
     const double left = Coverage(host.service, -host.cores);
     const bool is_forecast = m_needed == &m_needed_soon;
+    const bool keeps_floor =
+        m_cores.at(host.service) - host.cores >= m_floors.at(host.service);
+    if (m_needed != &m_pressing && !keeps_floor) {
+      return false;
+    }
     return left >= 1 ||
            (!is_forecast && left > Coverage(to, host.cores) + kMinCoverageGain);
   }
@@ -206,9 +218,11 @@
   const PoolMoveLimits& m_weights;
   const SteadyTime m_now;
   std::string m_spare_pool;
+  Cores m_pressing;
   Cores m_needed_now;
   Cores m_needed_soon;
-  const Cores* m_needed = nullptr;  // The one of the two in use.
+  const Cores* m_needed = nullptr;  // The one of the three in use.
+  Cores m_floors;
   std::map<std::string, uint32_t> m_min_hosts;
   Cores m_cores;
   std::map<std::string, uint32_t> m_host_count;  // By service.
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -4,6 +4,7 @@
 
 #include "laurelhall/scheduling/demand.h"
 #include "laurelhall/scheduling/planner.h"
+#include "laurelhall/scheduling/pool_floors.h"
 #include "laurelhall/scheduling/pools.h"
 #include "laurelhall/scheduling/worker_clock.h"
 
@@ -341,6 +342,12 @@
   CHECK(meter.RecentDemand("b", now) == 0);
 }
 
+TEST_CASE_FIXTURE(DemandFixture, "DemandMeter, rush is over, peak is kept") {
+  AddTurns(2);
+  CHECK(meter.PeakDemand("a") == doctest::Approx(10).epsilon(0.2));
+  CHECK(meter.PeakDemand("none") == 0);
+}
+
 class PoolsFixture {
  protected:
   void AddHosts(const std::string& service, int count, bool is_movable = true) {
@@ -437,6 +444,78 @@
   }
 }
 
+// Services that rush one after the other: what the rush of `a` would like to
+// have in reserve is what `b` needs at the start of its own.
+TEST_CASE_FIXTURE(PoolsFixture,
+                  "Moves, rush wants headroom, other pool keeps its floor") {
+  AddHosts("a", 6);
+  AddHosts("b", 10);
+  pools[0].pressing_cores = 6 * 16;
+  pools[0].needed_cores = 12 * 16;
+  pools[0].floor_cores = 16;
+  pools[1].floor_cores = 8 * 16;
+  CHECK(Plan().size() == 2);
+  pools[1].floor_cores = 0;
+  CHECK(Plan().size() == 6);
+}
+
+TEST_CASE_FIXTURE(PoolsFixture,
+                  "Moves, work waits elsewhere, taken below the floor") {
+  AddHosts("a", 6);
+  AddHosts("b", 10);
+  pools[0].pressing_cores = 12 * 16;
+  pools[0].needed_cores = 12 * 16;
+  pools[0].floor_cores = 16;
+  pools[1].floor_cores = 8 * 16;
+  CHECK(Plan().size() == 6);
+}
+
+TEST_CASE_FIXTURE(PoolsFixture,
+                  "Moves, pool below its floor, gets hosts that nobody needs") {
+  AddHosts("a", 10);
+  AddHosts("b", 4);
+  pools[0].pressing_cores = 4 * 16;
+  pools[0].needed_cores = 7 * 16;
+  pools[0].floor_cores = 16;
+  pools[1].floor_cores = 8 * 16;
+  weights.may_park = false;
+  const auto moves = Plan();
+  CHECK(moves.size() == 3);
+  for (const PoolMove& move : moves) {
+    CHECK(move.to == "b");
+  }
+}
+
+TEST_CASE("PoolFloors, jobs can wait for part of a move, keeps the rest") {
+  PoolFloors floors;
+  floors.RecordSlack("a", Millis(1'000));
+  floors.RecordSlack("b", Millis(4'000));
+  const auto kept =
+      floors.Compute({{"a", 100}, {"b", 100}}, 1'000, Millis(2'500));
+  CHECK(kept.at("a") == doctest::Approx(60));
+  CHECK(kept.at("b") == doctest::Approx(0));
+}
+
+TEST_CASE("PoolFloors, service without a rush, may get one as the others") {
+  PoolFloors floors;
+  floors.RecordSlack("a", Millis(1'000));
+  floors.RecordSlack("b", Millis(1'000));
+  const auto kept =
+      floors.Compute({{"a", 100}, {"b", 5}}, 1'000, Millis(2'000));
+  CHECK(kept.at("a") == doctest::Approx(50));
+  CHECK(kept.at("b") == doctest::Approx(50));
+}
+
+TEST_CASE("PoolFloors, peaks beyond the fleet, half of it stays free") {
+  PoolFloors floors;
+  floors.RecordSlack("a", Millis(0));
+  floors.RecordSlack("b", Millis(0));
+  const auto kept =
+      floors.Compute({{"a", 900}, {"b", 300}}, 1'000, Millis(2'000));
+  CHECK(kept.at("a") == doctest::Approx(375));
+  CHECK(kept.at("b") == doctest::Approx(125));
+}
+
 TEST_CASE_FIXTURE(PoolsFixture, "Moves, hosts pinned or moved lately, stay") {
   AddHosts("a", 3);
   AddHosts("b", 6, false);
