--- a/packages/scheduling/include/laurelhall/scheduling/mechanism.h
+++ b/packages/scheduling/include/laurelhall/scheduling/mechanism.h
@@ -33,6 +33,7 @@
                    ///< first.
   kAdmission,      ///< Jobs that can't be in time by their organisation's share
                    ///< are refused.
+  kFloors,         ///< Pools keep hosts for the start of their next rush.
   kCount,
 };
 
