Admission: promised work is refused only when it would be of no use any more

Change: promised work is measured against the time for which it is of use to its caller, three objectives; excess still has to be in time.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -481,6 +481,8 @@
         !request.spec.is_timed &&
         std::none_of(steps.begin(), steps.end(),
                      [](const auto& step) { return step.is_persistent; });
+    // Promised work is taken as long as it is of use: late is better than not
+    // at all. Excess has to be in time.
     return {request.id,
             judged.organisation,
             judged.promised_rate,
@@ -489,7 +491,7 @@
             is_excess,
             judged.forecast.work,
             judged.forecast.critical_path,
-            judged.forecast.objective};
+            is_excess ? judged.forecast.objective : judged.forecast.useful};
   }
 
   void CountRefusal(const scheduling::AdmissionRequest& asked,
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -60,6 +60,7 @@
   double work = 0;  ///< In core-milliseconds, without persistent tasks.
   Millis critical_path{0};
   Millis objective{0};  ///< From its submission until it should be done.
+  Millis useful{0};     ///< Until it is of no more use to its caller.
 };
 
 /// Why the next plan would start no task of a step that is ready to go on.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -1029,6 +1029,7 @@
   forecast.critical_path = Scaled(longest, ratio);
   forecast.objective =
       Scaled(chain, ratio * queue.stretch) + queue.target_latency;
+  forecast.useful = kUselessAfterFactor * forecast.objective;
   return forecast;
 }
 
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -941,53 +941,55 @@
   CHECK(std::count_if(starts.begin(), starts.end(), [](const auto& start) {
           return start.task.job == "gang";
         }) == 4);
+}
 
-  class ForecastFixture : public PlannerFixture {
-   protected:
-    // Two steps of two tasks, one after the other; 0.8 s each.
-    ForecastFixture() {
-      spec.steps = {Step(2), Step(2)};
-      spec.steps[1].depends_on = {0};
-    }
-
-    JobSpec spec;
-  };
-
-  // Guards against work that can't start yet but makes idle cores seem to be
-  // the pool's fault.
-  TEST_CASE_FIXTURE(ForecastFixture,
-                    "Planner, second step waits for the first, is not ready "
-                    "work") {
-    AddWorker("w1");
-    ledger.Apply(JobAccepted{"a", "quotes", "teklif", WallTime(), spec});
-    const Job& job = *ledger.FindJob("a");
-    PendingWork work = planner.Waiting(ledger, job, now, now);
-    CHECK(work.core_milliseconds == 3'200);
-    CHECK(work.ready_core_milliseconds == 1'600);
-    Commit(Plan());
-    work = planner.Waiting(ledger, job, now, now);
-    CHECK(work.core_milliseconds == 1'600);
-    CHECK(work.ready_core_milliseconds == 0);
-    CHECK(work.running_core_milliseconds == 1'600);
-  }
-
-  TEST_CASE_FIXTURE(ForecastFixture,
-                    "Planner, forecast of a job, by learned run times") {
-    const QueueSpec& queue = *ledger.FindQueueByName("quotes");
-    JobForecast forecast = planner.Forecast(spec, queue);
-    CHECK(forecast.work == 3'200);
-    CHECK(forecast.critical_path == Millis(1'600));
-    CHECK(forecast.objective == Millis(3'160));
-    spec.steps[1].depends_on.clear();
-    spec.steps[1].is_persistent = true;
-    forecast = planner.Forecast(spec, queue);
-    CHECK(forecast.work == 1'600);
-    CHECK(forecast.critical_path == Millis(800));
-    for (int run = 0; run < 200; ++run) {
-      planner.Learn("quotes", Millis(800), Millis(1'600));
-    }
-    CHECK(planner.Forecast(spec, queue).critical_path >= Millis(1'590));
+class ForecastFixture : public PlannerFixture {
+ protected:
+  // Two steps of two tasks, one after the other; 0.8 s each.
+  ForecastFixture() {
+    spec.steps = {Step(2), Step(2)};
+    spec.steps[1].depends_on = {0};
   }
 
+  JobSpec spec;
+};
+
+// Guards against work that can't start yet but makes idle cores seem to be
+// the pool's fault.
+TEST_CASE_FIXTURE(ForecastFixture,
+                  "Planner, second step waits for the first, is not ready "
+                  "work") {
+  AddWorker("w1");
+  ledger.Apply(JobAccepted{"a", "quotes", "teklif", WallTime(), spec});
+  const Job& job = *ledger.FindJob("a");
+  PendingWork work = planner.Waiting(ledger, job, now, now);
+  CHECK(work.core_milliseconds == 3'200);
+  CHECK(work.ready_core_milliseconds == 1'600);
+  Commit(Plan());
+  work = planner.Waiting(ledger, job, now, now);
+  CHECK(work.core_milliseconds == 1'600);
+  CHECK(work.ready_core_milliseconds == 0);
+  CHECK(work.running_core_milliseconds == 1'600);
+}
+
+TEST_CASE_FIXTURE(ForecastFixture,
+                  "Planner, forecast of a job, by learned run times") {
+  const QueueSpec& queue = *ledger.FindQueueByName("quotes");
+  JobForecast forecast = planner.Forecast(spec, queue);
+  CHECK(forecast.work == 3'200);
+  CHECK(forecast.critical_path == Millis(1'600));
+  CHECK(forecast.objective == Millis(3'160));
+  CHECK(forecast.useful == Millis(9'480));
+  spec.steps[1].depends_on.clear();
+  spec.steps[1].is_persistent = true;
+  forecast = planner.Forecast(spec, queue);
+  CHECK(forecast.work == 1'600);
+  CHECK(forecast.critical_path == Millis(800));
+  for (int run = 0; run < 200; ++run) {
+    planner.Learn("quotes", Millis(800), Millis(1'600));
+  }
+  CHECK(planner.Forecast(spec, queue).critical_path >= Millis(1'590));
+}
+
 }  // namespace
 }  // namespace laurelhall::scheduling
