Acknowledge ends only to an incarnation that is known to run, at less cost

What callers saw: a worker that had restarted under its id was told that ends were seen which it had never listed; it forgets such ends, so a finished task is run again.

New beside it: - A renewal of a lease waits behind the hold call in flight, and was delivered to the next incarnation with the old number. Renewals acknowledge nothing, nor does any hold call while another one beside it is open. - Answers to starts and stops confirm an incarnation by its clock, which the next one counts anew; not right after the leader's thread stood still. - A lagging leader sends the next hold call right after the commit while the incarnation is confirmed, and right after a list with nothing to commit.

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -73,6 +73,14 @@
   Millis timeout{450};  ///< For the answer; time spent queued does not count.
 };
 
+/// A worker takes longer than this to restart, so an incarnation that answered
+/// within this time still runs.
+constexpr Millis kMinRestartTime{200};
+
+/// A hold call or its answer that was on its way for longer may concern an
+/// incarnation that has ended. Above the time that a busy relay adds.
+constexpr Millis kMaxTransitTime{600};
+
 /// Extends a worker's lease and polls it for its running and ended runs.
 struct HoldOrder {
   WorkerAddress worker;
--- a/packages/dispatch/include/laurelhall/dispatch/relayed.h
+++ b/packages/dispatch/include/laurelhall/dispatch/relayed.h
@@ -23,6 +23,15 @@
   uint32_t payload = 0;
 };
 
+/// Removes the acknowledgement of ends from a hold call that has waited on its
+/// way. The worker may have restarted since, and numbers its ends anew.
+inline void DropOutdatedAcknowledgement(RelayedOrder& relayed, Millis waited) {
+  auto* hold = std::get_if<HoldOrder>(&relayed.order);
+  if (hold != nullptr && waited > kMaxTransitTime) {
+    hold->ends_seen = 0;
+  }
+}
+
 /// The leader's answer to a relay: a batch of orders.
 struct RelayedBatch {
   bool is_relay_needed = false;  ///< Whether the leader needs this relay now.
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -218,6 +218,9 @@
   if (WasThreadPaused()) {
     DiscardReports();
   }
+  if (HasStalled()) {
+    m_stalled_until = now;
+  }
   if (m_last_tick != SteadyTime()) {
     const auto taken = std::chrono::floor<Millis>(now - m_last_tick);
     const Millis late = std::max(Millis(0), taken - kDispatchTick);
@@ -286,7 +289,13 @@
 void Leadership::OnReportPending(const std::string& worker,
                                  const ReportStamp& report) {
   const auto link = m_links.find(worker);
-  if (link != m_links.end() && link->second.last_report &&
+  if (link == m_links.end()) {
+    return;
+  }
+  if (report.born > link->second.born) {
+    link->second.confirmed_at = SteadyTime();
+  }
+  if (link->second.last_report &&
       report.IsNewerThan(*link->second.last_report)) {
     link->second.last_report.reset();
     m_reports.erase(worker);
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -156,12 +156,18 @@
   bool is_hold_under_way = false;
   /// The last list may have omitted ends: the next one is asked for at once.
   bool has_more_ends = false;
+  bool lists_ends = false;  ///< The last list named ended runs.
+  /// A hold call beside that one is open: a renewal of the lease, or a repeated
+  /// acknowledgement.
   bool is_renewal_under_way = false;
   SteadyTime next_hold{};
   SteadyTime next_renewal{};
   SteadyTime lease_start{};  ///< Start of the lease that was last requested.
   SteadyTime last_contact{};
   SteadyTime last_listed{};  ///< When it last listed its runs.
+  /// When a hold call last showed that this incarnation runs; zero: since then,
+  /// something has shown that it may have ended.
+  SteadyTime confirmed_at{};
   SteadyTime first_contact{};
   SteadyTime last_announced{};
   /// Set after an order was not answered; cleared by any answer.
@@ -575,12 +581,28 @@
   bool AreRunsSeenAtWork(const Ledger& ledger,
                          const scheduling::Worker& worker) const;
   HoldOrder MakeHoldOrder(WorkerLink& link, Millis wait);
+  bool IsConfirmed(const WorkerLink& link) const;
+  bool HasStalled() const;
+  void Confirm(WorkerLink& link,
+               SteadyTime asked_at,
+               const HoldReply& reply) const;
+  static void DoubtAfter(CallOutcome outcome, WorkerLink& link);
+  void RecordReply(WorkerLink& link, const CallReply& reply);
+  void ConfirmByClock(WorkerLink& link, const CallReply& reply) const;
+  bool MayAcknowledge(const WorkerLink& link) const;
+  void AcknowledgeAgain(const std::string& worker,
+                        WorkerLink& link,
+                        const HoldReply& reply);
+  void SendBesideHold(const std::string& worker,
+                      WorkerLink& link,
+                      HoldOrder order);
   bool MayExtendLease(const WorkerLink& link) const;
   bool IsLeaseExtensionDue(const WorkerLink& link) const;
   bool IsSeparateRenewalDue(const WorkerLink& link) const;
   void RenewLease(const std::string& worker, WorkerLink& link);
   void OnLeaseRenewalReply(const std::string& worker,
                            uint64_t incarnation,
+                           SteadyTime asked_at,
                            const HoldReply& reply);
   void RecordContact(WorkerLink& link,
                      std::optional<scheduling::WorkerTime> clock);
@@ -729,6 +751,8 @@
 
   uint64_t m_long_pauses = 0;  // Pauses above kMaxThreadPause.
   SteadyTime m_last_tick{};
+  /// Answers to calls made before this may have waited for this thread.
+  SteadyTime m_stalled_until{};
   Millis m_tick_lag{0};  // Smoothed.
   SteadyTime m_last_plan{};
   Millis m_plan_time{0};  // Duration of the last planning pass.
--- a/packages/dispatch/src/order_relay.cc
+++ b/packages/dispatch/src/order_relay.cc
@@ -127,11 +127,12 @@
       }
       return;
     }
-    const bool are_too_old = m_init.boot_now() - asked_at > kMaxOrderAge;
+    const auto age = std::chrono::floor<Millis>(m_init.boot_now() - asked_at);
     for (RelayedOrder& order : batch.orders) {
-      if (are_too_old) {
+      if (age > kMaxOrderAge) {
         ReturnUnsent(order.number);
       } else {
+        DropOutdatedAcknowledgement(order, age);
         CarryOut(batch, order);
       }
     }
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -29,11 +29,6 @@
 constexpr Millis kHoldRetryDelay{200};
 // A lease is renewed once a third of it has passed.
 constexpr int kLeaseRenewalDivisor = 3;
-// A worker that last listed its runs within this time is taken to be the same
-// incarnation. After a crash, orders fail before the worker can have restarted,
-// carried out a late order and ended its run. A busy leader may take as long
-// from one list to the next hold call.
-constexpr Millis kSameIncarnationTime{4'000};
 // How long an answer to a hold call may take beyond the requested wait.
 constexpr Millis kHoldAnswerMargin{600};
 constexpr Millis kOrderRetryDelay{100};
@@ -260,8 +255,8 @@
             .With("term", m_term)
             .With("outcome", CallOutcomeName(reply.outcome)));
   }
-  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherIncarnation) {
-    RecordContact(link->second, reply.clock);
+  if (link != m_links.end()) {
+    RecordReply(link->second, reply);
   }
   switch (reply.outcome) {
     case CallOutcome::kDone:
@@ -395,8 +390,8 @@
     return;  // For an earlier incarnation.
   }
   track.is_stop_in_flight = false;
-  if (link != m_links.end() && reply.outcome < CallOutcome::kOtherIncarnation) {
-    RecordContact(link->second, reply.clock);
+  if (link != m_links.end()) {
+    RecordReply(link->second, reply);
   }
   if (reply.outcome == CallOutcome::kDone ||
       reply.outcome == CallOutcome::kOldRun) {
@@ -447,10 +442,8 @@
   order.fence = FenceOf(link);
   // A new incarnation numbers its ended runs anew: its ends must not be
   // acknowledged by the numbers of the one before.
-  const bool is_same_incarnation =
-      !link.is_silent && Now() - link.last_listed < kSameIncarnationTime;
   order.ends_seen =
-      is_same_incarnation || m_init.mutations.is_incarnation_ignored
+      MayAcknowledge(link) || m_init.mutations.is_incarnation_ignored
           ? link.ends_seen
           : 0;
   if (order.ends_seen > 0) {
@@ -462,6 +455,90 @@
   return order;
 }
 
+// Whether the link's incarnation certainly still runs.
+bool Leadership::IsConfirmed(const WorkerLink& link) const {
+  return link.confirmed_at != SteadyTime() &&
+         Now() - link.confirmed_at < kMinRestartTime;
+}
+
+// Whether a hold call may acknowledge ends now. One that waits behind another
+// call to the worker may be delivered to a later incarnation.
+bool Leadership::MayAcknowledge(const WorkerLink& link) const {
+  return IsConfirmed(link) && !link.is_renewal_under_way;
+}
+
+// Whether this thread has not run for so long that a worker may have restarted
+// after it sent an answer that is handled only now. Beyond the usual delay: a
+// thread that is always late would never confirm any incarnation.
+bool Leadership::HasStalled() const {
+  return m_last_tick != SteadyTime() &&
+         Now() - m_last_tick > kMinRestartTime + LeaderDelay();
+}
+
+// Records that an incarnation has answered a hold call. Called before the
+// answer's clock is observed.
+void Leadership::Confirm(WorkerLink& link,
+                         SteadyTime asked_at,
+                         const HoldReply& reply) const {
+  // The answer may have been delayed, but it is not older than the call.
+  const Millis since_call = std::chrono::floor<Millis>(Now() - asked_at);
+  const Millis age =
+      reply.clock ? std::min(since_call, link.clock.AgeOf(*reply.clock, Now()))
+                  : Millis(0);
+  const bool may_be_old = HasStalled() || asked_at < m_stalled_until ||
+                          age > kMaxTransitTime + LeaderDelay();
+  link.confirmed_at = may_be_old ? SteadyTime() : Now();
+}
+
+// A call that was not answered, or that another incarnation refused, shows that
+// the link's incarnation may have ended.
+void Leadership::DoubtAfter(CallOutcome outcome, WorkerLink& link) {
+  if (outcome == CallOutcome::kOtherIncarnation ||
+      outcome == CallOutcome::kNotReached || outcome == CallOutcome::kUnknown) {
+    link.confirmed_at = SteadyTime();
+  }
+}
+
+void Leadership::RecordReply(WorkerLink& link, const CallReply& reply) {
+  DoubtAfter(reply.outcome, link);
+  if (reply.outcome < CallOutcome::kOtherIncarnation) {
+    ConfirmByClock(link, reply);
+    RecordContact(link, reply.clock);
+  }
+}
+
+// A later incarnation counts its clock anew. So an answer with the clock of
+// this one shows that it still runs, and a busy worker is confirmed often.
+void Leadership::ConfirmByClock(WorkerLink& link,
+                                const CallReply& reply) const {
+  const bool may_have_waited =
+      HasStalled() || Now() - m_stalled_until <= kMaxTransitTime;
+  if (!reply.clock || !link.is_reached || !link.clock.is_known() ||
+      link.confirmed_at == SteadyTime() || may_have_waited) {
+    return;
+  }
+  if (link.clock.AgeOf(*reply.clock, Now()) <=
+      kMaxTransitTime + LeaderDelay()) {
+    link.confirmed_at = Now();
+  }
+}
+
+// Repeats an acknowledgement that the worker has not received, or that was
+// withheld, while new ends are being committed. The incarnation may no longer
+// be confirmed when the next hold call is due: on a busy leader, the lists
+// would grow without limit.
+void Leadership::AcknowledgeAgain(const std::string& worker,
+                                  WorkerLink& link,
+                                  const HoldReply& reply) {
+  const bool is_due = std::any_of(
+      reply.ended.begin(), reply.ended.end(),
+      [&link](const EndedRun& end) { return end.number <= link.ends_seen; });
+  if (is_due && MayAcknowledge(link)) {
+    HoldOrder order = MakeHoldOrder(link, Millis(0));
+    SendBesideHold(worker, link, std::move(order));
+  }
+}
+
 // Whether the worker's lease may be extended. Leases count from the last moment
 // at which this host was sure to lead; one of longer ago would be over already.
 bool Leadership::MayExtendLease(const WorkerLink& link) const {
@@ -483,23 +560,32 @@
          Now() >= link.next_renewal && IsLeaseExtensionDue(link);
 }
 
+// Acknowledges nothing: it may wait behind the hold call in flight.
 void Leadership::RenewLease(const std::string& worker, WorkerLink& link) {
   link.is_renewal_under_way = true;
   link.next_renewal = Now() + kHoldRetryDelay;
+  SendBesideHold(worker, link, MakeHoldOrder(link, Millis(0)));
+}
+
+void Leadership::SendBesideHold(const std::string& worker,
+                                WorkerLink& link,
+                                HoldOrder order) {
+  link.is_renewal_under_way = true;
   ++m_counters.holds;
-  m_init.workers->Hold(MakeHoldOrder(link, Millis(0)),
-                       [weak = weak_from_this(), worker,
-                        incarnation = link.number](const HoldReply& reply) {
-                         if (const auto self = weak.lock()) {
-                           self->OnLeaseRenewalReply(worker, incarnation,
-                                                     reply);
-                         }
-                       });
+  m_init.workers->Hold(
+      std::move(order),
+      [weak = weak_from_this(), worker, incarnation = link.number,
+       asked_at = Now()](const HoldReply& reply) {
+        if (const auto self = weak.lock()) {
+          self->OnLeaseRenewalReply(worker, incarnation, asked_at, reply);
+        }
+      });
 }
 
 // Ignores the lists in the reply: the hold call in flight handles them.
 void Leadership::OnLeaseRenewalReply(const std::string& worker,
                                      uint64_t incarnation,
+                                     SteadyTime asked_at,
                                      const HoldReply& reply) {
   const auto found = m_links.find(worker);
   if (found == m_links.end() || found->second.number != incarnation) {
@@ -507,9 +593,11 @@
   }
   WorkerLink& link = found->second;
   link.is_renewal_under_way = false;
+  DoubtAfter(reply.outcome, link);
   if (reply.outcome == CallOutcome::kOtherIncarnation) {
     EndReplacedIncarnation(worker);
   } else if (reply.outcome == CallOutcome::kDone && reply.born == link.born) {
+    Confirm(link, asked_at, reply);
     RecordContact(link, reply.clock);
   }
 }
@@ -583,6 +671,7 @@
   }
   WorkerLink& link = found->second;
   link.is_hold_under_way = false;
+  DoubtAfter(reply.outcome, link);
   if (reply.outcome == CallOutcome::kOtherIncarnation) {
     EndReplacedIncarnation(worker);
     return;
@@ -598,6 +687,7 @@
   if (!CheckIncarnation(worker, link, reply)) {
     return;
   }
+  Confirm(link, asked_at, reply);
   RecordContact(link, reply.clock);
   if (!link.is_restart_unassessed) {
     link.lapsed_runs.clear();  // The worker has not crashed.
@@ -649,6 +739,10 @@
   // A list without new ends is not asked for again at once: the worker has yet
   // to hear that they were seen.
   link.has_more_ends = reply.may_omit_ends && last_end > link.ends_seen;
+  link.lists_ends = !reply.ended.empty();
+  if (!records.empty()) {
+    AcknowledgeAgain(worker, link, reply);
+  }
   CommitEndedRuns(worker, last_end, std::move(records));
 }
 
@@ -896,6 +990,9 @@
     }
     if (link.has_more_ends) {
       SendHold(worker, link, Millis(0));
+    } else if (link.lists_ends && IsTickLagHigh()) {
+      // Now, since the incarnation is confirmed: by the next tick it is not.
+      SendHold(worker, link, kBusyHoldWait);
     }
     return;
   }
@@ -930,7 +1027,7 @@
         link.ends_seen = std::max(link.ends_seen, last_end);
         if (link.has_more_ends) {
           SendHold(worker, link, Millis(0));
-        } else if (IsTickLagHigh()) {
+        } else if (IsTickLagHigh() && !MayAcknowledge(link)) {
           // Meanwhile more runs end, and one request collects them all.
           link.next_hold = Now() + kHoldInterval;
         } else {
--- a/packages/dispatch/src/relay_pool.cc
+++ b/packages/dispatch/src/relay_pool.cc
@@ -179,6 +179,9 @@
     return;  // Given up already.
   }
   RelayedOrder order = std::move(found->second.order);
+  DropOutdatedAcknowledgement(
+      order,
+      std::chrono::floor<Millis>(m_timers.Now() - found->second.created_at));
   const ResultCallback on_result = std::move(found->second.on_result);
   m_deadlines.erase(found->second.deadline_entry);
   m_pending.erase(found);
@@ -193,6 +196,7 @@
   relayed.number = number;
   Pending& pending = m_pending[number];
   pending.relay = relay;
+  pending.created_at = m_timers.Now();
   pending.result_timeout = TimeoutOf(relayed) + kRelayTransitTime + m_own_delay;
   pending.order = std::move(relayed);
   pending.on_result = std::move(on_result);
@@ -405,6 +409,8 @@
     pending.deadline_entry =
         m_deadlines.emplace(now + pending.result_timeout, number);
     RelayedOrder& order = batch.orders.emplace_back(std::move(pending.order));
+    DropOutdatedAcknowledgement(
+        order, std::chrono::floor<Millis>(now - pending.created_at));
     if (auto* start = std::get_if<StartOrder>(&order.order)) {
       if (batch.payloads.empty() || batch.payloads.back() != start->payload) {
         batch.payloads.push_back(start->payload);
--- a/packages/dispatch/src/relay_pool_p.h
+++ b/packages/dispatch/src/relay_pool_p.h
@@ -67,6 +67,7 @@
   struct Pending {
     RelayedOrder order;  // Moved out when it is handed over.
     std::string relay;
+    SteadyTime created_at{};
     bool is_handed_over = false;
     Millis result_timeout{0};  // Counted anew when handed over.
     ResultCallback on_result;
--- a/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
+++ b/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
@@ -131,6 +131,34 @@
   CheckAllDone();
 }
 
+// Guards against a renewal of the lease that waits behind a hold call to the
+// previous incarnation, which gets no answer. The worker restarts at any moment
+// of a hold call of two seconds.
+TEST_CASE(
+    "Dispatcher, worker restarts while a renewal waits behind a hold call, its "
+    "next incarnation gets no acknowledgement") {
+  for (Millis offset{0}; offset < Millis(2'600); offset += Millis(50)) {
+    World world(7);
+    world.are_holds_in_order = true;
+    world.AddWorkers(1);
+    world.Advance(Millis(500));
+    world.Submit("a", {Step(4)});
+    world.Advance(Millis(1'800));
+    REQUIRE(world.StateOf("a") == JobState::kSucceeded);
+    // The hold call in flight was made for an idle worker and waits for long.
+    world.Submit("long", {Step(1, {}, Millis(9'000))});
+    world.Advance(offset);
+    world.Cut("w0", true);
+    world.CrashAndRestart("w0", Millis(250), Millis(3'000));
+    world.Advance(Millis(260));
+    world.Cut("w0", false);
+    world.Advance(Millis(3'000));
+    for (const std::string& violation : world.violations()) {
+      FAIL_CHECK("offset ", offset.count(), ": ", violation);
+    }
+  }
+}
+
 // Guards against lists that grow because no end is ever acknowledged.
 TEST_CASE_FIXTURE(AcknowledgedWorkerFixture,
                   "Dispatcher, commits take longer than a restart, ends are "
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <deque>
 #include <numeric>
 #include <utility>
 
@@ -456,14 +457,29 @@
   }
 
   void Hold(HoldOrder order, std::function<void(HoldReply)> done) override {
-    m_world.After(m_world.Delay(), [this, order,
-                                    done = m_host.WhenAwake(m_host.WithTimeout(
-                                        order.timeout, std::move(done)))] {
-      if (!IsCut(order.worker.id)) {
-        m_world.m_workers.at(order.worker.id)->Acknowledge(order);
-      }
-      PollWorker(order, m_world.Now() + order.wait, done);
-    });
+    const std::string id = order.worker.id;
+    auto deliver = [this, order,
+                    done = m_host.WhenAwake(
+                        m_host.WithTimeout(order.timeout, std::move(done)))] {
+      m_world.After(m_world.Delay(), [this, order, done] {
+        if (!IsCut(order.worker.id)) {
+          m_world.m_workers.at(order.worker.id)->Acknowledge(order);
+        }
+        PollWorker(order, m_world.Now() + order.wait,
+                   [this, order, done](const HoldReply& reply) {
+                     done(reply);
+                     DeliverNextHold(order.worker.id);
+                   });
+      });
+    };
+    if (!m_world.are_holds_in_order) {
+      deliver();
+      return;
+    }
+    m_waiting_holds[id].push_back(std::move(deliver));
+    if (m_waiting_holds[id].size() == 1) {
+      m_waiting_holds[id].front()();
+    }
   }
 
   void Forget(const WorkerAddress&) override {}
@@ -474,6 +490,18 @@
     return m_is_relay ? fence >> kFenceIncarnationBits : m_host.term;
   }
 
+  // The first one in line is the one in flight.
+  void DeliverNextHold(const std::string& worker) {
+    auto& waiting = m_waiting_holds[worker];
+    if (waiting.empty()) {
+      return;
+    }
+    waiting.pop_front();
+    if (!waiting.empty()) {
+      waiting.front()();
+    }
+  }
+
   bool IsCut(const std::string& id) const { return m_world.m_cut.contains(id); }
 
   // Answers when the worker has an end to report or the wait is over.
@@ -565,6 +593,7 @@
   World& m_world;
   HostView& m_host;
   const bool m_is_relay;
+  std::map<std::string, std::deque<std::function<void()>>> m_waiting_holds;
 };
 
 // Actions on hosts. Maintained hosts lose their worker and come back with
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -294,6 +294,9 @@
   /// A proxy answers for workers that are down, so that calls to them are
   /// refused by CallOutcome::kOtherIncarnation. Otherwise they fail.
   bool is_proxy_in_front = false;
+  /// The hold calls to a worker share a connection: each is delivered when the
+  /// one before it is over.
+  bool are_holds_in_order = false;
   /// The time that a persistent task takes to start up.
   Millis startup_time{0};
   /// Only the control hosts are disturbed, so a lease that lapses is checked
--- a/packages/scheduling/include/laurelhall/scheduling/worker_clock.h
+++ b/packages/scheduling/include/laurelhall/scheduling/worker_clock.h
@@ -32,6 +32,10 @@
   /// @pre is_known()
   WorkerTime Estimate(SteadyTime now) const;
 
+  /// How long ago, at least, the worker's clock had the given value: zero if
+  /// nothing is known to the contrary.
+  Millis AgeOf(WorkerTime clock, SteadyTime now) const;
+
   /// The lease end to request now: `longest_lease` after `leading_at`, or a
   /// later end that was requested before. It counts as granted from this call
   /// on.
@@ -50,6 +54,10 @@
   SteadyTime m_previous_leases_end;
   std::optional<WorkerTime> m_clock;
   SteadyTime m_observed_at{};
+  /// A time that the worker's clock had certainly reached at `m_reached_at`.
+  /// Unlike `m_clock`, not set back by a reply that arrives late.
+  WorkerTime m_reached{0};
+  SteadyTime m_reached_at{};
   WorkerTime m_lease_end{0};
   WorkerTime m_requested_end{WorkerTime::min()};
 };
--- a/packages/scheduling/src/worker_clock.cc
+++ b/packages/scheduling/src/worker_clock.cc
@@ -31,6 +31,8 @@
     // No lease that a previous leader requested ends later than this.
     m_lease_end = clock + m_longest_lease;
   }
+  m_reached = clock + AgeOf(clock, now);
+  m_reached_at = now;
   // The reply took time to arrive, so that the worker's clock is at or past
   // this value by now.
   m_clock = clock;
@@ -41,6 +43,15 @@
   return *m_clock + std::chrono::floor<Millis>(now - m_observed_at);
 }
 
+Millis WorkerClock::AgeOf(WorkerTime clock, SteadyTime now) const {
+  if (!m_clock) {
+    return Millis(0);
+  }
+  const auto passed =
+      std::chrono::duration_cast<Millis>((now - m_reached_at) * kMinClockRate);
+  return std::max(Millis(0), m_reached + passed - clock);
+}
+
 WorkerTime WorkerClock::Extend(SteadyTime leading_at) {
   m_requested_end =
       std::max(m_requested_end, Estimate(leading_at) + m_longest_lease);
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -289,6 +289,19 @@
   CHECK(clock.HasSurelyLapsed(start + Millis(6'300)));
 }
 
+TEST_CASE("WorkerClock, replies come late, their age is known") {
+  const SteadyTime start{hours(1)};
+  WorkerClock clock(Millis(6'000), start);
+  CHECK(clock.AgeOf(WorkerTime(100), start) == Millis(0));
+  clock.Observe(WorkerTime(1'000), start);
+  // A reply that was sent right after the first one, but comes a second later.
+  const SteadyTime later = start + Millis(1'000);
+  CHECK(clock.AgeOf(WorkerTime(1'000), later) == Millis(980));
+  clock.Observe(WorkerTime(1'000), later);
+  CHECK(clock.AgeOf(WorkerTime(1'000), later) == Millis(980));
+  CHECK(clock.AgeOf(WorkerTime(2'000), later) == Millis(0));
+}
+
 TEST_CASE("WorkerClock, never reached, waits for the earlier leader's leases") {
   const SteadyTime start{hours(1)};
   const WorkerClock clock(Millis(6'000), start);
