--- a/packages/scheduling/include/laurelhall/scheduling/admission.h
+++ b/packages/scheduling/include/laurelhall/scheduling/admission.h
@@ -117,7 +117,7 @@
   };
 
   /// An organisation in a pool.
-  struct Tenant {
+  struct Claimant {
     double weight = 0;
     OpenWork uncommitted;    // Admitted, and not in the pool's figures yet.
     double recent_work = 0;  // Admitted promised work, decaying.
@@ -134,27 +134,27 @@
   struct Pool {
     PoolLoad load;
     double efficiency = 0;
-    std::map<std::string, Tenant> tenants;  // By organisation.
+    std::map<std::string, Claimant> claimants;  // By organisation.
   };
 
   static OpenWork OpenOf(const Pool& pool,
                          const std::string& organisation,
-                         const Tenant& tenant);
+                         const Claimant& claimant);
   static double CapacityWithin(const Pool& pool, Millis slack);
-  static double ArrivingWithin(const Tenant& tenant,
+  static double ArrivingWithin(const Claimant& claimant,
                                Millis slack,
                                SteadyTime now);
   static double PartOf(const Pool& pool,
                        const AdmissionRequest& request,
                        const Decision& decision,
                        SteadyTime now);
-  static void AdvanceReturns(Tenant& tenant, SteadyTime now);
-  static void ForgetRefusal(Tenant& tenant, const std::string& job);
-  static Millis Postpone(Tenant& tenant,
+  static void AdvanceReturns(Claimant& claimant, SteadyTime now);
+  static void ForgetRefusal(Claimant& claimant, const std::string& job);
+  static Millis Postpone(Claimant& claimant,
                          const AdmissionRequest& request,
                          const Decision& decision,
                          SteadyTime now);
-  static void Admit(Tenant& tenant,
+  static void Admit(Claimant& claimant,
                     const AdmissionRequest& request,
                     SteadyTime now);
 
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -71,11 +71,11 @@
   pool.load = std::move(load);
   for (const auto& [organisation, open] : pool.load.open) {
     if (!organisation.empty()) {
-      pool.tenants[organisation].weight = open.weight;
+      pool.claimants[organisation].weight = open.weight;
     }
   }
-  for (auto& [organisation, tenant] : pool.tenants) {
-    AdvanceReturns(tenant, now);
+  for (auto& [organisation, claimant] : pool.claimants) {
+    AdvanceReturns(claimant, now);
   }
 }
 
@@ -90,17 +90,17 @@
     return decision;
   }
   Pool& pool = m_pools[request.pool];
-  Tenant& tenant = pool.tenants[request.organisation];
-  tenant.weight = request.weight;
-  AdvanceReturns(tenant, now);
-  const OpenWork open = OpenOf(pool, request.organisation, tenant);
+  Claimant& claimant = pool.claimants[request.organisation];
+  claimant.weight = request.weight;
+  AdvanceReturns(claimant, now);
+  const OpenWork open = OpenOf(pool, request.organisation, claimant);
   decision.slack = std::max(
       kMinSlack, request.objective - request.critical_path - kDispatchTime);
-  const auto refused = tenant.refused.find(request.job);
-  const bool is_back = refused != tenant.refused.end();
+  const auto refused = claimant.refused.find(request.job);
+  const bool is_back = refused != claimant.refused.end();
   decision.is_repeat = is_back;
   if (!pool.load.is_known || open.total() <= 0) {
-    Admit(tenant, request, now);
+    Admit(claimant, request, now);
     return decision;
   }
   if (is_back && !refused->second.is_due) {
@@ -111,16 +111,16 @@
   }
   decision.ahead = request.is_excess ? open.excess : open.promised;
   if (!is_back) {
-    decision.ahead += tenant.due_work * tenant.return_share;
+    decision.ahead += claimant.due_work * claimant.return_share;
   }
   decision.part = PartOf(pool, request, decision, now);
   if (decision.part > 0 && decision.ahead <= decision.part) {
-    Admit(tenant, request, now);
+    Admit(claimant, request, now);
     return decision;
   }
   decision.verdict =
       request.is_excess ? Verdict::kExcess : Verdict::kBeyondShare;
-  decision.retry_after = Postpone(tenant, request, decision, now);
+  decision.retry_after = Postpone(claimant, request, decision, now);
   return decision;
 }
 
@@ -129,10 +129,10 @@
     return;
   }
   Pool& pool = m_pools[request.pool];
-  Tenant& tenant = pool.tenants[request.organisation];
+  Claimant& claimant = pool.claimants[request.organisation];
   const auto work = request.is_excess ? &OpenWork::excess : &OpenWork::promised;
-  tenant.uncommitted.*work =
-      std::max(0.0, tenant.uncommitted.*work - request.work);
+  claimant.uncommitted.*work =
+      std::max(0.0, claimant.uncommitted.*work - request.work);
   if (is_committed) {
     pool.load.open[request.organisation].*work += request.work;
   }
@@ -140,8 +140,8 @@
 
 OpenWork Admission::OpenOf(const Pool& pool,
                            const std::string& organisation,
-                           const Tenant& tenant) {
-  OpenWork open = tenant.uncommitted;
+                           const Claimant& claimant) {
+  OpenWork open = claimant.uncommitted;
   const auto measured = pool.load.open.find(organisation);
   if (measured != pool.load.open.end()) {
     open.promised += measured->second.promised;
@@ -160,10 +160,10 @@
 
 // Promised work that an organisation is expected to submit within the slack.
 // It goes before the job where its organisation has not had its share.
-double Admission::ArrivingWithin(const Tenant& tenant,
+double Admission::ArrivingWithin(const Claimant& claimant,
                                  Millis slack,
                                  SteadyTime now) {
-  return tenant.recent_work * Decay(now - tenant.recent_at) /
+  return claimant.recent_work * Decay(now - claimant.recent_at) /
          Milliseconds(kRatePeriod) * Milliseconds(slack);
 }
 
@@ -180,9 +180,9 @@
   }
   std::vector<ShareClaim> claims;
   size_t own = 0;
-  for (const auto& [organisation, tenant] : pool.tenants) {
-    const OpenWork open = OpenOf(pool, organisation, tenant);
-    const double arriving = ArrivingWithin(tenant, decision.slack, now);
+  for (const auto& [organisation, claimant] : pool.claimants) {
+    const OpenWork open = OpenOf(pool, organisation, claimant);
+    const double arriving = ArrivingWithin(claimant, decision.slack, now);
     if (request.is_excess) {
       capacity -= open.promised + arriving;
     }
@@ -191,58 +191,59 @@
         request.is_excess ? open.excess : open.promised + arriving;
     const double demand = is_own ? decision.ahead + request.work : others;
     own = is_own ? claims.size() : own;
-    claims.push_back({tenant.weight, demand});
+    claims.push_back({claimant.weight, demand});
   }
   return DivideByWeight(capacity, claims).at(own);
 }
 
-void Admission::AdvanceReturns(Tenant& tenant, SteadyTime now) {
-  const auto find = [&tenant](const std::pair<SteadyTime, std::string>& entry) {
-    const auto refused = tenant.refused.find(entry.second);
-    // It may have come back, and been refused again, since.
-    return refused != tenant.refused.end() &&
-                   refused->second.back_at == entry.first
-               ? refused
-               : tenant.refused.end();
-  };
-  while (!tenant.upcoming.empty() && tenant.upcoming.front().first <= now) {
-    const auto refused = find(tenant.upcoming.front());
-    if (refused != tenant.refused.end()) {
+void Admission::AdvanceReturns(Claimant& claimant, SteadyTime now) {
+  const auto find =
+      [&claimant](const std::pair<SteadyTime, std::string>& entry) {
+        const auto refused = claimant.refused.find(entry.second);
+        // It may have come back, and been refused again, since.
+        return refused != claimant.refused.end() &&
+                       refused->second.back_at == entry.first
+                   ? refused
+                   : claimant.refused.end();
+      };
+  while (!claimant.upcoming.empty() && claimant.upcoming.front().first <= now) {
+    const auto refused = find(claimant.upcoming.front());
+    if (refused != claimant.refused.end()) {
       refused->second.is_due = true;
-      tenant.due_work += refused->second.work;
-      tenant.due.push_back(std::move(tenant.upcoming.front()));
+      claimant.due_work += refused->second.work;
+      claimant.due.push_back(std::move(claimant.upcoming.front()));
     }
-    tenant.upcoming.pop_front();
+    claimant.upcoming.pop_front();
   }
-  while (!tenant.due.empty() &&
-         tenant.due.front().first + kReturnPeriod < now) {
-    if (find(tenant.due.front()) != tenant.refused.end()) {
-      ForgetRefusal(tenant, tenant.due.front().second);
-      tenant.return_share -= kReturnLearningRate * tenant.return_share;
+  while (!claimant.due.empty() &&
+         claimant.due.front().first + kReturnPeriod < now) {
+    if (find(claimant.due.front()) != claimant.refused.end()) {
+      ForgetRefusal(claimant, claimant.due.front().second);
+      claimant.return_share -= kReturnLearningRate * claimant.return_share;
     }
-    tenant.due.pop_front();
+    claimant.due.pop_front();
   }
 }
 
-void Admission::ForgetRefusal(Tenant& tenant, const std::string& job) {
-  const auto refused = tenant.refused.find(job);
-  if (refused == tenant.refused.end()) {
+void Admission::ForgetRefusal(Claimant& claimant, const std::string& job) {
+  const auto refused = claimant.refused.find(job);
+  if (refused == claimant.refused.end()) {
     return;
   }
   if (refused->second.is_due) {
-    tenant.due_work = std::max(0.0, tenant.due_work - refused->second.work);
+    claimant.due_work = std::max(0.0, claimant.due_work - refused->second.work);
   }
-  tenant.refused.erase(refused);
+  claimant.refused.erase(refused);
 }
 
 // Gives a refused job the next time to come back.
-Millis Admission::Postpone(Tenant& tenant,
+Millis Admission::Postpone(Claimant& claimant,
                            const AdmissionRequest& request,
                            const Decision& decision,
                            SteadyTime now) {
-  if (tenant.refused.contains(request.job)) {
-    tenant.return_share += kReturnLearningRate * (1 - tenant.return_share);
-    ForgetRefusal(tenant, request.job);
+  if (claimant.refused.contains(request.job)) {
+    claimant.return_share += kReturnLearningRate * (1 - claimant.return_share);
+    ForgetRefusal(claimant, request.job);
   }
   // Of the organisation's work, in core-milliseconds a millisecond.
   const double rate =
@@ -250,28 +251,28 @@
   const SteadyTime room_at =
       now + InMillis((decision.ahead - decision.part) / rate);
   const SteadyTime back_at =
-      std::min(std::max(tenant.next_return, room_at), now + kMaxRetryAfter);
-  tenant.next_return = back_at + InMillis(request.work / rate);
-  tenant.refused[request.job] = {back_at, request.work, false};
-  tenant.upcoming.emplace_back(back_at, request.job);
+      std::min(std::max(claimant.next_return, room_at), now + kMaxRetryAfter);
+  claimant.next_return = back_at + InMillis(request.work / rate);
+  claimant.refused[request.job] = {back_at, request.work, false};
+  claimant.upcoming.emplace_back(back_at, request.job);
   return std::chrono::ceil<Millis>(back_at - now);
 }
 
-void Admission::Admit(Tenant& tenant,
+void Admission::Admit(Claimant& claimant,
                       const AdmissionRequest& request,
                       SteadyTime now) {
-  if (tenant.refused.contains(request.job)) {
-    tenant.return_share += kReturnLearningRate * (1 - tenant.return_share);
-    ForgetRefusal(tenant, request.job);
+  if (claimant.refused.contains(request.job)) {
+    claimant.return_share += kReturnLearningRate * (1 - claimant.return_share);
+    ForgetRefusal(claimant, request.job);
   }
   if (request.is_excess) {
-    tenant.uncommitted.excess += request.work;
+    claimant.uncommitted.excess += request.work;
     return;
   }
-  tenant.uncommitted.promised += request.work;
-  tenant.recent_work =
-      tenant.recent_work * Decay(now - tenant.recent_at) + request.work;
-  tenant.recent_at = now;
+  claimant.uncommitted.promised += request.work;
+  claimant.recent_work =
+      claimant.recent_work * Decay(now - claimant.recent_at) + request.work;
+  claimant.recent_at = now;
 }
 
 }  // namespace laurelhall::scheduling
