Planner: a job's objective, critical path and work are computed by one function each

The forecast of a submitted job and the slack that pool floors learn had written again what DeadlineOf(), RemainingCriticalPath() and EstimatedWork() compute. Behaviour is the same, but for a step that depends on a later one, which the decoder refuses: the forecast threw there, and takes it as 0 now.

--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -105,31 +105,63 @@
   }
 }
 
-double Share(int64_t part, int64_t whole) {
-  return whole <= 0 ? 1.0
-                    : static_cast<double>(part) / static_cast<double>(whole);
-}
-
-}  // namespace
-
-Millis RemainingCriticalPath(const Job& job, uint32_t occurrence) {
-  boost::container::small_vector<Millis, kInlineSteps> chain(
-      job.spec.steps.size());
+// The estimated run time along the longest chain of dependent steps, in which
+// steps for which `is_left` does not hold count nothing.
+template <typename IsLeft>
+Millis CriticalPath(const JobSpec& spec, IsLeft is_left) {
+  boost::container::small_vector<Millis, kInlineSteps> chain(spec.steps.size());
   Millis longest{0};
-  for (size_t step = 0; step < job.spec.steps.size(); ++step) {
+  for (size_t step = 0; step < spec.steps.size(); ++step) {
     Millis before{0};
-    for (const uint32_t earlier : job.spec.steps[step].depends_on) {
+    for (const uint32_t earlier : spec.steps[step].depends_on) {
       before = std::max(before, chain[earlier]);
     }
-    const bool is_left =
-        job.tasks_left_by_step[occurrence * job.spec.steps.size() + step] > 0;
     chain[step] =
-        before + (is_left ? job.spec.steps[step].estimate : Millis(0));
+        before + (is_left(step) ? spec.steps[step].estimate : Millis(0));
     longest = std::max(longest, chain[step]);
   }
   return longest;
 }
 
+// The estimated work of all tasks but persistent ones, in core-milliseconds.
+double ShortWork(const JobSpec& spec) {
+  double work = 0;
+  for (const StepSpec& step : spec.steps) {
+    if (!step.is_persistent) {
+      work += CoreMilliseconds(step) * step.count;
+    }
+  }
+  return work;
+}
+
+// The time from a job's submission until it should be done.
+//
+// @param queue Null if it is not in the configuration.
+// @param ratio Actual over estimated run time.
+Millis ObjectiveOf(const JobSpec& spec, const QueueSpec* queue, double ratio) {
+  Millis chain{0};
+  for (const StepSpec& step : spec.steps) {
+    chain += step.estimate;
+  }
+  const double stretch = queue == nullptr ? 1 : queue->stretch;
+  const Millis target = queue == nullptr ? Millis(0) : queue->target_latency;
+  return Scaled(chain, ratio * stretch) + target;
+}
+
+double Share(int64_t part, int64_t whole) {
+  return whole <= 0 ? 1.0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+}  // namespace
+
+Millis RemainingCriticalPath(const Job& job, uint32_t occurrence) {
+  const size_t first = occurrence * job.spec.steps.size();
+  return CriticalPath(job.spec, [&](size_t step) {
+    return job.tasks_left_by_step[first + step] > 0;
+  });
+}
+
 /// A step with tasks that could start now.
 struct Planner::Candidate {
   const Job* job = nullptr;
@@ -977,14 +1009,7 @@
 SteadyTime Planner::DeadlineOf(const QueueSpec* queue,
                                const Job& job,
                                SteadyTime first_seen_at) const {
-  Millis chain{0};
-  for (const StepSpec& step : job.spec.steps) {
-    chain += step.estimate;
-  }
-  const double stretch = queue == nullptr ? 1 : queue->stretch;
-  const Millis target = queue == nullptr ? Millis(0) : queue->target_latency;
-  return first_seen_at + Scaled(chain, RunTimeRatio(job.queue) * stretch) +
-         target;
+  return first_seen_at + ObjectiveOf(job.spec, queue, RunTimeRatio(job.queue));
 }
 
 bool Planner::IsHopeless(const Job& job,
@@ -997,38 +1022,17 @@
 }
 
 double Planner::EstimatedWork(const Job& job) const {
-  double work = 0;
-  for (const StepSpec& step : job.spec.steps) {
-    if (!step.is_persistent) {
-      work += CoreMilliseconds(step) * step.count;
-    }
-  }
-  return work * RunTimeRatio(job.queue);
+  return ShortWork(job.spec) * RunTimeRatio(job.queue);
 }
 
 JobForecast Planner::Forecast(const JobSpec& spec,
                               const QueueSpec& queue) const {
-  JobForecast forecast;
-  Millis chain{0};
-  Millis longest{0};
-  std::vector<Millis> path;  // To the end of each step.
-  for (const StepSpec& step : spec.steps) {
-    Millis before{0};
-    for (const uint32_t earlier : step.depends_on) {
-      before = std::max(before, path.at(earlier));
-    }
-    path.push_back(before + step.estimate);
-    longest = std::max(longest, path.back());
-    chain += step.estimate;
-    if (!step.is_persistent) {
-      forecast.work += CoreMilliseconds(step) * step.count;
-    }
-  }
   const double ratio = RunTimeRatio(queue.name);
-  forecast.work *= ratio;
-  forecast.critical_path = Scaled(longest, ratio);
-  forecast.objective =
-      Scaled(chain, ratio * queue.stretch) + queue.target_latency;
+  JobForecast forecast;
+  forecast.work = ShortWork(spec) * ratio;
+  forecast.critical_path =
+      Scaled(CriticalPath(spec, [](size_t) { return true; }), ratio);
+  forecast.objective = ObjectiveOf(spec, &queue, ratio);
   forecast.useful = kUselessAfterFactor * forecast.objective;
   return forecast;
 }
@@ -1074,11 +1078,9 @@
 }
 
 Millis Planner::Slack(const Ledger& ledger, const Job& job) const {
-  const QueueSpec* queue = ledger.FindQueueByName(job.queue);
-  const SteadyTime now{};
-  const Millis work =
-      Scaled(RemainingCriticalPath(job, 0), RunTimeRatio(job.queue));
-  return std::chrono::floor<Millis>(DeadlineOf(queue, job, now) - now) - work;
+  const double ratio = RunTimeRatio(job.queue);
+  return ObjectiveOf(job.spec, ledger.FindQueueByName(job.queue), ratio) -
+         Scaled(RemainingCriticalPath(job, 0), ratio);
 }
 
 Millis Planner::EstimatedRunTime(const Job& job, uint32_t step) const {
