Scenarios: control hosts whose disks refuse writes, on real processes

Change: the stand-in disk of the scenarios refuses changes while a flag stands beside the data folder, in running processes and in those that start meanwhile; hooks on changes are told the file.

--- a/packages/control/tests/refusing_files.h
+++ b/packages/control/tests/refusing_files.h
@@ -19,7 +19,7 @@
               Check(m_refuses_snapshots && name.starts_with("snapshot-"));
               file.Sync();
             },
-            [this] { Check(false); }) {}
+            [this](const auto&) { Check(false); }) {}
 
   void Refuse() { m_is_refusing = true; }
   void RefuseSnapshots() { m_refuses_snapshots = true; }
--- a/packages/daemon/tests/cluster.cc
+++ b/packages/daemon/tests/cluster.cc
@@ -91,7 +91,7 @@
 
 void Cluster::LoseDisk(const std::string& name) {
   Kill(name);
-  std::filesystem::remove_all(m_init.folder / "data" / name);
+  std::filesystem::remove_all(DataFolder(name));
 }
 
 void Cluster::StallDisks(int hosts, Millis time) {
@@ -110,6 +110,27 @@
   }
 }
 
+void Cluster::RefuseWrites(const std::string& name, bool is_refusing) {
+  const std::filesystem::path flag = RefusalFlagOf(DataFolder(name));
+  if (is_refusing) {
+    std::ofstream(flag) << "refuses";
+  } else {
+    std::filesystem::remove(flag);
+  }
+}
+
+void Cluster::DetachDisk(const std::string& name) {
+  RefuseWrites(name, true);
+  std::filesystem::rename(DataFolder(name), DetachedFolder(name));
+  std::filesystem::create_directory(DataFolder(name));
+}
+
+void Cluster::AttachDisk(const std::string& name) {
+  std::filesystem::remove(DataFolder(name));  // Throws unless it is empty.
+  std::filesystem::rename(DetachedFolder(name), DataFolder(name));
+  RefuseWrites(name, false);
+}
+
 void Cluster::Cut(const std::string& name, const std::string& mode) {
   const Reply reply = OperateAt(name, "POST", "/v1/local/cuts",
                                 {{"peer", "*"}, {"mode", mode}});
@@ -171,6 +192,14 @@
   return GetLocal(name, "/metrics");
 }
 
+std::filesystem::path Cluster::DataFolder(const std::string& name) const {
+  return m_init.folder / "data" / name;
+}
+
+std::filesystem::path Cluster::DetachedFolder(const std::string& name) const {
+  return m_init.folder / "data" / (name + ".detached");
+}
+
 std::string Cluster::GetLocal(const std::string& name,
                               const std::string& target) const {
   const Daemon& daemon = Find(name);
@@ -198,21 +227,20 @@
   if (daemon.is_control) {
     roles.emplace_back("control");
   }
-  const json::object settings{
-      {"cluster", "scenario"},
-      {"name", name},
-      {"region", "montevideo"},
-      {"availability_zone", daemon.zone},
-      {"roles", roles},
-      {"addresses",
-       {{"inner", daemon.inner.address()},
-        {"caller", daemon.caller.address()},
-        {"operator", daemon.operators.address()}}},
-      {"control",
-       {{"data_folder", (m_init.folder / "data" / name).string()},
-        {"may_bootstrap", true},
-        {"peers", Peers()}}},
-      {"io_threads", 2}};
+  const json::object settings{{"cluster", "scenario"},
+                              {"name", name},
+                              {"region", "montevideo"},
+                              {"availability_zone", daemon.zone},
+                              {"roles", roles},
+                              {"addresses",
+                               {{"inner", daemon.inner.address()},
+                                {"caller", daemon.caller.address()},
+                                {"operator", daemon.operators.address()}}},
+                              {"control",
+                               {{"data_folder", DataFolder(name).string()},
+                                {"may_bootstrap", true},
+                                {"peers", Peers()}}},
+                              {"io_threads", 2}};
   std::ofstream(daemon.settings) << json::serialize(settings) << '\n';
 }
 
--- a/packages/daemon/tests/cluster.h
+++ b/packages/daemon/tests/cluster.h
@@ -74,6 +74,14 @@
   /// Syncs of so many control hosts' disks wait for this long; returns after.
   void StallDisks(int hosts, Millis time);
 
+  /// The disk of a control host refuses changes, or takes them again.
+  void RefuseWrites(const std::string& name, bool is_refusing);
+
+  /// The volume of a control host is away: its data folder is an empty one that
+  /// takes no writes.
+  void DetachDisk(const std::string& name);
+  void AttachDisk(const std::string& name);
+
   /// Cuts a daemon off from all others, or heals it: stall, refuse, none.
   void Cut(const std::string& name, const std::string& mode);
 
@@ -111,6 +119,8 @@
     std::atomic<bool> is_cut{false};
   };
 
+  std::filesystem::path DataFolder(const std::string& name) const;
+  std::filesystem::path DetachedFolder(const std::string& name) const;
   std::string GetLocal(const std::string& name,
                        const std::string& target) const;
   void WriteSettings(const std::string& name, const Daemon& daemon) const;
--- a/packages/daemon/tests/scenario.cc
+++ b/packages/daemon/tests/scenario.cc
@@ -63,6 +63,10 @@
     {"stop", &Scenario::Stop},
     {"lose-disk", &Scenario::LoseDisk},
     {"stall-disks", &Scenario::StallDisks},
+    {"refuse-writes", &Scenario::RefuseWrites},
+    {"accept-writes", &Scenario::AcceptWrites},
+    {"detach-disk", &Scenario::DetachDisk},
+    {"attach-disk", &Scenario::AttachDisk},
     {"cut", &Scenario::Cut},
     {"heal", &Scenario::Heal},
     {"wait", &Scenario::Wait},
@@ -347,6 +351,22 @@
                        Millis(arguments.NextNumber("ms")));
 }
 
+void Scenario::RefuseWrites(Arguments& arguments) {
+  cluster().RefuseWrites(NextHost(arguments), true);
+}
+
+void Scenario::AcceptWrites(Arguments& arguments) {
+  cluster().RefuseWrites(NextHost(arguments), false);
+}
+
+void Scenario::DetachDisk(Arguments& arguments) {
+  cluster().DetachDisk(NextHost(arguments));
+}
+
+void Scenario::AttachDisk(Arguments& arguments) {
+  cluster().AttachDisk(NextHost(arguments));
+}
+
 void Scenario::Cut(Arguments& arguments) {
   const std::string host = NextHost(arguments);
   cluster().Cut(host, arguments.Next("stall or refuse"));
--- a/packages/daemon/tests/scenario.h
+++ b/packages/daemon/tests/scenario.h
@@ -73,6 +73,10 @@
   void Stop(Arguments& arguments);
   void LoseDisk(Arguments& arguments);
   void StallDisks(Arguments& arguments);
+  void RefuseWrites(Arguments& arguments);
+  void AcceptWrites(Arguments& arguments);
+  void DetachDisk(Arguments& arguments);
+  void AttachDisk(Arguments& arguments);
   void Cut(Arguments& arguments);
   void Heal(Arguments& arguments);
   void Wait(Arguments& arguments);
@@ -100,6 +104,8 @@
   void ExpectCaughtUp(Arguments& arguments);
   void ExpectVoter(Arguments& arguments);
   void ExpectNewIdentity(Arguments& arguments);
+  void ExpectStore(Arguments& arguments);
+  void ExpectStartWaits(Arguments& arguments);
 
   Cluster& cluster();
   /// Resolves "leader" (who leads now) and "last" (who was meant last).
--- a/packages/daemon/tests/scenario_expectations.cc
+++ b/packages/daemon/tests/scenario_expectations.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <fstream>
 #include <iterator>
 #include <limits>
 #include <sstream>
@@ -60,6 +61,8 @@
     {"caught-up", &Scenario::ExpectCaughtUp},
     {"voter", &Scenario::ExpectVoter},
     {"new-identity", &Scenario::ExpectNewIdentity},
+    {"store", &Scenario::ExpectStore},
+    {"start-waits", &Scenario::ExpectStartWaits},
 };
 
 void Scenario::Expect(Arguments& arguments) {
@@ -312,7 +315,7 @@
 }
 
 void Scenario::ExpectVoter(Arguments& arguments) {
-  const std::string host = arguments.Next("a daemon");
+  const std::string host = NextHost(arguments);
   boost::json::value seen;
   RequirePolled(
       [&] {
@@ -342,6 +345,34 @@
   Require(id != m_lost_ids.at(host), "it came back as " + id);
 }
 
+void Scenario::ExpectStore(Arguments& arguments) {
+  const std::string host = NextHost(arguments);
+  const std::string state = arguments.Next("failed or open");
+  boost::json::value seen;
+  RequirePolled(
+      [&] {
+        seen = cluster().LocalStatus(host);
+        return seen.is_object() && seen.as_object().contains("control") &&
+               seen.at("control").at("store_failed").as_bool() ==
+                   (state == "failed");
+      },
+      [&] {
+        return std::string("its status is " + boost::json::serialize(seen));
+      });
+}
+
+// Its ports are not open yet: only its log tells.
+void Scenario::ExpectStartWaits(Arguments& arguments) {
+  const std::string host = NextHost(arguments);
+  RequirePolled(
+      [&] {
+        std::ifstream file(m_folder / (host + ".log"));
+        const std::string log(std::istreambuf_iterator<char>(file), {});
+        return log.find("The store cannot be opened") != log.npos;
+      },
+      [&] { return std::string("its start doesn't wait"); });
+}
+
 std::string Scenario::ControlId(const std::string& host) {
   const boost::json::value status = cluster().LocalStatus(host);
   return status.is_object() && status.as_object().contains("control")
--- a/packages/storage/include/laurelhall/storage/hooked_files.h
+++ b/packages/storage/include/laurelhall/storage/hooked_files.h
@@ -18,12 +18,13 @@
   /// Syncs `file`, which stands at `path`; throws as File::Sync() does.
   using SyncHook = std::function<void(File& file, const Path& path)>;
 
-  /// Called before each change but a sync; throws to refuse it.
-  using ChangeHook = std::function<void()>;
+  /// Called before each change but a sync, with the file that is to change;
+  /// throws to refuse it.
+  using ChangeHook = std::function<void(const Path& path)>;
 
   explicit HookedFiles(
       SyncHook sync,
-      ChangeHook change = [] {})
+      ChangeHook change = [](const Path&) {})
       : m_hooks(std::make_shared<const Hooks>(
             Hooks{std::move(sync), std::move(change)})) {}
 
@@ -34,18 +35,18 @@
     return m_files.List(folder);
   }
   std::unique_ptr<File> Create(const Path& path) override {
-    m_hooks->change();
+    m_hooks->change(path);
     return std::make_unique<HookedFile>(m_files.Create(path), path, m_hooks);
   }
   std::unique_ptr<File> Open(const Path& path) override {
     return std::make_unique<HookedFile>(m_files.Open(path), path, m_hooks);
   }
   void Rename(const Path& from, const Path& to) override {
-    m_hooks->change();
+    m_hooks->change(from);
     m_files.Rename(from, to);
   }
   void Remove(const Path& path) override {
-    m_hooks->change();
+    m_hooks->change(path);
     m_files.Remove(path);
   }
   void SyncFolder(const Path& folder) override { m_files.SyncFolder(folder); }
@@ -69,14 +70,14 @@
           m_hooks(std::move(hooks)) {}
 
     void Write(uint64_t offset, std::string_view bytes) override {
-      m_hooks->change();
+      m_hooks->change(m_path);
       m_file->Write(offset, bytes);
     }
     std::string Read(uint64_t offset, size_t size) override {
       return m_file->Read(offset, size);
     }
     void Truncate(uint64_t size) override {
-      m_hooks->change();
+      m_hooks->change(m_path);
       m_file->Truncate(size);
     }
     void Sync() override { m_hooks->sync(*m_file, m_path); }
