Storage: a reopened folder is recovered only if it is this host's

What operators would see: a host whose store had failed, and in whose place another host's folder stood when it was opened again, cut that folder's torn tail, wrote its last frame anew and removed segments, while the other host's process may have been using it. Then it refused the folder.

Change: the identity is read and compared before anything else. Ruled out: to recover without mending, as what was read has to be made durable.

Test: "LogStore, folder of another host in its place, not touched"; failed on the code before ("Bytes(kFirstSegment) == before is NOT correct").

--- a/packages/storage/include/laurelhall/storage/log_store.h
+++ b/packages/storage/include/laurelhall/storage/log_store.h
@@ -70,7 +70,8 @@
   ///
   /// @returns What was recovered; TakeRecovered() has nothing more.
   /// @throws StoreFailedError while the disk refuses, CorruptionError also when
-  ///   the folder lost its identity. The store stays failed then.
+  ///   the folder lost its identity: nothing in it is changed then. The store
+  ///   stays failed.
   Recovered Reopen();
 
   /// What was recovered; valid until TakeRecovered() moves it out.
--- a/packages/storage/src/log_store.cc
+++ b/packages/storage/src/log_store.cc
@@ -59,12 +59,12 @@
     m_failure = "storage failed: it is not open again";
     m_file.reset();
     m_buffer.Clear();
-    RecoveryResult result = Recovery(m_files, m_folder).Run({});
-    if (result.recovered.identity != m_identity) {
+    // Recovery mends what it finds: first of all, whose it is.
+    if (!Recovery(m_files, m_folder).IsOf(m_identity)) {
       throw CorruptionError(m_folder.string() +
                             ": the folder no longer holds this identity");
     }
-    Adopt(std::move(result));
+    Adopt(Recovery(m_files, m_folder).Run({}));
     m_failure.clear();
     return TakeRecovered();
   }
--- a/packages/storage/src/recovery.cc
+++ b/packages/storage/src/recovery.cc
@@ -68,6 +68,10 @@
       m_folder(std::move(folder)),
       m_snapshots(files, m_folder) {}
 
+bool Recovery::IsOf(consensus::NodeId identity) const {
+  return ReadIdentity() == identity;
+}
+
 RecoveryResult Recovery::Run(consensus::NodeId new_identity) {
   FindSegments();
   const std::optional<consensus::NodeId> identity = ReadIdentity();
@@ -97,7 +101,7 @@
   }
 }
 
-std::optional<consensus::NodeId> Recovery::ReadIdentity() {
+std::optional<consensus::NodeId> Recovery::ReadIdentity() const {
   const std::vector<std::string> names = m_files.List(m_folder);
   if (!std::binary_search(names.begin(), names.end(), kIdentityFile)) {
     return std::nullopt;
--- a/packages/storage/src/recovery_p.h
+++ b/packages/storage/src/recovery_p.h
@@ -42,12 +42,16 @@
  public:
   Recovery(FileSystem& files, std::filesystem::path folder);
 
+  /// Whether the folder holds this identity. Changes nothing.
+  /// @throws CorruptionError; std::system_error.
+  bool IsOf(consensus::NodeId identity) const;
+
   /// @param new_identity Taken if the folder is empty.
   /// @throws CorruptionError; std::system_error.
   RecoveryResult Run(consensus::NodeId new_identity);
 
  private:
-  std::optional<consensus::NodeId> ReadIdentity();
+  std::optional<consensus::NodeId> ReadIdentity() const;
   void CheckNeverUsed();
   void LoadSnapshot();
   void FindSegments();
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -51,7 +51,7 @@
     LogStoreInit init;
     init.folder = kFolder;
     init.segment_bytes = segment_bytes;
-    init.identity_seed = 9;
+    init.identity_seed = m_identity_seed;
     init.file_system = &m_files;
     return std::make_unique<LogStore>(init);
   }
@@ -95,7 +95,14 @@
     return m_files.Contents(std::filesystem::path(kFolder) / file);
   }
 
+  void Empty() {
+    for (const std::string& file : m_files.List(kFolder)) {
+      m_files.Remove(std::filesystem::path(kFolder) / file);
+    }
+  }
+
   FaultFileSystem m_files{1};
+  uint64_t m_identity_seed = 9;
   consensus::NodeId m_identity;
 };
 
@@ -392,14 +399,34 @@
   m_files.FailSync(1);
   store->Append({MakeEntry(4, 10)});
   CHECK_THROWS_AS(store->Sync(), StoreFailedError);
-  for (const std::string& file : m_files.List(kFolder)) {
-    m_files.Remove(std::filesystem::path(kFolder) / file);
-  }
+  Empty();
   CHECK_THROWS_AS(store->Reopen(), CorruptionError);
   CHECK_THROWS_AS(store->Sync(), StoreFailedError);
   CHECK(m_files.List(kFolder).empty());
 }
 
+// Guards against writes to the folder of another host, which its own process
+// may be using: recovery mended what it found there before it looked whose it
+// was.
+TEST_CASE_FIXTURE(DamageFixture,
+                  "LogStore, folder of another host in its place, not "
+                  "touched") {
+  auto store = Open();
+  Fill(*store, 1, 3);
+  m_files.FailSync(1);
+  store->Append({MakeEntry(4, 10)});
+  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  Empty();
+  m_identity_seed = 10;
+  Fill(*Open(), 1, 3);
+  Bytes(kFirstSegment).resize(Bytes(kFirstSegment).size() - 7);  // Torn.
+  const std::string before = Bytes(kFirstSegment);
+  const std::vector<std::string> files = m_files.List(kFolder);
+  CHECK_THROWS_AS(store->Reopen(), CorruptionError);
+  CHECK(m_files.List(kFolder) == files);
+  CHECK(Bytes(kFirstSegment) == before);
+}
+
 TEST_CASE_FIXTURE(DamageFixture, "LogStore, entry out of order, refused") {
   auto store = Open();
   Fill(*store, 1, 3);
