Storage: a folder that is away for a while is opened again once it is back

What operators would see: a control host whose volume went away (the mount point is an empty folder then) stayed out of the quorum until its process was started anew, also after the volume was back. Two of them leave three of five.

Cause: LogStore::Reopen took a folder without this host's identity for damage. Damage is final in HostLoop::Reopen, as a new start would find it again; a volume that is not mounted passes.

Change: such a folder is a StoreFailedError, so the host tries again, and is told as unfit after a minute. Nothing in it is read past the identity or changed. Ruled out: to end the process, which would begin a new identity in the empty folder.

Evidence: detached_disks.scenario on real processes; on the code before, "expect store entry-2 open" found store_failed true for 40 s after the folder was back. Without network "folder away for a while, reopened once it is back", failed with a different exception.

--- a/packages/storage/include/laurelhall/storage/log_store.h
+++ b/packages/storage/include/laurelhall/storage/log_store.h
@@ -69,9 +69,9 @@
   /// would; what was buffered or failed to sync counts only if it is found.
   ///
   /// @returns What was recovered; TakeRecovered() has nothing more.
-  /// @throws StoreFailedError while the disk refuses, CorruptionError also when
-  ///   the folder lost its identity: nothing in it is changed then. The store
-  ///   stays failed.
+  /// @throws StoreFailedError while the disk refuses, or the folder is away,
+  ///   empty or another host's: nothing in it is changed then. CorruptionError.
+  ///   The store stays failed.
   Recovered Reopen();
 
   /// What was recovered; valid until TakeRecovered() moves it out.
--- a/packages/storage/src/log_store.cc
+++ b/packages/storage/src/log_store.cc
@@ -59,10 +59,10 @@
     m_failure = "storage failed: it is not open again";
     m_file.reset();
     m_buffer.Clear();
-    // Recovery mends what it finds: first of all, whose it is.
+    // The volume may be away, and come back as another folder under this path.
     if (!Recovery(m_files, m_folder).IsOf(m_identity)) {
-      throw CorruptionError(m_folder.string() +
-                            ": the folder no longer holds this identity");
+      throw StoreFailedError(m_folder.string() +
+                             ": the folder does not hold this identity now");
     }
     Adopt(Recovery(m_files, m_folder).Run({}));
     m_failure.clear();
