Storage: a reopened folder is locked anew

What operators would see: a volume that came back as a copy, or that another process had opened meanwhile, was used by two processes at once, both voting under one identity.

Cause: the lock was taken once, on the file that the path named at the start. After a failure the path may name another folder, of which nothing was held.

Change: Reopen() gives up the lock and takes it on the folder that is there; if another process holds it, the store stays failed and is tried again. Between the two another process may take the folder, which is then refused here, never shared.

Found by reading.

--- a/packages/storage/include/laurelhall/storage/log_store.h
+++ b/packages/storage/include/laurelhall/storage/log_store.h
@@ -70,8 +70,8 @@
   ///
   /// @returns What was recovered; TakeRecovered() has nothing more.
   /// @throws StoreFailedError while the disk refuses, or the folder is away,
-  ///   empty or another host's: nothing in it is changed then. CorruptionError.
-  ///   The store stays failed.
+  ///   empty, another host's or held by another process: nothing in it is
+  ///   changed then. CorruptionError. The store stays failed.
   Recovered Reopen();
 
   /// What was recovered; valid until TakeRecovered() moves it out.
--- a/packages/storage/src/log_store.cc
+++ b/packages/storage/src/log_store.cc
@@ -64,6 +64,8 @@
       throw StoreFailedError(m_folder.string() +
                              ": the folder does not hold this identity now");
     }
+    m_lock.reset();
+    m_lock = m_files.Lock(m_folder / kLockFile);
     Adopt(Recovery(m_files, m_folder).Run({}));
     m_failure.clear();
     return TakeRecovered();
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -510,6 +510,27 @@
   CheckReopened();
 }
 
+// Guards against two processes on one folder: the lock of the folder that was
+// there before says nothing about the one that is there now.
+TEST_CASE_FIXTURE(
+    FolderAwayFixture,
+    "LogStore, folder comes back as a copy, held against others") {
+  std::filesystem::remove(folder());
+  std::filesystem::copy(away(), folder());
+  CheckReopened();
+}
+
+TEST_CASE_FIXTURE(FolderAwayFixture,
+                  "LogStore, folder comes back held by another process, not "
+                  "reopened until it is free") {
+  std::filesystem::remove(folder());
+  std::filesystem::copy(away(), folder());
+  auto other = std::make_unique<LogStore>(m_init);
+  CHECK_THROWS_AS(m_store->Reopen(), StoreFailedError);
+  other.reset();
+  CheckReopened();
+}
+
 TEST_CASE_FIXTURE(RealFolderFixture,
                   "LogStore, folder lost, returns with another identity") {
   const consensus::NodeId first = LogStore(m_init).TakeRecovered().identity;
