Daemon: a control host's metrics page shows its store, too

What operators saw: on a deployment whose control hosts have addresses.metrics and no operators' address, a failed store showed in the log alone. laurelhall_control_store_failed and all other laurelhall_control_* metrics, to which OPERATIONS.md ties its alarms, stood on no page.

Cause: that listener served the scheduling's page only.

Change: the control host's metrics follow on the same page. Found while the fault soak was taught to look whether each store is open again: it could not see it. Test: "ScheduleMetrics, control host beside it, its metrics stand on the page"; there was nothing to show them with before.

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -123,7 +123,8 @@
       .Set(static_cast<double>(log.dropped(LineClass::kTask)));
   m_totals->Add({{"event", "dropped_request_lines"}})
       .Set(static_cast<double>(log.dropped(LineClass::kRequest)));
-  return prometheus::TextSerializer().Serialize(m_registry.Collect());
+  return prometheus::TextSerializer().Serialize(m_registry.Collect()) +
+         (m_control_page ? m_control_page() : "");
 }
 
 void ScheduleMetrics::ShowSchedulerStatus(
--- a/packages/daemon/src/schedule_metrics_p.h
+++ b/packages/daemon/src/schedule_metrics_p.h
@@ -41,6 +41,12 @@
     m_scheduler_status = std::move(scheduler_status);
   }
 
+  /// Where the text of the control host's own metrics is read when the page is
+  /// asked for; their names differ from those here.
+  void SetControlPage(std::function<std::string()> page) {
+    m_control_page = std::move(page);
+  }
+
   int64_t MaxBodyBytes(const net::HttpRequest&) override { return 0; }
   void OnRequest(std::shared_ptr<net::HttpExchange> exchange) override;
 
@@ -65,6 +71,7 @@
   prometheus::Family<prometheus::Gauge>* m_waits = nullptr;
   std::function<dispatch::DispatchCounters()> m_source;
   std::function<dispatch::SchedulerStatus()> m_scheduler_status;
+  std::function<std::string()> m_control_page;
   std::mutex m_status_mutex;  // A page's gauges of the status are set together.
 };
 
--- a/packages/daemon/src/schedule_part.cc
+++ b/packages/daemon/src/schedule_part.cc
@@ -5,6 +5,7 @@
 
 #include "laurelhall/base/decision_log.h"
 #include "laurelhall/base/log.h"
+#include "metrics_p.h"
 
 namespace laurelhall::daemon {
 
@@ -108,6 +109,7 @@
   m_metrics.SetSource([this] { return m_dispatcher->counters(); });
   m_metrics.SetSchedulerStatus(
       [this] { return m_dispatcher->scheduler_status(); });
+  m_metrics.SetControlPage([&host] { return MetricsPage({nullptr, &host}); });
   m_metrics_server = ServeMetrics(m_threads, m_settings, m_metrics);
 }
 
--- a/packages/daemon/tests/schedule_metrics_test.cc
+++ b/packages/daemon/tests/schedule_metrics_test.cc
@@ -46,5 +46,17 @@
         std::string::npos);
 }
 
+// Guards against a failed store that no page shows: hosts without an operators'
+// address have this page alone.
+TEST_CASE(
+    "ScheduleMetrics, control host beside it, its metrics stand on the "
+    "page") {
+  ScheduleMetrics metrics;
+  metrics.SetControlPage([] { return "laurelhall_control_store_failed 1\n"; });
+  const std::string page = metrics.Page();
+  CHECK(page.find("laurelhall_schedule_tick_lag_seconds") != page.npos);
+  CHECK(page.ends_with("\nlaurelhall_control_store_failed 1\n"));
+}
+
 }  // namespace
 }  // namespace laurelhall::daemon
