Dispatch: tell of workers that announce themselves though they count as ended

What operators saw: a worker that counts as ended for good, and runs, is answered with success and stays idle; no line and no metric told of its announcements.

Change: a line `worker-ignored` with the cause, and a count on the metrics page. Not changed: the answer, since the protocol has none that makes a worker begin anew, and most such announcements are late ones of workers that are gone.

Tests: "announcement comes after the host's next worker registered, is ignored" asks that it is counted.

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -37,6 +37,8 @@
     Total{"lapses", &DispatchCounters::lapses},
     Total{"unanswered_orders", &DispatchCounters::unknown_calls},
     Total{"worker_crashes", &DispatchCounters::crashes},
+    Total{"announcements_of_ended_workers",
+          &DispatchCounters::ended_announcements},
     Total{"jobs_given_up", &DispatchCounters::given_up},
     Total{"jobs_refused_beyond_share", &DispatchCounters::refused_beyond_share},
     Total{"jobs_refused_excess", &DispatchCounters::refused_excess},
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -51,6 +51,8 @@
   uint64_t unknown_calls = 0;
   uint64_t crashes = 0;   ///< Workers that went down without announcing it.
   uint64_t given_up = 0;  ///< Jobs ended because a task crashes its workers.
+  /// Announcements of workers that count as ended, which are never used again.
+  uint64_t ended_announcements = 0;
   /// Submissions refused because the job would be late, by verdict.
   uint64_t refused_beyond_share = 0;
   uint64_t refused_excess = 0;
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -886,17 +886,31 @@
     }
   }
 
+  // A worker that goes on announcing itself like this runs and stays idle.
+  void TellIgnored(const AnnounceWorker& request,
+                   scheduling::WorkerEndCause ended) {
+    ++m_counters.ended_announcements;
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "worker-ignored", LineClass::kRequest)
+            .With("worker", request.info.id)
+            .With("host", request.info.host)
+            .With("ended_before", scheduling::WorkerEndCauseName(ended))
+            .With("sequence", request.sequence)
+            .With("born_ms", request.born.time_since_epoch().count()));
+  }
+
   void Run(AnnounceWorker& request, const ReplyDone& done) {
     scheduling::WorkerInfo& info = request.info;
     bool is_known = false;
     bool is_service_known = true;
     bool is_outdated = false;
+    bool is_gone = false;
     std::optional<scheduling::WorkerEndCause> ended;
     m_log->Read([&](const Ledger& ledger) {
       const scheduling::Worker* worker = ledger.FindWorker(info.id);
+      is_gone = ledger.IsGone(info.id, request.born, request.sequence);
       is_outdated =
-          ledger.IsOutdated(info.id, request.born, request.sequence) ||
-          ledger.IsGone(info.id, request.born, request.sequence);
+          is_gone || ledger.IsOutdated(info.id, request.born, request.sequence);
       ended = ledger.EndCauseOf(info.id);
       is_service_known = worker != nullptr || HasService(ledger, info.service);
       const bool is_known_incarnation =
@@ -916,6 +930,9 @@
       done(MakeReply(Outcome::kNotFound));
       return;
     }
+    if (is_gone) {
+      TellIgnored(request, *ended);
+    }
     if (!is_outdated) {
       m_leadership->OnAnnounced(info.id);
     }
--- a/packages/dispatch/tests/incidents/worker_cut_off_for_long_test.cc
+++ b/packages/dispatch/tests/incidents/worker_cut_off_for_long_test.cc
@@ -100,6 +100,27 @@
   CheckNoViolations();
 }
 
+// The first change comes before the worker is forgotten, the second one after.
+// A new leader gives each worker its time anew.
+TEST_CASE_FIXTURE(LongCutFixture,
+                  "Dispatcher, leader changes twice during a long cut, the "
+                  "worker is used again") {
+  world.Submit("a", {Step(12, {}, Millis(3'000))});
+  world.Advance(Millis(500));
+  world.Cut("w0", true);
+  world.Advance(Millis(8'000));
+  world.ElectOtherLeader(Millis(500));
+  world.Advance(Millis(18'000));
+  REQUIRE(world.ledger().FindWorker("w0") == nullptr);
+  world.ElectOtherLeader(Millis(500));
+  world.Advance(Millis(2'000));
+  world.Cut("w0", false);
+  world.Advance(Millis(4'000));
+  CHECK(world.StateOf("a") == JobState::kSucceeded);
+  CHECK(IsUsed("w0"));
+  CheckNoViolations();
+}
+
 // A run that lapsed and was started elsewhere is not run a second time by the
 // worker's return, and its lists from before the cut end nothing.
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -150,10 +171,12 @@
   world.Crash("w0", Millis(18'000));
   world.Advance(Millis(19'000));
   REQUIRE(world.ledger().FindWorker("w3") != nullptr);
+  const uint64_t told_before = world.ended_announcements();
   world.Announce(info, 9);
   world.Advance(Millis(200));
   CHECK(world.ledger().FindWorker("w0") == nullptr);
   CHECK(world.ledger().EndCauseOf("w0") == WorkerEndCause::kReplaced);
+  CHECK(world.ended_announcements() == told_before + 1);
 }
 
 TEST_CASE(
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -1397,6 +1397,14 @@
   return calls;
 }
 
+uint64_t World::ended_announcements() const {
+  uint64_t count = 0;
+  for (const auto& host : m_hosts) {
+    count += host->dispatcher->counters().ended_announcements;
+  }
+  return count;
+}
+
 void World::AddViolation(const std::string& text) {
   m_violations.push_back(
       std::to_string(
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -265,6 +265,8 @@
   uint64_t MaxWorkersLostUnder(const std::string& job) const;
   /// Calls to workers whose outcome the leaders counted as unknown.
   uint64_t unknown_calls() const;
+  /// Announcements that the leaders ignored, as those of ended workers.
+  uint64_t ended_announcements() const;
   /// The timeout of the last order to start a run.
   Millis last_timeout() const { return m_last_timeout; }
   const std::vector<std::string>& maintained() const { return m_maintained; }
--- a/packages/trace/src/causes.cc
+++ b/packages/trace/src/causes.cc
@@ -144,6 +144,7 @@
     Wording{"worker-crashed", "went down"},
     Wording{"worker-reborn", "began a new life"},
     Wording{"worker-refused", "was refused"},
+    Wording{"worker-ignored", "announced itself though it counts as ended"},
 };
 
 constexpr std::array kHostWords{
