Fault soak: disks that refuse writes, workers cut off for long

Change: with OUTAGES=1 its plans draw, beside all else and overlapping with it, control hosts' disks that refuse writes for 0.3 to 6 s and workers that are cut off both ways, with their announcements, for 16 to 22 s, longer than a leader remembers them. The daemons then run on the machine's disk behind hooks that refuse. At the end each control host's store must be open again. Plans without it are the same as before: seeds of the lists keep their faults.

--- a/scripts/fault_soak.sh
+++ b/scripts/fault_soak.sh
@@ -3,7 +3,8 @@
 # fault_soak.sh [BUILD [SEEDS [FIRST [JOBS]]]]: SEEDS seeds from FIRST on, JOBS
 # at a time; "cases" or "open" for SEEDS plays those of that list. Settings,
 # data and logs of a failed seed stay in FOLDER/seed-N.
-# SECONDS_OF_FAULTS, BASE_PORT, FOLDER, CONTROLS and ENTRIES may be set.
+# SECONDS_OF_FAULTS, BASE_PORT, FOLDER, CONTROLS and ENTRIES may be set;
+# OUTAGES=1 adds disks that refuse writes and long cuts of workers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -36,11 +37,15 @@
   local seed=$1 home=$folder/seed-$1 controls=${CONTROLS:-3} result=0
   # Every fourth seed has more hosts.
   [ -n "${CONTROLS:-}" ] || [ $((seed % 4)) -ne 0 ] || controls=5
+  local daemon=laurelhalld options=()
+  if [ -n "${OUTAGES:-}" ]; then
+    daemon=laurelhalld_refusing_disk options=(--outages)
+  fi
   rm -rf "$home" && mkdir -p "$home"
-  "$build/platform/fault_soak" --daemon "$build/packages/daemon/laurelhalld" \
+  "$build/platform/fault_soak" --daemon "$build/packages/daemon/$daemon" \
     --folder "$home" --seed "$seed" --base-port $((base + ports * $2)) \
     --controls "$controls" --entries "${ENTRIES:-2}" \
-    --seconds "${SECONDS_OF_FAULTS:-20}" > "$home/soak.log" 2>&1 || result=$?
+    --seconds "${SECONDS_OF_FAULTS:-20}" "${options[@]}" > "$home/soak.log" 2>&1 || result=$?
   if [ "$result" -eq 0 ]; then
     echo "seed $seed: all held; $(tail -n 1 "$home/soak.log" | cut -d' ' -f3-)"
     rm -rf "$home"
