Dispatch: the fence of a worker's orders rises when contact is lost

What callers saw: a task that was done, and whose end had been acknowledged, could run again. The first start of its run was carried out seconds late, on the next incarnation of its worker under the same id.

Cause: an incarnation refuses what was meant for an earlier one by its fence. The leader raised the fence once it knew of the new incarnation, by the answer to a hold call that carried the old fence and may wait for 2 s at the worker. Until the next call the worker took late orders of before.

Change: the fence also rises when a hold call fails for the first time since contact, so the first call that may reach a next incarnation is above all that was sent before. A start that the same incarnation refuses for it is sent again at once: as a refusal by fence was taken for a later leader's, such a start was never sent again.

Ruled out: to acknowledge no end while a start of its run is unanswered, as the late start would still run.

--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -32,10 +32,12 @@
 /// The outcome in lower case, for logs. Thread-safe.
 const char* CallOutcomeName(CallOutcome outcome);
 
-/// Low bits of a fence: the number of the worker's incarnation within the term.
-/// The leader's term is in the bits above. With it, a later incarnation refuses
-/// an order that was meant for an earlier one and arrives late.
-constexpr int kFenceIncarnationBits = 16;
+/// Low bits of a fence: a number that rises, within the term, with each
+/// incarnation of the worker's id and each loss of contact. The leader's term
+/// is in the bits above. With it, a later incarnation refuses an order that was
+/// meant for an earlier one and arrives late.
+constexpr int kFenceNumberBits = 16;
+constexpr uint64_t kMaxFenceNumber = (uint64_t{1} << kFenceNumberBits) - 1;
 
 /// Identifies a worker and tells how to connect to it.
 struct WorkerAddress {
--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -109,6 +109,7 @@
   next.address = link.address;
   next.born = born;
   next.number = link.number + 1;
+  next.fence_number = link.fence_number + 1;
   next.last_announced = Now();
   next.is_lapse_under_way = link.is_lapse_under_way;
   next.is_restart_unassessed = true;
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -381,7 +381,8 @@
     const auto link = m_links.find(id);
     if (link != m_links.end()) {
       m_init.workers->Forget(link->second.address);
-      m_last_incarnations[id] = link->second.number;
+      m_last_incarnations[id] = {link->second.number,
+                                 link->second.fence_number};
       m_links.erase(link);
     }
     m_reports.erase(id);
@@ -395,7 +396,8 @@
     link.born = worker->born;
     const auto last = m_last_incarnations.find(id);
     if (last != m_last_incarnations.end()) {
-      link.number = last->second + 1;
+      link.number = last->second.number + 1;
+      link.fence_number = last->second.fence_number + 1;
     }
   } else if (link.born == WallTime()) {
     link.born = worker->born;
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -144,6 +144,10 @@
   scheduling::WorkerClock clock;
   WallTime born{};      ///< When the incarnation began; zero: not reported.
   uint64_t number = 1;  ///< Counts the incarnations of this id in this term.
+  /// Counts, in this term, the incarnations of this id and the times that
+  /// contact was lost: whoever answers after such a time may be the next
+  /// incarnation, which must refuse what was sent before.
+  uint64_t fence_number = 1;
   /// The crash of the previous incarnation is still to be recorded, with the
   /// first list of this one.
   bool is_restart_unassessed = false;
@@ -365,11 +369,13 @@
 
   SteadyTime Now() const { return m_init.timers->Now(); }
   /// The fencing token of orders to the worker's current incarnation. It is
-  /// higher than those of all earlier incarnations and terms.
+  /// higher than those of all earlier incarnations and terms, and those from
+  /// before contact was lost.
   uint64_t FenceOf(const WorkerLink& link) const {
     return m_init.mutations.is_fence_outdated
                ? 0
-               : (m_term << kFenceIncarnationBits) + link.number;
+               : (m_term << kFenceNumberBits) +
+                     std::min(link.fence_number, kMaxFenceNumber);
   }
   /// Adds the records to the next batch. `done` is called once, unless this
   /// leadership ends first.
@@ -502,6 +508,7 @@
                               const RunTrack& track) const;
   void OnStartReply(const RunKey& key,
                     uint64_t incarnation,
+                    uint64_t fence,
                     const CallReply& reply);
   void GiveUpStart(const RunKey& key, RunTrack& track);
   void SendStop(const RunKey& key, RunTrack& track);
@@ -772,8 +779,12 @@
   /// The newest report by worker id. It may be from an incarnation that is not
   /// in the ledger yet.
   std::unordered_map<std::string, ReportStamp> m_reports;
-  /// By id of a removed worker: the number of its last incarnation.
-  std::unordered_map<std::string, uint64_t> m_last_incarnations;
+  /// What the next link to a removed worker's id continues from.
+  struct LastIncarnation {
+    uint64_t number = 0;
+    uint64_t fence_number = 0;
+  };
+  std::unordered_map<std::string, LastIncarnation> m_last_incarnations;
   std::optional<uint64_t> m_workers_revision;  // As of m_links.
   // The version of the ledger's workers that m_inventory includes.
   std::optional<uint64_t> m_inventory_version;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -141,11 +141,11 @@
     order.lease_end =
         m_links.at(order.worker.id).clock.Extend(LeaderLeaseLastHeldAt());
     m_init.workers->Start(
-        std::move(order),
-        [weak = weak_from_this(), key, incarnation](const CallReply& reply) {
+        std::move(order), [weak = weak_from_this(), key, incarnation,
+                           fence = order.fence](const CallReply& reply) {
           if (const auto self = weak.lock()) {
             self->LearnAnswerTime(reply);
-            self->OnStartReply(key, incarnation, reply);
+            self->OnStartReply(key, incarnation, fence, reply);
           }
         });
   };
@@ -236,6 +236,7 @@
 
 void Leadership::OnStartReply(const RunKey& key,
                               uint64_t incarnation,
+                              uint64_t fence,
                               const CallReply& reply) {
   const auto found = m_runs.find(key);
   if (found == m_runs.end()) {
@@ -270,7 +271,13 @@
       EndReplacedIncarnation(track.worker);
       break;
     case CallOutcome::kFenced:
-      break;  // A later leader continues from the committed state.
+      // A later leader continues from the committed state, unless the fence of
+      // this one was raised while the order was under way.
+      if (link != m_links.end() && fence < FenceOf(link->second)) {
+        track.start = StartStage::kRetry;
+        track.next_try = Now();
+      }
+      break;
     case CallOutcome::kUnknown:
       ++m_counters.unknown_calls;
       track.has_unanswered_start = true;
@@ -679,6 +686,7 @@
   if (reply.outcome != CallOutcome::kDone) {
     if (link.lost_at == SteadyTime()) {
       link.lost_at = Now();
+      ++link.fence_number;
     }
     link.is_silent = true;
     link.next_hold = Now() + kHoldRetryDelay;
--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -137,6 +137,7 @@
   if (m_is_dead || order.fence < m_fence) {
     return;
   }
+  m_fence = order.fence;
   if (order.ends_seen > m_last_listed_end && on_wrong_acknowledgement) {
     on_wrong_acknowledgement(order.ends_seen, m_last_listed_end);
   }
@@ -397,6 +398,17 @@
 
   void Start(StartOrder order, std::function<void(CallReply)> done) override {
     m_world.m_last_timeout = order.timeout;
+    auto answer = m_host.WithTimeout(order.timeout, std::move(done));
+    if (m_world.m_start_delay == Millis(0)) {
+      DeliverStart(order, std::move(answer));
+      return;
+    }
+    m_world.After(m_world.m_start_delay,
+                  [this, order, answer] { DeliverStart(order, answer); });
+  }
+
+  void DeliverStart(const StartOrder& order,
+                    std::function<void(CallReply)> answer) {
     Call(
         order.worker.id,
         [this, order, term = OrderTerm(order.fence)](FakeWorker& worker) {
@@ -428,7 +440,7 @@
           }
           return reply;
         },
-        m_host.WithTimeout(order.timeout, std::move(done)));
+        std::move(answer));
   }
 
   void Stop(StopOrder order, std::function<void(CallReply)> done) override {
@@ -458,14 +470,14 @@
 
   void Hold(HoldOrder order, std::function<void(HoldReply)> done) override {
     const std::string id = order.worker.id;
-    auto deliver = [this, order,
+    auto deliver = [this, order, resets = m_world.m_hold_resets,
                     done = m_host.WhenAwake(
                         m_host.WithTimeout(order.timeout, std::move(done)))] {
-      m_world.After(m_world.Delay(), [this, order, done] {
+      m_world.After(m_world.Delay(), [this, order, resets, done] {
         if (!IsCut(order.worker.id)) {
           m_world.m_workers.at(order.worker.id)->Acknowledge(order);
         }
-        PollWorker(order, m_world.Now() + order.wait,
+        PollWorker(order, m_world.Now() + order.wait, resets,
                    [this, order, done](const HoldReply& reply) {
                      done(reply);
                      DeliverNextHold(order.worker.id);
@@ -487,7 +499,7 @@
  private:
   uint64_t OrderTerm(uint64_t fence) {
     m_world.m_relayed += m_is_relay ? 1 : 0;
-    return m_is_relay ? fence >> kFenceIncarnationBits : m_host.term;
+    return m_is_relay ? fence >> kFenceNumberBits : m_host.term;
   }
 
   // The first one in line is the one in flight.
@@ -507,8 +519,13 @@
   // Answers when the worker has an end to report or the wait is over.
   void PollWorker(const HoldOrder& order,
                   SteadyTime until,
+                  uint64_t resets,
                   const std::function<void(HoldReply)>& done) {
     FakeWorker& worker = *m_world.m_workers.at(order.worker.id);
+    if (m_world.m_hold_resets != resets) {
+      m_world.After(m_world.Delay(), [done] { done({}); });
+      return;
+    }
     if (IsCut(order.worker.id)) {
       m_world.After(Millis(600), [done] { done({}); });
       return;
@@ -522,8 +539,8 @@
       return;
     }
     if (m_world.Now() < until && !worker.has_news(order.ends_seen)) {
-      m_world.After(kStep, [this, order, until, done] {
-        PollWorker(order, until, done);
+      m_world.After(kStep, [this, order, until, resets, done] {
+        PollWorker(order, until, resets, done);
       });
       return;
     }
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -53,8 +53,8 @@
 
   CallReply Start(const StartOrder& order, const Run& run, SteadyTime now);
   CallReply Stop(const StopOrder& order, SteadyTime now);
-  /// Forgets the ends that a hold call acknowledges, when the call arrives. The
-  /// call is answered later, by Hold().
+  /// Takes the fence of a hold call and forgets the ends that it acknowledges,
+  /// when the call arrives. The call is answered later, by Hold().
   void Acknowledge(const HoldOrder& order);
   HoldReply Hold(const HoldOrder& order, SteadyTime now);
   void Step(SteadyTime now);
@@ -226,6 +226,13 @@
   /// Cuts a worker off from all other hosts, or reconnects it.
   void Cut(const std::string& worker, bool is_cut);
 
+  /// Resets the connections of all hold calls that are open: they fail.
+  void ResetHolds() { ++m_hold_resets; }
+
+  /// Delays orders to start a run on their way by this, besides the delay of
+  /// all calls.
+  void SlowStarts(Millis time) { m_start_delay = time; }
+
   /// Sets the duration of commits and of confirmations by a quorum.
   void SlowCommits(Millis time) {
     m_sync = time;
@@ -374,6 +381,8 @@
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::vector<std::unique_ptr<RelayNode>> m_relays;
   uint64_t m_relayed = 0;
+  uint64_t m_hold_resets = 0;
+  Millis m_start_delay{0};
   size_t m_leader = 0;
   std::set<scheduling::TaskId> m_noted_done;
   std::vector<std::string> m_violations;
