--- a/packages/control/tests/refusing_disks_test.cc
+++ b/packages/control/tests/refusing_disks_test.cc
@@ -1,5 +1,6 @@
-// Disks that refuse writes for a while: their hosts leave the quorum and come
-// back to it in the same process.
+// Guards against control hosts that are lost for good to a disk that refuses
+// writes for a moment: they leave the quorum and come back to it in the same
+// process.
 
 #include <doctest/doctest.h>
 
