Dispatch: only an entry host's repeat gets the first outcome of a submission

What callers saw: a caller whose key had been taken away, and who sent its job again within 1.5 s of its acceptance, was accepted by an entry host that had answered by the newer configuration before: it went back.

Cause: lets a repeated submission have the first one's outcome, for entry hosts whose first try got no answer.

Change: the entry host marks its repeats, and only marked ones get the first outcome. The mark is written only where it is set, so that earlier versions read all other submissions.

--- a/packages/dispatch/include/laurelhall/dispatch/request.h
+++ b/packages/dispatch/include/laurelhall/dispatch/request.h
@@ -20,6 +20,9 @@
   std::string id;
   scheduling::JobSpec spec;
   std::string key;  ///< Fingerprint of the caller's API key; empty for none.
+  /// Whether the entry host sends one and the same request of its caller again,
+  /// since an earlier try may have been carried out.
+  bool is_repeat = false;
 };
 
 struct GetJob {
@@ -153,6 +156,10 @@
 void Visit(Archive& archive, SubmitJob& value) {
   archive(value.host, value.path, value.id, value.spec);
   archive.TrailingFields(value.key);
+  // Only where it is set, so that earlier versions can read all others.
+  std::vector<uint64_t> marks(value.is_repeat ? 1 : 0);
+  archive.TrailingList(marks);
+  value.is_repeat = !marks.empty();
 }
 
 template <typename Archive>
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -403,9 +403,11 @@
     return judged;
   }
 
-  // A repeated submission gets the outcome of the first one, also if its key or
-  // queue was removed between the two: the entry host that repeats it must not
-  // tell its caller that the job is refused, when it runs.
+  // A submission that its entry host repeats gets the outcome of the first one,
+  // also if its key or queue was removed between the two: its caller must not
+  // be told that the job is refused, when it runs. A caller that sends it again
+  // is judged by the configuration in force, as its entry host may have shown
+  // that already.
   bool AnswerRepeat(const SubmitJob& request,
                     const Judgement& judged,
                     HandIns::Found found,
@@ -434,6 +436,10 @@
 
   void Run(SubmitJob& request, const ReplyDone& done) {
     const Judgement judged = Judge(request);
+    if (judged.outcome != Outcome::kOk && !request.is_repeat) {
+      RefuseConfirmed(request, done);
+      return;
+    }
     HandIns::Caller caller{request.key, {}};
     if (judged.outcome == Outcome::kOk) {
       caller.organisation = judged.organisation;
--- a/packages/dispatch/src/remote.cc
+++ b/packages/dispatch/src/remote.cc
@@ -91,6 +91,7 @@
     ReplyDone done;
     bool may_have_run = false;
     bool is_read_only = false;
+    bool is_marked = false;           ///< As a repeat.
     SteadyTime sent_at{};             // Of the last try.
     AdmissionLimit* limit = nullptr;  // Null: admitted whatever the load.
   };
@@ -204,6 +205,19 @@
     }
   }
 
+  // The leader must not judge a submission anew that it may have taken in.
+  static void MarkRepeat(PendingRequest& pending) {
+    if (pending.is_read_only || !pending.may_have_run ||
+        std::exchange(pending.is_marked, true)) {
+      return;
+    }
+    auto request = scheduling::Decode<Request>(pending.request);
+    if (auto* submission = std::get_if<SubmitJob>(&request)) {
+      submission->is_repeat = true;
+      pending.request = scheduling::Encode(std::move(request));
+    }
+  }
+
   void OnAnswer(const std::shared_ptr<PendingRequest>& pending,
                 const std::optional<std::string>& text,
                 bool may_have_run) {
@@ -230,6 +244,7 @@
     const bool is_final = IsFinal(*pending, reply.outcome);
     const SteadyTime now = m_init.timers->Now();
     if (!is_final && now + kRetryDelay < pending->give_up_at) {
+      MarkRepeat(*pending);
       m_init.timers->SubscribeOnce(
           kRetryDelay, [weak = weak_from_this(), pending](SteadyTime) {
             if (const auto self = weak.lock()) {
--- a/packages/dispatch/tests/remote_test.cc
+++ b/packages/dispatch/tests/remote_test.cc
@@ -21,6 +21,9 @@
     init.ask = [this](const scheduling::LeaderRequest& request, auto done) {
       ++request_count;
       read_count += request.is_query ? 1 : 0;
+      const auto asked = scheduling::Decode<Request>(request.body);
+      const auto* submission = std::get_if<SubmitJob>(&asked);
+      is_repeat = submission != nullptr && submission->is_repeat;
       if (std::exchange(is_first_try_lost, false)) {
         timers.SubscribeOnce(Millis(200),
                              [done](SteadyTime) { done(std::nullopt, true); });
@@ -59,6 +62,7 @@
   bool is_first_try_lost = false;  ///< Sent, and not answered.
   int request_count = 0;
   int read_count = 0;
+  bool is_repeat = false;  ///< The last try is marked as one.
   Outcome outcome = Outcome::kCount;
   RemoteScheduler remote;
 };
@@ -211,6 +215,34 @@
   CHECK(served == 16);
 }
 
+// Guards against a submission that is judged anew though its first try was
+// accepted.
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, submission is not answered, the next try is marked "
+                  "as a repeat") {
+  answer = Reply();
+  answer->outcome = Outcome::kOk;
+  Ask(SubmitJob{"q", "/q/a", "a", {}, "key"});
+  CHECK(request_count == 1);
+  CHECK_FALSE(is_repeat);
+  is_first_try_lost = true;
+  Ask(SubmitJob{"q", "/q/b", "b", {}, "key"});
+  CHECK(request_count == 3);
+  CHECK(is_repeat);
+}
+
+TEST_CASE("SubmitJob, not a repeat, encoded as by earlier versions") {
+  SubmitJob submission{"q", "/q/a", "a", {}, "key"};
+  const std::string first = scheduling::Encode(Request(submission));
+  submission.is_repeat = true;
+  const std::string repeat = scheduling::Encode(Request(submission));
+  CHECK(repeat.starts_with(first));
+  CHECK(repeat.size() > first.size());
+  CHECK_FALSE(
+      std::get<SubmitJob>(scheduling::Decode<Request>(first)).is_repeat);
+  CHECK(std::get<SubmitJob>(scheduling::Decode<Request>(repeat)).is_repeat);
+}
+
 // Guards against callers that are refused at each change of leader.
 TEST_CASE_FIXTURE(RemoteFixture,
                   "Remote, leader is lost, callers wait for the next one") {
