--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -95,6 +95,16 @@
     return m_files.Contents(std::filesystem::path(kFolder) / file);
   }
 
+  /// A store of three entries whose sync of the fourth one failed.
+  std::unique_ptr<LogStore> OpenAndFailSync(size_t payload_bytes) {
+    auto store = Open();
+    Fill(*store, 1, 3);
+    m_files.FailSync(1);
+    store->Append({MakeEntry(4, payload_bytes)});
+    CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+    return store;
+  }
+
   void Empty() {
     for (const std::string& file : m_files.List(kFolder)) {
       m_files.Remove(std::filesystem::path(kFolder) / file);
@@ -381,11 +391,7 @@
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, sync lost pages, reopened, what it returns "
                   "survives a crash") {
-  auto store = Open();
-  Fill(*store, 1, 3);
-  m_files.FailSync(1);
-  store->Append({MakeEntry(4, 5000)});
-  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  auto store = OpenAndFailSync(5000);
   const size_t entries = store->Reopen().entries.size();
   store.reset();
   m_files.Crash();
@@ -394,11 +400,7 @@
 
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, folder emptied under it, not reopened as new") {
-  auto store = Open();
-  Fill(*store, 1, 3);
-  m_files.FailSync(1);
-  store->Append({MakeEntry(4, 10)});
-  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  auto store = OpenAndFailSync(10);
   Empty();
   CHECK_THROWS_AS(store->Reopen(), StoreFailedError);
   CHECK_THROWS_AS(store->Sync(), StoreFailedError);
@@ -411,11 +413,7 @@
 TEST_CASE_FIXTURE(DamageFixture,
                   "LogStore, folder of another host in its place, not "
                   "touched") {
-  auto store = Open();
-  Fill(*store, 1, 3);
-  m_files.FailSync(1);
-  store->Append({MakeEntry(4, 10)});
-  CHECK_THROWS_AS(store->Sync(), StoreFailedError);
+  auto store = OpenAndFailSync(10);
   Empty();
   m_identity_seed = 10;
   Fill(*Open(), 1, 3);
