--- a/packages/dispatch/src/hand_ins_p.h
+++ b/packages/dispatch/src/hand_ins_p.h
@@ -10,8 +10,9 @@
 
 namespace laurelhall::dispatch {
 
-/// The submissions that a leader has put into a batch, so that a repeated one
-/// gets the outcome of the first one and is not judged again.
+/// The submissions that a leader has put into a batch, so that one that its
+/// entry host repeats gets the outcome of the first one and is not judged
+/// again.
 ///
 /// @remarks Used on the dispatcher's thread only. An outcome is kept for as
 ///   long as an entry host may repeat the submission; an unknown one until
