--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -137,12 +137,13 @@
   order.timeout = OrderTimeout();
   ++m_counters.starts;
   const uint64_t incarnation = link->second.number;
-  const auto send = [this, key, incarnation, order]() mutable {
+  const uint64_t fence = order.fence;
+  const auto send = [this, key, incarnation, fence, order]() mutable {
     order.lease_end =
         m_links.at(order.worker.id).clock.Extend(LeaderLeaseLastHeldAt());
     m_init.workers->Start(
         std::move(order), [weak = weak_from_this(), key, incarnation,
-                           fence = order.fence](const CallReply& reply) {
+                           fence](const CallReply& reply) {
           if (const auto self = weak.lock()) {
             self->LearnAnswerTime(reply);
             self->OnStartReply(key, incarnation, fence, reply);
