Storage: reopening never takes a folder as a new one

What operators would see: a host whose volume went away in the instant between the look at its identity and its recovery wrote an identity of zero into the empty mount point and went on under it.

Cause: moved the comparison of identities before the recovery and left none behind it, while Reopen() still ran the recovery that takes an empty folder as new.

Change: the recovery of a known identity is an operation of its own, which refuses any other folder; the check before the lock is the same function. One place reads and compares, in place of a look in the store beside the recovery.

--- a/packages/storage/src/log_store.cc
+++ b/packages/storage/src/log_store.cc
@@ -59,14 +59,13 @@
     m_failure = "storage failed: it is not open again";
     m_file.reset();
     m_buffer.Clear();
-    // The volume may be away, and come back as another folder under this path.
-    if (!Recovery(m_files, m_folder).IsOf(m_identity)) {
-      throw StoreFailedError(m_folder.string() +
-                             ": the folder does not hold this identity now");
-    }
+    // The volume may be away, and come back as another folder under this path:
+    // not even the lock file is made in one that is not this host's.
+    Recovery recovery(m_files, m_folder);
+    recovery.CheckIdentity(m_identity);
     m_lock.reset();
     m_lock = m_files.Lock(m_folder / kLockFile);
-    Adopt(Recovery(m_files, m_folder).Run({}));
+    Adopt(recovery.RunKnown(m_identity));
     m_failure.clear();
     return TakeRecovered();
   }
--- a/packages/storage/src/recovery.cc
+++ b/packages/storage/src/recovery.cc
@@ -68,10 +68,6 @@
       m_folder(std::move(folder)),
       m_snapshots(files, m_folder) {}
 
-bool Recovery::IsOf(consensus::NodeId identity) const {
-  return ReadIdentity() == identity;
-}
-
 RecoveryResult Recovery::Run(consensus::NodeId new_identity) {
   FindSegments();
   const std::optional<consensus::NodeId> identity = ReadIdentity();
@@ -81,7 +77,24 @@
     m_result.recovered.is_new = true;
     return std::move(m_result);
   }
-  m_result.recovered.identity = *identity;
+  return Recover(*identity);
+}
+
+RecoveryResult Recovery::RunKnown(consensus::NodeId identity) {
+  CheckIdentity(identity);
+  FindSegments();
+  return Recover(identity);
+}
+
+void Recovery::CheckIdentity(consensus::NodeId identity) const {
+  if (ReadIdentity() != identity) {
+    throw StoreFailedError(m_folder.string() +
+                           ": the folder does not hold this identity now");
+  }
+}
+
+RecoveryResult Recovery::Recover(consensus::NodeId identity) {
+  m_result.recovered.identity = identity;
   LoadSnapshot();
   ReplaySegments();
   CheckCoverage();
--- a/packages/storage/src/recovery_p.h
+++ b/packages/storage/src/recovery_p.h
@@ -42,15 +42,22 @@
  public:
   Recovery(FileSystem& files, std::filesystem::path folder);
 
-  /// Whether the folder holds this identity. Changes nothing.
-  /// @throws CorruptionError; std::system_error.
-  bool IsOf(consensus::NodeId identity) const;
-
   /// @param new_identity Taken if the folder is empty.
   /// @throws CorruptionError; std::system_error.
   RecoveryResult Run(consensus::NodeId new_identity);
 
+  /// Recovers the folder of a known identity.
+  ///
+  /// @throws StoreFailedError as CheckIdentity(); CorruptionError;
+  ///   std::system_error.
+  RecoveryResult RunKnown(consensus::NodeId identity);
+
+  /// @throws StoreFailedError when the folder holds none or another identity;
+  ///   CorruptionError; std::system_error. Changes nothing.
+  void CheckIdentity(consensus::NodeId identity) const;
+
  private:
+  RecoveryResult Recover(consensus::NodeId identity);
   std::optional<consensus::NodeId> ReadIdentity() const;
   void CheckNeverUsed();
   void LoadSnapshot();
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -425,6 +425,41 @@
   CHECK(Bytes(kFirstSegment) == before);
 }
 
+/// Files whose folder is emptied at the second lock, which is the first of a
+/// store that is opened again.
+class EmptiedAtLockFiles : public FaultFileSystem {
+ public:
+  EmptiedAtLockFiles() : FaultFileSystem(1) {}
+
+  std::unique_ptr<FileLock> Lock(const Path& path) override {
+    if (++m_locks == 2) {
+      for (const std::string& file : List(kFolder)) {
+        Remove(Path(kFolder) / file);
+      }
+    }
+    return FaultFileSystem::Lock(path);
+  }
+
+ private:
+  int m_locks = 0;
+};
+
+// Guards against an identity that is made anew in the running process: the
+// folder went away between the look at whose it is and its recovery.
+TEST_CASE("LogStore, folder emptied while it is reopened, not taken as new") {
+  EmptiedAtLockFiles files;
+  LogStoreInit init;
+  init.folder = kFolder;
+  init.identity_seed = 9;
+  init.file_system = &files;
+  LogStore store(init);
+  files.FailSync(1);
+  store.Append({MakeEntry(1, 10)});
+  CHECK_THROWS_AS(store.Sync(), StoreFailedError);
+  CHECK_THROWS_AS(store.Reopen(), StoreFailedError);
+  CHECK(files.List(kFolder).empty());
+}
+
 TEST_CASE_FIXTURE(DamageFixture, "LogStore, entry out of order, refused") {
   auto store = Open();
   Fill(*store, 1, 3);
