--- a/packages/storage/src/snapshot_file.cc
+++ b/packages/storage/src/snapshot_file.cc
@@ -1,5 +1,6 @@
 #include "snapshot_file_p.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <string_view>
@@ -137,24 +138,28 @@
   return bytes;
 }
 
-void SnapshotFolder::RemoveUnfinished() {
+void SnapshotFolder::RemoveEndingWith(
+    std::initializer_list<std::string_view> suffixes) {
   for (const std::string& file : m_files.List(m_folder)) {
-    if (file.ends_with(kTemporarySuffix)) {
+    const bool is_meant =
+        std::any_of(suffixes.begin(), suffixes.end(),
+                    [&](std::string_view end) { return file.ends_with(end); });
+    if (is_meant) {
       m_files.Remove(m_folder / file);
     }
   }
 }
 
+void SnapshotFolder::RemoveUnfinished() {
+  RemoveEndingWith({kTemporarySuffix});
+}
+
 void SnapshotFolder::RemoveOld() {
   const std::vector<SnapshotName> names = List();
   for (size_t i = 0; i + kKeptSnapshots < names.size(); ++i) {
     m_files.Remove(m_folder / names[i].file);
   }
-  for (const std::string& file : m_files.List(m_folder)) {
-    if (file.ends_with(kTemporarySuffix) || file.ends_with(kDamagedSuffix)) {
-      m_files.Remove(m_folder / file);
-    }
-  }
+  RemoveEndingWith({kTemporarySuffix, kDamagedSuffix});
 }
 
 }  // namespace laurelhall::storage
--- a/packages/storage/src/snapshot_file_p.h
+++ b/packages/storage/src/snapshot_file_p.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +45,8 @@
   uint64_t disk_bytes() const;
 
  private:
+  void RemoveEndingWith(std::initializer_list<std::string_view> suffixes);
+
   FileSystem& m_files;
   std::filesystem::path m_folder;
 };
