--- a/packages/scheduling/include/laurelhall/scheduling/admission.h
+++ b/packages/scheduling/include/laurelhall/scheduling/admission.h
@@ -150,6 +150,7 @@
                        SteadyTime now);
   static void AdvanceReturns(Claimant& claimant, SteadyTime now);
   static void ForgetRefusal(Claimant& claimant, const std::string& job);
+  static void RecordReturn(Claimant& claimant, const std::string& job);
   static Millis Postpone(Claimant& claimant,
                          const AdmissionRequest& request,
                          const Decision& decision,
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -236,15 +236,20 @@
   claimant.refused.erase(refused);
 }
 
+// Counts a job that comes back after a refusal.
+void Admission::RecordReturn(Claimant& claimant, const std::string& job) {
+  if (claimant.refused.contains(job)) {
+    claimant.return_share += kReturnLearningRate * (1 - claimant.return_share);
+    ForgetRefusal(claimant, job);
+  }
+}
+
 // Gives a refused job the next time to come back.
 Millis Admission::Postpone(Claimant& claimant,
                            const AdmissionRequest& request,
                            const Decision& decision,
                            SteadyTime now) {
-  if (claimant.refused.contains(request.job)) {
-    claimant.return_share += kReturnLearningRate * (1 - claimant.return_share);
-    ForgetRefusal(claimant, request.job);
-  }
+  RecordReturn(claimant, request.job);
   // Of the organisation's work, in core-milliseconds a millisecond.
   const double rate =
       std::max(decision.part, 1.0) / Milliseconds(decision.slack);
@@ -261,10 +266,7 @@
 void Admission::Admit(Claimant& claimant,
                       const AdmissionRequest& request,
                       SteadyTime now) {
-  if (claimant.refused.contains(request.job)) {
-    claimant.return_share += kReturnLearningRate * (1 - claimant.return_share);
-    ForgetRefusal(claimant, request.job);
-  }
+  RecordReturn(claimant, request.job);
   if (request.is_excess) {
     claimant.uncommitted.excess += request.work;
     return;
