--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -436,20 +436,19 @@
 
   void Run(SubmitJob& request, const ReplyDone& done) {
     const Judgement judged = Judge(request);
-    if (judged.outcome != Outcome::kOk && !request.is_repeat) {
-      RefuseConfirmed(request, done);
-      return;
-    }
+    const bool is_refused = judged.outcome != Outcome::kOk;
     HandIns::Caller caller{request.key, {}};
-    if (judged.outcome == Outcome::kOk) {
+    if (!is_refused) {
       caller.organisation = judged.organisation;
     }
     const HandIns::Found found =
-        m_hand_ins->Find(request.id, caller, done, m_init.timers->Now());
+        is_refused && !request.is_repeat
+            ? HandIns::Found::kNone
+            : m_hand_ins->Find(request.id, caller, done, m_init.timers->Now());
     if (AnswerRepeat(request, judged, found, done)) {
       return;
     }
-    if (judged.outcome != Outcome::kOk) {
+    if (is_refused) {
       RefuseConfirmed(request, done);
       return;
     }
