--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -658,6 +658,8 @@
 
   // waves.cc: maintenance.
   void AdvanceWaves(const Ledger& ledger, Records& records);
+  HostMaintenance& TrackHost(const scheduling::WaveState& wave,
+                             const std::string& host);
   void AdoptOrderedHosts(const scheduling::WaveState& wave);
   static bool IsDueForMaintenance(const Ledger& ledger,
                                   const std::string& host);
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -115,15 +115,21 @@
       std::min<int64_t>(wanted, wave.opened.most_at_once));
 }
 
+HostMaintenance& Leadership::TrackHost(const scheduling::WaveState& wave,
+                                       const std::string& host) {
+  HostMaintenance& track = m_hosts[host];
+  track.wave = wave.opened.wave;
+  track.chosen_at = Now();
+  track.next_try = Now();
+  return track;
+}
+
 // Takes over the hosts of a wave that an earlier leader ordered, as it isn't
 // known whether that order was carried out.
 void Leadership::AdoptOrderedHosts(const scheduling::WaveState& wave) {
   for (const auto& [host, stage] : wave.hosts) {
     if (stage == WaveStage::kOrdered && !m_hosts.contains(host)) {
-      HostMaintenance& adopted = m_hosts[host];
-      adopted.wave = wave.opened.wave;
-      adopted.chosen_at = Now();
-      adopted.next_try = Now();
+      HostMaintenance& adopted = TrackHost(wave, host);
       // Whom that order meant is not known: what runs there now may have come
       // after it.
       adopted.may_be_carried_out = true;
@@ -205,10 +211,7 @@
   scheduling::WaveLoad load = LoadOf(ledger, wave);
   load.limit = at_once + kDrainedAhead;
   for (const std::string& host : scheduling::HostsToDrain(load)) {
-    HostMaintenance& track = m_hosts[host];
-    track.wave = wave.opened.wave;
-    track.chosen_at = Now();
-    track.next_try = Now();
+    TrackHost(wave, host);
     DecisionLog::Get().Write(
         DecisionLine("wave", "host-chosen")
             .With("wave", wave.opened.wave)
