Dispatch: moves and maintenances share the state of a repeated host order

They are one struct with BeginTry() and EndTry() now, so that the rule which ends nobody else stands once. No change in behaviour.

--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -223,17 +223,29 @@
   uint32_t may_miss = 0;  ///< Tasks of the step that may be away at once.
 };
 
-/// The progress of a host's maintenance, as this leader knows it.
-struct HostMaintenance {
-  uint64_t wave = 0;
+/// An order on a host that is repeated until it is answered.
+struct RepeatedHostOrder {
   SteadyTime chosen_at{};
   bool is_act_under_way = false;
   SteadyTime next_try{};
-  /// The incarnation that the maintenance ends. It stays that of the first
-  /// order that may have been carried out. Empty: none, or not known.
+  /// The incarnation that the order ends. It stays that of the first try that
+  /// may have been carried out. Empty: none, or not known.
   WorkerIncarnation incarnation_before;
-  bool may_be_carried_out = false;  ///< An order was not answered.
-  SteadyTime acted_at{};    ///< When this leader sent the order, or zero.
+  bool may_be_carried_out = false;  ///< A try was not answered.
+  SteadyTime acted_at{};  ///< When this leader sent that try; zero: not yet.
+
+  /// A try begins.
+  ///
+  /// @param worker Null: none is on the host.
+  void BeginTry(const scheduling::Worker* worker, SteadyTime now);
+
+  /// A try has ended; the next one may begin at `next`.
+  void EndTry(HostActOutcome outcome, SteadyTime next);
+};
+
+/// The progress of a host's maintenance, as this leader knows it.
+struct HostMaintenance : RepeatedHostOrder {
+  uint64_t wave = 0;
   SteadyTime down_since{};  ///< Zero until the order was carried out.
   /// Since when its tasks wait for others that find no place, or zero.
   SteadyTime blocked_since{};
@@ -274,17 +286,9 @@
 };
 
 /// The progress of a host's move to another pool.
-struct HostMove {
+struct HostMove : RepeatedHostOrder {
   std::string to;
-  SteadyTime chosen_at{};
-  SteadyTime next_try{};
   SteadyTime ordered_at{};  ///< When it was moved; zero while it is drained.
-  bool is_act_under_way = false;
-  SteadyTime acted_at{};  ///< When the order was sent; zero: not yet.
-  /// The incarnation that the move ends. It stays that of the first order that
-  /// may have been carried out. Empty: none.
-  WorkerIncarnation incarnation_before;
-  bool may_be_carried_out = false;  ///< An order was not answered.
 };
 
 /// Schedules jobs during one term of this control host as leader.
--- a/packages/dispatch/src/moves.cc
+++ b/packages/dispatch/src/moves.cc
@@ -523,11 +523,7 @@
     return;
   }
   const Worker* worker = WorkerOn(ledger, host);
-  if (!track.may_be_carried_out) {
-    track.incarnation_before = IncarnationOf(worker);
-    track.acted_at = now;
-  }
-  track.is_act_under_way = true;
+  track.BeginTry(worker, now);
   HostAct act = MakeHostAct(host);
   act.pool = track.to;
   RunUnderLeaderLease([this, act = std::move(act)] {
@@ -546,10 +542,7 @@
     return;
   }
   HostMove& track = found->second;
-  track.is_act_under_way = false;
-  track.next_try = Now() + kMoveRetry;
-  track.may_be_carried_out =
-      track.may_be_carried_out || outcome == HostActOutcome::kUnknown;
+  track.EndTry(outcome, Now() + kMoveRetry);
   DecisionLog::Get().Write(DecisionLine("pools", "moved")
                                .With("host", host)
                                .With("to", track.to)
--- a/packages/dispatch/src/waves.cc
+++ b/packages/dispatch/src/waves.cc
@@ -62,6 +62,21 @@
                            : WorkerIncarnation{worker->info.id, worker->born};
 }
 
+void RepeatedHostOrder::BeginTry(const Worker* worker, SteadyTime now) {
+  if (!may_be_carried_out) {
+    incarnation_before = IncarnationOf(worker);
+    acted_at = now;
+  }
+  is_act_under_way = true;
+}
+
+void RepeatedHostOrder::EndTry(HostActOutcome outcome, SteadyTime next) {
+  is_act_under_way = false;
+  next_try = next;
+  may_be_carried_out =
+      may_be_carried_out || outcome == HostActOutcome::kUnknown;
+}
+
 const Worker* Leadership::WorkerOn(const Ledger& ledger,
                                    const std::string& host) const {
   const auto& workers = ledger.WorkersOn(host);
@@ -415,11 +430,7 @@
     LogBlockedDrain(wave, host, track, use, guard);
     return;
   }
-  if (!track.may_be_carried_out) {
-    track.incarnation_before = IncarnationOf(worker);
-    track.acted_at = now;
-  }
-  track.is_act_under_way = true;
+  track.BeginTry(worker, now);
   if (wave.hosts.at(host) == WaveStage::kOrdered) {
     Maintain(wave.opened.wave, host);
     return;
@@ -475,10 +486,7 @@
     return;
   }
   HostMaintenance& track = found->second;
-  track.is_act_under_way = false;
-  track.next_try = Now() + kActionRetry;
-  track.may_be_carried_out =
-      track.may_be_carried_out || outcome == HostActOutcome::kUnknown;
+  track.EndTry(outcome, Now() + kActionRetry);
   if (outcome == HostActOutcome::kDone) {
     track.down_since = Now();
     // Taking the host down ended the incarnation of its worker.
