--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -16,12 +16,6 @@
  protected:
   DispatcherFixture() { world.AddWorkers(3); }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   World world{7};
 };
 
@@ -30,7 +24,7 @@
   world.Advance(Millis(3'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 10);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture,
@@ -40,7 +34,7 @@
   world.Advance(Millis(10'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 10);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture,
@@ -52,7 +46,7 @@
   world.Advance(Millis(40'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.StateOf("c") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture,
@@ -63,7 +57,7 @@
   world.Advance(Millis(5'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 18);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture,
@@ -83,7 +77,7 @@
   CHECK(world.StateOf("a") == JobState::kRunning);
   world.Advance(Millis(6'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(DispatcherFixture,
@@ -113,7 +107,7 @@
   world.Cut("w1", false);
   world.Advance(Millis(3'000));
   CHECK(world.ledger().FindJob("a")->active_runs == 3);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(
@@ -374,7 +368,7 @@
     const bool is_known = world.ledger().FindJob(id) != nullptr;
     CHECK(is_known == (reply.outcome == Outcome::kOk));
   }
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(AdmissionFixture,
@@ -522,7 +516,7 @@
   CHECK(longest <= Millis(3'000));
   CHECK(world.ledger().FindJob("a")->active_runs == 6);
   CHECK(world.ledger().waves().at(1).is_done());
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against late waves, seen with 440 hosts: hosts with persistent tasks
--- a/packages/dispatch/tests/incidents/crash_loop_test.cc
+++ b/packages/dispatch/tests/incidents/crash_loop_test.cc
@@ -6,7 +6,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -40,12 +40,6 @@
     }
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   World world{7};
 
  private:
@@ -67,7 +61,7 @@
   CHECK(world.StateOf("culprit") == JobState::kFailed);
   CHECK(world.StartsOf("culprit.0.0.0") <= 5);
   CheckBystandersSucceeded();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against losing the count of crashes when the leader changes or all
@@ -89,7 +83,7 @@
   CHECK(world.StateOf("culprit") == JobState::kFailed);
   CHECK(world.StartsOf("culprit.0.0.0") <= 5);
   CheckBystandersSucceeded();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against missing a crash that shows only after the lease has expired,
@@ -104,7 +98,7 @@
   CHECK(world.StateOf("culprit") == JobState::kFailed);
   CHECK(world.StartsOf("culprit.0.0.0") <= 5);
   CheckBystandersSucceeded();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against blaming newer runs beside a task that works for a while before
@@ -124,7 +118,7 @@
   CHECK(world.StateOf("culprit") == JobState::kFailed);
   CHECK(world.StartsOf("culprit.0.0.0") <= 5);
   CheckBystandersSucceeded();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against giving up tasks that merely ran beside crashes.
@@ -141,7 +135,7 @@
   }
   world.Advance(Millis(20'000));
   CheckBystandersSucceeded();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(
@@ -161,7 +155,7 @@
   world.Advance(Millis(10'000));
   CHECK(world.StateOf("audit") == JobState::kRunning);
   CHECK(world.ledger().FindJob("audit")->active_runs == 3);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Eight workers in two racks. The jobs of the tests need whole workers.
@@ -206,9 +200,7 @@
     const std::string id = "job-" + std::to_string(job);
     CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
   }
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 // Guards against missing the loss of a rack because its workers come back one
@@ -271,9 +263,7 @@
     const std::string id = "job-" + std::to_string(job);
     CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
   }
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
+++ b/packages/dispatch/tests/incidents/ends_acknowledged_after_restart_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -44,12 +44,6 @@
     }
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   void CheckAllAcknowledged() { CHECK_FALSE(world.worker("w0").has_news(0)); }
 
   World world{7};
@@ -65,10 +59,10 @@
   world.SlowCommits(Millis(1'500));
   world.CrashAndRestart("w0", Millis(500), Millis(3'000));
   world.Advance(Millis(1'200));
-  CheckNoViolations();
+  CheckNoViolations(world);
   world.SlowCommits(Millis(5));
   world.Advance(Millis(8'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   CheckAllDone();
 }
 
@@ -78,10 +72,10 @@
   SubmitAndListEnds(Millis(800));
   world.CrashAndRestart("w0", Millis(300), Millis(3'000));
   world.Advance(Millis(2'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   world.SlowCommits(Millis(5));
   world.Advance(Millis(8'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   CheckAllDone();
 }
 
@@ -91,7 +85,7 @@
   SubmitAndListEnds(Millis(150));
   world.CrashAndRestart("w0", Millis(20), Millis(5));
   world.Advance(Millis(2'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   CheckAllDone();
 }
 
@@ -109,7 +103,7 @@
   world.Cancel("long");
   world.CrashAndRestart("w0", Millis(160), Millis(3'000));
   world.Advance(Millis(2'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   world.SlowCommits(Millis(5));
   world.Advance(Millis(8'000));
   CheckAllDone();
@@ -126,7 +120,7 @@
   world.CrashAndRestart("w0", Millis(250), Millis(3'000));
   world.PauseLeader(Millis(400));
   world.Advance(Millis(2'000));
-  CheckNoViolations();
+  CheckNoViolations(world);
   world.Advance(Millis(8'000));
   CheckAllDone();
 }
@@ -171,7 +165,7 @@
   world.Advance(Millis(20'000));
   CheckAllAcknowledged();
   CheckAllDone();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(AcknowledgedWorkerFixture,
@@ -185,7 +179,7 @@
   world.Advance(Millis(20'000));
   CheckAllAcknowledged();
   CheckAllDone();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against an acknowledgement that waits in a frozen relay. The relays
--- a/packages/dispatch/tests/incidents/gang_after_crash_test.cc
+++ b/packages/dispatch/tests/incidents/gang_after_crash_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -57,12 +57,6 @@
     return workers;
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   World world{11};
 };
 
@@ -74,7 +68,7 @@
   CrashUnder("gang");
   world.Advance(Millis(12'000));
   CHECK(world.StateOf("gang") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(GangFixture,
@@ -85,7 +79,7 @@
   CrashUnder("gang");
   world.Advance(Millis(12'000));
   CHECK(world.StateOf("gang") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(GangFixture,
@@ -100,7 +94,7 @@
   }
   world.Advance(Millis(15'000));
   CHECK(world.StateOf("gang") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // One member crashes its worker at each start. All members run on one worker:
@@ -129,7 +123,7 @@
     CHECK_MESSAGE(world.StateOf(id) == JobState::kSucceeded, id);
     CHECK_MESSAGE(world.MaxWorkersLostUnder(id) <= 1, id);
   }
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/incidents/hosts_held_test.cc
+++ b/packages/dispatch/tests/incidents/hosts_held_test.cc
@@ -15,7 +15,7 @@
 
 #include <algorithm>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -70,9 +70,7 @@
   world.Advance(Millis(20'000));
   CHECK(world.StateOf("rush") == scheduling::JobState::kSucceeded);
   CHECK(world.moved().size() >= 20);
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(
--- a/packages/dispatch/tests/incidents/late_start_after_restart_test.cc
+++ b/packages/dispatch/tests/incidents/late_start_after_restart_test.cc
@@ -4,7 +4,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -30,9 +30,7 @@
     world.CrashAndRestart("w0", Millis(150), Millis(9'000));
     world.Advance(Millis(14'000));
     CHECK(world.starts() == 1);
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
+    CheckNoViolations(world);
   }
 };
 
@@ -68,9 +66,7 @@
           scheduling::JobState::kSucceeded);
   }
   CHECK(world.starts() == 20);
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/incidents/more_ends_than_one_answer_test.cc
+++ b/packages/dispatch/tests/incidents/more_ends_than_one_answer_test.cc
@@ -5,7 +5,7 @@
 #include <doctest/doctest.h>
 
 #include "laurelhall/dispatch/request.h"
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -42,9 +42,7 @@
   void CheckEachRanOnce() {
     CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
     CHECK(world.starts() == kTasks);
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
+    CheckNoViolations(world);
   }
 
   World world;
--- a/packages/dispatch/tests/incidents/own_lag_test.cc
+++ b/packages/dispatch/tests/incidents/own_lag_test.cc
@@ -8,7 +8,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -54,9 +54,7 @@
   world.Advance(Millis(10'000));
   CHECK(world.ledger().FindJob("p")->active_runs == 12);
   CHECK(world.starts() == 60 + 12);
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/incidents/repeated_host_order_test.cc
+++ b/packages/dispatch/tests/incidents/repeated_host_order_test.cc
@@ -5,42 +5,14 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "three_workers_fixture.h"
 
 namespace laurelhall::dispatch {
 namespace {
 
 using scheduling::JobState;
 
-class LostHostAnswersFixture {
- protected:
-  LostHostAnswersFixture() {
-    world.AddWorkers(3);
-    world.Advance(Millis(1'000));
-  }
-
-  bool IsUsed(const std::string& worker) {
-    const std::string job = "fills-" + std::to_string(m_jobs++);
-    world.Submit(job, {Step(12)});
-    world.Advance(Millis(100));
-    const scheduling::Worker* known = world.ledger().FindWorker(worker);
-    const bool is_used = known != nullptr && !known->active.empty();
-    world.Advance(Millis(5'000));
-    CHECK(world.StateOf(job) == JobState::kSucceeded);
-    return is_used;
-  }
-
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
-  World world{7};
-
- private:
-  int m_jobs = 0;
-};
+using LostHostAnswersFixture = ThreeWorkersFixture;
 
 TEST_CASE_FIXTURE(LostHostAnswersFixture,
                   "Wave, answers are lost until the host is back, its next "
@@ -52,7 +24,7 @@
   CHECK(world.maintained().size() == 1);
   CHECK(world.ledger().waves().at(1).is_done());
   CHECK(IsUsed("w3"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LostHostAnswersFixture,
@@ -64,7 +36,7 @@
   world.Advance(Millis(12'000));
   CHECK(world.ledger().waves().at(1).is_done());
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LostHostAnswersFixture,
@@ -81,7 +53,7 @@
   world.Advance(Millis(12'000));
   CHECK(world.ledger().waves().at(1).is_done());
   CHECK(IsUsed("w3"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // A move that was carried out brings a worker to the host's next pool.
@@ -108,7 +80,7 @@
     CAPTURE(host);
     CHECK_FALSE(world.LiveWorkerOn(host).empty());
   }
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LostHostAnswersFixture,
--- a/packages/dispatch/tests/incidents/room_shrinks_test.cc
+++ b/packages/dispatch/tests/incidents/room_shrinks_test.cc
@@ -9,7 +9,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -27,12 +27,6 @@
     world.Advance(Millis(500));
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   // Shrinks a worker's capacity without any leader hearing of it, and advances
   // until the old capacity is no longer valid.
   void ShrinkUnreported(const std::string& worker) {
@@ -49,7 +43,7 @@
     world.Advance(Millis(10'000));
     CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
     CHECK(world.ledger().FindWorker("w0")->info.capacity == kSmallCapacity);
-    CheckNoViolations();
+    CheckNoViolations(world);
   }
 
   // For this long the old capacity may still be used after it has shrunk.
@@ -72,7 +66,7 @@
   world.Advance(Millis(10'000));
   CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
   CHECK(world.ledger().FindWorker("w0")->info.capacity == kSmallCapacity);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against a repeated start that no longer fits its worker.
@@ -92,7 +86,7 @@
     world.Resize("w0", {4'000, 16'000, 0});
     world.Advance(Millis(1'000));
   }
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(ShrinkingCapacityFixture,
@@ -107,7 +101,7 @@
   world.Resize("w1", kSmallCapacity);
   world.Advance(Millis(8'000));
   CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(ShrinkingCapacityFixture,
@@ -188,7 +182,7 @@
   world.call_faults.lost = 0;
   world.Advance(Millis(12'000));
   CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // The announcement and the starts are in flight at the same time: the starts of
@@ -205,7 +199,7 @@
   world.SlowCommits(Millis(5));
   world.Advance(Millis(10'000));
   CHECK(world.StateOf("a") == scheduling::JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // A follower answers an announcement that matches the committed capacity, even
@@ -244,7 +238,7 @@
     CHECK(world.starts() - before == 160);
     world.Advance(Millis(1'300));
   }
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // More workers than one message about heard workers can carry.
@@ -259,7 +253,7 @@
   world.Submit("a", {large});
   world.Advance(Millis(700));
   CHECK(world.starts() == 1'000);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE(
--- a/packages/dispatch/tests/incidents/standing_service_test.cc
+++ b/packages/dispatch/tests/incidents/standing_service_test.cc
@@ -7,7 +7,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -57,12 +57,6 @@
     return world.ledger().FindJob(job)->active_runs;
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   World world{11};
 };
 
@@ -79,7 +73,7 @@
   world.Advance(Millis(10'000));
   CHECK(world.StateOf("watch") == JobState::kRunning);
   CHECK(ActiveRuns("watch") == 4);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against losing the observed time at work when the leader changes.
@@ -95,7 +89,7 @@
   world.Advance(Millis(12'000));
   CHECK(world.StateOf("watch") == JobState::kRunning);
   CHECK(ActiveRuns("watch") == 4);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against giving up healthy tasks of a job together with the task that
@@ -114,7 +108,7 @@
   CHECK(world.StateOf("culprit") == JobState::kRunning);
   CHECK(ActiveRuns("watch") == 4);
   CHECK(ActiveRuns("audit") == 4);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against a job that stays open although none of its tasks can run.
@@ -132,7 +126,7 @@
   CHECK(world.StartsOf("culprit.0.0.1") <= 5);
   CHECK(world.StateOf("culprit") == JobState::kFailed);
   CHECK(ActiveRuns("watch") == 4);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against stopping the persistent tasks of a job when another task of it
@@ -147,7 +141,7 @@
   world.Submit("mixed", {persistent_step, Step(1)});
   world.Advance(Millis(30'000));
   CHECK(ActiveRuns("mixed") == 3);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against sending a lost stop again after another task of its step has
@@ -159,7 +153,7 @@
   world.Advance(Millis(20'000));
   CHECK(ActiveRuns("watch") == 4);
   CHECK(world.maintained().size() == 1);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against holding a stop back for the other tasks of its step after the
@@ -171,7 +165,7 @@
   world.Cancel("watch");
   world.Advance(Millis(3'000));
   CHECK(world.worker(leaving).runs().count({"watch", 0, 0, 0}) == 0);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/incidents/worker_cut_off_for_long_test.cc
+++ b/packages/dispatch/tests/incidents/worker_cut_off_for_long_test.cc
@@ -6,7 +6,7 @@
 
 #include <random>
 
-#include "world.h"
+#include "three_workers_fixture.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -14,13 +14,8 @@
 using scheduling::JobState;
 using scheduling::WorkerEndCause;
 
-class LongCutFixture {
+class LongCutFixture : public ThreeWorkersFixture {
  protected:
-  LongCutFixture() {
-    world.AddWorkers(3);
-    world.Advance(Millis(1'000));
-  }
-
   // Long enough for the worker to be forgotten.
   void CutForLong(const std::string& worker) {
     world.Cut(worker, true);
@@ -29,29 +24,6 @@
     CHECK(world.ledger().EndCauseOf(worker) == WorkerEndCause::kSilent);
     world.Cut(worker, false);
   }
-
-  // Whether a job that fills all workers is run on this one as well.
-  bool IsUsed(const std::string& worker) {
-    const std::string job = "fills-" + std::to_string(m_jobs++);
-    world.Submit(job, {Step(12)});
-    world.Advance(Millis(100));
-    const scheduling::Worker* known = world.ledger().FindWorker(worker);
-    const bool is_used = known != nullptr && !known->active.empty();
-    world.Advance(Millis(5'000));
-    CHECK(world.StateOf(job) == JobState::kSucceeded);
-    return is_used;
-  }
-
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
-  World world{7};
-
- private:
-  int m_jobs = 0;
 };
 
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -59,7 +31,7 @@
   CutForLong("w0");
   world.Advance(Millis(4'000));
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -69,7 +41,7 @@
   CutForLong("w0");
   world.Advance(Millis(4'000));
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -97,7 +69,7 @@
   world.Cut("w0", false);
   world.Advance(Millis(4'000));
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // The first change comes before the worker is forgotten, the second one after.
@@ -118,7 +90,7 @@
   world.Advance(Millis(4'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // A run that lapsed and was started elsewhere is not run a second time by the
@@ -132,7 +104,7 @@
   world.Advance(Millis(6'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(IsUsed("w0"));
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against late orders of the time before the cut.
@@ -146,7 +118,7 @@
   world.call_faults.late = 0;
   world.Advance(Millis(12'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -161,7 +133,7 @@
   CHECK_FALSE(IsUsed("w0"));
   world.Advance(Millis(18'000));
   CHECK(world.ledger().FindWorker("w0") == nullptr);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(LongCutFixture,
@@ -217,9 +189,7 @@
   world.Advance(Millis(20'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 12);
-  for (const std::string& violation : world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(world);
 }
 
 // Long cuts with changes of leaders, late orders and crashes.
@@ -258,9 +228,7 @@
     for (int worker = 0; worker < 6; ++worker) {
       CHECK(world.ledger().FindWorker("w" + std::to_string(worker)) != nullptr);
     }
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
+    CheckNoViolations(world);
   }
 }
 
--- a/packages/dispatch/tests/incidents/worker_reborn_test.cc
+++ b/packages/dispatch/tests/incidents/worker_reborn_test.cc
@@ -5,7 +5,7 @@
 
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -35,12 +35,6 @@
     }
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   World world{7};
 
  private:
@@ -59,7 +53,7 @@
   }
   world.Advance(Millis(10'000));
   CheckAllDone();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against runs of the previous incarnation that occupy capacity forever.
@@ -73,7 +67,7 @@
   world.Advance(Millis(4'000));
   CheckAllDone();
   CHECK(world.ledger().FindWorker("w0")->used == scheduling::Resources());
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against a lease that is measured by the previous incarnation's clock.
@@ -88,7 +82,7 @@
   world.Cut("w0", true);
   world.Advance(Millis(12'000));
   CheckAllDone();
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Guards against a worker that counts as gone, or as draining, forever.
--- a/packages/dispatch/tests/lease_test.cc
+++ b/packages/dispatch/tests/lease_test.cc
@@ -1,6 +1,6 @@
 #include <doctest/doctest.h>
 
-#include "world.h"
+#include "world_checks.h"
 
 // Guards against leases of healthy workers that expire, and against orders that
 // are sent too late, while the control hosts are slow or change leaders.
@@ -24,9 +24,7 @@
   }
 
   void CheckAllStillRun() const {
-    for (const std::string& violation : m_world.violations()) {
-      FAIL_CHECK(violation);
-    }
+    CheckNoViolations(m_world);
     CHECK(m_world.starts() == 4);
   }
 
@@ -69,9 +67,7 @@
   m_world.Advance(Millis(12'000));
   m_world.SlowCommits(Millis(5));
   m_world.Advance(Millis(10'000));
-  for (const std::string& violation : m_world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(m_world);
   CHECK(m_world.starts() == 8);
   CHECK(m_world.StateOf("short") == scheduling::JobState::kSucceeded);
 }
@@ -98,9 +94,7 @@
   m_world.Advance(Millis(4'400));
   m_world.SlowConfirmations(Millis(5));
   m_world.Advance(Millis(3'000));
-  for (const std::string& violation : m_world.violations()) {
-    FAIL_CHECK(violation);
-  }
+  CheckNoViolations(m_world);
 }
 
 }  // namespace
--- a/packages/dispatch/tests/relay_test.cc
+++ b/packages/dispatch/tests/relay_test.cc
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "laurelhall/dispatch/request.h"
-#include "world.h"
+#include "world_checks.h"
 
 namespace laurelhall::dispatch {
 namespace {
@@ -21,12 +21,6 @@
     world.Advance(Millis(4'000));  // All have asked; two are in use.
   }
 
-  void CheckNoViolations() const {
-    for (const std::string& violation : world.violations()) {
-      FAIL_CHECK(violation);
-    }
-  }
-
   uint64_t relays() const {
     return world.scheduler_statuses()[world.leader()].relays;
   }
@@ -52,7 +46,7 @@
   world.Advance(Millis(3'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.relayed() - before >= 10);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(RelayFixture,
@@ -76,7 +70,7 @@
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 12);
   CHECK(relays() == 2);  // The third relay replaced it.
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(RelayFixture,
@@ -88,7 +82,7 @@
   world.Advance(Millis(8'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(relays() == 0);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(RelayFixture,
@@ -105,7 +99,7 @@
   world.Advance(Millis(600));
   CHECK(world.relayed() == before);
   CHECK(world.starts() == 12);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(RelayFixture,
@@ -115,7 +109,7 @@
   world.Advance(Millis(15'000));
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 20);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 TEST_CASE_FIXTURE(RelayFixture,
@@ -127,7 +121,7 @@
   CHECK(world.StateOf("a") == JobState::kSucceeded);
   CHECK(world.starts() == 18);
   CHECK(relays() == 2);
-  CheckNoViolations();
+  CheckNoViolations(world);
 }
 
 // Plays a random schedule: jobs, cancels, workers that are cut off, changes of
