Ledger: which service a job belongs to is decided in one place

The planner's candidates repeated the rule of Ledger::ServiceOf() for a queue that was looked up already. An overload takes that queue, and both use it.

--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -237,6 +237,11 @@
   /// The service whose workers run the job under the current configuration.
   const std::string& ServiceOf(const Job& job) const;
 
+  /// The same for a job whose queue was looked up already.
+  ///
+  /// @param queue Null if it is not in the configuration.
+  static const std::string& ServiceOf(const Job& job, const QueueSpec* queue);
+
   /// Encodes the whole ledger as a snapshot, from which Load() restores it.
   std::string Save() const;
 
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -232,7 +232,10 @@
 }
 
 const std::string& Ledger::ServiceOf(const Job& job) const {
-  const QueueSpec* queue = FindQueueByName(job.queue);
+  return ServiceOf(job, FindQueueByName(job.queue));
+}
+
+const std::string& Ledger::ServiceOf(const Job& job, const QueueSpec* queue) {
   return queue == nullptr ? job.service : queue->service;
 }
 
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -183,7 +183,7 @@
   }
 
   const std::string& Service() const {
-    return queue == nullptr ? job->service : queue->service;
+    return Ledger::ServiceOf(*job, queue);
   }
 
   auto Key() const {
