Comments: terms of the field instead of figures of speech

They name calls, messages and state now, and two paragraphs are filled to the line. Comments alone; no code differs.

--- a/packages/control/include/laurelhall/control/control_host.h
+++ b/packages/control/include/laurelhall/control/control_host.h
@@ -48,8 +48,8 @@
   bool guards_zones = true;
   /// Runs beside the log; null: none. Outlives the host.
   scheduling::LogService* schedule = nullptr;
-  /// Told each time that the host leaves the quorum because its store failed;
-  /// called on the host's loop, must not block.
+  /// Called with the error each time the host leaves the quorum because its
+  /// store failed. Runs on the host's loop, must not block.
   std::function<void(const std::string&)> on_store_failed;
 };
 
--- a/packages/control/src/host_store.cc
+++ b/packages/control/src/host_store.cc
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-// What is in memory may be ahead of the disk: the node goes, and all that it
-// has not yet made durable was promised to nobody.
+// What is in memory may be ahead of the disk, so the node is discarded: what it
+// has not yet made durable was acknowledged to nobody.
 void HostLoop::LeaveQuorum(const std::string& why) {
   m_node.reset();
   m_is_adopting = false;
--- a/packages/daemon/src/run_daemon.cc
+++ b/packages/daemon/src/run_daemon.cc
@@ -65,8 +65,8 @@
   }
 }
 
-// A disk may refuse for a while: an end would only be followed by a next start
-// that finds it so.
+// A disk may fail for a while: a process that ends is only started again, and
+// finds the same.
 std::unique_ptr<Daemon> StartDaemon(const settings::DaemonSettings& settings,
                                     const sigset_t& signals,
                                     storage::FileSystem* files) {
--- a/packages/dispatch/include/laurelhall/dispatch/ports.h
+++ b/packages/dispatch/include/laurelhall/dispatch/ports.h
@@ -120,10 +120,10 @@
 struct HoldReply {
   CallOutcome outcome = CallOutcome::kUnknown;
   std::optional<scheduling::WorkerTime> clock;
-  WallTime born{};  ///< Start of the answering incarnation; zero: not told.
+  WallTime born{};  ///< Start of the answering incarnation; zero: not reported.
   std::vector<RunningRun> running;
   std::vector<EndedRun> ended;
-  /// Further runs may have ended: what `ended` does not list says nothing.
+  /// Further runs may have ended than `ended` lists.
   bool may_omit_ends = false;
 };
 
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -365,7 +365,7 @@
     return reply;
   }
 
-  // What the ledger says of a submission.
+  // The outcome of a submission by the ledger.
   struct Judgement {
     Outcome outcome = Outcome::kUnavailable;  // As in Admission.
     std::string organisation;
@@ -405,9 +405,9 @@
 
   // A submission that its entry host repeats gets the outcome of the first one,
   // also if its key or queue was removed between the two: its caller must not
-  // be told that the job is refused, when it runs. A caller that sends it again
-  // is judged by the configuration in force, as its entry host may have shown
-  // that already.
+  // get a refusal for a job that runs. A caller that sends it again is judged
+  // by the configuration in force, as its entry host may have shown that
+  // already.
   bool AnswerRepeat(const SubmitJob& request,
                     const Judgement& judged,
                     HandIns::Found found,
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -745,8 +745,8 @@
   for (const EndedRun& ended : reply.ended) {
     last_end = std::max(last_end, ended.number);
   }
-  // A list without new ends is not asked for again at once: the worker has yet
-  // to hear that they were seen.
+  // A list without new ends is not asked for again at once: the acknowledgement
+  // of those that it has must reach the worker first.
   link.has_more_ends = reply.may_omit_ends && last_end > link.ends_seen;
   link.lists_ends = !reply.ended.empty();
   if (!records.empty()) {
--- a/packages/dispatch/src/pool_loads.cc
+++ b/packages/dispatch/src/pool_loads.cc
@@ -51,7 +51,7 @@
 }
 
 // Adds the workers and the hosts on their way to the loads, which hold the open
-// work, and hands them over.
+// work, and passes them to the admission.
 void Leadership::UpdateAdmission(const Ledger& ledger, PoolLoads loads) {
   const SteadyTime now = Now();
   std::map<std::string, std::pair<int, int>> reached;  // Of how many.
--- a/packages/net/src/stream_p.h
+++ b/packages/net/src/stream_p.h
@@ -40,7 +40,7 @@
   virtual void Close() = 0;
 
   /// Closes so that the other side gets nothing more of what was written: bytes
-  /// that a broken network holds up die with the connection.
+  /// that a broken network holds up are discarded with the connection.
   virtual void Reset() = 0;
 
   /// Sends the end of the stream, then reads away what still comes for a
--- a/packages/scheduling/include/laurelhall/scheduling/admission.h
+++ b/packages/scheduling/include/laurelhall/scheduling/admission.h
@@ -61,7 +61,7 @@
   kAdmitted,
   kBeyondShare,  ///< Its organisation's part does not cover its open work.
   kExcess,       ///< As above, for what is left after all promised work.
-  kTooEarly,     ///< It came back before the time that it was told.
+  kTooEarly,     ///< It was sent again before its retry-after time.
   kCount,
 };
 
@@ -82,11 +82,11 @@
 /// Admits jobs to pools.
 ///
 /// @remarks Within a job's slack (its objective less its critical path and the
-///   time that dispatching takes) a pool
-///   does a certain amount of work, which is divided among the organisations by
-///   weighted max-min fairness. A job is admitted if its organisation's part
-///   covers the open work that goes before it. So what is admitted can start in
-///   time, and the rush of one organisation takes nothing from the others.
+///   time that dispatching takes) a pool does a certain amount of work, which
+///   is divided among the organisations by weighted max-min fairness. A job is
+///   admitted if its organisation's part covers the open work that goes before
+///   it. So what is admitted can start in time, and the rush of one
+///   organisation takes nothing from the others.
 ///
 ///   A refused job is given a time to come back, later than those of all jobs
 ///   of its organisation that were refused before, at the rate at which the
--- a/packages/scheduling/include/laurelhall/scheduling/fair_shares.h
+++ b/packages/scheduling/include/laurelhall/scheduling/fair_shares.h
@@ -28,9 +28,9 @@
 };
 
 /// Divides a pool among organisations by weighted dominant-resource shares, and
-/// tells which of them go first.
+/// determines which of them go first.
 ///
-/// @remarks Not thread-safe. Knows nothing of earlier plans: who used little
+/// @remarks Not thread-safe. Keeps no state of earlier plans: who used little
 ///   before has no claim to more now.
 class PoolShares {
  public:
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -166,7 +166,7 @@
   struct Candidate;
   class Placement;
   enum class ShareLimit : uint8_t;
-  /// What a step that takes part in the division of its pool has to do with it.
+  /// A step's part in the division of its pool.
   struct ShareOfStep {
     PoolShares* pool = nullptr;
     PoolShares::Claim claim = 0;
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -172,7 +172,7 @@
 /// Why an incarnation of a worker ended.
 enum class WorkerEndCause : uint8_t {
   kUnknown,     ///< Recorded by an earlier version.
-  kSilent,      ///< It was not heard of for long. It may still run.
+  kSilent,      ///< No message came from it for long. It may still run.
   kReplaced,    ///< A later incarnation answers, or registered on its host.
   kMaintained,  ///< Its host was taken down for maintenance.
   kMoved,       ///< Its host was moved to another pool.
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -26,8 +26,8 @@
 constexpr Millis kRatePeriod{2'000};
 // No longer than callers are likely to wait, and than a forecast is good for.
 constexpr Millis kMaxRetryAfter{5'000};
-// A refused job goes before new ones for this time: callers are told whole
-// seconds.
+// A refused job goes before new ones for this time: retry-after times are in
+// whole seconds.
 constexpr Millis kReturnPeriod{1'200};
 constexpr double kReturnLearningRate = 0.05;
 
