--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -182,9 +182,7 @@
     return job->tasks_left_by_step[base + step];
   }
 
-  const std::string& Service() const {
-    return Ledger::ServiceOf(*job, queue);
-  }
+  const std::string& Service() const { return Ledger::ServiceOf(*job, queue); }
 
   auto Key() const {
     return std::tuple(urgency, !is_running, deadline, priority);
