Dispatch: a repeated submission is answered without its request

AnswerRepeat() has not read the request since a submission is refused in one place; the compiler warned of the unused parameter. No change of behaviour; dispatcher.cc compiles without the warning.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -408,8 +408,7 @@
   // get a refusal for a job that runs. A caller that sends it again is judged
   // by the configuration in force, as its entry host may have shown that
   // already.
-  bool AnswerRepeat(const SubmitJob& request,
-                    const Judgement& judged,
+  bool AnswerRepeat(const Judgement& judged,
                     HandIns::Found found,
                     const ReplyDone& done) {
     const bool is_accepted = judged.outcome == Outcome::kOk;
@@ -445,7 +444,7 @@
         is_refused && !request.is_repeat
             ? HandIns::Found::kNone
             : m_hand_ins->Find(request.id, caller, done, m_init.timers->Now());
-    if (AnswerRepeat(request, judged, found, done)) {
+    if (AnswerRepeat(judged, found, done)) {
       return;
     }
     if (is_refused) {
