Entry: a planned stop ends once the leader knows the slots it gives back

Cause: a stop gave its slots back in the process's own books and ended at once. Only a sync tells the leader, every 500 ms; the process was gone before the next one unless an idle connection of a caller kept it for a second.

Fix: the stop has one more phase. It ends when the leader has answered a report that was made after the return and under the grants of that answer, so that one which a new leader answers with grants of its own doesn't count; or after 3 s, when no leader answers. A view tells whether anything was renewed.

Ruled out: a return that the leader forgets. It lends such slots at once (grants_test, "planned stop of an entry host").

A stop with slots takes up to one sync longer.

--- a/packages/control/include/laurelhall/control/control_client.h
+++ b/packages/control/include/laurelhall/control/control_client.h
@@ -24,7 +24,8 @@
   uint64_t settings_version = 0;
   std::shared_ptr<const model::Config> config;  ///< Null: as before.
   std::vector<model::Endpoint> endpoints;       ///< Only those that changed.
-  std::vector<routing::SlotGrant> grants;
+  /// Null: nothing was renewed.
+  std::optional<std::vector<routing::SlotGrant>> grants;
 };
 
 /// What the entry part supplies to the link. Called on the link's thread;
--- a/packages/control/src/client_loop.cc
+++ b/packages/control/src/client_loop.cc
@@ -313,9 +313,8 @@
     m_finder.Failed(address, Now());
     return;
   }
-  if (auto grants = m_leases.Take(answer.leases)) {
-    view->grants = std::move(*grants);
-  } else {
+  view->grants = m_leases.Take(answer.leases);
+  if (!view->grants) {
     m_next_sync = Now();  // Nothing was renewed: at once, in full.
   }
   m_listener->OnView(*view);
--- a/packages/entry/include/laurelhall/entry/entry_host.h
+++ b/packages/entry/include/laurelhall/entry/entry_host.h
@@ -86,7 +86,8 @@
   std::vector<state::BurnSample> TakeBurnSamples() override;
 
   /// Stops gracefully: unhealthy at once, accepts for `balancer_delay` more,
-  /// and calls back once nothing is open or `drain_grace` has passed as well.
+  /// and calls back once nothing is open or `drain_grace` has passed as well,
+  /// and the leader has answered the return of the slots, 3 s later at most.
   void Drain(std::function<void()> done);
 
   /// Makes no more calls into the link, so that it may go away. Requests that
--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -20,6 +20,8 @@
 constexpr int64_t kMaxRefusedBytes = 64 << 10;
 constexpr Millis kTick{10};
 constexpr Millis kRefusedRetry{1'000};
+// For the leader's answer to the return of the slots, with an election before.
+constexpr Millis kReturnTime{3'000};
 
 std::string_view PathOf(const net::HttpRequest& request) {
   const std::string_view target = request.target;
@@ -27,7 +29,14 @@
 }
 
 // Where a stop stands.
-enum class DrainPhase { kServing, kUnhealthy, kRefusing, kDone };
+enum class DrainPhase { kServing, kUnhealthy, kRefusing, kReturning, kDone };
+
+// Whether both are of the same grants, whatever slots are left of them.
+bool AreSameGrants(const std::vector<routing::SlotGrant>& a,
+                   const std::vector<routing::SlotGrant>& b) {
+  return std::ranges::equal(a, b, {}, &routing::SlotGrant::grant,
+                            &routing::SlotGrant::grant);
+}
 
 }  // namespace
 
@@ -96,7 +105,10 @@
     for (const model::Endpoint& endpoint : view.endpoints) {
       FindShard(endpoint.service)->Update(endpoint, view.asked_at);
     }
-    m_context->grants.Update(view.grants, view.asked_at);
+    if (view.grants) {
+      m_context->grants.Update(*view.grants, view.asked_at);
+      SeeGrants(*view.grants, view.asked_at);
+    }
     const std::map<std::string, int> lent = LentSlots();
     const SteadyTime now = m_context->Now();
     Advance(&m_context->confirmed_at, view.asked_at);
@@ -276,8 +288,11 @@
   // connections move between entry hosts with its slots.
   void TrimConnections(const control::View& view,
                        const std::map<std::string, int>& lent) {
+    if (!view.grants) {
+      return;
+    }
     const SteadyTime now = m_context->Now();
-    for (const routing::SlotGrant& grant : view.grants) {
+    for (const routing::SlotGrant& grant : *view.grants) {
       for (const auto& shard : Shards()) {
         if (const auto endpoint = shard->Find(grant.endpoint)) {
           const int free = m_context->grants.FreeSlots(grant.endpoint, now);
@@ -306,28 +321,47 @@
 
   void StepDrain(SteadyTime now) {
     std::function<void()> done;
-    bool is_over = false;
     {
       const std::unique_lock lock(m_mutex);
       if (m_phase == DrainPhase::kUnhealthy && now >= m_refuse_at) {
         m_phase = DrainPhase::kRefusing;
       }
-      is_over = m_phase == DrainPhase::kRefusing &&
-                (m_context->counters.open == 0 ||
-                 now >= m_refuse_at + m_context->init.drain_grace);
+      const bool is_over = m_phase == DrainPhase::kRefusing &&
+                           (m_context->counters.open == 0 ||
+                            now >= m_refuse_at + m_context->init.drain_grace);
       if (is_over) {
+        m_phase = DrainPhase::kReturning;
+        m_context->grants.ReturnAll();
+        m_returned_at = m_context->Now();
+      }
+      const bool is_returned =
+          m_phase == DrainPhase::kReturning &&
+          (m_is_return_known || now >= m_returned_at + kReturnTime);
+      if (is_returned) {
         m_phase = DrainPhase::kDone;
         done = std::exchange(m_on_drained, nullptr);
       }
     }
-    if (is_over) {
-      m_context->grants.ReturnAll();
-    }
     if (done != nullptr) {
       done();
     }
   }
 
+  // Slots that the leader doesn't know to be returned wait for the longest run.
+  // A report made under the grants that answer it has been taken in; a leader
+  // that was elected meanwhile answers the first one with other grants.
+  void SeeGrants(const std::vector<routing::SlotGrant>& grants,
+                 SteadyTime asked_at) {
+    const std::unique_lock lock(m_mutex);
+    const bool is_none_lent = std::ranges::all_of(
+        grants, [](int slots) { return slots == 0; },
+        &routing::SlotGrant::slots);
+    m_is_return_known |= m_phase == DrainPhase::kReturning && is_none_lent &&
+                         asked_at >= m_returned_at &&
+                         AreSameGrants(grants, m_grants);
+    m_grants = grants;
+  }
+
   const std::shared_ptr<EntryContext> m_context;
   TimerHandle m_tick;
 
@@ -337,6 +371,9 @@
   std::map<std::string, std::shared_ptr<ServiceShard>> m_shards;
   DrainPhase m_phase = DrainPhase::kServing;
   SteadyTime m_refuse_at{};
+  SteadyTime m_returned_at{};
+  bool m_is_return_known = false;
+  std::vector<routing::SlotGrant> m_grants;  // By the last answer.
   std::function<void()> m_on_drained;
 };
 
--- a/packages/entry/tests/entry_fixture_p.h
+++ b/packages/entry/tests/entry_fixture_p.h
@@ -97,6 +97,13 @@
     const std::lock_guard lock(m_mutex);
     m_lost.clear();
   }
+  /// Slots of an endpoint that the last report under its grant named.
+  int ReportedSlots(const control::ViewListener& listener,
+                    const std::string& endpoint) const {
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_held.find({&listener, endpoint});
+    return found == m_held.end() ? 0 : found->second;
+  }
   void SetViewsStopped(bool is_stopped) { m_are_views_stopped = is_stopped; }
 
   int Count(const std::string& entry) const {
@@ -152,16 +159,31 @@
       view.config = m_config;
       view.settings_version = m_config == nullptr ? 0 : m_config->version;
       view.endpoints = m_machine.EndpointsSince(0);
-      for (const auto& [endpoint, slots] : m_slots) {
-        view.grants.push_back(slots);
-      }
     }
     for (control::ViewListener* listener : listeners) {
-      listener->SlotDemands();
+      view.grants = GrantsFor(*listener);
       listener->OnView(view);
     }
   }
 
+  /// As the leader: what a report gives back isn't lent again.
+  std::vector<routing::SlotGrant> GrantsFor(control::ViewListener& listener) {
+    const auto demands = listener.SlotDemands();
+    const std::lock_guard lock(m_mutex);
+    std::vector<routing::SlotGrant> grants;
+    for (const auto& [endpoint, slots] : m_slots) {
+      routing::SlotGrant grant = slots;
+      for (const routing::SlotDemand& demand : demands) {
+        if (demand.endpoint == endpoint && demand.grant == slots.grant) {
+          grant.slots = std::min(slots.slots, demand.held);
+          m_held[{&listener, endpoint}] = demand.held;
+        }
+      }
+      grants.push_back(grant);
+    }
+    return grants;
+  }
+
   net::IoThreads& m_threads;
   TimerHandle m_timer;
   std::mutex m_view_mutex;  // Held while views go out.
@@ -174,6 +196,8 @@
   std::map<std::string, bool> m_lost;
   uint64_t m_next_grant = 0;
   std::map<std::string, routing::SlotGrant> m_slots;
+  // As reported last.
+  std::map<std::pair<const control::ViewListener*, std::string>, int> m_held;
   std::shared_ptr<const model::Config> m_config;
   std::vector<control::ViewListener*> m_listeners;
 };
--- a/packages/entry/tests/entry_host_test.cc
+++ b/packages/entry/tests/entry_host_test.cc
@@ -423,6 +423,44 @@
   CHECK(drained.Wait());
 }
 
+// Guards against a stop that ends before the leader has heard which slots it
+// gives back: they would be kept for the longest run of their service.
+TEST_CASE_FIXTURE(EntryFixture,
+                  "EntryHost, drained, ends once the leader has answered the "
+                  "return of its slots") {
+  StartHosts();
+  AddEndpoint("e1", m_endpoint.address(), 2);
+  const auto reported = [&] {
+    return m_link.ReportedSlots(m_first->host, "e1");
+  };
+  REQUIRE(ComesTrue([&] { return reported() == 2; }));
+  m_link.SetViewsStopped(true);
+  Signal drained;
+  std::atomic<int> kept{-1};
+  m_first->host.Drain([&] {
+    kept = reported();
+    drained.Raise();
+  });
+  REQUIRE(ComesTrue([&] {
+    const auto demands = m_first->host.SlotDemands();
+    return demands.size() == 1 && demands.front().held == 0;
+  }));
+  m_link.SetViewsStopped(false);
+  REQUIRE(drained.Wait());
+  CHECK(kept == 0);
+}
+
+TEST_CASE_FIXTURE(EntryFixture,
+                  "EntryHost, drained while no leader answers, ends all the "
+                  "same") {
+  StartHosts();
+  AddEndpoint("e1", m_endpoint.address(), 2);
+  m_link.SetViewsStopped(true);
+  Signal drained;
+  m_first->host.Drain([&] { drained.Raise(); });
+  CHECK(drained.Wait());
+}
+
 TEST_CASE_FIXTURE(EntryFixture, "EntryHost, requests it can't take, says why") {
   policy().max_request_bytes = 10;
   m_config.organisations["insurer-b"] = {
