Daemon: a stopping leader hands over before it gives its slots back

Cause: a leader that stops told of its return to itself and took that to its end. The next leader waits for the lease and the longest run of whoever has not reported to it.

Fix: every control host that leads steps down first and waits until another one leads, 1.5 s at most; its entry host then reports to that one.

Scenarios: `expect exit last` names the daemon that was named last.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -5,6 +5,7 @@
 #include <future>
 #include <random>
 #include <sstream>
+#include <thread>
 
 #include "laurelhall/base/finding.h"
 #include "laurelhall/base/log.h"
@@ -29,6 +30,9 @@
 constexpr Millis kIdleStay = std::chrono::seconds(1);
 /// For answers under way once requests have used up the grace.
 constexpr Millis kLastAnswers{300};
+/// Longest wait until another control host leads.
+constexpr Millis kHandOver{1'500};
+constexpr Millis kHandOverLook{50};
 
 /// Reads the shared key of the inner protocol; empty without a file.
 std::string ReadKey(const std::string& file) {
@@ -129,6 +133,8 @@
     const SteadyTime end = begun + m_settings.drain_grace - kEndTime;
     if (m_control_schedule != nullptr) {
       m_control_schedule->HandOver();
+    } else if (m_control != nullptr) {
+      HandOver();
     }
     if (m_entry_schedule != nullptr) {
       m_entry_schedule->LeaveBalancer(end);
@@ -143,6 +149,17 @@
   }
 
  private:
+  // The slots that this process gives back are lent again only by a leader that
+  // has heard of them and goes on.
+  void HandOver() {
+    m_control->StepDown();
+    const SteadyTime until = std::chrono::steady_clock::now() + kHandOver;
+    while (m_control->status().consensus.role == consensus::Role::kLeader &&
+           std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(kHandOverLook);
+    }
+  }
+
   // Returns once nothing runs, or the grace is over; refuses from then on.
   void DrainEntry() {
     m_caller_server->CloseAfterAnswers();
--- a/packages/daemon/tests/scenario_expectations.cc
+++ b/packages/daemon/tests/scenario_expectations.cc
@@ -280,7 +280,8 @@
 }
 
 void Scenario::ExpectExit(Arguments& arguments) {
-  const std::string name = arguments.Next("a daemon or endpoint");
+  std::string name = arguments.Next("a daemon or endpoint");
+  name = name == "last" ? m_last_host : name;
   const int64_t expected = arguments.NextNumber("an exit code");
   const auto endpoint = m_endpoints.find(name);
   const auto code = endpoint != m_endpoints.end()
