Daemon: signals wait from the moment that the program runs

Cause: signals were blocked after the settings had been read and the logs opened. Until then SIGHUP, SIGTERM and SIGINT have their default effect and end the process.

Fix: signals are blocked before anything is read; they wait until the daemon runs. A check of settings (--check) can still be interrupted.

What remains: the time before main(), in which the program is linked.

--- a/packages/daemon/src/run_daemon.cc
+++ b/packages/daemon/src/run_daemon.cc
@@ -93,9 +93,9 @@
 // Ends the process; throws when the daemon cannot start.
 [[noreturn]] void RunUntilSignal(const settings::DaemonSettings& settings,
                                  const std::string& file,
+                                 const sigset_t& signals,
                                  storage::FileSystem* files) {
   const auto log = PartLog("daemon");
-  const sigset_t signals = BlockStopSignals();
   const std::unique_ptr<Daemon> daemon = StartDaemon(settings, signals, files);
   log->info("{} runs.", settings.name);
   DecisionLog::Get().Write(
@@ -117,6 +117,11 @@
 int Run(const std::string& file,
         bool is_check_only,
         storage::FileSystem* files) {
+  sigset_t signals{};
+  if (!is_check_only) {
+    // A reload that comes while the process still starts would end it.
+    signals = BlockStopSignals();
+  }
   settings::DaemonSettings settings;
   try {
     settings = settings::ReadDaemonSettings(file);
@@ -130,7 +135,7 @@
     return kExitOk;
   }
   try {
-    RunUntilSignal(settings, file, files);
+    RunUntilSignal(settings, file, signals, files);
   } catch (const std::exception& error) {
     std::cerr << settings.name << ": cannot start: " << error.what() << '\n';
     return kExitCannotStart;
