--- a/bench/control_cost_bench.cc
+++ b/bench/control_cost_bench.cc
@@ -130,7 +130,9 @@
     for (const model::Endpoint& endpoint : view.endpoints) {
       m_queued[endpoint.id] = 0;
     }
-    m_holder.Update(view.grants, view.asked_at);
+    if (view.grants) {
+      m_holder.Update(*view.grants, view.asked_at);
+    }
     ++m_views;
   }
 
