Crashes: a run that may have ended unheard is no suspect

Cause: ends that a worker has not told yet are lost with it. The leader then knows a run that was listed for a short time and a worker that is gone, takes it for a task that has just begun, and suspects it; a second worker that goes down by chance right after the next start is enough to give the job up.

Fix: a run whose expected end (its estimate as corrected by its queue) lies between its worker's last word and the loss counts as a crash without blame. A culprit that takes its worker down is heard of at once, by the connection that breaks: its estimate has not run out by then. One that is never seen so is given up with the fifth worker, as before.

--- a/packages/dispatch/src/crashes.cc
+++ b/packages/dispatch/src/crashes.cc
@@ -262,7 +262,7 @@
 std::vector<LostRun> Leadership::LostRuns(const Ledger& ledger,
                                           const Worker& worker) const {
   const WorkerLink& link = m_links.at(worker.info.id);
-  const SteadyTime lost_before = LossTimeOf(link).lost_before;
+  const LossTime loss = LossTimeOf(link);
   std::vector<LostRun> runs = link.lapsed_runs;
   if (runs.empty() && !link.is_reached) {
     // They lapsed under an earlier leader, so nothing more is known of them
@@ -287,12 +287,18 @@
     run.observed_run_time =
         std::max(track.SeenAtWork(), MinRunTime(link, track));
     run.max_time_since_start =
-        is_own_start ? std::chrono::floor<Millis>(lost_before - track.begun_at)
-                     : Millis::max();
+        is_own_start
+            ? std::chrono::floor<Millis>(loss.lost_before - track.begun_at)
+            : Millis::max();
     run.has_started = track.work_since != SteadyTime();
     const Job& job = *ledger.FindJob(key.task.job);
     run.is_persistent = job.spec.steps[key.task.step].is_persistent;
     run.is_in_gang = job.spec.steps[key.task.step].is_gang;
+    const SteadyTime expected_end =
+        track.work_since + m_planner.EstimatedRunTime(job, key.task.step);
+    run.may_have_ended = run.has_started && !run.is_persistent &&
+                         expected_end > loss.alive_until &&
+                         expected_end <= loss.lost_before;
     const auto& active = job.tasks[job.IndexOf(key.task)].active;
     run.is_proven =
         std::any_of(active.begin(), active.end(), [&key](const auto& each) {
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -23,6 +23,9 @@
   bool is_persistent = false;
   bool is_proven = false;  ///< See ActiveRun; also by an earlier leader.
   bool is_in_gang = false;
+  /// Its estimate ran out after the worker's last contact and before the loss:
+  /// it may have ended there without being heard.
+  bool may_have_ended = false;
 };
 
 /// A task is given up after so many workers crashed while it ran, even if other
--- a/packages/scheduling/src/crash.cc
+++ b/packages/scheduling/src/crash.cc
@@ -69,7 +69,7 @@
       // A persistent run is present at the start of every other run: the new
       // runs explain the loss.
       suspicion = Suspicion::kExcused;
-    } else if (!run.has_started) {
+    } else if (!run.has_started || run.may_have_ended) {
       suspicion = Suspicion::kBystander;
     } else if (scope == LossScope::kWorker && is_only_one_new && IsNew(run) &&
                run.max_time_since_start < kPromptCrashTime) {
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -126,6 +126,16 @@
   CHECK(assessed.at("a") == Suspicion::kBystander);
 }
 
+// Guards against sound jobs that are given up for workers which went down after
+// the job's tasks had ended there.
+TEST_CASE("Crash, run may have ended before the loss, is a bystander") {
+  LostRun run = RunObservedFor("a", Millis(200));
+  run.may_have_ended = true;
+  const auto assessed = Assess({run, RunObservedFor("b", Millis(200))});
+  CHECK(assessed.at("a") == Suspicion::kBystander);
+  CHECK(assessed.at("b") == Suspicion::kSuspect);
+}
+
 TEST_CASE("Crash, whole rack is lost, nothing is suspected") {
   const auto assessed =
       Assess({{TaskOfJob("a"), true, Millis(0), Millis::max(), true}},
