Control: answers that are dropped on other threads end on the loop's

A control host that led ended by SIGSEGV beside pauses and cut links: callers and workers lost their leader, its host had to be started again.

Cause: a call of a caller or a host waits on the loop for a promise, and the other half, the fulfiller, goes with the request to the dispatcher's or the operators' thread. Both halves point at each other without a lock. When the last copy of the answer was dropped there just as the caller's connection ended here, one half read what the other one had taken away.

Fix: the fulfiller always ends on the loop's thread: a copy that is dropped elsewhere hands it over by the mailbox. Once the mailbox is closed the loop's promises are gone. On the loop itself nothing changes.

Related paths: all three calls that make such an answer (sync, submit, operate) use the one function. Fulfillers of peers' answers, of the turn gate and of the loop's stop stay on the loop; the mailbox's own is made for threads.

--- a/packages/control/src/host_loop_p.h
+++ b/packages/control/src/host_loop_p.h
@@ -114,6 +114,7 @@
   }
   bool IsPeerAddress(const std::string& sender) const;
   PeerLinks& peers() { return m_peers; }
+  const std::shared_ptr<Mailbox>& mailbox() const { return m_loop.mailbox; }
   const ControlHostInit& init() const { return m_parts.init; }
 
  private:
--- a/packages/control/src/rpc_server.cc
+++ b/packages/control/src/rpc_server.cc
@@ -1,8 +1,8 @@
 #include "rpc_server_p.h"
 
-#include <memory>
 #include <utility>
 
+#include "fulfiller_p.h"
 #include "laurelhall/base/log.h"
 #include "laurelhall/state/command.h"
 #include "wire_hello_p.h"
@@ -20,14 +20,6 @@
 constexpr const char* kNoLeader =
     R"({"error":"no leader is known; try again"})";
 
-// A promise's fulfiller in a form that std::function can hold.
-template <typename T>
-auto MakeFulfiller(kj::Own<kj::PromiseFulfiller<T>> fulfiller) {
-  auto shared =
-      std::make_shared<kj::Own<kj::PromiseFulfiller<T>>>(kj::mv(fulfiller));
-  return [shared](T value) { (*shared)->fulfill(kj::mv(value)); };
-}
-
 class RpcServer final : public proto::ControlHost::Server {
  public:
   /// @param stream Outlives this.
@@ -73,7 +65,8 @@
     RequireName(question.entry.name);
     context.releaseParams();
     auto pair = kj::newPromiseAndFulfiller<std::optional<SyncAnswer>>();
-    m_host.Sync(std::move(question), MakeFulfiller(kj::mv(pair.fulfiller)));
+    m_host.Sync(std::move(question),
+                MakeFulfiller(m_host.mailbox(), kj::mv(pair.fulfiller)));
     return pair.promise.then(
         [this, context](std::optional<SyncAnswer>&& answer) mutable {
           auto reply = context.getResults().initReply();
@@ -95,7 +88,7 @@
     context.releaseParams();
     auto pair = kj::newPromiseAndFulfiller<SubmitOutcome>();
     m_host.Submit(state::DecodeCommands(payload), payload.size(),
-                  MakeFulfiller(kj::mv(pair.fulfiller)));
+                  MakeFulfiller(m_host.mailbox(), kj::mv(pair.fulfiller)));
     return pair.promise.then([this, context](SubmitOutcome&& outcome) mutable {
       WriteOutcome(outcome, context.getResults().initReply());
     });
@@ -119,7 +112,7 @@
     auto pair = kj::newPromiseAndFulfiller<std::optional<OperatorReply>>();
     m_host.Operate(ToString(params.getMethod()), ToString(params.getPath()),
                    ToString(params.getBody()),
-                   MakeFulfiller(kj::mv(pair.fulfiller)));
+                   MakeFulfiller(m_host.mailbox(), kj::mv(pair.fulfiller)));
     return pair.promise.then(
         [this, context, may_forward](
             std::optional<OperatorReply>&& reply) mutable -> kj::Promise<void> {
