--- a/packages/control/src/fulfiller_p.h
+++ b/packages/control/src/fulfiller_p.h
@@ -22,14 +22,14 @@
 auto MakeFulfiller(std::shared_ptr<Mailbox> mailbox,
                    kj::Own<kj::PromiseFulfiller<T>> fulfiller) {
   using Owner = kj::Own<kj::PromiseFulfiller<T>>;
-  const auto end = [mailbox = std::move(mailbox),
-                    loop = std::this_thread::get_id()](Owner* dropped) {
+  const auto release = [mailbox = std::move(mailbox),
+                        loop = std::this_thread::get_id()](Owner* dropped) {
     std::shared_ptr<Owner> owner(dropped);
     if (std::this_thread::get_id() != loop) {
       mailbox->Post([owner = std::move(owner)] {});
     }
   };
-  std::shared_ptr<Owner> shared(new Owner(kj::mv(fulfiller)), end);
+  std::shared_ptr<Owner> shared(new Owner(kj::mv(fulfiller)), release);
   return [shared](T value) { (*shared)->fulfill(kj::mv(value)); };
 }
 
--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -20,7 +20,8 @@
 constexpr int64_t kMaxRefusedBytes = 64 << 10;
 constexpr Millis kTick{10};
 constexpr Millis kRefusedRetry{1'000};
-// For the leader's answer to the return of the slots, with an election before.
+// Longest wait for the leader's answer to the return of the slots, which an
+// election may hold up.
 constexpr Millis kReturnTime{3'000};
 
 std::string_view PathOf(const net::HttpRequest& request) {
@@ -107,7 +108,7 @@
     }
     if (view.grants) {
       m_context->grants.Update(*view.grants, view.asked_at);
-      SeeGrants(*view.grants, view.asked_at);
+      ConfirmReturn(*view.grants, view.asked_at);
     }
     const std::map<std::string, int> lent = LentSlots();
     const SteadyTime now = m_context->Now();
@@ -336,7 +337,7 @@
       }
       const bool is_returned =
           m_phase == DrainPhase::kReturning &&
-          (m_is_return_known || now >= m_returned_at + kReturnTime);
+          (m_is_return_confirmed || now >= m_returned_at + kReturnTime);
       if (is_returned) {
         m_phase = DrainPhase::kDone;
         done = std::exchange(m_on_drained, nullptr);
@@ -350,15 +351,15 @@
   // Slots that the leader doesn't know to be returned wait for the longest run.
   // A report made under the grants that answer it has been taken in; a leader
   // that was elected meanwhile answers the first one with other grants.
-  void SeeGrants(const std::vector<routing::SlotGrant>& grants,
-                 SteadyTime asked_at) {
+  void ConfirmReturn(const std::vector<routing::SlotGrant>& grants,
+                     SteadyTime asked_at) {
     const std::unique_lock lock(m_mutex);
     const bool is_none_lent = std::ranges::all_of(
         grants, [](int slots) { return slots == 0; },
         &routing::SlotGrant::slots);
-    m_is_return_known |= m_phase == DrainPhase::kReturning && is_none_lent &&
-                         asked_at >= m_returned_at &&
-                         AreSameGrants(grants, m_grants);
+    m_is_return_confirmed |= m_phase == DrainPhase::kReturning &&
+                             is_none_lent && asked_at >= m_returned_at &&
+                             AreSameGrants(grants, m_grants);
     m_grants = grants;
   }
 
@@ -372,7 +373,7 @@
   DrainPhase m_phase = DrainPhase::kServing;
   SteadyTime m_refuse_at{};
   SteadyTime m_returned_at{};
-  bool m_is_return_known = false;
+  bool m_is_return_confirmed = false;
   std::vector<routing::SlotGrant> m_grants;  // By the last answer.
   std::function<void()> m_on_drained;
 };
