--- a/packages/routing/src/endpoint_health_p.h
+++ b/packages/routing/src/endpoint_health_p.h
@@ -48,7 +48,7 @@
   HealthState m_state = HealthState::kHealthy;
   SteadyTime m_since{};          ///< Of kRamping.
   SteadyTime m_ejected_until{};  ///< Of kEjected.
-  int m_ejections = 0;           ///< Of late; sets the next one's time.
+  int m_ejections = 0;           ///< Recent ones; the next lasts longer.
   int m_consecutive_failures = 0;
   int m_probe_successes = 0;
   double m_samples = 0;   ///< Halved at the end of each window.
--- a/packages/routing/src/endpoint_view_p.h
+++ b/packages/routing/src/endpoint_view_p.h
@@ -23,7 +23,7 @@
   /// Ready, and confirmed within the bound.
   bool IsOpen(SteadyTime now, Millis view_bound) const;
 
-  /// Gone for so long that no late transition can bring it back.
+  /// Gone for longer than a transition can be delayed: it may be forgotten.
   bool MayForget(SteadyTime now) const;
 
   /// Whether the attempt belongs to the present incarnation.
--- a/packages/routing/src/fair_share_p.h
+++ b/packages/routing/src/fair_share_p.h
@@ -21,13 +21,13 @@
  public:
   void SetWeight(const std::string& organisation, double weight);
 
-  /// The organisation's record. One that was idle starts at the present: what
-  /// it left unused is not owed to it.
+  /// The organisation's record. One that was idle starts at the current virtual
+  /// time: what it left unused is not carried over.
   Share& Join(const std::string& organisation);
   Share& Of(const std::string& organisation) { return m_shares[organisation]; }
 
-  /// Moves the present on to the organisation that is served, and charges it
-  /// the slot time expected.
+  /// Advances the virtual time to that of the organisation that is served, and
+  /// charges it the expected slot time.
   void Serve(const std::string& organisation, double expected_millis);
 
   /// Takes back the last charge: the run did not start.
--- a/packages/routing/src/priority_queue.cc
+++ b/packages/routing/src/priority_queue.cc
@@ -17,7 +17,7 @@
   if (deadline <= first) {
     return 0;
   }
-  // Even spacing between first and last stands in for a count.
+  // Assumes evenly spaced deadlines, since counting would take linear time.
   using Double = std::chrono::duration<double>;
   return size() * (Double(deadline - first) / Double(last - first));
 }
--- a/packages/routing/src/run_estimate_p.h
+++ b/packages/routing/src/run_estimate_p.h
@@ -19,7 +19,7 @@
   double m_value = 0;
 };
 
-/// How long runs take: the mean of late, and what a short and a long one take.
+/// Estimates run times: a moving mean, a low and a high quantile.
 ///
 /// @remarks Not thread-safe.
 class RunEstimate {
--- a/packages/routing/src/slot_allocator.cc
+++ b/packages/routing/src/slot_allocator.cc
@@ -130,7 +130,7 @@
                 SteadyTime now,
                 std::vector<SlotGrant>* grants) {
     if (EpochOf(demand.grant) > m_init.epoch) {
-      return;  // A later leader lent it: this one's word no longer counts.
+      return;  // Lent by a later leader: this one no longer leads.
     }
     Loan* loan = slots.Find(entry);
     const bool is_confirmed = loan != nullptr && loan->grant == demand.grant;
--- a/packages/routing/src/slot_table.cc
+++ b/packages/routing/src/slot_table.cc
@@ -36,7 +36,7 @@
     const bool is_holder = slots < loan->slots;
     const double bonus = is_holder ? kHolderBonus : 1.0;
     const bool is_wanted = loan->demand > slots + kDemandNoise;
-    // Unwanted slots go to the lowest holding; below any real demand.
+    // Slots that nobody wants go to the smallest holding, after any demand.
     const double demand = is_wanted ? loan->demand : kIdleDemand;
     return bonus * demand / (slots + 1);
   }
@@ -116,8 +116,8 @@
   m_reported.clear();
 }
 
-/// A report under a grant of ours is all that this entry host has here: it
-/// takes no grant of an earlier leader after one of ours.
+/// A report under a grant of this leader is complete: the entry host accepts no
+/// grant of an earlier leader after it.
 void EndpointSlots::Confirm(const model::EntryIdentity& entry,
                             Loan& loan,
                             const SlotDemand& demand) {
--- a/packages/routing/src/slot_table_p.h
+++ b/packages/routing/src/slot_table_p.h
@@ -21,11 +21,11 @@
   int charge = 0;
   int expected = 0;           ///< What the first report should say is held.
   int from_reserve = 0;       ///< Part of `expected` taken out of the reserve.
-  bool is_confirmed = false;  ///< It has reported under a grant of ours.
-  /// It gave back slots and wants none: it is about to stop.
+  bool is_confirmed = false;  ///< It has reported under this leader's grant.
+  /// It gave back slots and wants none, as before a planned stop.
   bool is_declined = false;
   bool is_silent = false;  ///< Its lease has surely run out.
-  double demand = 0;       ///< Of late: rises at once, falls slowly.
+  double demand = 0;       ///< Recent: rises at once, falls slowly.
   SteadyTime lease_until{};
   SteadyTime runs_until{};  ///< All runs under its leases have ended by then.
 
@@ -51,11 +51,11 @@
   void ReserveForTakeOver(int slots, SteadyTime until, SteadyTime now);
   bool is_taking_over() const { return m_is_taking_over; }
 
-  /// Ends the take-over once each of these has reported under a grant of ours:
-  /// nobody else can hold what earlier leaders lent.
+  /// Ends the take-over once each of these has reported under a grant of this
+  /// leader: nobody else can hold what earlier leaders lent.
   void EndTakeOverIfReported(const std::set<model::EntryIdentity>& earlier);
 
-  /// Whether this entry host has not reported here under a grant of ours.
+  /// Whether this entry host has not reported under a grant of this leader.
   bool IsAwaited(const model::EntryIdentity& entry) const {
     return m_is_taking_over && !m_reported.contains(entry);
   }
@@ -78,7 +78,7 @@
   void Extend(Loan& loan, SteadyTime now, Millis lease);
   void Expire(SteadyTime now);
 
-  /// Slots that surely nobody may use.
+  /// Slots that no entry host may use at present.
   int Lendable() const;
 
   /// Slots that the entry host should have by present demand.
--- a/packages/routing/src/victim_search_p.h
+++ b/packages/routing/src/victim_search_p.h
@@ -29,7 +29,7 @@
   void TakeLessUrgent(const PriorityQueue& queue, const RequestTable& table);
 
   /// Takes from organisations that have more waiting for their weight than
-  /// the newcomer's would have.
+  /// the new request's would have.
   void TakeOverShare(const PriorityQueue& queue, const RequestTable& table);
 
   bool is_enough() const { return m_requests <= 0 && m_bytes <= 0; }
