Slots: a lease that ran out without a leader doesn't cost its slots

Callers of every service heard not-run for more than ten minutes, though a leader was there and all endpoints were ready.

Cause: an entry host whose lease had run out gave up its slots at a later leader's first answer, as they might be lent to others by then. The leader keeps all slots of an endpoint back until everybody who may hold some has reported, or lease, margin and longest run are over. After a time without a leader that was longer than a lease, with one entry host that didn't come back, nobody held a slot and none could be lent.

Fix: each leader waits for the longest run after a lease before it lends its slots to others, an earlier one, one in between and the present one alike. So the holder keeps them through a change of leaders as long as the new lease ends before that time is over, by its own clock; the margin for writes and the drift are in the leaders' wait alone. Runs that were let in under the lease that ran out are not started any more. Nothing changes on the wire: the entry host knows the longest run from the settings.

Ruled out: to end the take-over early by the last sync of the one that is gone; no leader knows an earlier one's.

--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -107,8 +107,7 @@
       FindShard(endpoint.service)->Update(endpoint, view.asked_at);
     }
     if (view.grants) {
-      m_context->grants.Update(*view.grants, view.asked_at);
-      ConfirmReturn(*view.grants, view.asked_at);
+      TakeGrants(*view.grants, view.asked_at);
     }
     const std::map<std::string, int> lent = LentSlots();
     const SteadyTime now = m_context->Now();
@@ -348,6 +347,16 @@
     }
   }
 
+  void TakeGrants(const std::vector<routing::SlotGrant>& grants,
+                  SteadyTime asked_at) {
+    std::map<std::string, Millis> longest_runs;
+    for (const auto& shard : Shards()) {
+      shard->AddLongestRuns(grants, &longest_runs);
+    }
+    m_context->grants.Update(grants, asked_at, longest_runs);
+    ConfirmReturn(grants, asked_at);
+  }
+
   // Slots that the leader doesn't know to be returned wait for the longest run.
   // A report made under the grants that answer it has been taken in; a leader
   // that was elected meanwhile answers the first one with other grants.
--- a/packages/routing/include/laurelhall/routing/grants.h
+++ b/packages/routing/include/laurelhall/routing/grants.h
@@ -128,10 +128,15 @@
 
   /// Takes in grants; the lease runs from when the renewal was sent.
   ///
+  /// @param longest_runs By endpoint: for this time after a lease ran out its
+  ///   slots are lent to nobody else. Zero for those that it doesn't name.
   /// @remarks Grants older than the one held are ignored, so answers may come
   ///   late, twice or out of order. The first grant of a later leader never
-  ///   adds slots: that leader learns from the next report what is held.
-  void Update(const std::vector<SlotGrant>& grants, SteadyTime asked_at);
+  ///   adds slots: that leader learns from the next report what is held. Of
+  ///   slots whose lease ran out it confirms those that nobody else can have.
+  void Update(const std::vector<SlotGrant>& grants,
+              SteadyTime asked_at,
+              const std::map<std::string, Millis>& longest_runs = {});
 
   /// Takes a slot, or none when all are in use or the lease has run out.
   std::optional<SlotTicket> TryAcquire(const std::string& endpoint,
--- a/packages/routing/src/grant_holder.cc
+++ b/packages/routing/src/grant_holder.cc
@@ -30,11 +30,17 @@
 
 class GrantHolder::Impl {
  public:
-  void Update(const std::vector<SlotGrant>& grants, SteadyTime asked_at) {
+  void Update(const std::vector<SlotGrant>& grants,
+              SteadyTime asked_at,
+              const std::map<std::string, Millis>& longest_runs) {
     for (const SlotGrant& grant : grants) {
+      const auto longest_run = longest_runs.find(grant.endpoint);
       Shard& shard = ShardOf(grant.endpoint);
       std::lock_guard lock(shard.mutex);
-      Take(shard.holdings[grant.endpoint], grant, asked_at);
+      Holding& holding = shard.holdings[grant.endpoint];
+      Take(holding, grant, asked_at);
+      holding.longest_run =
+          longest_run == longest_runs.end() ? Millis(0) : longest_run->second;
     }
     for (Shard& shard : m_shards) {
       std::lock_guard lock(shard.mutex);
@@ -136,6 +142,7 @@
     int in_use_lapsed = 0;  ///< Of `in_use`, those whose lease ran out.
     uint32_t lapses = 0;    ///< Times that a lease ran out unrenewed.
     SteadyTime lease_until{};
+    Millis longest_run{0};      ///< When the lease was last extended.
     bool is_inherited = false;  ///< From an earlier leader, not yet sure.
     SteadyTime inherited_at{};
 
@@ -193,8 +200,13 @@
     const bool is_of_later_leader =
         (grant.grant >> kEpochShift) != (holding.grant >> kEpochShift);
     if (holding.grant != 0 && is_of_later_leader) {
-      // Nothing is inherited from a lease that ran out: it may be lent since.
-      holding.slots = has_lapsed ? 0 : std::min(grant.slots, holding.slots);
+      // Every leader waits for the longest run before it lends the slots of a
+      // lease that ran out to others. Until then they are inherited all the
+      // same, or a time without a leader would cost the slots of all.
+      const bool may_be_lent =
+          has_lapsed &&
+          asked_at + grant.lease > holding.lease_until + holding.longest_run;
+      holding.slots = may_be_lent ? 0 : std::min(grant.slots, holding.slots);
       holding.is_inherited = true;
       holding.inherited_at = asked_at;
     } else {
@@ -233,8 +245,9 @@
 GrantHolder::~GrantHolder() = default;
 
 void GrantHolder::Update(const std::vector<SlotGrant>& grants,
-                         SteadyTime asked_at) {
-  m_impl->Update(grants, asked_at);
+                         SteadyTime asked_at,
+                         const std::map<std::string, Millis>& longest_runs) {
+  m_impl->Update(grants, asked_at, longest_runs);
 }
 
 std::optional<SlotTicket> GrantHolder::TryAcquire(const std::string& endpoint,
--- a/packages/routing/tests/grants_test.cc
+++ b/packages/routing/tests/grants_test.cc
@@ -121,6 +121,34 @@
   CHECK(MostRuns(init, 100) > SlotModel::kSlots);
 }
 
+TEST_CASE_FIXTURE(SlotModelFixture,
+                  "Grants, slots of lapsed leases inherited for longer than "
+                  "the longest run, the model sees a ninth run") {
+  SlotModelInit init;
+  init.is_longest_run_overstated = true;
+  init.election = 0.02;
+  CHECK(MostRuns(init, 100) > SlotModel::kSlots);
+}
+
+// Guards against a service without any slot until the longest run is over: the
+// leases ran out without a leader, and one entry host doesn't come back.
+TEST_CASE_FIXTURE(SlotModelFixture,
+                  "Grants, leases run out and one entry host dies before a new "
+                  "leader, the others have their slots at once") {
+  SlotModelInit init;
+  init.has_faults = false;
+  SlotModel model(init);
+  model.RunUntil(kSettled);
+  const int held = model.SlotsOf(0, 0);
+  model.CutAll(SlotModel::kLease + 2 * SlotModel::kSync);
+  model.Kill(0);
+  model.RunUntil(model.now() + SlotModel::kLease + 2 * SlotModel::kSync);
+  model.Elect();
+  model.RunUntil(model.now() + 4 * SlotModel::kSync);
+  CHECK(model.leader().QuarantinedSlots("endpoint-0") == held);
+  CHECK(model.leader().LentSlots("endpoint-0") == SlotModel::kSlots - held);
+}
+
 TEST_CASE_FIXTURE(SlotModelFixture,
                   "Grants, new leader and all entry hosts report, nothing is "
                   "quarantined") {
@@ -390,6 +418,39 @@
   CHECK(m_one.FreeSlots("a", kStart + seconds(61)) == 3);
 }
 
+TEST_CASE_FIXTURE(GrantsFixture,
+                  "GrantHolder, lease ran out before a later leader's answer, "
+                  "slots are kept for the longest run") {
+  constexpr uint64_t later_epoch = uint64_t{2} << 32;
+  constexpr Millis kLease{4000};
+  const std::map<std::string, Millis> longest_runs{{"a", seconds(10)}};
+  const auto slots_after = [&](Millis lapse) {
+    GrantHolder holder;
+    holder.Update({{"a", 1, 4, kLease}}, kStart, longest_runs);
+    const SteadyTime asked_at = kStart + kLease + lapse;
+    holder.Update({{"a", later_epoch, 4, kLease}}, asked_at, longest_runs);
+    return holder.FreeSlots("a", asked_at);
+  };
+  CHECK(slots_after(Millis(1)) == 4);
+  CHECK(slots_after(seconds(6)) == 4);
+  // Its lease would go on while others may be lent the slots.
+  CHECK(slots_after(seconds(6) + Millis(1)) == 0);
+}
+
+TEST_CASE_FIXTURE(GrantsFixture,
+                  "GrantHolder, lease ran out, a run that was let in under it "
+                  "is not started any more") {
+  const std::map<std::string, Millis> longest_runs{{"a", seconds(10)}};
+  m_one.Update({{"a", 1, 2, Millis{4000}}}, kStart, longest_runs);
+  const auto ticket = m_one.TryAcquire("a", kStart);
+  REQUIRE(ticket);
+  const SteadyTime later = kStart + seconds(5);
+  m_one.Update({{"a", uint64_t{2} << 32, 2, Millis{4000}}}, later,
+               longest_runs);
+  CHECK_FALSE(m_one.IsValid(*ticket, later));
+  CHECK(m_one.FreeSlots("a", later) == 1);
+}
+
 TEST_CASE_FIXTURE(GrantsFixture,
                   "SlotAllocator, grant of an earlier leader after the "
                   "take-over, is called back and its runs are counted") {
--- a/packages/routing/tests/slot_model.h
+++ b/packages/routing/tests/slot_model.h
@@ -25,6 +25,7 @@
   /// Faults of the code around the holder, to show that the model sees them.
   bool is_lease_from_arrival = false;
   bool is_check_before_write_left_out = false;
+  bool is_longest_run_overstated = false;
   /// Faults of the leader around the allocator.
   bool is_silent_session_left_out = false;
   bool is_grant_before_session = false;
@@ -101,6 +102,12 @@
     Work(m_entries[entry]);
   }
   void Stop(int entry) { m_entries[entry]->holder.ReturnAll(); }
+  /// Cuts all entry hosts off from the leader for a time.
+  void CutAll(Millis duration) {
+    for (const EntryPointer& entry : m_entries) {
+      entry->cut_until = m_now + duration;
+    }
+  }
   void Close(int endpoint) {
     m_endpoints[endpoint].is_closed = true;
     Announce(m_endpoints[endpoint]);
@@ -116,6 +123,15 @@
   int full_renewals() const { return m_full_renewals; }
   int renewals() const { return m_renewals; }
   int RunsAt(int endpoint) const { return m_endpoints[endpoint].runs; }
+  /// Slots that an entry host holds, in use or not.
+  int SlotsOf(int entry, int endpoint) const {
+    for (const SlotDemand& held : m_entries[entry]->holder.Report({})) {
+      if (held.endpoint == m_endpoints[endpoint].id) {
+        return held.held;
+      }
+    }
+    return 0;
+  }
   size_t sessions() const { return m_sessions.size(); }
 
  private:
@@ -331,12 +347,22 @@
     }
     const auto grants = m_leader->Renew(entry->identity, demands, LeaderNow());
     Send(entry, [this, entry, grants, asked_at] {
-      On(entry, Millis{0}, [this, entry, grants, asked_at] {
-        entry->holder.Update(grants, ArrivalOr(entry, asked_at));
-      });
+      On(entry, Millis{0},
+         [this, entry, grants, asked_at] { Take(entry, grants, asked_at); });
     });
   }
 
+  void Take(const EntryPointer& entry,
+            const std::vector<SlotGrant>& grants,
+            SteadyTime asked_at) {
+    std::map<std::string, Millis> longest_runs;
+    for (const ModelEndpoint& endpoint : m_endpoints) {
+      longest_runs[endpoint.id] =
+          m_init.is_longest_run_overstated ? 4 * kMaxRun : kMaxRun;
+    }
+    entry->holder.Update(grants, ArrivalOr(entry, asked_at), longest_runs);
+  }
+
   void SendDelta(const EntryPointer& entry,
                  const std::vector<SlotDemand>& demands,
                  SteadyTime asked_at) {
@@ -381,7 +407,7 @@
       return;  // Given up.
     }
     if (const auto grants = entry->sender.Take(answer)) {
-      entry->holder.Update(*grants, ArrivalOr(entry, asked_at));
+      Take(entry, *grants, asked_at);
     }
   }
 
