Daemon: leadership is handed over in one way

HandOverLeadership() serves both now; each says how it sees that it no longer leads. No change of behaviour.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -5,8 +5,8 @@
 #include <future>
 #include <random>
 #include <sstream>
-#include <thread>
 
+#include "hand_over_p.h"
 #include "laurelhall/base/finding.h"
 #include "laurelhall/base/log.h"
 #include "laurelhall/control/control_host.h"
@@ -30,9 +30,6 @@
 constexpr Millis kIdleStay = std::chrono::seconds(1);
 /// For answers under way once requests have used up the grace.
 constexpr Millis kLastAnswers{300};
-/// Longest wait until another control host leads.
-constexpr Millis kHandOver{1'500};
-constexpr Millis kHandOverLook{50};
 
 /// Reads the shared key of the inner protocol; empty without a file.
 std::string ReadKey(const std::string& file) {
@@ -134,7 +131,10 @@
     if (m_control_schedule != nullptr) {
       m_control_schedule->HandOver();
     } else if (m_control != nullptr) {
-      HandOver();
+      // The slots returned below are reported to the leader that remains.
+      HandOverLeadership(*m_control, [this] {
+        return m_control->status().consensus.role == consensus::Role::kLeader;
+      });
     }
     if (m_entry_schedule != nullptr) {
       m_entry_schedule->LeaveBalancer(end);
@@ -149,17 +149,6 @@
   }
 
  private:
-  // The slots that this process gives back are lent again only by a leader that
-  // has heard of them and goes on.
-  void HandOver() {
-    m_control->StepDown();
-    const SteadyTime until = std::chrono::steady_clock::now() + kHandOver;
-    while (m_control->status().consensus.role == consensus::Role::kLeader &&
-           std::chrono::steady_clock::now() < until) {
-      std::this_thread::sleep_for(kHandOverLook);
-    }
-  }
-
   // Returns once nothing runs, or the grace is over; refuses from then on.
   void DrainEntry() {
     m_caller_server->CloseAfterAnswers();
--- a/packages/daemon/src/schedule_part.cc
+++ b/packages/daemon/src/schedule_part.cc
@@ -3,6 +3,7 @@
 #include <future>
 #include <thread>
 
+#include "hand_over_p.h"
 #include "laurelhall/base/decision_log.h"
 #include "laurelhall/base/log.h"
 #include "metrics_p.h"
@@ -13,9 +14,6 @@
 
 // The balancer asks once a second and goes elsewhere after two misses.
 constexpr Millis kBalancerSees{2'500};
-constexpr Millis kDrainStep{50};
-// An election that a hand-over starts takes some tens of milliseconds.
-constexpr Millis kHandOver{1'500};
 
 std::string IpOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
@@ -151,16 +149,12 @@
     }
   });
   m_server->CloseAfterAnswers();
-  m_host->StepDown();
-  const SteadyTime until = std::chrono::steady_clock::now() + kHandOver;
-  while (m_dispatcher->is_leading() &&
-         std::chrono::steady_clock::now() < until) {
-    std::this_thread::sleep_for(kDrainStep);
-  }
+  const bool still_leads = HandOverLeadership(
+      *m_host, [this] { return m_dispatcher->is_leading(); });
   DecisionLog::Get().Write(
       DecisionLine("daemon", "stop")
           .With("name", m_settings.name)
-          .With("still_leads", m_dispatcher->is_leading() ? "yes" : "no"));
+          .With("still_leads", still_leads ? "yes" : "no"));
 }
 
 void ControlSchedule::AddServers(std::vector<net::HttpServer*>& servers) const {
