--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -32,13 +32,6 @@
 // Where a stop stands.
 enum class DrainPhase { kServing, kUnhealthy, kRefusing, kReturning, kDone };
 
-// Whether both are of the same grants, whatever slots are left of them.
-bool AreSameGrants(const std::vector<routing::SlotGrant>& a,
-                   const std::vector<routing::SlotGrant>& b) {
-  return std::ranges::equal(a, b, {}, &routing::SlotGrant::grant,
-                            &routing::SlotGrant::grant);
-}
-
 }  // namespace
 
 class EntryHost::Impl : public std::enable_shared_from_this<Impl> {
@@ -353,23 +346,28 @@
     for (const auto& shard : Shards()) {
       shard->AddLongestRuns(grants, &longest_runs);
     }
-    m_context->grants.Update(grants, asked_at, longest_runs);
     ConfirmReturn(grants, asked_at);
+    m_context->grants.Update(grants, asked_at, longest_runs);
   }
 
-  // Slots that the leader doesn't know to be returned wait for the longest run.
-  // A report made under the grants that answer it has been taken in; a leader
-  // that was elected meanwhile answers the first one with other grants.
+  // Slots whose return the leader has not recorded wait for the longest run. An
+  // answer confirms the return if it lends nothing, under the grants that this
+  // host reported: a leader that was elected meanwhile answers the first report
+  // with other grants.
   void ConfirmReturn(const std::vector<routing::SlotGrant>& grants,
                      SteadyTime asked_at) {
     const std::unique_lock lock(m_mutex);
-    const bool is_none_lent = std::ranges::all_of(
-        grants, [](int slots) { return slots == 0; },
-        &routing::SlotGrant::slots);
-    m_is_return_confirmed |= m_phase == DrainPhase::kReturning &&
-                             is_none_lent && asked_at >= m_returned_at &&
-                             AreSameGrants(grants, m_grants);
-    m_grants = grants;
+    if (m_phase != DrainPhase::kReturning || asked_at < m_returned_at) {
+      return;
+    }
+    std::map<std::string, uint64_t> reported;
+    for (const routing::SlotDemand& held : m_context->grants.Report({})) {
+      reported[held.endpoint] = held.grant;
+    }
+    m_is_return_confirmed |= std::ranges::all_of(
+        grants, [&reported](const routing::SlotGrant& grant) {
+          return grant.slots == 0 && reported[grant.endpoint] == grant.grant;
+        });
   }
 
   const std::shared_ptr<EntryContext> m_context;
@@ -383,7 +381,6 @@
   SteadyTime m_refuse_at{};
   SteadyTime m_returned_at{};
   bool m_is_return_confirmed = false;
-  std::vector<routing::SlotGrant> m_grants;  // By the last answer.
   std::function<void()> m_on_drained;
 };
 
