--- a/packages/entry/src/entry_host.cc
+++ b/packages/entry/src/entry_host.cc
@@ -344,7 +344,7 @@
                   SteadyTime asked_at) {
     std::map<std::string, Millis> longest_runs;
     for (const auto& shard : Shards()) {
-      shard->AddLongestRuns(grants, &longest_runs);
+      shard->AddLongestRuns(&longest_runs);
     }
     ConfirmReturn(grants, asked_at);
     m_context->grants.Update(grants, asked_at, longest_runs);
--- a/packages/entry/src/service_shard.cc
+++ b/packages/entry/src/service_shard.cc
@@ -392,13 +392,10 @@
 }
 
 void ServiceShard::AddLongestRuns(
-    const std::vector<routing::SlotGrant>& grants,
     std::map<std::string, Millis>* longest_runs) const {
   const std::lock_guard lock(m_mutex);
-  for (const routing::SlotGrant& grant : grants) {
-    if (m_selector.Find(grant.endpoint)) {
-      (*longest_runs)[grant.endpoint] = m_policy.max_run_time;
-    }
+  for (const std::string& endpoint : m_selector.Ids()) {
+    (*longest_runs)[endpoint] = m_policy.max_run_time;
   }
 }
 
--- a/packages/entry/src/service_shard_p.h
+++ b/packages/entry/src/service_shard_p.h
@@ -111,10 +111,8 @@
   std::vector<state::BurnSample> TakeBurnSamples();
   void AddDemands(std::map<std::string, int>* queued, SteadyTime now) const;
 
-  /// Adds the longest run of the service for each of these endpoints that is
-  /// its own.
-  void AddLongestRuns(const std::vector<routing::SlotGrant>& grants,
-                      std::map<std::string, Millis>* longest_runs) const;
+  /// Adds the longest run of the service for each of its endpoints.
+  void AddLongestRuns(std::map<std::string, Millis>* longest_runs) const;
 
   /// Sets the slots lent, by endpoint; those of other services are skipped.
   void SetLent(const std::map<std::string, int>& slots);
--- a/packages/routing/include/laurelhall/routing/selector.h
+++ b/packages/routing/include/laurelhall/routing/selector.h
@@ -101,6 +101,10 @@
   bool MaySend(const std::string& endpoint, SteadyTime now) const;
 
   std::optional<model::Endpoint> Find(const std::string& endpoint) const;
+
+  /// All endpoints known, usable or not.
+  std::vector<std::string> Ids() const;
+
   int EjectedCount(SteadyTime now) const;
 
  private:
--- a/packages/routing/src/selector.cc
+++ b/packages/routing/src/selector.cc
@@ -134,6 +134,15 @@
     return view == nullptr ? std::nullopt : std::optional(view->endpoint());
   }
 
+  std::vector<std::string> Ids() const {
+    std::vector<std::string> ids;
+    ids.reserve(m_views.size());
+    for (const auto& [id, view] : m_views) {
+      ids.push_back(id);
+    }
+    return ids;
+  }
+
   int EjectedCount(SteadyTime now) const {
     return static_cast<int>(std::ranges::count_if(m_views, [&](auto& item) {
       return IsOpen(item.second, now) && item.second.health().IsSetAside(now);
@@ -292,6 +301,10 @@
   return m_impl->Find(endpoint);
 }
 
+std::vector<std::string> Selector::Ids() const {
+  return m_impl->Ids();
+}
+
 int Selector::EjectedCount(SteadyTime now) const {
   return m_impl->EjectedCount(now);
 }
