Daemon tests: one entry daemon alone is set up in one place

early_signal_test wrote again what entry_stop_test had: folder, ports, settings and process of an entry daemon without control hosts.

--- a/packages/daemon/tests/entry_stop_test.cc
+++ b/packages/daemon/tests/entry_stop_test.cc
@@ -14,22 +14,15 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/json.hpp>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
 
-#include "ports.h"
-#include "process.h"
+#include "lone_entry.h"
 #include "steady_callers.h"
 
 namespace laurelhall::scenario {
 namespace {
 
-namespace fs = std::filesystem;
-namespace json = boost::json;
-
 constexpr Millis kStopAt = std::chrono::seconds(3);
 constexpr Millis kGrace = std::chrono::seconds(8);
 constexpr Millis kStarts = std::chrono::seconds(20);
@@ -44,40 +37,14 @@
          std::to_string(patience.count()) + "\r\n\r\n";
 }
 
-class EntryStopFixture {
+class EntryStopFixture : protected LoneEntryFixture {
  protected:
   EntryStopFixture() {
-    std::string pattern =
-        (fs::temp_directory_path() / "laurelhall-stop-XXXXXX").string();
-    m_folder = mkdtemp(pattern.data());
-    // No control host listens there.
-    const json::object addresses{{"inner", m_nobody.address()},
-                                 {"jobs", m_jobs.address()},
-                                 {"readiness", m_readiness.address()}};
-    const json::object settings{
-        {"cluster", "stop"},
-        {"name", "entry"},
-        {"availability_zone", "zone-1"},
-        {"roles", json::array{"entry"}},
-        {"io_threads", 1},
-        {"drain_grace", std::to_string(kGrace.count()) + "ms"},
-        {"addresses", addresses},
-        {"control", {{"seeds", json::array{m_nobody.address()}}}}};
-    std::ofstream(m_folder / "entry.json") << json::serialize(settings);
-    ProcessInit init;
-    init.arguments = {LAURELHALL_DAEMON, "--settings",
-                      (m_folder / "entry.json").string()};
-    init.output = m_folder / "entry.log";
-    init.errors = init.output;
-    m_process = std::make_unique<Process>(init);
+    std::ofstream(settings_file()) << Settings(kGrace);
+    Start();
     WaitUntilItListens();
   }
 
-  ~EntryStopFixture() {
-    m_process->Kill();
-    fs::remove_all(m_folder);
-  }
-
   void WaitUntilItListens() {
     SteadyCallersInit init;
     init.address = m_jobs.address();
@@ -161,11 +128,6 @@
   }
 
   bool m_is_frozen = false;
-  fs::path m_folder;
-  ReservedPort m_jobs;
-  ReservedPort m_readiness;
-  ReservedPort m_nobody;
-  std::unique_ptr<Process> m_process;
 };
 
 TEST_CASE_FIXTURE(EntryStopFixture,
