--- a/packages/control/src/fulfiller_p.h
+++ b/packages/control/src/fulfiller_p.h
@@ -13,10 +13,10 @@
 /// A promise's fulfiller in a form that std::function can hold. It may be
 /// copied and dropped on any thread, and is called on the loop's alone.
 ///
-/// @remarks A promise and its fulfiller know each other without a lock. So the
-///   fulfiller ends on the loop's thread, too: the last copy may be dropped
-///   elsewhere just as the loop cancels the promise. Where the mailbox is
-///   closed by then, the loop's promises are gone, and any thread will do.
+/// @remarks A promise and its fulfiller point at each other without a lock. So
+///   the fulfiller is destroyed on the loop's thread, too: the last copy may be
+///   dropped elsewhere just as the loop cancels the promise. Where the mailbox
+///   is closed by then, the loop's promises are gone, and any thread will do.
 /// @pre Called on the loop's thread.
 template <typename T>
 auto MakeFulfiller(std::shared_ptr<Mailbox> mailbox,
--- a/packages/control/tests/fulfiller_test.cc
+++ b/packages/control/tests/fulfiller_test.cc
@@ -14,7 +14,7 @@
 
 using Call = std::function<void(int)>;
 
-/// Tells on which thread it ends.
+/// Records on which thread it is destroyed.
 class RecordingFulfiller final : public kj::PromiseFulfiller<int> {
  public:
   explicit RecordingFulfiller(std::promise<std::thread::id>& ended)
@@ -68,7 +68,7 @@
 }  // namespace
 
 // Guards against a control host that crashes when an answer is dropped on
-// another thread just as the caller gives up.
+// another thread just as the caller's connection ends.
 TEST_CASE_FIXTURE(FulfillerFixture,
                   "Fulfiller, last copy dropped on another thread, ends on the "
                   "loop's") {
--- a/packages/daemon/tests/scenario_expectations.cc
+++ b/packages/daemon/tests/scenario_expectations.cc
@@ -362,7 +362,7 @@
       });
 }
 
-// Its ports are not open yet: only its log tells.
+// Read from its log, as its ports are not open yet.
 void Scenario::ExpectStartWaits(Arguments& arguments) {
   const std::string host = NextHost(arguments);
   RequirePolled(
--- a/packages/daemon/tests/standin/refusing_disk.h
+++ b/packages/daemon/tests/standin/refusing_disk.h
@@ -22,8 +22,8 @@
   }
 }
 
-/// The machine's files on a disk that refuses changes when a test says so.
-/// Thread-safe.
+/// The machine's files on a disk that refuses changes while a test's flag is
+/// set. Thread-safe.
 class RefusingDisk : public storage::HookedFiles {
  public:
   RefusingDisk()
--- a/packages/daemon/tests/standin/refusing_main.cc
+++ b/packages/daemon/tests/standin/refusing_main.cc
@@ -1,4 +1,5 @@
-// The daemon as it is, on a disk that refuses writes when a test says so.
+// The daemon as it is, on a disk that refuses writes while a test's flag is
+// set.
 
 #include "refusing_disk.h"
 #include "run_daemon_p.h"
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -890,7 +890,7 @@
     }
   }
 
-  // A worker that goes on announcing itself like this runs and stays idle.
+  // A worker that continues to announce itself so runs, but gets no work.
   void TellIgnored(const AnnounceWorker& request,
                    scheduling::WorkerEndCause ended) {
     ++m_counters.ended_announcements;
--- a/packages/dispatch/tests/incidents/late_start_after_restart_test.cc
+++ b/packages/dispatch/tests/incidents/late_start_after_restart_test.cc
@@ -1,6 +1,6 @@
 // Guards against a done task that runs again on the next incarnation of its
 // worker: a repeated start was carried out late, and the next incarnation took
-// it, since all that it had heard by then carried the fence of the one before.
+// it, since all calls received by then carried the previous one's fence.
 
 #include <doctest/doctest.h>
 
@@ -34,8 +34,8 @@
   }
 };
 
-// The next incarnation holds its first call for 2 s, and has heard nothing else
-// by then.
+// The next incarnation holds its first call for 2 s, and has received nothing
+// else by then.
 TEST_CASE_FIXTURE(LateStartFixture,
                   "Dispatcher, worker restarts under its id while a start is "
                   "late, does not carry it out") {
--- a/packages/dispatch/tests/incidents/task_ended_before_loss_test.cc
+++ b/packages/dispatch/tests/incidents/task_ended_before_loss_test.cc
@@ -1,7 +1,7 @@
 // Guards against giving up a sound job for a worker that went down after the
-// job's task had ended there. Ends that a worker had not told are lost with it:
-// the task looked like one that had just begun to work, and was given up when a
-// second worker went down right after its next start.
+// job's task had ended there. Ends that a worker had not reported are lost with
+// it: the task looked like one that had just begun to work, and was given up
+// when a second worker went down right after its next start.
 
 #include <doctest/doctest.h>
 
@@ -21,7 +21,7 @@
     world.Advance(Millis(200));
   }
 
-  /// The worker of the job's task as the leader knows it; empty: none has it.
+  /// The worker of the job's task by the ledger; empty: none has it.
   std::string WorkerOfRun(uint32_t least_run) const {
     for (const auto& active : world.ledger().FindJob("job")->tasks[0].active) {
       if (active.run >= least_run) {
--- a/packages/dispatch/tests/three_workers_fixture.h
+++ b/packages/dispatch/tests/three_workers_fixture.h
@@ -6,7 +6,7 @@
 
 namespace laurelhall::dispatch {
 
-/// Three workers, w0 to w2, of which it can be seen whether they are used.
+/// Three workers, w0 to w2, and a check of whether one of them is used.
 class ThreeWorkersFixture {
  protected:
   ThreeWorkersFixture() {
--- a/packages/entry/tests/entry_host_test.cc
+++ b/packages/entry/tests/entry_host_test.cc
@@ -423,8 +423,8 @@
   CHECK(drained.Wait());
 }
 
-// Guards against a stop that ends before the leader has heard which slots it
-// gives back: they would be kept for the longest run of their service.
+// Guards against a stop that ends before the leader has received the report of
+// the returned slots: they would be kept for the longest run of their service.
 TEST_CASE_FIXTURE(EntryFixture,
                   "EntryHost, drained, ends once the leader has answered the "
                   "return of its slots") {
--- a/packages/scheduling/include/laurelhall/scheduling/crash.h
+++ b/packages/scheduling/include/laurelhall/scheduling/crash.h
@@ -24,7 +24,7 @@
   bool is_proven = false;  ///< See ActiveRun; also by an earlier leader.
   bool is_in_gang = false;
   /// Its estimate ran out after the worker's last contact and before the loss:
-  /// it may have ended there without being heard.
+  /// it may have ended there without a report.
   bool may_have_ended = false;
 };
 
--- a/packages/storage/tests/log_store_damage_test.cc
+++ b/packages/storage/tests/log_store_damage_test.cc
@@ -543,8 +543,8 @@
   CheckReopened();
 }
 
-// Guards against two processes on one folder: the lock of the folder that was
-// there before says nothing about the one that is there now.
+// Guards against two processes on one folder: the lock on the former folder
+// does not cover the one in its place.
 TEST_CASE_FIXTURE(
     FolderAwayFixture,
     "LogStore, folder comes back as a copy, held against others") {
