Bench of the dispatcher: workers announce themselves

The bench started nothing ("starts/s 0, inf us a start"): since a leader starts nothing on a worker whose capacity it has not heard of, its silent workers got no task.

--- a/bench/dispatch_bench.cc
+++ b/bench/dispatch_bench.cc
@@ -247,11 +247,27 @@
   return info;
 }
 
+void Announce(Dispatcher& dispatcher,
+              TimerService& timers,
+              const scheduling::WorkerInfo& info) {
+  AnnounceWorker word;
+  word.info = info;
+  word.clock = std::chrono::floor<Millis>(timers.Now().time_since_epoch());
+  dispatcher.Ask(std::move(word), [](const Reply&) {});
+}
+
 /// Ends lives of idle workers at a rate, as hosts that are drained and moved.
 class Turnover {
  public:
-  Turnover(FakeLog& log, FakeWorkers& port, int workers, int per_second)
-      : m_log(log),
+  Turnover(Dispatcher& dispatcher,
+           TimerService& timers,
+           FakeLog& log,
+           FakeWorkers& port,
+           int workers,
+           int per_second)
+      : m_dispatcher(dispatcher),
+        m_timers(timers),
+        m_log(log),
         m_port(port),
         m_lives(static_cast<size_t>(workers)),
         m_per_step(per_second * 0.001) {}
@@ -268,13 +284,17 @@
       info.is_draining = true;
       m_log.ledger.Apply(scheduling::WorkerSeen{info});
       m_port.EndLife(info.id);
-      m_log.ledger.Apply(scheduling::WorkerSeen{
-          MakeWorker(static_cast<int>(host), ++m_lives[host])});
+      const scheduling::WorkerInfo next =
+          MakeWorker(static_cast<int>(host), ++m_lives[host]);
+      m_log.ledger.Apply(scheduling::WorkerSeen{next});
+      Announce(m_dispatcher, m_timers, next);
       m_due -= 1;
     }
   }
 
  private:
+  Dispatcher& m_dispatcher;
+  TimerService& m_timers;
   FakeLog& m_log;
   FakeWorkers& m_port;
   std::vector<int> m_lives;  // How many each host had before.
@@ -305,13 +325,19 @@
   Dispatcher dispatcher(init);
   dispatcher.Attach(log);
   dispatcher.OnLeadershipGained(1);
+  timers.Advance(kStep);
+  // A leader starts nothing on a worker whose capacity it has not heard of.
+  for (int i = 0; i < workers; ++i) {
+    Announce(dispatcher, timers, MakeWorker(i, 0));
+  }
 
   std::mt19937_64 random(1);
   const double jobs_per_step = static_cast<double>(starts_per_second) /
                                kTasksInJob * 0.001 *
                                static_cast<double>(kStep.count());
   std::uniform_real_distribution<double> chance(0, 1);
-  Turnover turnover(log, port, workers, scene.lives_per_second);
+  Turnover turnover(dispatcher, timers, log, port, workers,
+                    scene.lives_per_second);
   uint64_t next_job = 0;
   double begun = 0;
   DispatchCounters first;
