Dispatcher: a line each second says where a start's time goes

The lines could not tell late work that goes first from records that wait behind a plan. `dispatch path` gives, each second, how long records waited for their batch, how long commits and the answers to starts took, and how many starts were of jobs that can still be on time.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -123,6 +123,9 @@
 }
 
 void Leadership::FlushSoon() {
+  if (m_batch_begun_at == SteadyTime() && !m_batch.empty()) {
+    m_batch_begun_at = Now();
+  }
   if (m_is_flush_due || m_is_batch_under_way || m_batch.empty()) {
     return;
   }
@@ -138,36 +141,45 @@
 
 void Leadership::Flush() {
   m_is_batch_under_way = true;
+  const SteadyTime flushed_at = Now();
+  m_path_times.batch_wait.Add(std::chrono::floor<Millis>(
+      flushed_at - std::exchange(m_batch_begun_at, SteadyTime())));
+  m_path_times.records += m_batch.size();
+  m_path_times.largest_batch =
+      std::max<uint64_t>(m_path_times.largest_batch, m_batch.size());
   auto waiting =
       std::make_shared<decltype(m_batch_done)>(std::exchange(m_batch_done, {}));
   auto requests = std::make_shared<decltype(m_batch_requests)>(
       std::exchange(m_batch_requests, {}));
   auto reads = std::make_shared<decltype(m_batch_reads)>(
       std::exchange(m_batch_reads, {}));
-  m_log.Commit(m_term, std::exchange(m_batch, {}),
-               [weak = weak_from_this(), post = m_init.post, waiting, requests,
-                reads, asked_at = m_init.boot_now()](CommitOutcome outcome) {
-                 post([weak, waiting, requests, reads, asked_at, outcome] {
-                   for (const CommitDone& done : *requests) {
-                     done(outcome);
-                   }
-                   for (const auto& read : *reads) {
-                     read(outcome == CommitOutcome::kCommitted);
-                   }
-                   const auto self = weak.lock();
-                   if (self == nullptr) {
-                     return;
-                   }
-                   if (outcome == CommitOutcome::kCommitted) {
-                     self->m_leader_lease.Renew(asked_at);
-                   }
-                   self->m_is_batch_under_way = false;
-                   for (const CommitDone& done : *waiting) {
-                     done(outcome);
-                   }
-                   self->FlushSoon();
-                 });
-               });
+  m_log.Commit(
+      m_term, std::exchange(m_batch, {}),
+      [weak = weak_from_this(), post = m_init.post, waiting, requests, reads,
+       asked_at = m_init.boot_now(), flushed_at](CommitOutcome outcome) {
+        post([weak, waiting, requests, reads, asked_at, flushed_at, outcome] {
+          for (const CommitDone& done : *requests) {
+            done(outcome);
+          }
+          for (const auto& read : *reads) {
+            read(outcome == CommitOutcome::kCommitted);
+          }
+          const auto self = weak.lock();
+          if (self == nullptr) {
+            return;
+          }
+          if (outcome == CommitOutcome::kCommitted) {
+            self->m_leader_lease.Renew(asked_at);
+          }
+          self->m_is_batch_under_way = false;
+          self->m_path_times.commit.Add(
+              std::chrono::floor<Millis>(self->Now() - flushed_at));
+          for (const CommitDone& done : *waiting) {
+            done(outcome);
+          }
+          self->FlushSoon();
+        });
+      });
 }
 
 Leadership::~Leadership() {
@@ -598,6 +610,8 @@
       {ledger, Now(), m_init.wall_now(),
        [&](const Worker& worker) { return AssessWorker(ledger, worker); },
        m_job_seen_at});
+  m_path_times.starts_on_time += m_planner.cost().starts_on_time;
+  m_path_times.starts_late += m_planner.cost().starts_late;
 }
 
 // Writes one line per step of a plan, not one per task.
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -25,6 +25,7 @@
 #include "laurelhall/scheduling/wave_order.h"
 #include "laurelhall/scheduling/worker_clock.h"
 #include "pacing_p.h"
+#include "path_times_p.h"
 
 namespace laurelhall::dispatch {
 
@@ -85,6 +86,7 @@
   bool has_unanswered_start = false;  ///< A start order got no answer.
   SteadyTime next_try{};
   SteadyTime begun_at{};    ///< Start committed; zero: by an earlier leader.
+  SteadyTime sent_at{};     ///< When its start was last sent.
   SteadyTime settled_at{};  ///< Hold calls sent later must list the run.
   bool is_stop_requested = false;
   StopReason stop_reason = StopReason::kDone;
@@ -489,6 +491,7 @@
   // reports.cc: log lines that show an engineer on call what holds up jobs.
   void Report(const Ledger& ledger);
   void ReportLoad(const Ledger& ledger);
+  void ReportPath();
   void ReportWorkers(const Ledger& ledger);
   void ReportWaits(const Ledger& ledger);
   static void ReportOrganisations(const Ledger& ledger);
@@ -841,7 +844,9 @@
   bool m_is_plan_due = false;
   bool m_is_flush_due = false;
   bool m_is_batch_under_way = false;
-  Records m_batch;  // To be committed together.
+  SteadyTime m_batch_begun_at{};  // When its first record came.
+  PathTimes m_path_times;         // Since the last report.
+  Records m_batch;                // To be committed together.
   std::vector<CommitDone> m_batch_done;
   // These are called even if this leadership ends first.
   std::vector<CommitDone> m_batch_requests;
--- a/packages/dispatch/src/orders.cc
+++ b/packages/dispatch/src/orders.cc
@@ -127,6 +127,7 @@
     return;
   }
   track.start = StartStage::kSending;
+  track.sent_at = Now();
   StartOrder order;
   order.worker = link->second.address;
   order.task = key.task;
@@ -248,6 +249,7 @@
   if (link != m_links.end() && link->second.number != incarnation) {
     return;  // For an earlier incarnation; the lists of this one decide.
   }
+  m_path_times.start.Add(std::chrono::floor<Millis>(Now() - track.sent_at));
   if (reply.outcome != CallOutcome::kDone) {
     DecisionLog::Get().Write(
         DecisionLine("dispatch", "start", LineClass::kTask)
--- a/packages/dispatch/src/reports.cc
+++ b/packages/dispatch/src/reports.cc
@@ -2,6 +2,7 @@
 #include <array>
 #include <cmath>
 #include <functional>
+#include <utility>
 
 #include "laurelhall/base/decision_log.h"
 #include "leadership_p.h"
@@ -99,6 +100,7 @@
   }
   m_next_status = now + kStatusLinesPeriod;
   ReportLoad(ledger);
+  ReportPath();
   ReportWorkers(ledger);
   ReportWaits(ledger);
   ReportOrganisations(ledger);
@@ -123,6 +125,24 @@
           .With("runs", static_cast<uint64_t>(m_runs.size())));
 }
 
+// Shows what a task's end and the next start in its room wait for, and for
+// whom the leader works.
+void Leadership::ReportPath() {
+  const PathTimes times = std::exchange(m_path_times, {});
+  DecisionLog::Get().Write(
+      DecisionLine("dispatch", "path")
+          .With("batches", times.commit.count)
+          .With("records", times.records)
+          .With("largest_batch", times.largest_batch)
+          .With("batch_wait_ms", times.batch_wait.Mean())
+          .With("commit_ms", times.commit.Mean())
+          .With("longest_commit_ms", times.commit.longest)
+          .With("start_answer_ms", times.start.Mean())
+          .With("longest_start_answer_ms", times.start.longest)
+          .With("starts_on_time", times.starts_on_time)
+          .With("starts_late", times.starts_late));
+}
+
 // Counts the usable workers of each service, and the others by what excludes
 // them.
 void Leadership::ReportWorkers(const Ledger& ledger) {
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -96,6 +96,8 @@
 struct PlanCost {
   uint64_t steps = 0;   ///< Steps with tasks that could start.
   uint64_t places = 0;  ///< Workers compared, counted once for each task.
+  uint64_t starts_on_time = 0;  ///< Of jobs that can still be on time.
+  uint64_t starts_late = 0;     ///< Of jobs that can't.
 };
 
 /// Decides which tasks start on which workers.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -173,6 +173,7 @@
   int32_t priority = 0;
   bool is_running = false;
   SteadyTime deadline{};
+  bool is_late = false;  // The job can't be on time any more.
   SteadyTime waiting_since{};
   // Null: it takes no part in a division.
   ShareOfStep* share = nullptr;
@@ -939,6 +940,8 @@
   void Reserve(const Candidate& candidate,
                const RunStarted& start,
                const StepSpec& step) {
+    ++(candidate.is_late ? m_planner.m_cost.starts_late
+                         : m_planner.m_cost.starts_on_time);
     m_planner.m_reserved_worker[start.task] = start.worker;
     ++m_planner.m_reserved_tasks[start.task.job];
     const Job& job = *candidate.job;
@@ -1113,7 +1116,9 @@
     candidate.urgency = Urgency::kOnTime;
   } else if (IsHopeless(job, occurrence, limit, input.now)) {
     candidate.urgency = Urgency::kHopeless;
+    candidate.is_late = true;
   } else if (IsHopeless(job, occurrence, deadline, input.now)) {
+    candidate.is_late = true;
     // The deadline cannot be met, but the work is still of use until the limit.
     // It goes behind the work that can be on time, and is ordered among it by
     // that limit when the time to start is nearly over.
@@ -1202,7 +1207,8 @@
       candidates.begin(), candidates.end(),
       [](const Candidate& a, const Candidate& b) { return a.Key() < b.Key(); });
   std::vector<RunStarted> starts;
-  m_cost = {candidates.size(), 0};
+  m_cost = {};
+  m_cost.steps = candidates.size();
   m_previously_cordoned = std::exchange(m_cordoned, {});
   m_previous_suspect_waits = std::exchange(m_suspect_waits, {});
   m_shares.clear();
