--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -41,6 +41,8 @@
 // How long a leader may use a capacity that has shrunk: until contact and one
 // announcement.
 constexpr Millis kRoomGrace{4'500};
+// How long the other threads run before a thread has its turn.
+constexpr Millis kMaxThreadDelay{10};
 // The greatest delay of an order that is carried out late.
 constexpr Millis kMaxLateness{12'000};
 // A persistent task counts as away when it was not running for this long.
@@ -254,6 +256,8 @@
   void Run(std::function<void()> task) {
     if (is_frozen) {
       backlog.push_back(std::move(task));
+    } else if (world.ThreadDelay() > Millis(0)) {
+      world.After(world.ThreadDelay(), task);
     } else if (world.m_round > Millis(0)) {
       if (next_round.empty()) {
         world.After(world.m_round, [this] { RunRound(); });
@@ -348,22 +352,27 @@
     if (term == m_world.m_term) {
       m_world.m_open_commits.push_back(open);
     }
-    m_world.After(m_world.m_sync, [this, term, open, done = std::move(done)] {
-      if (open->is_over || term != m_world.m_term) {
-        done(scheduling::CommitOutcome::kUnknown);
-        return;
-      }
-      if (!m_host.has_quorum) {
-        m_world.After(kCommitTimeout,
-                      [done] { done(scheduling::CommitOutcome::kUnknown); });
-        return;
-      }
-      std::erase(m_world.m_open_commits, open);
-      for (const scheduling::Record& record : open->records) {
-        m_world.Apply(record);
-      }
-      done(scheduling::CommitOutcome::kCommitted);
-    });
+    const Millis processed =
+        m_world.WaitForProcessor(m_world.m_processor_cost.record *
+                                 static_cast<int64_t>(open->records.size()));
+    m_world.After(processed + m_world.m_sync,
+                  [this, term, open, done = std::move(done)] {
+                    if (open->is_over || term != m_world.m_term) {
+                      done(scheduling::CommitOutcome::kUnknown);
+                      return;
+                    }
+                    if (!m_host.has_quorum) {
+                      m_world.After(kCommitTimeout, [done] {
+                        done(scheduling::CommitOutcome::kUnknown);
+                      });
+                      return;
+                    }
+                    std::erase(m_world.m_open_commits, open);
+                    for (const scheduling::Record& record : open->records) {
+                      m_world.Apply(record);
+                    }
+                    done(scheduling::CommitOutcome::kCommitted);
+                  });
   }
 
   void Confirm(ConfirmDone done) override {
@@ -399,11 +408,14 @@
   void Start(StartOrder order, std::function<void(CallReply)> done) override {
     m_world.m_last_timeout = order.timeout;
     auto answer = m_host.WithTimeout(order.timeout, std::move(done));
-    if (m_world.m_start_delay == Millis(0)) {
+    const Millis delay =
+        m_world.m_start_delay +
+        m_world.WaitForProcessor(m_world.m_processor_cost.order);
+    if (delay == Millis(0)) {
       DeliverStart(order, std::move(answer));
       return;
     }
-    m_world.After(m_world.m_start_delay,
+    m_world.After(delay,
                   [this, order, answer] { DeliverStart(order, answer); });
   }
 
@@ -942,6 +954,17 @@
   return std::chrono::ceil<Millis>(m_acts_free_at - Now());
 }
 
+Millis World::WaitForProcessor(std::chrono::microseconds work) {
+  m_processor_free_at = std::max(m_processor_free_at, Now()) + work;
+  return std::chrono::floor<Millis>(m_processor_free_at - Now());
+}
+
+// Threads share the processor by turns, so none waits for all that is queued.
+Millis World::ThreadDelay() const {
+  const auto queued = std::chrono::floor<Millis>(m_processor_free_at - Now());
+  return std::clamp(queued, Millis(0), kMaxThreadDelay);
+}
+
 Millis World::Delay() {
   return Millis(std::uniform_int_distribution<int64_t>(
       m_least_delay.count(), m_most_delay.count())(m_random));
@@ -1165,6 +1188,17 @@
       WallTime(std::chrono::floor<Millis>(Now().time_since_epoch())), spec});
 }
 
+void World::SubmitTo(const std::string& queue,
+                     const std::string& service,
+                     const std::string& id,
+                     std::vector<scheduling::StepSpec> steps) {
+  scheduling::JobSpec spec;
+  spec.steps = std::move(steps);
+  Apply(scheduling::JobAccepted{
+      id, queue, service,
+      WallTime(std::chrono::floor<Millis>(Now().time_since_epoch())), spec});
+}
+
 void World::SubmitFor(const std::string& organisation,
                       const std::string& id,
                       std::vector<scheduling::StepSpec> steps) {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -32,6 +32,12 @@
   double refused = 0;  ///< A start is refused by an unhealthy worker.
 };
 
+/// What the leader's processor spends on each of these, one after the other.
+struct ProcessorCost {
+  std::chrono::microseconds record{0};  ///< A record to commit.
+  std::chrono::microseconds order{0};   ///< An order to start a run.
+};
+
 /// A simulated worker that implements the worker protocol: leases on its own
 /// clock, fences, rising run numbers, and ends that are reported until they are
 /// acknowledged.
@@ -168,6 +174,11 @@
   void Submit(const std::string& id,
               std::vector<scheduling::StepSpec> steps,
               const std::string& service = "teklif");
+  /// Submits a job to a queue that is not "quotes".
+  void SubmitTo(const std::string& queue,
+                const std::string& service,
+                const std::string& id,
+                std::vector<scheduling::StepSpec> steps);
   void SubmitFor(const std::string& organisation,
                  const std::string& id,
                  std::vector<scheduling::StepSpec> steps);
@@ -218,6 +229,11 @@
   /// Cuts the connection between a relay and the control hosts, or restores it.
   void CutRelay(size_t relay, bool is_cut);
 
+  /// Time since the world began.
+  Millis elapsed() const {
+    return std::chrono::floor<Millis>(Now() - SteadyTime());
+  }
+
   /// Orders that reached workers through relays, including repeated ones.
   uint64_t relayed() const { return m_relayed; }
 
@@ -239,6 +255,10 @@
     m_word = time;
   }
 
+  /// Gives the leader one processor, which commits and orders to start a run
+  /// wait for in the order in which they come.
+  void ChargeProcessor(const ProcessorCost& cost) { m_processor_cost = cost; }
+
   /// Sets the duration of confirmations by a quorum.
   void SlowConfirmations(Millis time) { m_word = time; }
 
@@ -336,6 +356,8 @@
   Millis Delay();
   Reply AskHost(size_t host, Request request);
   Millis ActDelay();
+  Millis ThreadDelay() const;
+  Millis WaitForProcessor(std::chrono::microseconds work);
   void AskForHost(HostView& host,
                   const std::string& request,
                   SteadyTime deadline,
@@ -374,6 +396,8 @@
   Millis m_most_delay{4};
   bool m_is_electing = false;
   std::vector<std::shared_ptr<OpenCommit>> m_open_commits;
+  ProcessorCost m_processor_cost;
+  SteadyTime m_processor_free_at{};
   Millis m_act_time{0};
   Millis m_last_timeout{0};
   Millis m_round{0};
