Planner: in an overloaded pool late work stays behind work on time

Cause: a late job in its last moment to be of use was put among the work on time, with a deadline nearer than theirs. In a backlog there are ever more of them, and each makes a job late that could have been on time.

Fix: while jobs of a pool become late before their first start, its late work stays behind work on time. Elsewhere the last moment still counts.

Evidence: the test failed before ("late" started, not "on-time").

--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -201,6 +201,8 @@
   SteadyTime DeadlineOf(const QueueSpec* queue,
                         const Job& job,
                         SteadyTime first_seen_at) const;
+  bool IsOverloaded(const std::string& service, SteadyTime now) const;
+  void NoteMissed(SteadyTime now, const std::vector<Candidate>& candidates);
   bool IsHopeless(const Job& job,
                   uint32_t occurrence,
                   SteadyTime deadline,
@@ -250,6 +252,8 @@
   std::map<TaskId, SteadyTime> m_suspect_waits;
   std::map<TaskId, SteadyTime> m_previous_suspect_waits;  // At the last plan.
   std::map<std::string, SteadyTime> m_deferred;           // Until when, by job.
+  /// When a job last became late before its first start, by service.
+  std::map<std::string, SteadyTime> m_missed_at;
   std::map<std::string, PoolShares> m_shares;  // Of the last plan, by service.
   std::vector<ShareOfStep> m_shares_of_steps;  // Used within a plan only.
   /// Actual over estimated run time, by queue.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -32,6 +32,12 @@
 // the job goes ahead with the work that is on time.
 constexpr Millis kLastCallMargin{700};
 
+// A job counts as just missed for this time, longer than two plans of a busy
+// leader are apart.
+constexpr Millis kMissedWithin{300};
+// A pool counts as overloaded for this long after a job was missed there.
+constexpr Millis kOverloadMemory{1'000};
+
 // A suspect (a task that may crash its worker) that has found no empty worker
 // for this long starts beside other tasks, unless another suspect's trial is
 // running: its outcome soon tells whether that one is harmless.
@@ -173,7 +179,8 @@
   int32_t priority = 0;
   bool is_running = false;
   SteadyTime deadline{};
-  bool is_late = false;  // The job can't be on time any more.
+  bool is_late = false;          // The job can't be on time any more.
+  bool has_just_missed = false;  // It became late before its first start.
   SteadyTime waiting_since{};
   // Null: it takes no part in a division.
   ShareOfStep* share = nullptr;
@@ -1119,11 +1126,16 @@
     candidate.is_late = true;
   } else if (IsHopeless(job, occurrence, deadline, input.now)) {
     candidate.is_late = true;
+    candidate.has_just_missed =
+        !candidate.is_running &&
+        !IsHopeless(job, occurrence, deadline, input.now - kMissedWithin);
     // The deadline cannot be met, but the work is still of use until the limit.
     // It goes behind the work that can be on time, and is ordered among it by
-    // that limit when the time to start is nearly over.
+    // that limit when the time to start is nearly over. Not in an overloaded
+    // pool, where it would make as much work late that can be on time.
     const bool is_last_call =
         m_mechanisms.Has(Mechanism::kLastCall) &&
+        !IsOverloaded(candidate.Service(), input.now) &&
         IsHopeless(job, occurrence, limit, input.now + kLastCallMargin);
     candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
     candidate.deadline = limit;
@@ -1197,12 +1209,29 @@
   }
 }
 
+bool Planner::IsOverloaded(const std::string& service, SteadyTime now) const {
+  const auto missed = m_missed_at.find(service);
+  return missed != m_missed_at.end() && now - missed->second < kOverloadMemory;
+}
+
+// A job that becomes late while it waits shows that its pool, or the leader,
+// can't have all on time.
+void Planner::NoteMissed(SteadyTime now,
+                         const std::vector<Candidate>& candidates) {
+  for (const Candidate& candidate : candidates) {
+    if (candidate.has_just_missed) {
+      m_missed_at[candidate.Service()] = now;
+    }
+  }
+}
+
 std::vector<RunStarted> Planner::Plan(const PlanInput& input) {
   std::erase_if(m_deferred, [&input](const auto& deferred) {
     return deferred.second <= input.now;
   });
   std::vector<Candidate> candidates = CollectCandidates(input);
   PromoteStarvedSuspects(input.now, candidates);
+  NoteMissed(input.now, candidates);
   std::stable_sort(
       candidates.begin(), candidates.end(),
       [](const Candidate& a, const Candidate& b) { return a.Key() < b.Key(); });
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -141,6 +141,50 @@
   CHECK(Plan().empty());
 }
 
+// A pool with four places that are all taken, and a job that waits for them
+// until its last moment.
+class LateJobFixture : protected PlannerFixture {
+ protected:
+  LateJobFixture() {
+    AddWorker("w1");
+    Accept("busy", Step(4));
+    busy = Plan();
+    Commit(busy);
+    Accept("late", Step(4));
+    now += Millis(1'200);
+    Plan();
+    now += Millis(1'800);
+  }
+
+  // The late job has 0.7 s left to begin, and the other one 1 s.
+  std::string FirstJobAfter(Millis wait) {
+    now += wait;
+    Accept("on-time", Step(4));
+    for (const RunStarted& run : busy) {
+      ledger.Apply(RunEnded{run.task, run.run, run.worker, RunEnd::kDone, {}});
+    }
+    const std::vector<RunStarted> starts = Plan();
+    return starts.size() == 4 ? starts.front().task.job : "";
+  }
+
+  std::vector<RunStarted> busy;
+};
+
+TEST_CASE_FIXTURE(LateJobFixture,
+                  "Planner, late job has its last moment, goes first") {
+  CHECK(FirstJobAfter(Millis(1'300)) == "late");
+}
+
+// Guards against work for nobody in a rush: late jobs took the places of jobs
+// that could be on time, which became late in their turn.
+TEST_CASE_FIXTURE(LateJobFixture,
+                  "Planner, jobs become late in a full pool, late job waits") {
+  Accept("missed", Step(4));
+  now += Millis(1'200);
+  Plan();
+  CHECK(FirstJobAfter(Millis(100)) == "on-time");
+}
+
 // Guards against counting only committed starts: a third task of a step was put
 // on a worker while the starts of the first two were being committed.
 TEST_CASE_FIXTURE(
