Dispatcher: plans wait for the batch that is being committed

While a batch was being committed, plans went on and reserved room for what was there. Their starts could not be committed before that batch was over, but what came meanwhile had to wait behind them; with commits of 0.2 s a plan was up to 0.5 s old when its starts went out (`dispatch path`: batch_wait_ms 318, commit_ms 209).

Fix: a plan that comes due meanwhile is made right before the next batch. It is committed no later, chooses from all that is there by then, and fewer plans are made where commits are slow.

Evidence: the test failed before (the patient job took the room).

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -126,19 +126,29 @@
   if (m_batch_begun_at == SteadyTime() && !m_batch.empty()) {
     m_batch_begun_at = Now();
   }
-  if (m_is_flush_due || m_is_batch_under_way || m_batch.empty()) {
+  if (m_is_flush_due || m_is_batch_under_way ||
+      (m_batch.empty() && !m_is_plan_waiting)) {
     return;
   }
   m_is_flush_due = true;
   m_init.timers->SubscribeOnce(kBatchDelay,
                                [weak = weak_from_this()](SteadyTime) {
                                  if (const auto self = weak.lock()) {
-                                   self->m_is_flush_due = false;
-                                   self->Flush();
+                                   self->PlanAndFlush();
                                  }
                                });
 }
 
+void Leadership::PlanAndFlush() {
+  if (std::exchange(m_is_plan_waiting, false)) {
+    PlanNow();  // Schedules no flush of its own, as this one is still due.
+  }
+  m_is_flush_due = false;
+  if (!m_batch.empty()) {
+    Flush();
+  }
+}
+
 void Leadership::Flush() {
   m_is_batch_under_way = true;
   const SteadyTime flushed_at = Now();
@@ -204,11 +214,22 @@
   m_init.timers->SubscribeOnce(delay, [weak = weak_from_this()](SteadyTime) {
     if (const auto self = weak.lock()) {
       self->m_is_plan_due = false;
-      self->PlanNow();
+      self->PlanWithNextBatch();
     }
   });
 }
 
+// Starts that are planned while a batch is being committed are not committed
+// sooner than those that are planned when it is over, but what comes meanwhile
+// could not go before them.
+void Leadership::PlanWithNextBatch() {
+  if (m_is_batch_under_way) {
+    m_is_plan_waiting = true;
+  } else {
+    PlanNow();
+  }
+}
+
 void Leadership::PlanNow() {
   m_last_plan = Now();
   std::vector<RunStarted> starts;
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -434,6 +434,7 @@
   void ConfirmLeadership();
   void OnLeadershipConfirmed(BootTime asked_at, bool is_confirmed);
   void FlushSoon();
+  void PlanAndFlush();
 
   // leadership.cc: batches, planning, tracking of workers, runs and jobs.
   void SyncWorkers(const Ledger& ledger);
@@ -442,6 +443,7 @@
   void SyncJobs(const Ledger& ledger);
   Millis AgeOf(const scheduling::Job& job) const;
   void MeasureLag();
+  void PlanWithNextBatch();
   void PlanNow();
   void Flush();
   void CommitLapses(const Ledger& ledger);
@@ -842,6 +844,8 @@
   SteadyTime m_last_plan{};
   Millis m_plan_time{0};  // Duration of the last planning pass.
   bool m_is_plan_due = false;
+  /// A plan is due and waits for the batch that is being committed.
+  bool m_is_plan_waiting = false;
   bool m_is_flush_due = false;
   bool m_is_batch_under_way = false;
   SteadyTime m_batch_begun_at{};  // When its first record came.
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -936,5 +936,25 @@
   }
 }
 
+// Guards against urgent work that waits behind a plan which could not be
+// committed yet: while a batch was being committed, the next plan took the room
+// for whatever was there.
+TEST_CASE(
+    "Dispatcher, batch is being committed, urgent job that comes goes first") {
+  World world{7};
+  world.AddWorkers(1);
+  world.Advance(Millis(3'000));
+  world.SlowCommits(Millis(300));
+  world.Submit("first", {Step(1, {}, Millis(5'000))});
+  world.Advance(Millis(50));
+  world.Submit("patient", {Step(3, {}, Millis(5'000))});
+  world.Advance(Millis(100));
+  world.Submit("urgent", {Step(3, {}, Millis(300))});
+  world.Advance(Millis(600));
+  CHECK(world.ledger().FindJob("first")->active_runs == 1);
+  CHECK(world.ledger().FindJob("urgent")->active_runs == 3);
+  CHECK(world.ledger().FindJob("patient")->active_runs == 0);
+}
+
 }  // namespace
 }  // namespace laurelhall::dispatch
