Planner: a candidate's remaining time is computed once

Found on reading the change: each plan worked out the critical path of a late step up to four times, once more since late work waits in overloaded pools. Now once for each candidate; the comparisons are the same, so behaviour is.

--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -203,6 +203,7 @@
                         SteadyTime first_seen_at) const;
   bool IsOverloaded(const std::string& service, SteadyTime now) const;
   void NoteMissed(SteadyTime now, const std::vector<Candidate>& candidates);
+  Millis RemainingTime(const Job& job, uint32_t occurrence) const;
   bool IsHopeless(const Job& job,
                   uint32_t occurrence,
                   SteadyTime deadline,
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -1024,9 +1024,12 @@
                          uint32_t occurrence,
                          SteadyTime deadline,
                          SteadyTime now) const {
-  const double factor = RunTimeRatio(job.queue) * kRemainingTimeFactor;
-  return now + Scaled(RemainingCriticalPath(job, occurrence), factor) >
-         deadline;
+  return now + RemainingTime(job, occurrence) > deadline;
+}
+
+Millis Planner::RemainingTime(const Job& job, uint32_t occurrence) const {
+  return Scaled(RemainingCriticalPath(job, occurrence),
+                RunTimeRatio(job.queue) * kRemainingTimeFactor);
 }
 
 double Planner::EstimatedWork(const Job& job) const {
@@ -1117,26 +1120,25 @@
   const SteadyTime deadline = DeadlineOf(candidate.queue, job, since);
   const SteadyTime limit = since + kUselessAfterFactor * (deadline - since);
   candidate.deadline = deadline;
+  const SteadyTime done_at = input.now + RemainingTime(job, occurrence);
   if (spec.is_persistent) {
     candidate.urgency = Urgency::kPersistent;
   } else if (!m_mechanisms.Has(Mechanism::kHopelessOrder)) {
     candidate.urgency = Urgency::kOnTime;
-  } else if (IsHopeless(job, occurrence, limit, input.now)) {
+  } else if (done_at > limit) {
     candidate.urgency = Urgency::kHopeless;
     candidate.is_late = true;
-  } else if (IsHopeless(job, occurrence, deadline, input.now)) {
+  } else if (done_at > deadline) {
     candidate.is_late = true;
     candidate.has_just_missed =
-        !candidate.is_running &&
-        !IsHopeless(job, occurrence, deadline, input.now - kMissedWithin);
+        !candidate.is_running && done_at - kMissedWithin <= deadline;
     // The deadline cannot be met, but the work is still of use until the limit.
     // It goes behind the work that can be on time, and is ordered among it by
     // that limit when the time to start is nearly over. Not in an overloaded
     // pool, where it would make as much work late that can be on time.
-    const bool is_last_call =
-        m_mechanisms.Has(Mechanism::kLastCall) &&
-        !IsOverloaded(candidate.Service(), input.now) &&
-        IsHopeless(job, occurrence, limit, input.now + kLastCallMargin);
+    const bool is_last_call = m_mechanisms.Has(Mechanism::kLastCall) &&
+                              !IsOverloaded(candidate.Service(), input.now) &&
+                              done_at + kLastCallMargin > limit;
     candidate.urgency = is_last_call ? Urgency::kOnTime : Urgency::kLate;
     candidate.deadline = limit;
   }
