--- a/review/common-2/tests/cluster.cc
+++ b/review/common-2/tests/cluster.cc
@@ -19,8 +19,10 @@
 namespace {
 
 constexpr int kControls = 5;
-constexpr int kEntries = 3;
+constexpr int kEntries = 7;
 constexpr int kPortsEach = 4;
+// Addresses of each net that have to be free.
+constexpr int kHosts = 9;
 constexpr int kClientWaitMs = 3000;
 constexpr char kHost[] = "pule25.example";
 
@@ -31,10 +33,11 @@
 
 bool AreFree(int port) {
   for (int offset = 0; offset < kPortsEach; ++offset) {
-    for (int number = 1; number <= kControls; ++number) {
+    for (int number = 1; number <= kHosts; ++number) {
       if (!IsFree(At(41, number, port + offset)) ||
           !IsFree(At(42, number, port + offset)) ||
-          !IsFree(At(43, number, port + offset))) {
+          !IsFree(At(43, number, port + offset)) ||
+          !IsFree(At(44, number, port + offset))) {
         return false;
       }
     }
--- a/review/common-2/tests/cluster.h
+++ b/review/common-2/tests/cluster.h
@@ -43,7 +43,7 @@
 /// and the operator, the clients and the platform's list of machines.
 class Cluster {
  public:
-  /// Starts five control and three entry daemons. `folder` is temporary.
+  /// Starts five control and seven entry daemons. `folder` is temporary.
   Cluster(const std::string& daemon, const std::string& folder, Record& record);
   ~Cluster();
   Cluster(const Cluster&) = delete;
--- a/review/common-2/tests/main.cc
+++ b/review/common-2/tests/main.cc
@@ -355,25 +355,28 @@
                      " ms, with all workers up; the job is shown as " + state);
 }
 
-// Two workers crash right after a task was started on them.
+// Two workers crash, the second one some seconds after the first, each half way
+// through the task that they run.
 int TwoCrashes(const CaseInput& input) {
   constexpr int kCrashes = 2;
+  constexpr int kTaskMs = 1000;
+  constexpr int kDarkMs = 4000;
   Stage stage(input.daemon, input.folder, input.record,
               [](const std::string&, unsigned, const Runner&) {
-                return Course{2500, "done"};
+                return Course{kTaskMs, "done"};
               });
   Require(stage.cluster().AskUntilAnswered(
               "POST", Stage::Target(),
-              R"({"spec":"estimate","steps":[{"count":1,"cpu":2500,)"
-              R"("mem_mb":7100,"estimate_ms":2500}]})") == 200,
+              R"({"spec":"quote","steps":[{"count":1,"cpu":1100,)"
+              R"("mem_mb":4200,"estimate_ms":1000}]})") == 200,
           "the job was not accepted");
   const std::string task = std::string(kJob) + ".0.0.0";
   for (int crash = 0; input.has_trouble && crash < kCrashes; ++crash) {
     const int number = stage.AwaitWhere(task, 15'000);
     Require(number != 0, "the task was not started again");
-    SleepMs(150);
+    SleepMs(kTaskMs / 2);
     stage.Crash(number);
-    SleepMs(4000);
+    SleepMs(kDarkMs);
     stage.Add(number);
   }
   const long long end = NowMs() + 30'000;
