--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,7 +10,7 @@
   echo "build first: the command of deploy/system.toml, then review/build-2.sh"
   exit 2
 fi
-timeout --kill-after=2 115 "$standin" two-crashes "$daemon" review/5/record.txt
+timeout --kill-after=2 115 "$standin" gang-failure "$daemon" review/5/record.txt
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/common-2/tests/runner.cc
+++ b/review/common-2/tests/runner.cc
@@ -190,8 +190,12 @@
     if (deadline <= ClockMs()) {
       return Answer(409, "late");
     }
-    ExtendLease(deadline);
     const Course course = m_plan(task, run, *this);
+    if (course.end == kRefused) {
+      m_seen.Add({NowMs(), kRefused, m_init.id, task, run, {}, {}});
+      return Answer(503);
+    }
+    ExtendLease(deadline);
     begun = {run, ClockMs(),
              course.lasts_ms < 0 ? -1 : ClockMs() + course.lasts_ms, course.end,
              Text(order, "checkpoint")};
--- a/review/common-2/tests/runner.h
+++ b/review/common-2/tests/runner.h
@@ -16,6 +16,9 @@
 
 namespace review {
 
+/// The end of a run that is not begun: the runner is unhealthy and answers 503.
+inline constexpr char kRefused[] = "refused";
+
 /// How one run goes, decided when it starts.
 struct Course {
   int lasts_ms = 1000;  ///< -1: until it is stopped.
