--- a/review/common-2/tests/cluster.cc
+++ b/review/common-2/tests/cluster.cc
@@ -247,6 +247,7 @@
                                            {"max_body_bytes", 262144},
                                            {"header_timeout_ms", 3000},
                                            {"idle_timeout_ms", 15000}}}});
+  m_record.Line("operator: " + put.body);
   const long long end = NowMs() + timeout_ms;
   size_t next = 0;
   std::string target = m_control[0];
