--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,7 +10,20 @@
   echo "build first: the command of deploy/system.toml, then review/build-2.sh"
   exit 2
 fi
-timeout --kill-after=2 115 "$standin" dropped-queue "$daemon" review/7/record.txt
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+group=
+# All that the run starts is in the process group of timeout, also where the
+# stand-in itself was killed.
+clean_up() {
+  [ -z "$group" ] || kill -KILL -- "-$group" 2> /dev/null
+  rm -rf "$TMPDIR"
+}
+trap clean_up EXIT
+trap 'exit 2' INT TERM HUP
+timeout --kill-after=2 115 "$standin" dropped-queue "$daemon" review/7/record.txt &
+group=$!
+wait "$group"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
