Planner: a last attempt waits a bounded time for another worker

What callers saw: a job stayed "running" without end after one failure of two attempts, though its worker was sound and empty again after 3 s.

Cause: a last attempt was kept off every worker that may have caused the earlier failures as soon as the service had a second usable worker, without asking whether any other one may take the task. The label is one way to it; others that have the label but are full of persistent tasks are another. Nothing bounded the wait. On the way: persistent tasks, which have no limit of attempts, were kept off likewise; and as the failures of a gang are counted by its first task, other members were sent where one had failed.

Change: a last attempt avoids such workers for 2 s, counted once a task and once a gang, then every eligible worker takes it, the others still first. Persistent tasks have no last attempt. All members of a gang avoid where one failed. "dispatch last-attempt" tells of each start that takes the risk. IndexOf() of a candidate copies the job's id no more.

Ruled out: a search for another eligible worker before each exclusion. It is true for the moment only and costs the inner loop a pass.

--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -705,6 +705,15 @@
        m_job_seen_at, StepDelay(), IsBusy()});
   m_path_times.starts_on_time += m_planner.cost().starts_on_time;
   m_path_times.starts_late += m_planner.cost().starts_late;
+  for (const scheduling::RiskyStart& risky : m_planner.risky_starts()) {
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "last-attempt")
+            .With("task", FormatTaskId(risky.start.task))
+            .With("run", risky.start.run)
+            .With("worker", risky.start.worker)
+            .With("waited_ms", risky.waited)
+            .With("why", "no other worker takes it"));
+  }
 }
 
 // Writes one line per step of a plan, not one per task.
--- a/packages/scheduling/include/laurelhall/scheduling/planner.h
+++ b/packages/scheduling/include/laurelhall/scheduling/planner.h
@@ -97,6 +97,13 @@
   uint32_t with_room = 0;  ///< Those of them with room for a task of the step.
 };
 
+/// The last attempt of a task, planned on a worker that may have caused its
+/// earlier failures, as no other took it.
+struct RiskyStart {
+  RunStarted start;
+  Millis waited{0};  ///< For another worker.
+};
+
 /// How much a plan examined.
 struct PlanCost {
   uint64_t steps = 0;   ///< Steps with tasks that could start.
@@ -124,6 +131,9 @@
   /// The cost of the last plan.
   const PlanCost& cost() const { return m_cost; }
 
+  /// The starts of the last plan that may fail where their tasks failed before.
+  const std::vector<RiskyStart>& risky_starts() const { return m_risky_starts; }
+
   /// What the last plan divided, by service. Pools with room for all are not
   /// divided.
   const std::map<std::string, PoolShares>& shares() const { return m_shares; }
@@ -210,6 +220,7 @@
                         SteadyTime first_seen_at) const;
   bool IsOverloaded(const std::string& service, SteadyTime now) const;
   void NoteMissed(SteadyTime now, const std::vector<Candidate>& candidates);
+  void PruneLastAttempts(const Ledger& ledger);
   Millis RemainingTime(const Job& job, uint32_t occurrence) const;
   bool IsHopeless(const Job& job,
                   uint32_t occurrence,
@@ -260,7 +271,12 @@
   /// Since when each suspect has waited for an empty worker.
   std::map<TaskId, SteadyTime> m_suspect_waits;
   std::map<TaskId, SteadyTime> m_previous_suspect_waits;  // At the last plan.
-  std::map<std::string, SteadyTime> m_deferred;           // Until when, by job.
+  /// Since when each last attempt has waited for a worker that can't have
+  /// caused the failures; by task, for a gang by its first one. Kept until the
+  /// task is done, so that a refused start does not begin another wait.
+  std::map<TaskId, SteadyTime> m_last_attempts;
+  std::vector<RiskyStart> m_risky_starts;        // Of the last plan.
+  std::map<std::string, SteadyTime> m_deferred;  // Until when, by job.
   /// When a job last became late before its first start, by service.
   std::map<std::string, SteadyTime> m_missed_at;
   std::map<std::string, PoolShares> m_shares;  // Of the last plan, by service.
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -55,6 +55,10 @@
 // so that the first worker to become free is cordoned for it.
 constexpr Millis kStarvedSuspectWait{4'000};
 
+// How long a last attempt waits for a worker that can't have caused the earlier
+// failures. Every worker that may run it at all could be such a one for good.
+constexpr Millis kMaxLastAttemptWait{2'000};
+
 // Penalties in the cost of a place, where 1 is the whole capacity of a worker.
 constexpr double kOtherRackCost = 100;
 constexpr double kFailedHereCost = 50;
@@ -433,9 +437,11 @@
     return candidate.job->tasks[IndexOf(candidate, index)];
   }
 
+  // As Job::IndexOf(), without a copy of the job's id.
   static size_t IndexOf(const Candidate& candidate, uint32_t index) {
-    return candidate.job->IndexOf(
-        {candidate.job->id, candidate.occurrence, candidate.step, index});
+    const Job& job = *candidate.job;
+    return static_cast<size_t>(candidate.occurrence) * job.occurrence_size +
+           job.step_offset[candidate.step] + index;
   }
 
   static bool IsSuspect(const Candidate& candidate, uint32_t index) {
@@ -466,7 +472,7 @@
     const Task& task = TaskOf(candidate, index);
     const bool is_unrestricted =
         step.required_label.empty() && step.data_rack.empty() &&
-        step.max_tasks_per_worker == 0 && !IsLastAttempt(candidate, task) &&
+        step.max_tasks_per_worker == 0 && !IsLastAttempt(candidate, index) &&
         !task.IsSuspect();
     if (is_unrestricted) {
       m_too_large[candidate.Service()].push_back(need);
@@ -678,11 +684,51 @@
     return here + (planned == place.planned.end() ? 0 : planned->second);
   }
 
-  // Whether a task has failed before and one more failure would use up its
-  // queue's attempts. It is then kept off workers that may cause the failures.
-  static bool IsLastAttempt(const Candidate& candidate, const Task& task) {
-    return candidate.queue != nullptr && task.failures > 0 &&
-           task.failures + 1 >= candidate.queue->max_attempts;
+  // Whether a task, or its gang, has failed before and one more failure would
+  // use up its queue's attempts. It is then kept off workers that may cause the
+  // failures. Attempts of persistent tasks are not limited.
+  static bool IsLastAttempt(const Candidate& candidate, uint32_t index) {
+    const uint32_t failures = FailuresOf(candidate, index);
+    return candidate.queue != nullptr && failures > 0 &&
+           !candidate.job->spec.steps[candidate.step].is_persistent &&
+           failures + 1 >= candidate.queue->max_attempts;
+  }
+
+  // Number of failed attempts of a task, or of its gang as a whole.
+  static uint32_t FailuresOf(const Candidate& candidate, uint32_t index) {
+    const bool is_gang = candidate.job->spec.steps[candidate.step].is_gang;
+    return TaskOf(candidate, is_gang ? 0 : index).failures;
+  }
+
+  // The tasks whose last failures tell where a task may fail again: itself, or
+  // all members of its gang, as a failure of one is a failure of all. None
+  // before the first failure.
+  static std::span<const Task> FailedTogether(const Candidate& candidate,
+                                              const StepSpec& step,
+                                              uint32_t index) {
+    if (FailuresOf(candidate, index) == 0) {
+      return {};
+    }
+    const std::span<const Task> tasks(candidate.job->tasks);
+    return step.is_gang ? tasks.subspan(IndexOf(candidate, 0), step.count)
+                        : tasks.subspan(IndexOf(candidate, index), 1);
+  }
+
+  static bool HasFailedOn(std::span<const Task> tasks,
+                          const std::string& worker) {
+    return std::any_of(tasks.begin(), tasks.end(), [&worker](const Task& task) {
+      return task.failed_on == worker;
+    });
+  }
+
+  // How long a last attempt has waited so far for a worker that can't have
+  // caused the failures. The members of a gang wait together.
+  Millis WaitOfLastAttempt(const StepSpec& step, TaskId id) const {
+    id.index = step.is_gang ? 0 : id.index;
+    const SteadyTime since =
+        m_planner.m_last_attempts.try_emplace(std::move(id), m_input.now)
+            .first->second;
+    return std::chrono::floor<Millis>(m_input.now - since);
   }
 
   // The best place for a task, with the rules for suspects; null if there is
@@ -870,7 +916,6 @@
                            Sharing sharing) const {
     const TaskId id{candidate.job->id, candidate.occurrence, candidate.step,
                     index};
-    const Task& task = TaskOf(candidate, index);
     const std::string& service = candidate.Service();
     // Looked up once rather than for each place.
     const bool avoids_cordoned = !IsSuspect(candidate, index);
@@ -891,10 +936,13 @@
     const bool waits_for_data = WaitsForData(candidate, step);
     const bool packs_tasks = m_planner.m_mechanisms.Has(Mechanism::kGathering);
     const Resources room = ReservedResources(step);
-    const bool is_last_attempt = IsLastAttempt(candidate, task);
+    const std::span<const Task> failed = FailedTogether(candidate, step, index);
+    const bool is_last_attempt = IsLastAttempt(candidate, index);
     if (is_last_attempt) {
       RemoveUnusable(places);
     }
+    const bool avoids_risk = is_last_attempt && places.all.size() > 1 &&
+                             WaitOfLastAttempt(step, id) < kMaxLastAttemptWait;
     const TaskId first{id.job, id.occurrence, id.step, 0};
     Place* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
@@ -915,7 +963,8 @@
         continue;
       }
       double cost = is_other_rack ? kOtherRackCost : 0;
-      cost += task.failed_on == info.id ? kFailedHereCost : 0;
+      const bool has_failed_here = HasFailedOn(failed, info.id);
+      cost += has_failed_here ? kFailedHereCost : 0;
       // Tasks are packed onto few hosts, first those with persistent tasks, so
       // that the others can move as soon as another service needs them.
       const bool has_persistent =
@@ -937,8 +986,8 @@
         continue;
       }
       const WorkerStatus& status = StatusOf(place);
-      const bool is_risk = is_last_attempt && places.all.size() > 1 &&
-                           (task.failed_on == info.id || status.is_unreliable);
+      const bool is_risk =
+          avoids_risk && (has_failed_here || status.is_unreliable);
       if (!status.is_usable || is_risk || status.is_quarantined) {
         continue;
       }
@@ -991,6 +1040,23 @@
     return last + 1;
   }
 
+  // Records a last attempt that goes to a worker that may have caused the
+  // earlier failures.
+  void RecordRisk(const Candidate& candidate,
+                  const RunStarted& start,
+                  const StepSpec& step) {
+    if (!IsLastAttempt(candidate, start.task.index)) {
+      return;
+    }
+    const Worker* worker = m_input.ledger.FindWorker(start.worker);
+    if (HasFailedOn(FailedTogether(candidate, step, start.task.index),
+                    start.worker) ||
+        m_input.status_of(*worker).is_unreliable) {
+      m_planner.m_risky_starts.push_back(
+          {start, WaitOfLastAttempt(step, start.task)});
+    }
+  }
+
   void Reserve(const Candidate& candidate,
                const RunStarted& start,
                const StepSpec& step) {
@@ -998,6 +1064,7 @@
                          : m_planner.m_cost.starts_on_time);
     m_planner.m_reserved_worker[start.task] = start.worker;
     ++m_planner.m_reserved_tasks[start.task.job];
+    RecordRisk(candidate, start, step);
     const Job& job = *candidate.job;
     const Resources room = ReservedResources(step);
     const std::string& service = candidate.Service();
@@ -1279,8 +1346,23 @@
   }
 }
 
+// Drops those that need no further attempt.
+void Planner::PruneLastAttempts(const Ledger& ledger) {
+  std::erase_if(m_last_attempts, [&ledger](const auto& entry) {
+    const TaskId& id = entry.first;
+    const Job* job = ledger.FindJob(id.job);
+    if (job == nullptr || job->is_over() || !job->Holds(id)) {
+      return true;
+    }
+    const Task& task = job->tasks[job->IndexOf(id)];
+    return task.is_done || task.is_given_up;
+  });
+}
+
 std::vector<RunStarted> Planner::Plan(const PlanInput& input) {
   m_step_delay = input.step_delay;
+  m_risky_starts.clear();
+  PruneLastAttempts(input.ledger);
   std::erase_if(m_deferred, [&input](const auto& deferred) {
     return deferred.second <= input.now;
   });
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -276,6 +276,153 @@
   CHECK(second[0].run == 2);
 }
 
+class LastAttemptFixture : public PlannerFixture {
+ protected:
+  // Starts all tasks of a job, of which the first one then fails, on "w1".
+  void FailOnce(const std::string& job, const StepSpec& step) {
+    Accept(job, step);
+    const auto starts = Plan();
+    REQUIRE(starts.size() == step.count);
+    Commit(starts);
+    for (const RunStarted& start : starts) {
+      REQUIRE(start.worker == "w1");
+      const RunEnd end =
+          start.task.index == 0 ? RunEnd::kFailed : RunEnd::kGangBroken;
+      ledger.Apply(RunEnded{start.task, start.run, start.worker, end, {}});
+    }
+  }
+
+  // The workers on which the next plan starts tasks, after a wait.
+  std::set<std::string> WorkersAfter(Millis wait) {
+    now += wait;
+    std::set<std::string> workers;
+    for (const RunStarted& start : Plan()) {
+      workers.insert(start.worker);
+    }
+    return workers;
+  }
+
+  static StepSpec OnRack(const std::string& rack, uint32_t count = 1) {
+    StepSpec step = Step(count);
+    step.required_label = rack;
+    return step;
+  }
+
+  static constexpr Millis kBound{2'000};
+  const std::set<std::string> none;
+  const std::set<std::string> w1{"w1"};
+};
+
+// Guards against a rule of preference that excludes: a task whose only eligible
+// worker is the one that it failed on was never started again.
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt and no other eligible worker, starts "
+                  "after a bounded wait") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  FailOnce("j", OnRack("r1"));
+  CHECK(WorkersAfter(Millis(0)) == none);
+  CHECK(WorkersAfter(kBound - Millis(1)) == none);
+  CHECK(planner.risky_starts().empty());
+  CHECK(WorkersAfter(Millis(1)) == w1);
+  REQUIRE(planner.risky_starts().size() == 1);
+  CHECK(planner.risky_starts()[0].start.worker == "w1");
+  CHECK(planner.risky_starts()[0].waited == kBound);
+}
+
+// Guards against a wait without end for workers that persistent tasks fill.
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt and the others full, starts after a "
+                  "bounded wait") {
+  AddWorker("w1");
+  FailOnce("j", Step(1));
+  AddWorker("w2");
+  statuses["w1"].is_usable = false;
+  StepSpec persistent = Step(4);
+  persistent.is_persistent = true;
+  Accept("service", persistent);
+  now += Millis(1);
+  Commit(Plan());
+  REQUIRE(ledger.FindWorker("w2")->active.size() == 4);
+  statuses["w1"].is_usable = true;
+  CHECK(WorkersAfter(Millis(0)) == none);
+  CHECK(WorkersAfter(kBound) == w1);
+}
+
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt and another worker in time, goes "
+                  "there") {
+  AddWorker("w1");
+  FailOnce("j", Step(1));
+  AddWorker("w2");
+  statuses["w2"].is_unreliable = true;
+  CHECK(WorkersAfter(Millis(0)) == none);
+  AddWorker("w3");
+  CHECK(WorkersAfter(kBound / 2) == std::set<std::string>{"w3"});
+  CHECK(planner.risky_starts().empty());
+}
+
+// Guards against a wait that begins anew with each start that is refused.
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt refused after its wait, waits no "
+                  "second time") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  FailOnce("j", OnRack("r1"));
+  CHECK(WorkersAfter(Millis(0)) == none);
+  now += kBound;
+  const auto starts = Plan();
+  REQUIRE(starts.size() == 1);
+  Commit(starts);
+  ledger.Apply(RunEnded{
+      starts[0].task, starts[0].run, starts[0].worker, RunEnd::kLapsed, {}});
+  CHECK(WorkersAfter(Millis(1)) == w1);
+}
+
+// Guards against a limit of attempts for tasks that have none.
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, persistent task that failed, starts at once") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  StepSpec step = OnRack("r1");
+  step.is_persistent = true;
+  FailOnce("j", step);
+  CHECK(WorkersAfter(Millis(0)) == w1);
+}
+
+// Guards against a gang that sends another member to the worker on which one
+// failed, and against members that wait one after the other.
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt of a gang, all members avoid the "
+                  "worker and wait together") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  StepSpec gang = OnRack("r1", 3);
+  gang.is_gang = true;
+  FailOnce("j", gang);
+  CHECK(WorkersAfter(Millis(0)) == none);
+  CHECK(WorkersAfter(kBound - Millis(1)) == none);
+  now += Millis(1);
+  const auto starts = Plan();
+  CHECK(starts.size() == 3);
+  CHECK(planner.risky_starts().size() == 3);
+}
+
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt of a gang and a sound worker, no "
+                  "member goes where one failed") {
+  AddWorker("w1");
+  StepSpec service = Step(1);
+  service.is_persistent = true;  // Tasks are packed beside it.
+  Accept("service", service);
+  Commit(Plan());
+  StepSpec gang = Step(3);
+  gang.is_gang = true;
+  FailOnce("j", gang);
+  AddWorker("w2");
+  CHECK(WorkersAfter(Millis(0)) == std::set<std::string>{"w2"});
+}
+
 TEST_CASE_FIXTURE(PlannerFixture,
                   "Planner, gang without room for all, starts none") {
   AddWorker("w1");
