Planner: a worker vacated for a suspect has its label

Cause: CordonWorker() looked at a worker's capacity and not at its label. A suspect with a label had a worker vacated that may not run it, while the ones that may were filled again. One that may not share a worker (three went down under it) waited for good: a job that stays "running" without end, as with the last attempts. Found by reading on that path, not seen on a deployment.

Change: only workers that match the label are vacated.

Open: the limit of cordoned workers counts a whole service; read, not forced.

--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -875,6 +875,7 @@
                             !StatusOf(place).is_quarantined);
       const bool may_become_empty =
           is_free && !cordoned.contains(place.worker->info.id) &&
+          MatchesLabel(place.worker->info, step.required_label) &&
           Fits(ReservedResources(step), place.worker->info.capacity) &&
           StatusOf(place).is_usable;
       const auto cost = [&](const Place& of) {
--- a/packages/scheduling/tests/crash_test.cc
+++ b/packages/scheduling/tests/crash_test.cc
@@ -643,6 +643,44 @@
   CHECK(Plan().at("a") == worker);
 }
 
+// Guards against a worker that is vacated for a suspect that may not run there,
+// while the ones that it needs are filled again and again.
+TEST_CASE_FIXTURE(CrashLedgerFixture,
+                  "Planner, isolated suspect needs a label, a worker with it "
+                  "is vacated") {
+  WorkerInfo labelled = ledger.FindWorker("w3")->info;
+  labelled.labels = {"ssd"};
+  ledger.Apply(WorkerSeen{labelled});
+  JobSpec spec;
+  spec.steps = {ledger.FindJob("a")->spec.steps[0]};
+  spec.steps[0].required_label = "ssd";
+  ledger.Apply(JobAccepted{"near", "quotes", "teklif", WallTime(), spec});
+  for (uint32_t run = 1; run <= 3; ++run) {
+    const std::string lost = "lost-" + std::to_string(run);
+    AddWorker(lost);
+    Crash("near", run, lost, Suspicion::kBystander);
+    ledger.Apply(WorkerGone{lost + "'"});
+  }
+  ledger.Apply(RunStarted{TaskOfJob("a"), 1, "w1"});
+  ledger.Apply(RunStarted{TaskOfJob("b"), 1, "w2"});
+  for (const char* job : {"long-1", "long-2", "long-3"}) {
+    Submit(job);
+    ledger.Apply(RunStarted{TaskOfJob(job), 1, "w3"});
+  }
+  CHECK_FALSE(Plan().contains("near"));
+  // Tasks go to the fullest worker, unless it is being vacated.
+  for (int job = 0; job < 4; ++job) {
+    Submit("next-" + std::to_string(job));
+  }
+  for (const auto& [job, worker] : Plan()) {
+    CHECK(worker != "w3");
+  }
+  for (const char* job : {"long-1", "long-2", "long-3"}) {
+    ledger.Apply(RunEnded{TaskOfJob(job), 1, "w3", RunEnd::kDone, {}});
+  }
+  CHECK(Plan().at("near") == "w3");
+}
+
 // A persistent task serves users: it must not wait for an empty worker.
 TEST_CASE_FIXTURE(CrashLedgerFixture,
                   "Planner, persistent suspect and no empty worker, starts "
