Ledger: a run of a gang in which several members fail is one attempt

What callers saw: a job whose gang failed once, with a queue that grants two attempts, was shown as failed while sound workers were empty.

Cause: the gang's first task counts its failures, and each member's end "failed" counted, so that one run used up as many attempts as members failed.

Ruled out: to count only the first task's own failures, as any member may be the one that fails.

--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -120,6 +120,31 @@
   CHECK(world.starts() == 3);
 }
 
+// Guards against a gang that is failed after one run: its workers report the
+// ends one after the other, some of them to the next leader.
+TEST_CASE_FIXTURE(DispatcherFixture,
+                  "Dispatcher, all members of a gang fail in one run, the gang "
+                  "runs again and succeeds") {
+  StepSpec gang = Step(9);
+  gang.is_gang = true;
+  world.failing = 1;
+  world.Submit("gang", {gang});
+  world.Advance(Millis(200));
+  world.failing = 0;
+  SUBCASE("one leader hears of all") {}
+  SUBCASE("the leader changes meanwhile") {
+    world.worker("w0").max_listed_ends = 1;
+    world.worker("w1").max_listed_ends = 1;
+    world.Advance(Millis(320));
+    world.ElectOtherLeader(Millis(300));
+  }
+  world.Advance(Millis(6'000));
+  CHECK(world.ledger().FindJob("gang")->tasks[0].failures == 1);
+  CHECK(world.StateOf("gang") == JobState::kSucceeded);
+  CHECK(world.starts() == 18);
+  CheckNoViolations(world);
+}
+
 // Guards against acknowledging a resubmission of a known job through a queue
 // that the configuration in force no longer has.
 TEST_CASE_FIXTURE(DispatcherFixture,
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -32,9 +32,10 @@
   bool was_started = false;  ///< At least one run was started.
   uint32_t last_run = 0;
   /// Number of runs that ended with kFailed. The first task of a gang counts
-  /// those of all its tasks.
+  /// the runs of the gang in which at least one member failed.
   uint32_t failures = 0;
-  std::string failed_on;   ///< The worker of the last failure.
+  uint32_t last_failed_run = 0;  ///< Of a gang's first task: the last counted.
+  std::string failed_on;         ///< The worker of the last failure.
   std::string checkpoint;  ///< The next run resumes from it; may be empty.
   std::vector<ActiveRun> active;
   std::vector<std::string> crashed;  ///< Workers that crashed while it ran.
@@ -328,7 +329,7 @@
   void EndRun(Job& job, size_t index, const RunEnded& record);
   void FinishTask(Job& job, size_t index);
   void ClearLapses(Worker& worker);
-  void CountFailure(Job& job, size_t index, const std::string& worker);
+  void CountFailure(Job& job, size_t index, const RunEnded& record);
   void GiveUpTask(Job& job, size_t index);
   void CountCrash(Job& job,
                   size_t index,
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -435,7 +435,7 @@
   if (record.end == RunEnd::kDone) {
     FinishTask(job, index);
   } else if (record.end == RunEnd::kFailed) {
-    CountFailure(job, index, record.worker);
+    CountFailure(job, index, record);
   }
   UpdateOpenJobs(job);
 }
@@ -463,13 +463,18 @@
   }
 }
 
-void Ledger::CountFailure(Job& job, size_t index, const std::string& worker) {
+void Ledger::CountFailure(Job& job, size_t index, const RunEnded& record) {
   const TaskId id = job.IdOf(index);
   const StepSpec& step = job.spec.steps[id.step];
-  // A gang fails as a whole: its first task holds the failure count.
+  job.tasks[index].failed_on = record.worker;
+  // A gang fails as a whole, once per run, however many members report it. Its
+  // first task holds the failure count.
   Task& counted = job.tasks[step.is_gang ? index - id.index : index];
+  if (step.is_gang &&
+      std::exchange(counted.last_failed_run, record.run) == record.run) {
+    return;
+  }
   ++counted.failures;
-  job.tasks[index].failed_on = worker;
   const QueueSpec* queue = FindQueueByName(job.queue);
   const uint32_t max_failures =
       queue == nullptr ? UINT32_MAX : queue->max_attempts;
@@ -989,6 +994,16 @@
   archive(value.task, value.run, value.is_proven, value.is_assessed);
 }
 
+struct SavedGangFailure {
+  TaskId task;  ///< The first task of the gang.
+  uint32_t last_failed_run = 0;
+};
+
+template <typename Archive>
+void Visit(Archive& archive, SavedGangFailure& value) {
+  archive(value.task, value.last_failed_run);
+}
+
 struct SavedJobOwner {
   std::string job;
   std::string organisation;
@@ -1029,6 +1044,7 @@
   std::vector<SavedJobOwner> owners;  ///< Of jobs that have an organisation.
   std::vector<TaskId> given_up;
   std::vector<SavedRunFlags> run_flags;
+  std::vector<SavedGangFailure> gang_failures;
 };
 
 template <typename Archive>
@@ -1040,6 +1056,7 @@
   archive.TrailingFields(value.configuration.identities, value.owners);
   archive.TrailingFields(value.given_up, value.run_flags);
   archive.TrailingFields(value.ends);
+  archive.TrailingFields(value.gang_failures);
 }
 
 }  // namespace
@@ -1088,6 +1105,9 @@
       if (task.is_given_up) {
         saved.given_up.push_back(job.IdOf(index));
       }
+      if (task.last_failed_run > 0) {
+        saved.gang_failures.push_back({job.IdOf(index), task.last_failed_run});
+      }
       for (const ActiveRun& run : task.active) {
         if (run.is_of_earlier_incarnation) {
           saved.superseded_runs.push_back({job.IdOf(index), run.run});
@@ -1148,6 +1168,11 @@
     Job& job = m_jobs.at(id.job);
     job.tasks[job.IndexOf(id)].is_given_up = true;
   }
+  for (const SavedGangFailure& failure : saved.gang_failures) {
+    Job& job = m_jobs.at(failure.task.job);
+    job.tasks[job.IndexOf(failure.task)].last_failed_run =
+        failure.last_failed_run;
+  }
   for (const SavedIncarnation& incarnation : saved.incarnations) {
     Worker& worker = m_workers[incarnation.worker];
     worker.sequence = incarnation.sequence;
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -118,6 +118,84 @@
   CHECK(ledger.open_jobs().empty());
 }
 
+class GangLedgerFixture : public LedgerFixture {
+ protected:
+  GangLedgerFixture() {
+    StepSpec gang = Step(2);
+    gang.is_gang = true;
+    Accept({gang});
+    StartAll(1);
+  }
+
+  void StartAll(uint32_t run) {
+    Start(0, 0, run, "w1");
+    Start(0, 1, run, "w2");
+  }
+
+  void EndAll(uint32_t run, RunEnd first, RunEnd second) {
+    End(0, 0, run, "w1", first);
+    End(0, 1, run, "w2", second);
+  }
+
+  uint32_t failures() const { return job().tasks[0].failures; }
+};
+
+// Guards against ends that are counted where runs are meant: a gang both of
+// whose tasks failed in one run was failed after half of its attempts.
+TEST_CASE_FIXTURE(GangLedgerFixture,
+                  "Ledger, all members of a gang fail in one run, one attempt "
+                  "is counted") {
+  EndAll(1, RunEnd::kFailed, RunEnd::kFailed);
+  CHECK(failures() == 1);
+  CHECK(job().state == JobState::kRunning);
+  CHECK(job().tasks[0].failed_on == "w1");
+  CHECK(job().tasks[1].failed_on == "w2");
+  StartAll(2);
+  EndAll(2, RunEnd::kGangBroken, RunEnd::kFailed);
+  CHECK(job().state == JobState::kFailed);
+}
+
+TEST_CASE_FIXTURE(GangLedgerFixture,
+                  "Ledger, members of a gang fail in any order, the count is "
+                  "the same") {
+  End(0, 1, 1, "w2", RunEnd::kFailed);
+  End(0, 1, 1, "w2", RunEnd::kFailed);  // Reported again.
+  CHECK(failures() == 1);
+  SUBCASE("the other one fails too") {
+    End(0, 0, 1, "w1", RunEnd::kFailed);
+  }
+  SUBCASE("the other one is stopped") {
+    End(0, 0, 1, "w1", RunEnd::kStopped);
+  }
+  SUBCASE("the other one lapses and its failure comes after the next start") {
+    ledger.Apply(WorkerLapsed{"w1"});
+    StartAll(2);
+    End(0, 0, 1, "w1", RunEnd::kFailed);
+    CHECK(failures() == 1);
+    ledger.Apply(WorkerLapsed{"w1"});
+    ledger.Apply(WorkerLapsed{"w2"});
+  }
+  CHECK(failures() == 1);
+  CHECK(job().state == JobState::kRunning);
+  StartAll(3);
+  End(0, 0, 3, "w1", RunEnd::kFailed);
+  CHECK(job().state == JobState::kFailed);
+}
+
+// Guards against a second count after a change of hosts between two reports.
+TEST_CASE_FIXTURE(GangLedgerFixture,
+                  "Ledger, snapshot between two failures of one run, one "
+                  "attempt is counted") {
+  End(0, 0, 1, "w1", RunEnd::kFailed);
+  Ledger loaded;
+  loaded.Load(ledger.Save());
+  CHECK(loaded.Save() == ledger.Save());
+  ledger = std::move(loaded);
+  End(0, 1, 1, "w2", RunEnd::kFailed);
+  CHECK(failures() == 1);
+  CHECK(job().state == JobState::kRunning);
+}
+
 TEST_CASE_FIXTURE(LedgerFixture,
                   "Ledger, lapsed and stopped runs, not counted as failures") {
   Accept({Step(1)});
