Cancel of an unknown job: it binds the submission that comes after it

What callers saw: a cancel was answered 410, "no such job", while the job's submission waited at a suspended entry host, which then handed it in: all of it ran, and nobody was left to cancel it.

Cause: the answer came from what the ledger held at that moment, and nothing kept it true. A suspended entry host is one way to a late submission; a cut connection, a refused commit that is sent again and a full queue are others.

Change: such a cancel is committed before it is answered. Only callers that the queue accepts may write one, 2,000 an organisation or open queue and 20,000 in all; beyond that, the cancel is answered 503. A cancel that crosses its submission's commit no longer has to be sent again.

Ruled out, see the postmortem: an entry host that measures its own pause or looks whether its caller has closed, which narrow the gap and don't close it; to refuse the late submission, which its caller then repeats.

Cost: cancels of unknown ids are writes, counted by early_cancels.

--- a/packages/daemon/src/schedule_metrics.cc
+++ b/packages/daemon/src/schedule_metrics.cc
@@ -43,6 +43,8 @@
     Total{"jobs_refused_beyond_share", &DispatchCounters::refused_beyond_share},
     Total{"jobs_refused_excess", &DispatchCounters::refused_excess},
     Total{"jobs_refused_too_early", &DispatchCounters::refused_too_early},
+    Total{"early_cancels", &DispatchCounters::early_cancels},
+    Total{"early_cancels_refused", &DispatchCounters::refused_early_cancels},
 };
 
 using GaugeFamily = prometheus::Family<prometheus::Gauge>;
--- a/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
+++ b/packages/dispatch/include/laurelhall/dispatch/dispatcher.h
@@ -64,6 +64,10 @@
   uint64_t refused_beyond_share = 0;
   uint64_t refused_excess = 0;
   uint64_t refused_too_early = 0;
+  /// Cancels of jobs that were not known, and those of them that were refused
+  /// as too many are held.
+  uint64_t early_cancels = 0;
+  uint64_t refused_early_cancels = 0;
 };
 
 /// A count labelled with the name of what is counted.
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -374,7 +374,8 @@
     std::string queue;
     std::string service;
     bool is_known = false;
-    bool is_own = false;  // With is_known.
+    bool is_own = false;              // With is_known.
+    bool is_cancelled_early = false;  // It will not run, so it needs no room.
     double promised_rate = 0;
     bool is_admission_on = false;
     scheduling::JobForecast forecast;  // With is_admission_on.
@@ -395,8 +396,11 @@
           FindOwnJob(ledger, request.id, judged.organisation) != nullptr;
       const auto* spec = ledger.keys().Find(judged.organisation);
       judged.promised_rate = spec == nullptr ? 0 : spec->weight;
-      judged.is_admission_on =
-          judged.outcome == Outcome::kOk && m_leadership->IsAdmissionOn(ledger);
+      judged.is_cancelled_early =
+          ledger.IsCancelledEarly(request.id, judged.organisation);
+      judged.is_admission_on = judged.outcome == Outcome::kOk &&
+                               !judged.is_cancelled_early &&
+                               m_leadership->IsAdmissionOn(ledger);
       if (judged.is_admission_on) {
         judged.forecast =
             m_leadership->Forecast(request.spec, *admission.queue);
@@ -473,7 +477,7 @@
   }
 
   bool CountsAsExcess(const Judgement& judged) {
-    return judged.promised_rate > 0 &&
+    return judged.promised_rate > 0 && !judged.is_cancelled_early &&
            m_rates.IsExcess(judged.organisation, judged.promised_rate,
                             m_init.timers->Now());
   }
@@ -571,8 +575,10 @@
     taken.job.spec = std::move(request.spec);
     taken.is_excess = asked.is_excess;
     ++m_counters.jobs;
+    const char* const event =
+        judged.is_cancelled_early ? "accept-cancelled" : "accept";
     DecisionLog::Get().Write(
-        DecisionLine("dispatch", "accept", LineClass::kRequest)
+        DecisionLine("dispatch", event, LineClass::kRequest)
             .With("job", taken.job.id)
             .With("queue", taken.job.queue)
             .With("service", taken.job.service)
@@ -639,13 +645,19 @@
       RefuseConfirmed(request, done);
       return;
     }
+    if (known.outcome == Outcome::kNoJob) {
+      CancelEarly(request, done);
+      return;
+    }
     if (known.outcome != Outcome::kOk) {
       ReadConfirmed(
           [asked](const Ledger& ledger) {
             const Reply reply = JobReply(ledger, asked);
-            // The job is known by now, but was not cancelled by this request:
-            // the caller is told to retry.
-            return reply.outcome == Outcome::kOk ? Unavailable() : reply;
+            // The queue is known by now, but nothing was cancelled by this
+            // request: the caller is told to retry.
+            const bool is_queue_known = reply.outcome == Outcome::kOk ||
+                                        reply.outcome == Outcome::kNoJob;
+            return is_queue_known ? Unavailable() : reply;
           },
           done);
       return;
@@ -660,6 +672,59 @@
     Commit(scheduling::JobCancelled{request.id}, done);
   }
 
+  // Cancels a job that is not known: its submission may still be under way, at
+  // an entry host that was suspended, say. The caller is told that there is no
+  // such job only once it is committed that there will be none.
+  void CancelEarly(const CancelJob& request, const ReplyDone& done) {
+    scheduling::JobCancelledEarly cancel;
+    cancel.id = request.id;
+    bool has_room = false;
+    bool is_recorded = false;
+    m_log->Read([&](const Ledger& ledger) {
+      Admission admission = Admit(ledger, request);
+      cancel.queue = admission.queue->name;
+      cancel.organisation = std::move(admission.organisation);
+      is_recorded = ledger.IsCancelledEarly(cancel.id, cancel.organisation);
+      has_room =
+          ledger.HasRoomForEarlyCancel(cancel.queue, cancel.organisation);
+    });
+    if (is_recorded) {
+      done(MakeReply(Outcome::kNoJob));
+      return;
+    }
+    ++(has_room ? m_counters.early_cancels : m_counters.refused_early_cancels);
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", has_room ? "cancel-early" : "cancel-refused",
+                     LineClass::kRequest)
+            .With("job", cancel.id)
+            .With("queue", cancel.queue)
+            .With("organisation", cancel.organisation));
+    if (!has_room) {
+      done(Unavailable());
+      return;
+    }
+    Commit(cancel, [weak = weak_from_this(), cancel, done](const Reply& reply) {
+      const auto self = weak.lock();
+      done(reply.outcome == Outcome::kOk && self != nullptr
+               ? self->EarlyCancelReply(cancel)
+               : reply);
+    });
+  }
+
+  // The outcome of a committed early cancel: the job may have been accepted
+  // before it, or the cancel may have found no room.
+  Reply EarlyCancelReply(const scheduling::JobCancelledEarly& cancel) const {
+    Reply reply = Unavailable();
+    m_log->Read([&](const Ledger& ledger) {
+      if (FindOwnJob(ledger, cancel.id, cancel.organisation) != nullptr) {
+        reply = MakeReply(Outcome::kOk);
+      } else if (ledger.IsCancelledEarly(cancel.id, cancel.organisation)) {
+        reply = MakeReply(Outcome::kNoJob);
+      }
+    });
+    return reply;
+  }
+
   void Run(CountWaiting& request, const ReplyDone& done) {
     ReadConfirmed(
         [request](const Ledger& ledger) {
--- a/packages/dispatch/src/leadership.cc
+++ b/packages/dispatch/src/leadership.cc
@@ -651,6 +651,28 @@
   if (!forgotten.ids.empty()) {
     records.emplace_back(std::move(forgotten));
   }
+  ForgetEarlyCancels(ledger, records);
+}
+
+// A submission that is delayed for longer counts as a new one, like one that
+// comes after its job was forgotten.
+void Leadership::ForgetEarlyCancels(const Ledger& ledger, Records& records) {
+  const SteadyTime now = Now();
+  scheduling::EarlyCancelsForgotten forgotten;
+  std::unordered_map<std::string, SteadyTime> seen;
+  for (const std::string& job : ledger.EarlyCancels()) {
+    const auto before = m_early_cancels_seen_at.find(job);
+    const SteadyTime since =
+        before == m_early_cancels_seen_at.end() ? now : before->second;
+    seen.emplace(job, since);
+    if (now - since > m_init.bounds.job_memory) {
+      forgotten.jobs.push_back(job);
+    }
+  }
+  m_early_cancels_seen_at = std::move(seen);
+  if (!forgotten.jobs.empty()) {
+    records.emplace_back(std::move(forgotten));
+  }
 }
 
 Eligibility Leadership::EligibilityOf(const Worker& worker,
@@ -706,13 +728,12 @@
   m_path_times.starts_on_time += m_planner.cost().starts_on_time;
   m_path_times.starts_late += m_planner.cost().starts_late;
   for (const scheduling::RiskyStart& risky : m_planner.risky_starts()) {
-    DecisionLog::Get().Write(
-        DecisionLine("dispatch", "last-attempt")
-            .With("task", FormatTaskId(risky.start.task))
-            .With("run", risky.start.run)
-            .With("worker", risky.start.worker)
-            .With("waited_ms", risky.waited)
-            .With("why", "no other worker takes it"));
+    DecisionLog::Get().Write(DecisionLine("dispatch", "last-attempt")
+                                 .With("task", FormatTaskId(risky.start.task))
+                                 .With("run", risky.start.run)
+                                 .With("worker", risky.start.worker)
+                                 .With("waited_ms", risky.waited)
+                                 .With("why", "no other worker takes it"));
   }
 }
 
--- a/packages/dispatch/src/leadership_p.h
+++ b/packages/dispatch/src/leadership_p.h
@@ -535,6 +535,7 @@
   void RemoveIfSilent(const Ledger& ledger, WorkerLink& link, Records& records);
   SteadyTime NextCheck(const WorkerLink& link) const;
   void ForgetEndedJobs(const Ledger& ledger, Records& records);
+  void ForgetEarlyCancels(const Ledger& ledger, Records& records);
   void Plan(const Ledger& ledger, std::vector<scheduling::RunStarted>& starts);
   void LogStarts(const std::vector<scheduling::RunStarted>& starts) const;
   void CommitStarts(const std::vector<scheduling::RunStarted>& starts);
@@ -928,6 +929,8 @@
   std::deque<LostWorker> m_lost_workers;                      // Oldest first.
   std::unordered_map<std::string, SteadyTime> m_job_seen_at;  // By open job.
   std::map<std::string, SteadyTime> m_job_over_at;            // By ended job.
+  /// When this leader first saw each job that has an early cancel.
+  std::unordered_map<std::string, SteadyTime> m_early_cancels_seen_at;
   std::map<std::string, HostMaintenance> m_hosts;        // Under maintenance.
   std::map<std::string, DeferredHost> m_deferred_hosts;  // By service.
   std::map<std::string, HostMove> m_moves;               // By host.
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -145,6 +145,97 @@
   CheckNoViolations(world);
 }
 
+class EarlyCancelFixture : public DispatcherFixture {
+ protected:
+  Outcome Cancel(const std::string& id) {
+    return world.Ask(CancelJob{"q", "/q/" + id, id, ""}).outcome;
+  }
+
+  Outcome Submit(const std::string& id) {
+    scheduling::JobSpec spec;
+    spec.steps = {Step(2), Step(2, {0})};
+    return world.Ask(SubmitJob{"q", "/q/" + id, id, spec, ""}).outcome;
+  }
+};
+
+// Guards against a cancel that is told "no such job" while the job's submission
+// waits at a suspended entry host: the job was accepted after it and ran.
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Dispatcher, cancel told that there is no such job, nothing "
+                  "of it starts") {
+  CHECK(Cancel("a") == Outcome::kNoJob);
+  SUBCASE("at the same leader") {}
+  SUBCASE("at the next leader") {
+    world.ElectOtherLeader(Millis(500));
+  }
+  SUBCASE("after a restart from a snapshot") {
+    world.RestartControlHosts();
+  }
+  SUBCASE("after a repeated cancel") {
+    CHECK(Cancel("a") == Outcome::kNoJob);
+    CHECK(world.leader_counters().early_cancels == 1);
+  }
+  world.Advance(Millis(2'000));
+  CHECK(Submit("a") == Outcome::kOk);
+  CHECK(Submit("b") == Outcome::kOk);
+  world.Advance(Millis(3'000));
+  CHECK(world.StateOf("a") == JobState::kCancelled);
+  CHECK(world.StartsOf("a.0.0.0") == 0);
+  CHECK(world.StateOf("b") == JobState::kSucceeded);
+  CheckNoViolations(world);
+}
+
+// Both are under way at once: whichever is committed first, the job ends.
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Dispatcher, cancel while the job is being accepted, the job "
+                  "is cancelled") {
+  world.SlowCommits(Millis(400));
+  scheduling::JobSpec spec;
+  spec.steps = {Step(2)};
+  std::vector<Outcome> outcomes;
+  const auto note = [&outcomes](const Reply& reply) {
+    outcomes.push_back(reply.outcome);
+  };
+  world.Send(SubmitJob{"q", "/q/a", "a", spec, ""}, note);
+  world.Send(CancelJob{"q", "/q/a", "a", ""}, note);
+  world.Advance(Millis(3'000));
+  CHECK(outcomes == std::vector{Outcome::kOk, Outcome::kOk});
+  CHECK(world.StateOf("a") == JobState::kCancelled);
+  CheckNoViolations(world);
+}
+
+// Guards against a caller that fills the log with cancels of jobs that nobody
+// submits, and against a refusal that is told as "no such job".
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Dispatcher, too many cancels of unknown jobs, further ones "
+                  "are refused until the first are forgotten") {
+  for (size_t cancel = 0; cancel < scheduling::kMaxEarlyCancelsPerCaller;
+       ++cancel) {
+    const std::string id = "job-" + std::to_string(cancel);
+    world.Send(CancelJob{"q", "/q/" + id, id, ""}, [](const Reply&) {});
+  }
+  world.Advance(Millis(1'000));
+  CHECK(world.ledger().EarlyCancels().size() ==
+        scheduling::kMaxEarlyCancelsPerCaller);
+  CHECK(Cancel("another") == Outcome::kUnavailable);
+  CHECK(Cancel("job-7") == Outcome::kNoJob);
+  CHECK(world.leader_counters().refused_early_cancels == 1);
+  // A cancel of a job that is known needs no room.
+  CHECK(Submit("known") == Outcome::kOk);
+  CHECK(Cancel("known") == Outcome::kOk);
+  world.Advance(DispatchBounds().job_memory + Millis(11'000));
+  CHECK(world.ledger().EarlyCancels().empty());
+  CHECK(Cancel("another") == Outcome::kNoJob);
+}
+
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Dispatcher, cancel through a queue that does not exist, "
+                  "records nothing") {
+  CHECK(world.Ask(CancelJob{"q", "/other/a", "a", ""}).outcome ==
+        Outcome::kNoQueue);
+  CHECK(world.ledger().EarlyCancels().empty());
+}
+
 // Guards against acknowledging a resubmission of a known job through a queue
 // that the configuration in force no longer has.
 TEST_CASE_FIXTURE(DispatcherFixture,
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -135,6 +135,12 @@
   uint32_t earlier_incarnations = 0;  ///< As Worker::earlier_incarnations.
 };
 
+/// The most early cancels that one organisation, or one open queue, may have in
+/// the ledger, so that no caller takes the room of the others.
+inline constexpr size_t kMaxEarlyCancelsPerCaller = 2'000;
+/// The most early cancels in all: about 3 MB.
+inline constexpr size_t kMaxEarlyCancels = 20'000;
+
 /// A wave and the stage of each of its hosts.
 struct WaveState {
   WaveOpened opened;
@@ -220,6 +226,20 @@
   /// known to have ended. None for an empty name.
   const std::set<std::string>& WorkersOn(const std::string& host) const;
 
+  /// Whether a cancel of the job was recorded before the job was known, and
+  /// applies to a job of the organisation.
+  bool IsCancelledEarly(const std::string& job,
+                        const std::string& organisation) const;
+
+  /// Whether another early cancel can be recorded for a caller.
+  ///
+  /// @param organisation That of the caller; empty: of an open queue.
+  bool HasRoomForEarlyCancel(const std::string& queue,
+                             const std::string& organisation) const;
+
+  /// Ids of the jobs that have early cancels; one for each cancel.
+  std::vector<std::string> EarlyCancels() const;
+
   const Job* FindJob(const std::string& id) const;
   const Worker* FindWorker(const std::string& id) const;
   const QueueSpec* FindQueueByName(const std::string& name) const;
@@ -316,6 +336,8 @@
   void ApplyRecord(const RunProven& record);
   void ApplyRecord(const WorkerLeft& record);
   void ApplyRecord(const WorkerEnded& record);
+  void ApplyRecord(const JobCancelledEarly& record);
+  void ApplyRecord(const EarlyCancelsForgotten& record);
   void BeginWorkerIncarnation(const std::string& id,
                               Worker& worker,
                               WallTime born);
@@ -348,7 +370,7 @@
   void SubtractPoolUse(const Job& job, const StepSpec& step);
   void SetConfigurationIfNewer(const Configuration& configuration);
   /// @returns Null when the job is already known.
-  Job* AddJob(const JobAccepted& record);
+  Job* AddJob(const JobAccepted& record, const std::string& organisation = {});
   void SetWorkerInfo(Worker& worker, const WorkerInfo& info);
   void RemoveFromHost(const WorkerInfo& info);
 
@@ -363,6 +385,10 @@
   ChangeList m_jobs_with_runs_to_stop;
   std::unordered_map<std::string, std::unordered_set<std::string>>
       m_queued_jobs;  // Ids of jobs in JobState::kQueued, by queue.
+  /// The queue of each early cancel, by job and organisation.
+  std::map<std::pair<std::string, std::string>, std::string> m_early_cancels;
+  /// Number of early cancels, by organisation and open queue.
+  std::map<std::pair<std::string, std::string>, size_t> m_early_cancel_counts;
   Workers m_workers;
   ChangeList m_changed_workers;
   std::unordered_map<std::string, std::set<std::string>>
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -190,6 +190,22 @@
   WorkerEndCause cause = WorkerEndCause::kUnknown;
 };
 
+/// Cancels a job that was not known when its cancel came. If it is accepted
+/// after all, by a submission that was delayed, it is cancelled at once. Has no
+/// effect while the ledger holds too many of them; see
+/// Ledger::HasRoomForEarlyCancel().
+struct JobCancelledEarly {
+  std::string id;
+  std::string queue;         ///< The queue that the cancel came through.
+  std::string organisation;  ///< Of who cancels; empty: by an open queue.
+};
+
+/// Removes early cancels of these jobs, which are so old that no submission can
+/// be delayed for as long.
+struct EarlyCancelsForgotten {
+  std::vector<std::string> jobs;
+};
+
 /// A kind is encoded as its index: append new kinds at the end.
 using Record = std::variant<ConfigurationSet,
                             JobAccepted,
@@ -210,7 +226,9 @@
                             OrganisationJobAccepted,
                             RunProven,
                             WorkerLeft,
-                            WorkerEnded>;
+                            WorkerEnded,
+                            JobCancelledEarly,
+                            EarlyCancelsForgotten>;
 
 /// Encodes a batch of records for the replicated log. Thread-safe.
 std::string EncodeRecords(std::vector<Record> records);
@@ -384,4 +402,14 @@
   archive(value.job, value.organisation, value.is_excess);
 }
 
+template <typename Archive>
+void Visit(Archive& archive, JobCancelledEarly& value) {
+  archive(value.id, value.queue, value.organisation);
+}
+
+template <typename Archive>
+void Visit(Archive& archive, EarlyCancelsForgotten& value) {
+  archive(value.jobs);
+}
+
 }  // namespace laurelhall::scheduling
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -279,13 +279,13 @@
 }
 
 void Ledger::ApplyRecord(const OrganisationJobAccepted& record) {
-  if (Job* job = AddJob(record.job)) {
-    job->organisation = record.organisation;
+  if (Job* job = AddJob(record.job, record.organisation)) {
     job->is_excess = record.is_excess;
   }
 }
 
-Job* Ledger::AddJob(const JobAccepted& record) {
+Job* Ledger::AddJob(const JobAccepted& record,
+                    const std::string& organisation) {
   const auto [found, is_new] = m_jobs.try_emplace(record.id);
   if (!is_new) {
     return nullptr;
@@ -294,6 +294,7 @@
   job.id = record.id;
   job.queue = record.queue;
   job.service = record.service;
+  job.organisation = organisation;
   job.accepted_at = record.at;
   job.spec = record.spec;
   ComputeLayout(job);
@@ -307,6 +308,8 @@
   }
   if (job.tasks_left == 0) {
     job.state = JobState::kSucceeded;
+  } else if (IsCancelledEarly(job.id, organisation)) {
+    job.state = JobState::kCancelled;
   }
   UpdateQueuedJobs(job);
   UpdateOpenJobs(job);
@@ -321,6 +324,80 @@
   }
 }
 
+namespace {
+
+// Whose share of the early cancels one takes: the organisation's, or the open
+// queue's.
+std::pair<std::string, std::string> HolderOfEarlyCancel(
+    const std::string& queue,
+    const std::string& organisation) {
+  return {organisation, organisation.empty() ? queue : std::string()};
+}
+
+}  // namespace
+
+void Ledger::ApplyRecord(const JobCancelledEarly& record) {
+  // It may have been accepted meanwhile. Another organisation's job stays.
+  const Job* job = FindJob(record.id);
+  if (job != nullptr &&
+      (job->organisation.empty() || job->organisation == record.organisation)) {
+    ApplyRecord(JobCancelled{record.id});
+    return;
+  }
+  if (!HasRoomForEarlyCancel(record.queue, record.organisation)) {
+    return;
+  }
+  if (m_early_cancels
+          .try_emplace({record.id, record.organisation}, record.queue)
+          .second) {
+    ++m_early_cancel_counts[HolderOfEarlyCancel(record.queue,
+                                                record.organisation)];
+  }
+}
+
+void Ledger::ApplyRecord(const EarlyCancelsForgotten& record) {
+  for (const std::string& job : record.jobs) {
+    auto cancel = m_early_cancels.lower_bound({job, {}});
+    while (cancel != m_early_cancels.end() && cancel->first.first == job) {
+      const auto count = m_early_cancel_counts.find(
+          HolderOfEarlyCancel(cancel->second, cancel->first.second));
+      if (--count->second == 0) {
+        m_early_cancel_counts.erase(count);
+      }
+      cancel = m_early_cancels.erase(cancel);
+    }
+  }
+}
+
+// As with a job that is known: who cancels must be of its organisation, unless
+// it has none.
+bool Ledger::IsCancelledEarly(const std::string& job,
+                              const std::string& organisation) const {
+  if (!organisation.empty()) {
+    return m_early_cancels.contains({job, organisation});
+  }
+  const auto first = m_early_cancels.lower_bound({job, {}});
+  return first != m_early_cancels.end() && first->first.first == job;
+}
+
+bool Ledger::HasRoomForEarlyCancel(const std::string& queue,
+                                   const std::string& organisation) const {
+  const auto held =
+      m_early_cancel_counts.find(HolderOfEarlyCancel(queue, organisation));
+  return m_early_cancels.size() < kMaxEarlyCancels &&
+         (held == m_early_cancel_counts.end() ||
+          held->second < kMaxEarlyCancelsPerCaller);
+}
+
+std::vector<std::string> Ledger::EarlyCancels() const {
+  std::vector<std::string> jobs;
+  jobs.reserve(m_early_cancels.size());
+  for (const auto& [key, queue] : m_early_cancels) {
+    jobs.push_back(key.first);
+  }
+  return jobs;
+}
+
 void Ledger::ApplyRecord(const JobsForgotten& record) {
   for (const std::string& id : record.ids) {
     const auto found = m_jobs.find(id);
@@ -1045,6 +1122,7 @@
   std::vector<TaskId> given_up;
   std::vector<SavedRunFlags> run_flags;
   std::vector<SavedGangFailure> gang_failures;
+  std::vector<JobCancelledEarly> early_cancels;
 };
 
 template <typename Archive>
@@ -1056,7 +1134,7 @@
   archive.TrailingFields(value.configuration.identities, value.owners);
   archive.TrailingFields(value.given_up, value.run_flags);
   archive.TrailingFields(value.ends);
-  archive.TrailingFields(value.gang_failures);
+  archive.TrailingFields(value.gang_failures, value.early_cancels);
 }
 
 }  // namespace
@@ -1119,6 +1197,9 @@
       }
     }
   }
+  for (const auto& [key, queue] : m_early_cancels) {
+    saved.early_cancels.push_back({key.first, queue, key.second});
+  }
   for (const WorkerInfo& info : saved.workers) {
     const Worker& worker = m_workers.at(info.id);
     saved.incarnations.push_back({info.id, worker.sequence, worker.born,
@@ -1168,6 +1249,11 @@
     Job& job = m_jobs.at(id.job);
     job.tasks[job.IndexOf(id)].is_given_up = true;
   }
+  for (const JobCancelledEarly& cancel : saved.early_cancels) {
+    m_early_cancels[{cancel.id, cancel.organisation}] = cancel.queue;
+    ++m_early_cancel_counts[HolderOfEarlyCancel(cancel.queue,
+                                                cancel.organisation)];
+  }
   for (const SavedGangFailure& failure : saved.gang_failures) {
     Job& job = m_jobs.at(failure.task.job);
     job.tasks[job.IndexOf(failure.task)].last_failed_run =
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -196,6 +196,109 @@
   CHECK(job().state == JobState::kRunning);
 }
 
+class EarlyCancelFixture : public LedgerFixture {
+ protected:
+  void CancelEarly(const std::string& job,
+                   const std::string& organisation = "") {
+    ledger.Apply(JobCancelledEarly{job, "quotes", organisation});
+  }
+
+  JobState StateAfterAccept(const std::string& organisation = "") {
+    JobSpec spec;
+    spec.steps = {Step(1)};
+    ledger.Apply(OrganisationJobAccepted{
+        {kJob, "quotes", "teklif", WallTime(), spec}, organisation});
+    return job().state;
+  }
+};
+
+// Guards against a cancel that is acknowledged and then forgotten: the job's
+// submission was delayed, and all of it ran.
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, job accepted after its cancel, is cancelled") {
+  CancelEarly(kJob);
+  SUBCASE("in the same ledger") {}
+  SUBCASE("in a loaded one") {
+    Ledger loaded;
+    loaded.Load(ledger.Save());
+    CHECK(loaded.Save() == ledger.Save());
+    ledger = std::move(loaded);
+  }
+  SUBCASE("after others were forgotten") {
+    CancelEarly("another");
+    ledger.Apply(EarlyCancelsForgotten{{"another"}});
+  }
+  CHECK(StateAfterAccept() == JobState::kCancelled);
+  CHECK(ledger.open_jobs().empty());
+  CHECK(ledger.CountQueued("quotes") == 0);
+  Start(0, 0, 1, "w1");
+  CHECK(job().active_runs == 0);
+}
+
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, early cancel forgotten, job runs") {
+  CancelEarly(kJob);
+  CancelEarly(kJob, "insurer-a");
+  ledger.Apply(EarlyCancelsForgotten{{kJob}});
+  CHECK(ledger.EarlyCancels().empty());
+  CHECK(StateAfterAccept() == JobState::kQueued);
+}
+
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, early cancel of another organisation, job runs") {
+  CancelEarly(kJob, "insurer-b");
+  CancelEarly(kJob);
+  CHECK(StateAfterAccept("insurer-a") == JobState::kQueued);
+  CancelEarly(kJob, "insurer-b");
+  CHECK(job().state == JobState::kQueued);
+  CancelEarly(kJob, "insurer-a");
+  CHECK(job().state == JobState::kCancelled);
+}
+
+// Anyone with access to the queue may cancel a job that has no organisation.
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, early cancel by an organisation, job without one is "
+                  "cancelled") {
+  CancelEarly(kJob, "insurer-b");
+  CHECK(StateAfterAccept() == JobState::kCancelled);
+}
+
+// Guards against a caller that fills the ledger, or takes the room of others.
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, early cancels of one caller, are limited") {
+  for (size_t cancel = 0; cancel <= kMaxEarlyCancelsPerCaller; ++cancel) {
+    CancelEarly("job-" + std::to_string(cancel), "insurer-a");
+  }
+  CHECK(ledger.EarlyCancels().size() == kMaxEarlyCancelsPerCaller);
+  CHECK_FALSE(ledger.HasRoomForEarlyCancel("quotes", "insurer-a"));
+  CHECK_FALSE(ledger.HasRoomForEarlyCancel("reports", "insurer-a"));
+  CHECK(ledger.HasRoomForEarlyCancel("quotes", "insurer-b"));
+  CHECK(ledger.HasRoomForEarlyCancel("quotes", ""));
+  ledger.Apply(EarlyCancelsForgotten{{"job-7"}});
+  CHECK(ledger.HasRoomForEarlyCancel("quotes", "insurer-a"));
+}
+
+TEST_CASE_FIXTURE(EarlyCancelFixture,
+                  "Ledger, early cancels of many callers, are limited") {
+  for (size_t cancel = 0; cancel <= kMaxEarlyCancels; ++cancel) {
+    CancelEarly("job-" + std::to_string(cancel),
+                "insurer-" + std::to_string(cancel % 20));
+  }
+  CHECK(ledger.EarlyCancels().size() == kMaxEarlyCancels);
+}
+
+TEST_CASE("Records of early cancels, decoded, equal") {
+  const auto records = DecodeRecords(
+      EncodeRecords({JobCancelledEarly{kJob, "quotes", "insurer-a"},
+                     EarlyCancelsForgotten{{kJob, "b"}}}));
+  const auto& cancel = std::get<JobCancelledEarly>(records.at(0));
+  CHECK(cancel.id == kJob);
+  CHECK(cancel.queue == "quotes");
+  CHECK(cancel.organisation == "insurer-a");
+  CHECK(std::get<EarlyCancelsForgotten>(records.at(1)).jobs ==
+        std::vector<std::string>{kJob, "b"});
+}
+
 TEST_CASE_FIXTURE(LedgerFixture,
                   "Ledger, lapsed and stopped runs, not counted as failures") {
   Accept({Step(1)});
@@ -380,8 +483,10 @@
                   "stay ended") {
   ledger.Apply(IncarnationEnded{"w8", WallTime(Millis(20))});
   std::string text = ledger.Save();
-  REQUIRE(text.ends_with("0 "));  // No causes are known.
-  text.resize(text.size() - 2);
+  // No causes are known, no failures of gangs, no early cancels.
+  const std::string added_fields = "0 0 0 ";
+  REQUIRE(text.ends_with(added_fields));
+  text.resize(text.size() - added_fields.size());
   Ledger loaded;
   loaded.Load(text);
   CHECK(loaded.IsGone("w8", WallTime(Millis(20)), 5));
