Ledger: a job of a dropped queue keeps the terms that the queue last had

What callers saw: a task that always fails, with two attempts, was started once a second for as long as its queue was out of the configuration.

Cause: a job knew its queue by name and looked up everything in the configuration in force. Without the queue there was no limit of attempts, no last attempt, the deadline was at once, and the service was the one at the time of acceptance, whatever the queue had been moved to since.

Change: the ledger keeps queues that a configuration drops while open jobs refer to them, and those of the last change; QueueOf() is the one lookup for attempts, priority, stretch, target and service. Where the queue is in the configuration, that one holds, as before. Jobs whose queue an earlier version dropped have two attempts. A configuration that grants fewer attempts than a task has used up ends it, where one more start came before.

Ruled out: the terms in each job's record, which would be those of the acceptance, and which logs of earlier versions lack.

--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -236,6 +236,37 @@
   CHECK(world.ledger().EarlyCancels().empty());
 }
 
+class DroppedQueueFixture : public DispatcherFixture {
+ protected:
+  void DropQueue() {
+    scheduling::Configuration without = world.ledger().configuration();
+    ++without.version;
+    without.document = "{}";
+    without.queues.clear();
+    world.Configure(without);
+  }
+};
+
+// Guards against starts without end of a task that always fails.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Dispatcher, queue dropped under a task that fails, it runs "
+                  "as often as it may fail") {
+  world.failing = 1;
+  world.Submit("a", {Step(1)});
+  world.Advance(Millis(200));
+  DropQueue();
+  SUBCASE("under one leader") {}
+  SUBCASE("under the next leader") {
+    world.ElectOtherLeader(Millis(300));
+  }
+  SUBCASE("after a restart from a snapshot") {
+    world.RestartControlHosts();
+  }
+  world.Advance(Millis(15'000));
+  CHECK(world.StartsOf("a.0.0.0") == 3);
+  CHECK(world.StateOf("a") == JobState::kFailed);
+}
+
 // Guards against acknowledging a resubmission of a known job through a queue
 // that the configuration in force no longer has.
 TEST_CASE_FIXTURE(DispatcherFixture,
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -201,7 +201,8 @@
       std::optional<uint64_t>& version,
       const std::function<void(const std::string&)>& visit) const;
 
-  /// Number of jobs of a queue of which no task was started yet.
+  /// Number of jobs of a queue of which no task was started yet, including
+  /// those of dropped queues that had its host and prefix.
   size_t CountQueued(const std::string& queue) const;
 
   /// Increases whenever a worker is added or removed or its information
@@ -244,6 +245,16 @@
   const Worker* FindWorker(const std::string& id) const;
   const QueueSpec* FindQueueByName(const std::string& name) const;
 
+  /// The queue under whose terms a job runs: as the current configuration has
+  /// it, else as the last one did that had it. Null only for a job whose queue
+  /// was dropped under an earlier version of this program, or was never there.
+  const QueueSpec* QueueOf(const Job& job) const;
+
+  /// How often a task of a queue's jobs, or a gang, may fail.
+  ///
+  /// @param queue Null if it is not known.
+  static uint32_t MaxAttemptsOf(const QueueSpec* queue);
+
   /// Resources of the active runs of an organisation, including the processors
   /// of best-effort tasks.
   Resources InUseBy(const std::string& organisation) const;
@@ -287,12 +298,12 @@
   /// Why the last incarnation of a worker ended. None: it has not ended.
   std::optional<WorkerEndCause> EndCauseOf(const std::string& worker) const;
 
-  /// The service whose workers run the job under the current configuration.
+  /// The service whose workers run the job: that of QueueOf().
   const std::string& ServiceOf(const Job& job) const;
 
   /// The same for a job whose queue was looked up already.
   ///
-  /// @param queue Null if it is not in the configuration.
+  /// @param queue Null if it is not known.
   static const std::string& ServiceOf(const Job& job, const QueueSpec* queue);
 
   /// Encodes the whole ledger as a snapshot, from which Load() restores it.
@@ -352,7 +363,10 @@
   void FinishTask(Job& job, size_t index);
   void ClearLapses(Worker& worker);
   void CountFailure(Job& job, size_t index, const RunEnded& record);
+  bool IsExhausted(const Job& job, size_t index) const;
   void GiveUpTask(Job& job, size_t index);
+  void GiveUpExhaustedTasks();
+  void KeepDroppedQueues(const Configuration& next);
   void CountCrash(Job& job,
                   size_t index,
                   const std::string& worker,
@@ -376,6 +390,10 @@
 
   Configuration m_configuration;
   std::map<std::string, size_t> m_queue_index;  // By name.
+  /// Queues that the configuration lacks, as they last were: those that open
+  /// jobs were accepted for, and those that the last change dropped, as the
+  /// acceptance of a job may have been under way then. By name.
+  std::map<std::string, QueueSpec> m_dropped_queues;
   KeyRing m_keys;
   std::unordered_map<std::string, Resources> m_in_use;  // By organisation.
   std::unordered_map<std::string, PoolUse> m_pool_use;  // By service.
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -24,6 +24,8 @@
 // kMaxCrashesPerTask, also without blame, so that another crash beside other
 // tasks might be one too many.
 constexpr size_t kCrashesToIsolate = 3;
+// Attempts of a job whose queue is not known at all.
+constexpr uint32_t kAttemptsWithoutQueue = 2;
 
 // Computes step_offset and occurrence_size from the steps of a job.
 void ComputeLayout(Job& job) {
@@ -226,8 +228,20 @@
                                         : std::optional(found->second.cause);
 }
 
+const QueueSpec* Ledger::QueueOf(const Job& job) const {
+  if (const QueueSpec* queue = FindQueueByName(job.queue)) {
+    return queue;
+  }
+  const auto dropped = m_dropped_queues.find(job.queue);
+  return dropped == m_dropped_queues.end() ? nullptr : &dropped->second;
+}
+
+uint32_t Ledger::MaxAttemptsOf(const QueueSpec* queue) {
+  return queue == nullptr ? kAttemptsWithoutQueue : queue->max_attempts;
+}
+
 const std::string& Ledger::ServiceOf(const Job& job) const {
-  return ServiceOf(job, FindQueueByName(job.queue));
+  return ServiceOf(job, QueueOf(job));
 }
 
 const std::string& Ledger::ServiceOf(const Job& job, const QueueSpec* queue) {
@@ -249,6 +263,7 @@
 }
 
 void Ledger::SetConfiguration(Configuration configuration) {
+  KeepDroppedQueues(configuration);
   m_configuration = std::move(configuration);
   m_keys = KeyRing(m_configuration);
   m_queue_index.clear();
@@ -256,6 +271,44 @@
     m_queue_index.try_emplace(m_configuration.queues[index].name, index);
   }
   RecountPoolUse();
+  GiveUpExhaustedTasks();
+}
+
+// Open jobs of a queue that is dropped go on under its last terms.
+void Ledger::KeepDroppedQueues(const Configuration& next) {
+  std::set<std::string> used;
+  if (!m_dropped_queues.empty()) {
+    for (const auto& [id, job] : m_open_jobs) {
+      used.insert(job->queue);
+    }
+  }
+  std::erase_if(m_dropped_queues, [&used](const auto& dropped) {
+    return !used.contains(dropped.first);
+  });
+  for (const QueueSpec& queue : m_configuration.queues) {
+    m_dropped_queues[queue.name] = queue;
+  }
+  for (const QueueSpec& queue : next.queues) {
+    m_dropped_queues.erase(queue.name);
+  }
+}
+
+// A configuration may grant fewer attempts than tasks have used up.
+void Ledger::GiveUpExhaustedTasks() {
+  std::vector<std::string> ids;  // Giving up a task may end its job.
+  for (const auto& [id, job] : m_open_jobs) {
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    Job& job = m_jobs.at(id);
+    for (size_t index = 0; index < job.tasks.size(); ++index) {
+      const auto is_idle = [](const Task& task) { return task.active.empty(); };
+      if (job.tasks[index].failures > 0 && IsExhausted(job, index) &&
+          std::ranges::all_of(MembersOf(job, index), is_idle)) {
+        GiveUpTask(job, index);
+      }
+    }
+  }
 }
 
 // A configuration may move a queue, and with it the runs of its jobs, to
@@ -514,6 +567,10 @@
   } else if (record.end == RunEnd::kFailed) {
     CountFailure(job, index, record);
   }
+  if (record.end != RunEnd::kDone && task.active.empty() &&
+      IsExhausted(job, index)) {
+    GiveUpTask(job, index);
+  }
   UpdateOpenJobs(job);
 }
 
@@ -552,14 +609,15 @@
     return;
   }
   ++counted.failures;
-  const QueueSpec* queue = FindQueueByName(job.queue);
-  const uint32_t max_failures =
-      queue == nullptr ? UINT32_MAX : queue->max_attempts;
-  const bool is_final = !step.is_persistent && !counted.is_done &&
-                        !job.is_over() && counted.failures >= max_failures;
-  if (is_final && job.tasks[index].active.empty()) {
-    GiveUpTask(job, index);
-  }
+}
+
+// Whether a task, or its gang, has failed as often as its queue allows and is
+// not given up yet.
+bool Ledger::IsExhausted(const Job& job, size_t index) const {
+  const Task& counted = MembersOf(job, index).front();
+  return !job.StepOf(index).is_persistent && !counted.is_done &&
+         !counted.is_given_up && !job.is_over() &&
+         counted.failures >= MaxAttemptsOf(QueueOf(job));
 }
 
 // Gives up all tasks of a gang, which cannot work without one of them. Fails
@@ -1123,6 +1181,7 @@
   std::vector<SavedRunFlags> run_flags;
   std::vector<SavedGangFailure> gang_failures;
   std::vector<JobCancelledEarly> early_cancels;
+  std::vector<QueueSpec> dropped_queues;
 };
 
 template <typename Archive>
@@ -1134,7 +1193,8 @@
   archive.TrailingFields(value.configuration.identities, value.owners);
   archive.TrailingFields(value.given_up, value.run_flags);
   archive.TrailingFields(value.ends);
-  archive.TrailingFields(value.gang_failures, value.early_cancels);
+  archive.TrailingFields(value.gang_failures, value.early_cancels,
+                         value.dropped_queues);
 }
 
 }  // namespace
@@ -1197,6 +1257,9 @@
       }
     }
   }
+  for (const auto& [name, queue] : m_dropped_queues) {
+    saved.dropped_queues.push_back(queue);
+  }
   for (const auto& [key, queue] : m_early_cancels) {
     saved.early_cancels.push_back({key.first, queue, key.second});
   }
@@ -1223,6 +1286,9 @@
   m_new_jobs.version = jobs_version + 1;
   m_jobs_with_runs_to_stop.version = stops_version + 1;
   SetConfiguration(std::move(saved.configuration));
+  for (QueueSpec& queue : saved.dropped_queues) {
+    m_dropped_queues[queue.name] = std::move(queue);
+  }
   for (const WorkerInfo& info : saved.workers) {
     SetWorkerInfo(m_workers[info.id], info);
   }
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -154,7 +154,7 @@
 
 // The time from a job's submission until it should be done.
 //
-// @param queue Null if it is not in the configuration.
+// @param queue Null if it is not known.
 // @param ratio Actual over estimated run time.
 Millis ObjectiveOf(const JobSpec& spec, const QueueSpec* queue, double ratio) {
   Millis chain{0};
@@ -186,7 +186,7 @@
 /// A step with tasks that could start now.
 struct Planner::Candidate {
   const Job* job = nullptr;
-  const QueueSpec* queue = nullptr;  // Null if not in the configuration.
+  const QueueSpec* queue = nullptr;  // As Ledger::QueueOf() has it.
   uint32_t occurrence = 0;
   uint32_t step = 0;
   bool has_reservations = false;  // Some start of its job is being committed.
@@ -689,9 +689,9 @@
   // failures. Attempts of persistent tasks are not limited.
   static bool IsLastAttempt(const Candidate& candidate, uint32_t index) {
     const uint32_t failures = FailuresOf(candidate, index);
-    return candidate.queue != nullptr && failures > 0 &&
+    return failures > 0 &&
            !candidate.job->spec.steps[candidate.step].is_persistent &&
-           failures + 1 >= candidate.queue->max_attempts;
+           failures + 1 >= Ledger::MaxAttemptsOf(candidate.queue);
   }
 
   // Number of failed attempts of a task, or of its gang as a whole.
@@ -1199,7 +1199,7 @@
   waiting.ready_core_milliseconds *= ratio;
   waiting.running_core_milliseconds *= ratio;
   const SteadyTime deadline =
-      DeadlineOf(ledger.FindQueueByName(job.queue), job, first_seen_at);
+      DeadlineOf(ledger.QueueOf(job), job, first_seen_at);
   const SteadyTime limit =
       first_seen_at + kUselessAfterFactor * (deadline - first_seen_at);
   const bool is_late = IsHopeless(job, 0, deadline, now);
@@ -1210,7 +1210,7 @@
 
 Millis Planner::Slack(const Ledger& ledger, const Job& job) const {
   const double ratio = RunTimeRatio(job.queue);
-  return ObjectiveOf(job.spec, ledger.FindQueueByName(job.queue), ratio) -
+  return ObjectiveOf(job.spec, ledger.QueueOf(job), ratio) -
          Scaled(RemainingCriticalPath(job, 0), ratio);
 }
 
@@ -1232,7 +1232,7 @@
   const auto seen = input.first_seen_at.find(job.id);
   const SteadyTime since =
       seen == input.first_seen_at.end() ? input.now : seen->second;
-  candidate.queue = input.ledger.FindQueueByName(job.queue);
+  candidate.queue = input.ledger.QueueOf(job);
   candidate.waiting_since = since;
   candidate.priority =
       candidate.queue == nullptr ? 0 : candidate.queue->priority;
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -299,6 +299,159 @@
         std::vector<std::string>{kJob, "b"});
 }
 
+class DroppedQueueFixture : public LedgerFixture {
+ protected:
+  DroppedQueueFixture() { Accept({Step(1)}); }
+
+  // Sets the next version of the configuration.
+  void Configure(const std::vector<QueueSpec>& queues) {
+    Configuration next = ledger.configuration();
+    ++next.version;
+    next.queues = queues;
+    ledger.Apply(ConfigurationSet{next});
+  }
+
+  static QueueSpec Queue(uint32_t max_attempts) {
+    return {"quotes", "q.example",  "/quotes/", "teklif",
+            0,        max_attempts, 1.6,        Millis(600)};
+  }
+
+  void Fail(uint32_t run) {
+    Start(0, 0, run, "w1");
+    End(0, 0, run, "w1", RunEnd::kFailed);
+  }
+
+  void Reload() {
+    Ledger loaded;
+    loaded.Load(ledger.Save());
+    CHECK(loaded.Save() == ledger.Save());
+    ledger = std::move(loaded);
+  }
+};
+
+// Guards against a job without a limit of attempts: a task that always fails
+// was started again and again once its queue was out of the configuration.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, queue dropped, its limit of attempts holds") {
+  Start(0, 0, 1, "w1");
+  Configure({});
+  SUBCASE("in the same ledger") {}
+  SUBCASE("in a loaded one") {
+    Reload();
+  }
+  SUBCASE("after further changes") {
+    Configure({});
+    Configure({{"other", "o.example", "/", "teklif"}});
+    Reload();
+  }
+  End(0, 0, 1, "w1", RunEnd::kFailed);
+  CHECK(job().state == JobState::kRunning);
+  Fail(2);
+  CHECK(job().state == JobState::kFailed);
+}
+
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, queue dropped, its job keeps all of its terms") {
+  Configure({});
+  const QueueSpec* queue = ledger.QueueOf(job());
+  REQUIRE(queue != nullptr);
+  CHECK(queue->max_attempts == 2);
+  CHECK(queue->stretch == doctest::Approx(1.6));
+  CHECK(queue->target_latency == Millis(600));
+}
+
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, queue moved and then dropped, the job stays with "
+                  "its last service") {
+  QueueSpec moved = Queue(2);
+  moved.service = "kabin";
+  Configure({moved});
+  Configure({});
+  Reload();
+  CHECK(ledger.ServiceOf(job()) == "kabin");
+}
+
+// Guards against an acceptance that was under way when the queue was dropped.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, job accepted right after its queue was dropped, the "
+                  "limit of attempts holds") {
+  Configure({});
+  JobSpec spec;
+  spec.steps = {Step(1)};
+  ledger.Apply(JobAccepted{"late", "quotes", "teklif", WallTime(), spec});
+  REQUIRE(ledger.QueueOf(*ledger.FindJob("late")) != nullptr);
+  CHECK(ledger.QueueOf(*ledger.FindJob("late"))->max_attempts == 2);
+}
+
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, dropped queue is back, its new terms are in force") {
+  Configure({});
+  Fail(1);
+  Configure({Queue(3)});
+  Fail(2);
+  CHECK(job().state == JobState::kRunning);
+  Fail(3);
+  CHECK(job().state == JobState::kFailed);
+}
+
+// Guards against a start after the last attempt that the configuration grants.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, attempts lowered to those used up, job fails") {
+  Configure({Queue(3)});
+  Fail(1);
+  SUBCASE("while nothing runs") {
+    Configure({Queue(1)});
+    CHECK(job().state == JobState::kFailed);
+  }
+  SUBCASE("once the run at work has ended") {
+    Start(0, 0, 2, "w2");
+    Configure({Queue(1)});
+    CHECK(job().state == JobState::kRunning);
+    ledger.Apply(WorkerLapsed{"w2"});
+    CHECK(job().state == JobState::kFailed);
+  }
+  SUBCASE("unless the run at work is done") {
+    Start(0, 0, 2, "w2");
+    Configure({Queue(1)});
+    End(0, 0, 2, "w2", RunEnd::kDone);
+    CHECK(job().state == JobState::kSucceeded);
+  }
+}
+
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, dropped queue without open jobs, is forgotten") {
+  Fail(1);
+  Fail(2);
+  Configure({});
+  CHECK(ledger.Save().find("/quotes/") != std::string::npos);
+  Configure({});
+  CHECK(ledger.Save().find("/quotes/") == std::string::npos);
+}
+
+// Snapshots of earlier versions don't hold the terms of dropped queues.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, dropped queue in a snapshot of an earlier version, "
+                  "attempts are limited") {
+  Configure({});
+  std::string text = ledger.Save();
+  const std::string added_field =
+      "1 6:quotes9:q.example8:/quotes/6:teklif0 2 1600 600 ";
+  REQUIRE(text.ends_with(added_field));
+  text.resize(text.size() - added_field.size());
+  // No failures of gangs, no early cancels.
+  REQUIRE(text.ends_with("0 0 "));
+  text.resize(text.size() - 4);
+  Ledger loaded;
+  loaded.Load(text);
+  ledger = std::move(loaded);
+  REQUIRE(ledger.QueueOf(job()) == nullptr);
+  CHECK(ledger.ServiceOf(job()) == "teklif");
+  Fail(1);
+  CHECK(job().state == JobState::kRunning);
+  Fail(2);
+  CHECK(job().state == JobState::kFailed);
+}
+
 TEST_CASE_FIXTURE(LedgerFixture,
                   "Ledger, lapsed and stopped runs, not counted as failures") {
   Accept({Step(1)});
@@ -483,8 +636,9 @@
                   "stay ended") {
   ledger.Apply(IncarnationEnded{"w8", WallTime(Millis(20))});
   std::string text = ledger.Save();
-  // No causes are known, no failures of gangs, no early cancels.
-  const std::string added_fields = "0 0 0 ";
+  // No causes are known, no failures of gangs, no early cancels, no dropped
+  // queues.
+  const std::string added_fields = "0 0 0 0 ";
   REQUIRE(text.ends_with(added_fields));
   text.resize(text.size() - added_fields.size());
   Ledger loaded;
--- a/packages/scheduling/tests/organisation_test.cc
+++ b/packages/scheduling/tests/organisation_test.cc
@@ -151,8 +151,8 @@
   ledger.Apply(JobAccepted{"j", "quotes", "teklif", WallTime(), spec});
   std::string text = ledger.Save();
   // No identities, no job owners, no tasks given up, no run flags, no causes of
-  // ends, no failures of gangs, no early cancels.
-  const std::string added_fields = "0 0 0 0 0 0 0 ";
+  // ends, no failures of gangs, no early cancels, no dropped queues.
+  const std::string added_fields = "0 0 0 0 0 0 0 0 ";
   REQUIRE(text.ends_with(added_fields));
   text.resize(text.size() - added_fields.size());
   Ledger loaded;
--- a/packages/scheduling/tests/planner_test.cc
+++ b/packages/scheduling/tests/planner_test.cc
@@ -423,6 +423,19 @@
   CHECK(WorkersAfter(Millis(0)) == std::set<std::string>{"w2"});
 }
 
+TEST_CASE_FIXTURE(LastAttemptFixture,
+                  "Planner, last attempt for a dropped queue, waits as well") {
+  AddWorker("w1", "r1");
+  AddWorker("w2", "r2");
+  FailOnce("j", OnRack("r1"));
+  Configuration without = ledger.configuration();
+  ++without.version;
+  without.queues.clear();
+  ledger.Apply(ConfigurationSet{without});
+  CHECK(WorkersAfter(Millis(0)) == none);
+  CHECK(WorkersAfter(kBound) == w1);
+}
+
 TEST_CASE_FIXTURE(PlannerFixture,
                   "Planner, gang without room for all, starts none") {
   AddWorker("w1");
