Ledger: a renamed queue counts the waiting jobs of its former name

Cause: jobs are counted by their queue's name, and callers know a queue by its host and prefix. A queue that got another name at its place counted none of the jobs that waited there.

Change: CountQueued() adds the jobs of dropped queues with the same place.

--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -649,8 +649,18 @@
 }
 
 size_t Ledger::CountQueued(const std::string& queue) const {
-  const auto found = m_queued_jobs.find(queue);
-  return found == m_queued_jobs.end() ? 0 : found->second.size();
+  const auto count = [this](const std::string& name) {
+    const auto found = m_queued_jobs.find(name);
+    return found == m_queued_jobs.end() ? 0 : found->second.size();
+  };
+  size_t queued = count(queue);
+  const QueueSpec* spec = FindQueueByName(queue);
+  for (const auto& [name, dropped] : m_dropped_queues) {
+    const bool is_renamed = spec != nullptr && dropped.host == spec->host &&
+                            dropped.prefix == spec->prefix;
+    queued += is_renamed ? count(name) : 0;
+  }
+  return queued;
 }
 
 void Ledger::UpdateQueuedJobs(const Job& job) {
--- a/packages/scheduling/tests/ledger_test.cc
+++ b/packages/scheduling/tests/ledger_test.cc
@@ -428,6 +428,16 @@
   CHECK(ledger.Save().find("/quotes/") == std::string::npos);
 }
 
+// Callers know a queue by its host and prefix, not by its name.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Ledger, queue renamed, its waiting jobs are counted") {
+  QueueSpec renamed = Queue(2);
+  renamed.name = "estimates";
+  Configure({renamed, {"other", "o.example", "/quotes/", "teklif"}});
+  CHECK(ledger.CountQueued("estimates") == 1);
+  CHECK(ledger.CountQueued("other") == 0);
+}
+
 // Snapshots of earlier versions don't hold the terms of dropped queues.
 TEST_CASE_FIXTURE(DroppedQueueFixture,
                   "Ledger, dropped queue in a snapshot of an earlier version, "
