Dispatcher: a cancel reaches a job whose queue was dropped

What callers saw: a job went on after its queue was dropped, and a cancel was answered that there is no such queue, again and again: nobody could end it.

Change: a cancel through the host and path that the job's queue last had ends the job, for a caller that might cancel it by its key. The answer stays "no such queue", as the configuration in force has it.

Open: the command line's "job cancel" does not reach jobs of callers.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -649,6 +649,10 @@
       CancelEarly(request, done);
       return;
     }
+    if (known.outcome == Outcome::kNoQueue && MayCancelDropped(request)) {
+      CancelDropped(request, done);
+      return;
+    }
     if (known.outcome != Outcome::kOk) {
       ReadConfirmed(
           [asked](const Ledger& ledger) {
@@ -672,6 +676,51 @@
     Commit(scheduling::JobCancelled{request.id}, done);
   }
 
+  // Whether a request names an open job that was accepted for the queue which
+  // was at its host and path, and its caller may cancel it.
+  bool MayCancelDropped(const CancelJob& request) const {
+    bool may_cancel = false;
+    m_log->Read([&](const Ledger& ledger) {
+      const scheduling::Job* job = ledger.FindJob(request.id);
+      const scheduling::QueueSpec* queue =
+          job == nullptr || job->is_over() ? nullptr : ledger.QueueOf(*job);
+      if (queue == nullptr || queue->host != request.host ||
+          !request.path.starts_with(queue->prefix)) {
+        return;
+      }
+      const scheduling::Access access =
+          ledger.keys().Check(queue->name, request.key);
+      may_cancel =
+          access.is_granted && (job->organisation.empty() ||
+                                job->organisation == access.organisation);
+    });
+    return may_cancel;
+  }
+
+  // Cancels a job whose queue was dropped, which nobody could end otherwise.
+  // The caller is told that there is no such queue, as the configuration has
+  // it.
+  void CancelDropped(const CancelJob& request, const ReplyDone& done) {
+    DecisionLog::Get().Write(
+        DecisionLine("dispatch", "cancel", LineClass::kRequest)
+            .With("job", request.id)
+            .With("why", "its queue was dropped"));
+    Commit(scheduling::JobCancelled{request.id},
+           [weak = weak_from_this(), request, done](const Reply& reply) {
+             const auto self = weak.lock();
+             if (reply.outcome != Outcome::kOk || self == nullptr) {
+               done(reply);
+               return;
+             }
+             Reply cancelled;
+             self->m_log->Read([&](const Ledger& ledger) {
+               cancelled = JobReply(ledger, {request.host, request.path,
+                                             request.id, request.key});
+             });
+             done(cancelled);
+           });
+  }
+
   // Cancels a job that is not known: its submission may still be under way, at
   // an entry host that was suspended, say. The caller is told that there is no
   // such job only once it is committed that there will be none.
--- a/packages/dispatch/tests/dispatcher_test.cc
+++ b/packages/dispatch/tests/dispatcher_test.cc
@@ -267,6 +267,60 @@
   CHECK(world.StateOf("a") == JobState::kFailed);
 }
 
+// Guards against a job that nobody can end: its queue is gone, and cancels are
+// answered that there is none.
+TEST_CASE_FIXTURE(
+    DroppedQueueFixture,
+    "Dispatcher, cancel of a job whose queue was dropped, told so "
+    "and the job ends") {
+  StepSpec persistent = Step(2);
+  persistent.is_persistent = true;
+  world.Submit("a", {persistent});
+  world.Submit("b", {persistent});
+  world.Advance(Millis(500));
+  DropQueue();
+  CHECK(world.Ask(CancelJob{"q", "/other/a", "a", ""}).outcome ==
+        Outcome::kNoQueue);
+  world.Advance(Millis(500));
+  CHECK(world.StateOf("a") == JobState::kRunning);
+  CHECK(world.Ask(CancelJob{"q", "/q/a", "a", ""}).outcome ==
+        Outcome::kNoQueue);
+  world.Advance(Millis(1'000));
+  CHECK(world.StateOf("a") == JobState::kCancelled);
+  CHECK(world.ledger().FindJob("a")->active_runs == 0);
+  CHECK(world.StateOf("b") == JobState::kRunning);
+  CheckNoViolations(world);
+}
+
+// Another organisation's job stays, also where its queue is gone.
+TEST_CASE_FIXTURE(DroppedQueueFixture,
+                  "Dispatcher, cancel of another's job whose queue was "
+                  "dropped, the job stays") {
+  scheduling::IdentitySpec identities;
+  identities.organisations.push_back({"insurer-a", {"key-a"}});
+  identities.organisations.push_back({"insurer-b", {"key-b"}});
+  world.Identify(identities);
+  StepSpec persistent = Step(1);
+  persistent.is_persistent = true;
+  world.SubmitFor("insurer-a", "a", {persistent});
+  world.Advance(Millis(500));
+  // The world's own configuration call carries no identities.
+  scheduling::Configuration without = world.ledger().configuration();
+  ++without.version;
+  without.queues.clear();
+  world.Configure(without);
+  CHECK(world.Ask(CancelJob{"q", "/q/a", "a", "key-b"}).outcome ==
+        Outcome::kNoQueue);
+  CHECK(world.Ask(CancelJob{"q", "/q/a", "a", ""}).outcome ==
+        Outcome::kNoQueue);
+  world.Advance(Millis(500));
+  CHECK(world.StateOf("a") == JobState::kRunning);
+  CHECK(world.Ask(CancelJob{"q", "/q/a", "a", "key-a"}).outcome ==
+        Outcome::kNoQueue);
+  world.Advance(Millis(500));
+  CHECK(world.StateOf("a") == JobState::kCancelled);
+}
+
 // Guards against acknowledging a resubmission of a known job through a queue
 // that the configuration in force no longer has.
 TEST_CASE_FIXTURE(DispatcherFixture,
