--- a/packages/dispatch/tests/world.cc
+++ b/packages/dispatch/tests/world.cc
@@ -145,10 +145,14 @@
   }
   for (const EndedRun& ended : m_ended) {
     // Not if the lease has lapsed since: the task may then run again.
-    if (ended.number <= order.ends_seen && ended.number > m_lapsed_ends &&
-        ended.end == RunEnd::kDone && on_done) {
+    const bool counts =
+        ended.number <= order.ends_seen && ended.number > m_lapsed_ends;
+    if (counts && ended.end == RunEnd::kDone && on_done) {
       on_done(ended.task);
     }
+    if (counts && ended.end == RunEnd::kFailed && on_failed) {
+      on_failed(ended.task, ended.run);
+    }
   }
   std::erase_if(m_ended, [&](const EndedRun& ended) {
     return ended.number <= order.ends_seen;
@@ -442,7 +446,9 @@
             run.begun_at = m_world.Now();
             run.ends_at = m_world.Now() + m_world.startup_time;
           }
-          run.fails = m_world.Chance(m_world.failing);
+          run.fails = m_world.Chance(m_world.failing) ||
+                      m_world.failing_workers.contains(worker.id()) ||
+                      m_world.failing_jobs.contains(order.task.job);
           run.is_persistent = spec.is_persistent;
           const bool was_there = worker.runs().contains(order.task);
           const CallReply reply = worker.Start(order, run, m_world.Now());
@@ -986,11 +992,15 @@
   info.service = service;
   info.host = host;
   info.rack = rack;
+  info.labels = {rack};
   info.capacity = capacity;
   Apply(scheduling::WorkerAnnounced{info, 0, WallTime(Millis(1))});
   auto worker = std::make_unique<FakeWorker>(
       id, info.capacity, Millis(1'000 * static_cast<int>(m_workers.size())));
   worker->on_done = [this](const TaskId& task) { m_noted_done.insert(task); };
+  worker->on_failed = [this](const TaskId& task, uint32_t run) {
+    m_noted_failures[FirstOfGang(task)].insert(run);
+  };
   worker->on_wrong_acknowledgement = [this, id](uint64_t acknowledged,
                                                 uint64_t listed) {
     AddViolation("end " + std::to_string(acknowledged) + " of " + id +
@@ -1490,7 +1500,13 @@
     AddViolation(task + " exceeds the capacity of " + worker.id());
   }
   CheckCap(order);
+  CheckAttempts(order);
   const scheduling::Job& job = *m_ledger.FindJob(order.task.job);
+  const std::string& label = job.spec.steps[order.task.step].required_label;
+  const scheduling::Worker* known = m_ledger.FindWorker(worker.id());
+  if (!label.empty() && known != nullptr && known->info.rack != label) {
+    AddViolation(task + " is started on " + worker.id() + " without its label");
+  }
   for (const uint32_t earlier : job.spec.steps[order.task.step].depends_on) {
     if (job.tasks_left_by_step[earlier] > 0) {
       AddViolation(task + " is started before step " + std::to_string(earlier));
@@ -1498,6 +1514,29 @@
   }
 }
 
+scheduling::TaskId World::FirstOfGang(scheduling::TaskId task) const {
+  const scheduling::Job* job = m_ledger.FindJob(task.job);
+  if (job != nullptr && job->Holds(task) &&
+      job->spec.steps[task.step].is_gang) {
+    task.index = 0;
+  }
+  return task;
+}
+
+size_t World::FailedRunsOf(const TaskId& task) const {
+  const auto found = m_noted_failures.find(FirstOfGang(task));
+  return found == m_noted_failures.end() ? 0 : found->second.size();
+}
+
+void World::CheckAttempts(const StartOrder& order) {
+  const auto most = max_attempts_of.find(order.task.job);
+  if (most != max_attempts_of.end() && !m_is_late &&
+      FailedRunsOf(order.task) >= most->second) {
+    AddViolation(FormatTaskId(order.task) +
+                 " is started after its last attempt failed");
+  }
+}
+
 // The highest cap of those that may be in force on some host; empty if there is
 // no limit.
 scheduling::Resources World::CapInForce(const std::string& organisation) const {
--- a/packages/dispatch/tests/world.h
+++ b/packages/dispatch/tests/world.h
@@ -76,6 +76,8 @@
 
   /// Called for each run that succeeded, when the leader acknowledges its end.
   std::function<void(const scheduling::TaskId&)> on_done;
+  /// The same for a run that failed.
+  std::function<void(const scheduling::TaskId&, uint32_t run)> on_failed;
   /// Called for each run that ends because the worker's lease has run out.
   std::function<void(const scheduling::TaskId&, const Run&)> on_lapsed;
   /// Called for each acknowledgement of an end that this incarnation has not
@@ -285,6 +287,8 @@
   uint64_t starts() const { return m_starts; }
   /// How often a task was started.
   uint64_t StartsOf(const std::string& task) const;
+  /// How many runs of a task, or of its gang, failed and were acknowledged.
+  size_t FailedRunsOf(const scheduling::TaskId& task) const;
   /// How many workers a task crashed.
   uint64_t CrashesOf(const std::string& task) const;
   /// The number of workers that went down, for any reason, while one task of a
@@ -312,6 +316,11 @@
 
   CallFaults call_faults;
   double failing = 0;  ///< Probability that a run fails by its own fault.
+  std::set<std::string> failing_workers;  ///< Fail all that they start.
+  std::set<std::string> failing_jobs;     ///< All of their runs fail.
+  /// How often a task may fail, by job. No start may come after that many runs
+  /// of it, or of its gang, whose failure was acknowledged.
+  std::map<std::string, uint32_t> max_attempts_of;
   /// Tasks that crash each worker that runs them, with the time from the start
   /// to the crash. The worker's host gets a new incarnation after crash_pause.
   std::map<std::string, Millis> crashing;
@@ -371,6 +380,8 @@
   void CheckStart(const FakeWorker& worker,
                   const StartOrder& order,
                   bool was_there);
+  scheduling::TaskId FirstOfGang(scheduling::TaskId task) const;
+  void CheckAttempts(const StartOrder& order);
   void CheckCap(const StartOrder& order);
   void CheckStop(const FakeWorker& worker, const StopOrder& order);
   void CheckEndAllowed(const scheduling::TaskId& task, const char* how);
@@ -411,6 +422,8 @@
   Millis m_start_delay{0};
   size_t m_leader = 0;
   std::set<scheduling::TaskId> m_noted_done;
+  /// Of a gang by its first task.
+  std::map<scheduling::TaskId, std::set<uint32_t>> m_noted_failures;
   std::vector<std::string> m_violations;
   uint64_t m_starts = 0;
   /// The identity settings, each with the end of its validity; newest last.
