Entry host: a submission that waited unread has only the rest of its time

What callers saw: an entry host that stood still for 4 s gave a submission that had waited in its socket the whole of its caller's time anew, and handed in a job for a caller that had given up and cancelled it elsewhere.

Cause: the caller's time counted from when the request was read.

Change: the entry host's ticks tell how long it stood still, on the clock that goes on while the machine sleeps. A submission that is read right after a pause of half a second or more may have waited for all of it: what is left of its time counts, and one without any is refused as not carried out ("entry read-late"). Reads and cancels are not affected: a late cancel is still wanted.

Ruled out: a look whether the caller has closed its connection, as it may have closed one way only.

--- a/packages/dispatch/include/laurelhall/dispatch/remote.h
+++ b/packages/dispatch/include/laurelhall/dispatch/remote.h
@@ -25,6 +25,7 @@
   /// How long a caller waits for a leader before it is told to retry later:
   /// enough for an election and for the new leader to read its log.
   Millis patience{1'500};
+  std::function<BootTime()> boot_now = BootClock::now;
 };
 
 /// An entry host's access to the scheduler of the leader, wherever that runs.
@@ -37,7 +38,11 @@
 
   /// Sends a request to the leader.
   ///
-  /// @param time_left Until the caller's deadline. `done` is called as soon as
+  /// A submission may have waited unread while this process stood still: that
+  /// counts as a part of its time, and one whose time is over is refused.
+  ///
+  /// @param time_left Until the caller's deadline, if the request was read as
+  ///   soon as it came. `done` is called as soon as
   ///   the request is given up, with kUnknown only when the request may have
   ///   been carried out.
   void Ask(Request request, Millis time_left, ReplyDone done);
--- a/packages/dispatch/src/remote.cc
+++ b/packages/dispatch/src/remote.cc
@@ -5,6 +5,7 @@
 
 #include "admission_limit_p.h"
 #include "laurelhall/base/decision_log.h"
+#include "pause_meter_p.h"
 
 namespace laurelhall::dispatch {
 
@@ -50,7 +51,12 @@
           }
         });
     m_flush = m_init.timers->SubscribeEvery(
-        kLogFlushInterval, [](SteadyTime) { DecisionLog::Get().Flush(); });
+        kLogFlushInterval, [weak = weak_from_this()](SteadyTime) {
+          DecisionLog::Get().Flush();
+          if (const auto self = weak.lock()) {
+            self->m_pauses.OnTick(self->m_init.boot_now());
+          }
+        });
   }
 
   void Stop() {
@@ -59,6 +65,14 @@
   }
 
   void Ask(Request request, Millis time_left, ReplyDone done) {
+    if (const auto* submission = std::get_if<SubmitJob>(&request)) {
+      const Millis unread = m_pauses.UnreadTime(m_init.boot_now());
+      time_left -= unread;
+      if (time_left <= Millis(0)) {
+        RefuseLate(*submission, unread, done);
+        return;
+      }
+    }
     const SteadyTime now = m_init.timers->Now();
     auto pending = std::make_shared<PendingRequest>();
     pending->limit = AdmissionLimitFor(request);
@@ -122,6 +136,20 @@
     return silence > kLeaderLostAfter && silence < kMaxElectionTime;
   }
 
+  // Refuses a submission whose caller has given up by now: it may have
+  // cancelled the job elsewhere, or sent it again.
+  static void RefuseLate(const SubmitJob& submission,
+                         Millis unread,
+                         const ReplyDone& done) {
+    DecisionLog::Get().Write(DecisionLine("entry", "read-late")
+                                 .With("job", submission.id)
+                                 .With("unread_ms", unread));
+    Reply reply;
+    reply.outcome = Outcome::kUnavailable;
+    reply.retry_after = kRetryAfter;
+    done(reply);
+  }
+
   // Refuses a request because the leader is late with earlier ones: the caller
   // does better to retry later than to wait. As nothing was sent, nothing has
   // been carried out.
@@ -271,6 +299,7 @@
   AdmissionLimit m_reads;
   uint64_t m_refused = 0;  // Since the last log line about it.
   SteadyTime m_last_answer_at;
+  PauseMeter m_pauses;
   TimerHandle m_probe;
   TimerHandle m_flush;
 };
--- a/packages/dispatch/tests/remote_test.cc
+++ b/packages/dispatch/tests/remote_test.cc
@@ -18,6 +18,9 @@
     RemoteInit init;
     init.timers = &timers;
     init.post = [](const std::function<void()>& task) { task(); };
+    init.boot_now = [this] {
+      return BootTime(timers.Now().time_since_epoch() + paused_for);
+    };
     init.ask = [this](const scheduling::LeaderRequest& request, auto done) {
       ++request_count;
       read_count += request.is_query ? 1 : 0;
@@ -58,6 +61,7 @@
   }
 
   ManualTimerService timers;
+  Millis paused_for{0};  ///< Time during which the process stood still.
   std::optional<Reply> answer;
   bool is_first_try_lost = false;  ///< Sent, and not answered.
   int request_count = 0;
@@ -121,6 +125,40 @@
   }
 }
 
+// Guards against an entry host that was suspended and hands in a job for a
+// caller which has given up, and may have cancelled it elsewhere.
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, submission read after its time, refused and not "
+                  "sent") {
+  answer = Reply();
+  answer->outcome = Outcome::kOk;
+  timers.Advance(Millis(1'000));
+  paused_for += Millis(4'000);
+  SUBCASE("before the first tick") {}
+  SUBCASE("after it") {
+    timers.Advance(Millis(100));
+  }
+  request_count = 0;
+  CHECK(Ask(SubmitJob{"q", "/q/a", "a", {}}) == 0);
+  CHECK(outcome == Outcome::kUnavailable);
+  CHECK(request_count == 0);
+  // A late cancel is still wanted.
+  Ask(CancelJob{"q", "/q/a", "a"});
+  CHECK(outcome == Outcome::kOk);
+  timers.Advance(Millis(400));
+  Ask(SubmitJob{"q", "/q/a", "a", {}});
+  CHECK(outcome == Outcome::kOk);
+}
+
+TEST_CASE_FIXTURE(RemoteFixture,
+                  "Remote, submission read late and in time, gets the rest of "
+                  "its time") {
+  timers.Advance(Millis(1'000));
+  paused_for += Millis(2'000);
+  CHECK(Ask(SubmitJob{"q", "/q/a", "a", {}}) <= 400);
+  CHECK(outcome == Outcome::kUnknown);
+}
+
 TEST_CASE_FIXTURE(RemoteFixture,
                   "Remote, refusal of the only try or of a read, passed on") {
   answer = Reply();
