--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -327,6 +327,28 @@
                 const std::function<void(const std::string&)>& visit) const;
   };
 
+  struct EarlyCancel {
+    std::string job;
+    std::string organisation;  // Of who cancelled.
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
+    friend auto operator<=>(const EarlyCancel&, const EarlyCancel&) = default;
+  };
+
+  /// Whose share of the early cancels one takes: an organisation's or, for
+  /// callers without one, an open queue's.
+  struct EarlyCancelHolder {
+    std::string organisation;
+    std::string open_queue;
+
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
+    friend auto operator<=>(const EarlyCancelHolder&,
+                            const EarlyCancelHolder&) = default;
+  };
+
+  static EarlyCancelHolder HolderOf(const std::string& queue,
+                                    const std::string& organisation);
+
   void ApplyRecord(const ConfigurationSet& record);
   void ApplyRecord(const JobAccepted& record);
   void ApplyRecord(const JobCancelled& record);
@@ -403,10 +425,9 @@
   ChangeList m_jobs_with_runs_to_stop;
   std::unordered_map<std::string, std::unordered_set<std::string>>
       m_queued_jobs;  // Ids of jobs in JobState::kQueued, by queue.
-  /// The queue of each early cancel, by job and organisation.
-  std::map<std::pair<std::string, std::string>, std::string> m_early_cancels;
-  /// Number of early cancels, by organisation and open queue.
-  std::map<std::pair<std::string, std::string>, size_t> m_early_cancel_counts;
+  /// The queue that each early cancel came through.
+  std::map<EarlyCancel, std::string> m_early_cancels;
+  std::map<EarlyCancelHolder, size_t> m_early_cancel_counts;
   Workers m_workers;
   ChangeList m_changed_workers;
   std::unordered_map<std::string, std::set<std::string>>
--- a/packages/scheduling/include/laurelhall/scheduling/record.h
+++ b/packages/scheduling/include/laurelhall/scheduling/record.h
@@ -200,8 +200,8 @@
   std::string organisation;  ///< Of who cancels; empty: by an open queue.
 };
 
-/// Removes early cancels of these jobs, which are so old that no submission can
-/// be delayed for as long.
+/// Removes the early cancels of these jobs: a submission that comes later
+/// counts as a new one.
 struct EarlyCancelsForgotten {
   std::vector<std::string> jobs;
 };
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -295,14 +295,14 @@
 
 // A configuration may grant fewer attempts than tasks have used up.
 void Ledger::GiveUpExhaustedTasks() {
-  std::vector<std::string> ids;  // Giving up a task may end its job.
+  const auto is_idle = [](const Task& task) { return task.active.empty(); };
+  std::vector<std::string> ids;  // Giving up a task may close its job.
   for (const auto& [id, job] : m_open_jobs) {
     ids.push_back(id);
   }
   for (const std::string& id : ids) {
     Job& job = m_jobs.at(id);
     for (size_t index = 0; index < job.tasks.size(); ++index) {
-      const auto is_idle = [](const Task& task) { return task.active.empty(); };
       if (job.tasks[index].failures > 0 && IsExhausted(job, index) &&
           std::ranges::all_of(MembersOf(job, index), is_idle)) {
         GiveUpTask(job, index);
@@ -377,18 +377,11 @@
   }
 }
 
-namespace {
-
-// Whose share of the early cancels one takes: the organisation's, or the open
-// queue's.
-std::pair<std::string, std::string> HolderOfEarlyCancel(
-    const std::string& queue,
-    const std::string& organisation) {
+Ledger::EarlyCancelHolder Ledger::HolderOf(const std::string& queue,
+                                           const std::string& organisation) {
   return {organisation, organisation.empty() ? queue : std::string()};
 }
 
-}  // namespace
-
 void Ledger::ApplyRecord(const JobCancelledEarly& record) {
   // It may have been accepted meanwhile. Another organisation's job stays.
   const Job* job = FindJob(record.id);
@@ -403,17 +396,16 @@
   if (m_early_cancels
           .try_emplace({record.id, record.organisation}, record.queue)
           .second) {
-    ++m_early_cancel_counts[HolderOfEarlyCancel(record.queue,
-                                                record.organisation)];
+    ++m_early_cancel_counts[HolderOf(record.queue, record.organisation)];
   }
 }
 
 void Ledger::ApplyRecord(const EarlyCancelsForgotten& record) {
   for (const std::string& job : record.jobs) {
     auto cancel = m_early_cancels.lower_bound({job, {}});
-    while (cancel != m_early_cancels.end() && cancel->first.first == job) {
+    while (cancel != m_early_cancels.end() && cancel->first.job == job) {
       const auto count = m_early_cancel_counts.find(
-          HolderOfEarlyCancel(cancel->second, cancel->first.second));
+          HolderOf(cancel->second, cancel->first.organisation));
       if (--count->second == 0) {
         m_early_cancel_counts.erase(count);
       }
@@ -430,13 +422,12 @@
     return m_early_cancels.contains({job, organisation});
   }
   const auto first = m_early_cancels.lower_bound({job, {}});
-  return first != m_early_cancels.end() && first->first.first == job;
+  return first != m_early_cancels.end() && first->first.job == job;
 }
 
 bool Ledger::HasRoomForEarlyCancel(const std::string& queue,
                                    const std::string& organisation) const {
-  const auto held =
-      m_early_cancel_counts.find(HolderOfEarlyCancel(queue, organisation));
+  const auto held = m_early_cancel_counts.find(HolderOf(queue, organisation));
   return m_early_cancels.size() < kMaxEarlyCancels &&
          (held == m_early_cancel_counts.end() ||
           held->second < kMaxEarlyCancelsPerCaller);
@@ -445,8 +436,8 @@
 std::vector<std::string> Ledger::EarlyCancels() const {
   std::vector<std::string> jobs;
   jobs.reserve(m_early_cancels.size());
-  for (const auto& [key, queue] : m_early_cancels) {
-    jobs.push_back(key.first);
+  for (const auto& [cancel, queue] : m_early_cancels) {
+    jobs.push_back(cancel.job);
   }
   return jobs;
 }
@@ -1270,8 +1261,8 @@
   for (const auto& [name, queue] : m_dropped_queues) {
     saved.dropped_queues.push_back(queue);
   }
-  for (const auto& [key, queue] : m_early_cancels) {
-    saved.early_cancels.push_back({key.first, queue, key.second});
+  for (const auto& [cancel, queue] : m_early_cancels) {
+    saved.early_cancels.push_back({cancel.job, queue, cancel.organisation});
   }
   for (const WorkerInfo& info : saved.workers) {
     const Worker& worker = m_workers.at(info.id);
@@ -1327,8 +1318,7 @@
   }
   for (const JobCancelledEarly& cancel : saved.early_cancels) {
     m_early_cancels[{cancel.id, cancel.organisation}] = cancel.queue;
-    ++m_early_cancel_counts[HolderOfEarlyCancel(cancel.queue,
-                                                cancel.organisation)];
+    ++m_early_cancel_counts[HolderOf(cancel.queue, cancel.organisation)];
   }
   for (const SavedGangFailure& failure : saved.gang_failures) {
     Job& job = m_jobs.at(failure.task.job);
--- a/packages/scheduling/src/planner.cc
+++ b/packages/scheduling/src/planner.cc
@@ -56,7 +56,8 @@
 constexpr Millis kStarvedSuspectWait{4'000};
 
 // How long a last attempt waits for a worker that can't have caused the earlier
-// failures. Every worker that may run it at all could be such a one for good.
+// failures. Without a bound, a task of which every eligible worker may have
+// caused one would wait for good.
 constexpr Millis kMaxLastAttemptWait{2'000};
 
 // Penalties in the cost of a place, where 1 is the whole capacity of a worker.
