Dispatcher: an early cancel reads its queue once more with care

The ledger is read twice, and a configuration may be applied between the two: the queue that the first read found may be gone in the second, which would follow a null pointer. The caller is told to retry then. Found by reading, before any landing; not forced, as the tests' ledger changes between calls only.

--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -727,16 +727,25 @@
   void CancelEarly(const CancelJob& request, const ReplyDone& done) {
     scheduling::JobCancelledEarly cancel;
     cancel.id = request.id;
+    bool is_admitted = false;
     bool has_room = false;
     bool is_recorded = false;
     m_log->Read([&](const Ledger& ledger) {
       Admission admission = Admit(ledger, request);
+      is_admitted = admission.outcome == Outcome::kOk;
+      if (!is_admitted) {
+        return;  // The configuration has changed since it was looked up.
+      }
       cancel.queue = admission.queue->name;
       cancel.organisation = std::move(admission.organisation);
       is_recorded = ledger.IsCancelledEarly(cancel.id, cancel.organisation);
       has_room =
           ledger.HasRoomForEarlyCancel(cancel.queue, cancel.organisation);
     });
+    if (!is_admitted) {
+      done(Unavailable());
+      return;
+    }
     if (is_recorded) {
       done(MakeReply(Outcome::kNoJob));
       return;
