--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -337,17 +337,16 @@
 
   /// Whose share of the early cancels one takes: an organisation's or, for
   /// callers without one, an open queue's.
-  struct EarlyCancelHolder {
+  struct CancelHolder {
     std::string organisation;
     std::string open_queue;
 
     // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
-    friend auto operator<=>(const EarlyCancelHolder&,
-                            const EarlyCancelHolder&) = default;
+    friend auto operator<=>(const CancelHolder&, const CancelHolder&) = default;
   };
 
-  static EarlyCancelHolder HolderOf(const std::string& queue,
-                                    const std::string& organisation);
+  static CancelHolder HolderOf(const std::string& queue,
+                               const std::string& organisation);
 
   void ApplyRecord(const ConfigurationSet& record);
   void ApplyRecord(const JobAccepted& record);
@@ -427,7 +426,7 @@
       m_queued_jobs;  // Ids of jobs in JobState::kQueued, by queue.
   /// The queue that each early cancel came through.
   std::map<EarlyCancel, std::string> m_early_cancels;
-  std::map<EarlyCancelHolder, size_t> m_early_cancel_counts;
+  std::map<CancelHolder, size_t> m_early_cancel_counts;
   Workers m_workers;
   ChangeList m_changed_workers;
   std::unordered_map<std::string, std::set<std::string>>
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -377,8 +377,8 @@
   }
 }
 
-Ledger::EarlyCancelHolder Ledger::HolderOf(const std::string& queue,
-                                           const std::string& organisation) {
+Ledger::CancelHolder Ledger::HolderOf(const std::string& queue,
+                                      const std::string& organisation) {
   return {organisation, organisation.empty() ? queue : std::string()};
 }
 
