Ledger: one check of who may see a job, one way to add an early cancel

The check of a job's organisation stood in the dispatcher twice and in the ledger: Job::IsOpenTo() serves all three. Adding an early cancel and its count stood in the record and in loading: AddEarlyCancel().

--- a/packages/dispatch/include/laurelhall/dispatch/remote.h
+++ b/packages/dispatch/include/laurelhall/dispatch/remote.h
@@ -38,13 +38,12 @@
 
   /// Sends a request to the leader.
   ///
-  /// A submission may have waited unread while this process stood still: that
-  /// counts as a part of its time, and one whose time is over is refused.
+  /// A submission may have waited unread while this process was suspended: that
+  /// counts against its deadline, and one whose deadline has passed is refused.
   ///
   /// @param time_left Until the caller's deadline, if the request was read as
-  ///   soon as it came. `done` is called as soon as
-  ///   the request is given up, with kUnknown only when the request may have
-  ///   been carried out.
+  ///   soon as it arrived. `done` is called as soon as the request is given up,
+  ///   with kUnknown only when the request may have been carried out.
   void Ask(Request request, Millis time_left, ReplyDone done);
 
   /// Whether a leader has answered within the last 2.5 s, or this object was
--- a/packages/dispatch/src/dispatcher.cc
+++ b/packages/dispatch/src/dispatcher.cc
@@ -339,9 +339,7 @@
                                            const std::string& id,
                                            const std::string& organisation) {
     const scheduling::Job* job = ledger.FindJob(id);
-    const bool is_own = job != nullptr && (job->organisation.empty() ||
-                                           job->organisation == organisation);
-    return is_own ? job : nullptr;
+    return job != nullptr && job->IsOpenTo(organisation) ? job : nullptr;
   }
 
   // Before the first configuration, any service counts as configured.
@@ -690,9 +688,7 @@
       }
       const scheduling::Access access =
           ledger.keys().Check(queue->name, request.key);
-      may_cancel =
-          access.is_granted && (job->organisation.empty() ||
-                                job->organisation == access.organisation);
+      may_cancel = access.is_granted && job->IsOpenTo(access.organisation);
     });
     return may_cancel;
   }
--- a/packages/dispatch/src/pause_meter_p.h
+++ b/packages/dispatch/src/pause_meter_p.h
@@ -4,8 +4,8 @@
 
 namespace laurelhall::dispatch {
 
-/// Tells how long requests may have waited unread because the whole process
-/// stood still: it was suspended, or got no processor.
+/// Measures how long requests may have waited unread because the whole process
+/// was suspended or got no processor time.
 ///
 /// @remarks Not thread-safe. Reads no clock.
 class PauseMeter {
--- a/packages/scheduling/include/laurelhall/scheduling/ledger.h
+++ b/packages/scheduling/include/laurelhall/scheduling/ledger.h
@@ -87,6 +87,9 @@
   const StepSpec& StepOf(size_t index) const;
   /// Whether all steps that a step depends on are done in its occurrence.
   bool IsStepReady(uint32_t occurrence, uint32_t step) const;
+  /// Whether callers of an organisation, or without one if it is empty, may see
+  /// and cancel the job. A job without an organisation is open to all.
+  bool IsOpenTo(const std::string& caller_organisation) const;
   /// Whether the id belongs to a task of this job.
   bool Holds(const TaskId& task) const;
   /// As Task::IsSuspect(). The tasks of a gang start together, so it holds for
@@ -345,6 +348,7 @@
     friend auto operator<=>(const CancelHolder&, const CancelHolder&) = default;
   };
 
+  void AddEarlyCancel(const JobCancelledEarly& cancel);
   static CancelHolder HolderOf(const std::string& queue,
                                const std::string& organisation);
 
--- a/packages/scheduling/src/ledger.cc
+++ b/packages/scheduling/src/ledger.cc
@@ -83,6 +83,10 @@
   });
 }
 
+bool Job::IsOpenTo(const std::string& caller_organisation) const {
+  return organisation.empty() || organisation == caller_organisation;
+}
+
 bool Job::Holds(const TaskId& task) const {
   return task.job == id && task.occurrence < spec.occurrences &&
          task.step < spec.steps.size() &&
@@ -385,18 +389,22 @@
 void Ledger::ApplyRecord(const JobCancelledEarly& record) {
   // It may have been accepted meanwhile. Another organisation's job stays.
   const Job* job = FindJob(record.id);
-  if (job != nullptr &&
-      (job->organisation.empty() || job->organisation == record.organisation)) {
+  if (job != nullptr && job->IsOpenTo(record.organisation)) {
     ApplyRecord(JobCancelled{record.id});
     return;
   }
-  if (!HasRoomForEarlyCancel(record.queue, record.organisation)) {
-    return;
+  if (HasRoomForEarlyCancel(record.queue, record.organisation)) {
+    AddEarlyCancel(record);
   }
-  if (m_early_cancels
-          .try_emplace({record.id, record.organisation}, record.queue)
-          .second) {
-    ++m_early_cancel_counts[HolderOf(record.queue, record.organisation)];
+}
+
+void Ledger::AddEarlyCancel(const JobCancelledEarly& cancel) {
+  const bool is_new =
+      m_early_cancels
+          .try_emplace({cancel.id, cancel.organisation}, cancel.queue)
+          .second;
+  if (is_new) {
+    ++m_early_cancel_counts[HolderOf(cancel.queue, cancel.organisation)];
   }
 }
 
@@ -1317,8 +1325,7 @@
     job.tasks[job.IndexOf(id)].is_given_up = true;
   }
   for (const JobCancelledEarly& cancel : saved.early_cancels) {
-    m_early_cancels[{cancel.id, cancel.organisation}] = cancel.queue;
-    ++m_early_cancel_counts[HolderOf(cancel.queue, cancel.organisation)];
+    AddEarlyCancel(cancel);
   }
   for (const SavedGangFailure& failure : saved.gang_failures) {
     Job& job = m_jobs.at(failure.task.job);
